--- /dev/null
+++ b/decide/decide.go
@@ -0,0 +1,902 @@
+// The decisions of the router. Its interface (settings, events, actions) stands
+// in api.go; read that first.
+package decide
+
+import (
+	"fmt"
+	"math"
+	"sort"
+)
+
+// Ratios of the policy. Spans come from the settings.
+const (
+	threshold       = 2   // consecutive failures that mark a cache
+	zoneThreshold   = 3   // consecutive failed connections that mark a zone
+	rehashCap       = 4   // picks tried before an unhealthy one is used anyway
+	probeShare      = .01 // points a request that probes may cost, before the Interval is stretched
+	longestInterval = 64  // ... to so many DrainGraces at most, for a router that is hardly asked
+	backoffMost     = 6   // doublings of the wait between calls for the list
+	firstLimit      = 8   // requests out at a cache, over all routers, before anything is known
+	leastFirst      = 1   // ... and one router's part of it, at least
+	tolerated       = .2  // share of overdue attempts at which a limit stays as it is
+	originTolerated = .15 // the same for likely misses: the origin is slow to recover
+	originShare     = .65 // of the aim after which a likely miss speaks against the origin
+	missWindow      = 64  // likely misses over which the share of true ones fades
+	step            = .5  // of an attempt, by which one overdue attempt lowers a limit
+	pooled          = .3  // weight of a verdict at all other caches together, for each router
+	leastLimit      = .1  // where the limit stops falling; under 1 it is the share of time in use
+	holdShare       = .4  // of the aim that a request may wait for room
+	retryShare      = .05 // retries and hedges a request, in the long run
+	hotPart         = .5  // of a cache's fair share of requests that one key may take
+	hotLeast        = 2   // requests for a key before it can be hot
+	admitTries      = 32  // held requests without room that are looked at for one answer
+	retryBurst      = 10  // ... and in one burst
+)
+
+// cache is what this router knows of one cache server.
+type cache struct {
+	Entry
+	zone     *zone
+	warmAt   Time // cold until then
+	coldFrom Time // when the process is held to have started
+	healthy  bool
+	fails    int // consecutive failed probes
+	pending  int // attempts out, those of finished requests included
+	probing  int // number of the round whose probe is out; 0 for none
+	hash     uint64
+	score    float64            // of the key being placed
+	limit    float64            // attempts this router keeps out here at most
+	keeps    [2]map[uint64]bool // keys it answered lately, of this window and the one before
+	uses     int                // attempts ever sent to it
+	lastSend Time
+	sends    float64 // fading count of attempts, as of lastSend
+	answered Time    // when it last answered anything
+	prompt   bool    // it answered the last likely hit in time
+}
+
+// zone is what this router knows of the way to a zone.
+type zone struct {
+	fails   int  // failed connections in a row, to any of its caches
+	trialAt Time // it is taken for cut until then; one request is its half-open trial
+}
+
+type attempt struct {
+	to       *cache
+	sent     Time
+	fetch    bool // the cache was not known to keep the key: the origin likely has to serve it
+	pending  bool
+	stopped  bool // Cancel was asked for
+	neverRan bool
+	unmet    bool // no connection came about
+}
+
+type request struct {
+	*Request
+	class    *Class
+	arrived  Time
+	attempts []attempt
+	done     bool // the final answer is given, or nobody waits for it
+	held     bool // waits for room
+	spares   bool // ... at the origin
+	streams  bool // the answer has started
+	astray   bool // its home had no room when it was placed
+}
+
+// Router decides for one instance. Use New.
+type Router struct {
+	set      Settings
+	classes  map[string]*Class
+	rng      uint64
+	now      Time
+	out      []Action
+	caches   map[string]*cache // every cache ever listed
+	zones    map[string]*zone
+	ready    []*cache // those up, by id
+	reqs     map[int64]*request
+	timers   map[int64]func()
+	token    int64
+	calls    int // failed calls for the list in a row
+	round    int
+	uses     int     // attempts ever sent
+	spare    float64 // probes earned by requests and not yet sent
+	beats    int     // DrainGraces since the last round
+	started  bool
+	ranks    []*cache          // scratch of rank
+	ranked   int               // ... of which so many are in order
+	waiting  []*request        // held for room
+	fetching int               // attempts out that the origin likely has to serve
+	fetches  float64           // ... at most
+	missing  float64           // fading share of them that the origin did serve, or failed to
+	patience Time              // of the class with the shortest
+	budget   float64           // of retries
+	keys     [2]map[uint64]int // requests by key, of this window and the one before
+	asked    [2]int            // ... and of all keys
+	shed     [2]int            // requests refused in this window for want of room: at caches, at the origin
+	shedding bool
+}
+
+// New returns a router for the settings. The error names a wrong field.
+func New(s Settings, seed uint64) (*Router, error) {
+	if err := s.check(); err != nil {
+		return nil, err
+	}
+	r := &Router{set: s, rng: seed, classes: map[string]*Class{}, caches: map[string]*cache{},
+		reqs: map[int64]*request{}, timers: map[int64]func(){}, budget: retryBurst,
+		keys: [2]map[uint64]int{{}, {}}, zones: map[string]*zone{}}
+	for i := range s.Classes {
+		c := s.Classes[i]
+		r.classes[c.Name] = &c
+		if i == 0 || c.patience() < r.patience {
+			r.patience = c.patience()
+		}
+	}
+	if r.set.DrainGrace == 0 {
+		r.set.DrainGrace = 1e6
+	}
+	return r, nil
+}
+
+// Handle takes one event and returns what is to be done, in order.
+func (r *Router) Handle(now Time, ev Event) []Action {
+	r.now, r.out = now, nil
+	switch ev := ev.(type) {
+	case *List:
+		r.list(ev)
+	case *Request:
+		r.request(ev)
+	case *Outcome:
+		r.outcome(ev)
+	case *Started:
+		if q := r.reqs[ev.ID]; q != nil {
+			q.streams = true
+		}
+	case *Departed:
+		if q := r.reqs[ev.ID]; q != nil {
+			r.finish(q)
+		}
+	case *Timer:
+		if f := r.timers[ev.Token]; f != nil {
+			delete(r.timers, ev.Token)
+			f()
+		}
+	case *Probed:
+		r.probed(ev)
+	}
+	return r.out
+}
+
+func (r *Router) do(a Action) { r.out = append(r.out, a) }
+
+func (r *Router) logf(format string, args ...any) { r.do(Log{fmt.Sprintf(format, args...)}) }
+
+// at runs f at the given time.
+func (r *Router) at(t Time, f func()) {
+	r.token++
+	r.timers[r.token] = f
+	r.do(SetTimer{r.token, max(t, r.now+1)})
+}
+
+func (r *Router) random() float64 {
+	r.rng += 0x9e3779b97f4a7c15
+	return unit(mix(r.rng))
+}
+
+// The list.
+
+func (r *Router) list(ev *List) {
+	if ev.Kind == ListFailed {
+		// Routers that lose the list together must not ask together: the list serves few calls.
+		r.calls++
+		wait := float64(max(r.set.AskEvery, 1e6)) / 40 * math.Exp2(float64(min(r.calls, backoffMost)))
+		r.at(r.now+Time(wait*(0.5+r.random()/2)), func() { r.do(Watch{}) })
+		if r.calls == 1 {
+			r.logf("list lost, asking again")
+		}
+		return
+	}
+	if ev.Kind != ListStale {
+		r.calls = 0
+	}
+	seen := map[string]bool{}
+	for _, e := range ev.Entries {
+		seen[e.ID] = true
+		r.entry(e)
+	}
+	r.ready = r.ready[:0]
+	for id, c := range r.caches {
+		if ev.Kind != ListChanges && !seen[id] {
+			c.Condition = Removed
+		}
+		if c.Condition == Up {
+			r.ready = append(r.ready, c)
+		}
+	}
+	sort.Slice(r.ready, func(i, j int) bool { return r.ready[i].ID < r.ready[j].ID })
+	if !r.started {
+		r.started = true
+		r.missing = 1
+		r.fetches = max(leastFirst, firstLimit*float64(len(r.ready))/float64(max(1, r.set.Routers)))
+		if r.set.MustWatch {
+			r.do(Watch{})
+		}
+		r.at(r.now, r.forget)
+		r.at(r.now, r.turn)
+		if r.set.Probes {
+			// Routers started together must not probe on one beat.
+			r.spare = r.random() * float64(len(r.ready))
+			r.at(r.now+Time(r.random()*float64(r.set.DrainGrace)), r.probeRound)
+		}
+	}
+}
+
+// window is longer where many routers each see few of a key's requests.
+func (r *Router) window() Time {
+	return Time(float64(r.set.DrainGrace) * math.Sqrt(max(1, float64(r.set.Routers)/4)))
+}
+
+// turn opens a new window of the counts by key.
+func (r *Router) turn() {
+	r.keys = [2]map[uint64]int{{}, r.keys[0]}
+	r.asked = [2]int{0, r.asked[0]}
+	if on := r.shed != [2]int{}; on != r.shedding {
+		r.shedding = on
+		r.logf("load shedding %v: %d refused as caches are full, %d to spare the origin", on, r.shed[0],
+			r.shed[1])
+	}
+	r.shed = [2]int{}
+	r.at(r.now+2*r.window(), r.turn)
+}
+
+// forget opens a new window of what the caches keep: a cache that warms up by
+// refilling keeps its keys for about as long as that takes.
+func (r *Router) forget() {
+	for _, c := range r.caches {
+		c.keeps = [2]map[uint64]bool{{}, c.keeps[0]}
+	}
+	r.at(r.now+max(r.set.ColdTime/4, r.window()), r.forget)
+}
+
+func (r *Router) entry(e Entry) {
+	c := r.caches[e.ID]
+	if c == nil {
+		c = &cache{healthy: true, prompt: true, hash: hash(e.ID), keeps: [2]map[uint64]bool{{}, {}}}
+		c.limit = max(leastFirst, firstLimit/float64(max(1, r.set.Routers)))
+		r.caches[e.ID] = c
+	} else if e.Start != c.Start || c.Condition == Removed && e.Condition == Up {
+		// The process is a new one: nothing seen of the old one holds.
+		c.healthy, c.fails, c.keeps = true, 0, [2]map[uint64]bool{{}, {}}
+	}
+	if r.set.LiveSizes {
+		// The danger: a size that falls with the load moves keys from list to list, and they miss.
+		// The largest seen is the nominal one, or close; it is the same for all routers.
+		e.Size = max(e.Size, c.Size)
+	}
+	c.Entry = e
+	if r.zones[e.Zone] == nil {
+		r.zones[e.Zone] = &zone{}
+	}
+	c.zone = r.zones[e.Zone]
+	if e.Size <= 0 {
+		c.Size = 1
+	}
+	if e.Start > 0 && e.Start+r.set.ColdTime > r.now {
+		c.coldFrom, c.warmAt = e.Start, e.Start+r.set.ColdTime
+	}
+}
+
+// Health: the design's mechanism. Interval is the span within which the operators want bad
+// news acted upon, or as many of them as it takes this router's requests to pay for a probe of
+// each cache. The danger: probes grow with routers times caches, and cost more than they save.
+
+func (r *Router) probeRound() {
+	r.at(r.now+r.set.DrainGrace, r.probeRound)
+	r.beats++
+	if r.spare < float64(len(r.ready)) && r.beats < longestInterval {
+		return
+	}
+	r.spare, r.beats = 0, 0
+	r.round++
+	n := r.round
+	for _, c := range r.ready {
+		c.probing = n
+		r.do(Probe{c.ID})
+	}
+	r.at(r.now+r.probeTimeout(), func() {
+		for _, c := range r.ready {
+			if c.probing == n {
+				c.probing = 0
+				c.fails++ // a hung cache never answers its probe: the timer counts it
+			}
+			if c.healthy && c.fails >= threshold {
+				r.mark(c, false)
+			}
+		}
+	})
+}
+
+func (r *Router) probeTimeout() Time { return r.set.DrainGrace / 2 }
+
+func (r *Router) probed(ev *Probed) {
+	c := r.caches[ev.Cache]
+	if c == nil || c.probing == 0 {
+		return // too late: its round has been judged
+	}
+	c.probing = 0
+	if ev.Result != Served {
+		c.fails++
+		return
+	}
+	c.fails = 0
+	if !c.healthy {
+		r.mark(c, true)
+	}
+}
+
+func (r *Router) mark(c *cache, healthy bool) {
+	c.healthy = healthy
+	if healthy {
+		r.logf("%s healthy", c.ID)
+	} else {
+		r.logf("%s unhealthy after %d failed probes", c.ID, c.fails)
+	}
+}
+
+// reached notes whether an attempt met the cache. The danger: links to a zone are cut, and a
+// router that learns it from each of its caches apart finds out when it is over.
+func (r *Router) reached(c *cache, met bool) {
+	if met {
+		c.zone.fails = 0
+		return
+	}
+	if c.zone.fails++; c.zone.fails == zoneThreshold {
+		r.logf("zone %s out of reach", c.Zone)
+	}
+	c.zone.trialAt = r.now + r.set.ColdTime/4
+}
+
+// cut reports whether a cache's zone is held to be out of reach.
+func (r *Router) cut(c *cache) bool {
+	return c.zone.fails >= zoneThreshold && r.now < c.zone.trialAt
+}
+
+// Placement.
+
+// rank orders the ready caches for a key by size-weighted rendezvous hashing: a
+// cache that leaves gives up its own keys only, and each key has its fallbacks.
+// Routers agree, as the list's contents alone decide. Ranks after the first are for nth to find.
+func (r *Router) rank(key uint64) []*cache {
+	r.ranks, r.ranked = append(r.ranks[:0], r.ready...), 0
+	for _, c := range r.ranks {
+		c.score = -math.Log(unit(mix(key^c.hash))+1e-18) / c.Size
+	}
+	if k := min(r.spread(key), len(r.ranks)); k > 1 {
+		// The danger: a hot key drowns its cache, and the cache's other keys go elsewhere and
+		// miss. It is shared by its first ranks, where it soon is a hit.
+		r.nth(k - 1)
+		i := int(r.random() * float64(k))
+		r.ranks[0], r.ranks[i] = r.ranks[i], r.ranks[0]
+	}
+	return r.ranks
+}
+
+// nth is the cache of rank i. The danger: sorting a large fleet for each request takes more time
+// than a router has; few ranks are asked for.
+func (r *Router) nth(i int) *cache {
+	for ; r.ranked <= i; r.ranked++ {
+		best := r.ranked
+		for j := best + 1; j < len(r.ranks); j++ { // equal scores stay in the order of ids
+			if r.ranks[j].score < r.ranks[best].score {
+				best = j
+			}
+		}
+		c := r.ranks[best]
+		copy(r.ranks[r.ranked+1:best+1], r.ranks[r.ranked:best])
+		r.ranks[r.ranked] = c
+	}
+	return r.ranks[i]
+}
+
+// spread is over how many caches a key's requests go: one, unless it is hot.
+func (r *Router) spread(key uint64) int {
+	n := r.keys[0][key] + r.keys[1][key]
+	if n < hotLeast {
+		return 1
+	}
+	share := float64(n) / float64(r.asked[0]+r.asked[1])
+	return 1 + int(share*float64(len(r.ready))/hotPart)
+}
+
+// pick names the cache for the next attempt, or nil. crowded tells that only
+// want of room stands in the way.
+func (r *Router) pick(q *request) (to *cache, crowded bool) {
+	var anyway *cache
+	home := true // until a cache has been passed over that the key should go to
+	tried := 0
+	for i := range r.rank(q.Key) {
+		if tried == rehashCap {
+			break
+		}
+		c := r.nth(i)
+		if !r.maySend(q, c) || q.triedAt(c) || !r.warmEnough(q, c) {
+			continue
+		}
+		if r.cut(c) { // not counted: a lost zone may hold most of the fleet
+			if anyway == nil && r.hasRoom(c) {
+				anyway = c
+			}
+			continue
+		}
+		tried++
+		switch {
+		case !c.healthy: // not crowded: its keys have to go elsewhere, whatever the budget
+			if anyway == nil && r.hasRoom(c) {
+				anyway = c
+			}
+		case r.fetch(q, c) && float64(r.fetching)*r.missing >= r.fetches:
+			// Likely hits of other routers' keys pass. The danger: one router of many knows few
+			// keys, and in sparing the origin it refuses mostly what the cache has.
+			crowded, q.spares = true, true
+		case !r.hasRoom(c):
+			crowded = true
+		case !crowded || r.mayOverflow(q, c):
+			q.astray = !home
+			return c, false
+		}
+		home = home && !c.healthy
+	}
+	q.astray = false
+	if crowded {
+		return nil, true
+	}
+	return anyway, false
+}
+
+// hasRoom reports whether the limit lets one more attempt out. A limit under one
+// leaves gaps between attempts. The danger: a cache slowed down by crowding stays slow until it
+// has been mostly idle, and one attempt of every router at all times is enough to keep it so.
+func (r *Router) hasRoom(c *cache) bool {
+	if c.limit >= 1 || c.pending > 0 {
+		return float64(c.pending) < c.limit
+	}
+	return r.now >= c.lastSend+Time(float64(r.patience)*(1/c.limit-1))
+}
+
+// mayOverflow reports whether a request without room at its home may go to another cache: one
+// that keeps its key, or any while the origin has room or the budget a token. The danger:
+// overflowing keys miss wherever they go and crowd the origin.
+func (r *Router) mayOverflow(q *request, c *cache) bool {
+	return c.knows(q.Key) || r.originIdles() || r.budget >= 1
+}
+
+func (r *Router) originIdles() bool { return float64(r.fetching) < r.fetches/2 }
+
+// knows reports whether the cache has answered for the key lately, so that it likely keeps it.
+func (c *cache) knows(key uint64) bool { return c.keeps[0][key] || c.keeps[1][key] }
+
+func (q *request) triedAt(c *cache) bool {
+	for _, a := range q.attempts {
+		if a.to == c {
+			return true
+		}
+	}
+	return false
+}
+
+// warmEnough keeps a cold cache to its share, whichever way a request comes to
+// it. The danger: all routers' work adds up, and a cold cache pushed over stays
+// down. A second hash of the key decides, so that routers agree and it fills steadily.
+func (r *Router) warmEnough(q *request, c *cache) bool {
+	if r.now >= c.warmAt {
+		return true
+	}
+	if len(q.attempts) > 0 || r.spread(q.Key) > 1 || unit(mix(mix(q.Key)+1)) >= r.warmth(c) {
+		return false // in trouble retries are most of what is sent, and they all look for room
+	}
+	// Retries and hot keys can still add up: it gets no more than its part of what warm ones get.
+	sent, size := 0.0, 0.0
+	for _, w := range r.ready {
+		if r.now >= w.warmAt {
+			sent, size = sent+r.recent(w), size+w.Size
+		}
+	}
+	return r.recent(c) < 1+r.warmth(c)*c.Size*sent/max(size, c.Size)
+}
+
+// recent is the number of attempts sent to a cache lately, fading within TipTime.
+func (r *Router) recent(c *cache) float64 {
+	return c.sends * math.Exp(-float64(r.now-c.lastSend)/float64(max(r.set.TipTime, 1)))
+}
+
+// warmth is the least share of its capacity that a cache can have by now.
+func (r *Router) warmth(c *cache) float64 {
+	if r.now >= c.warmAt {
+		return 1
+	}
+	age := float64(r.now-c.coldFrom) / float64(r.set.ColdTime)
+	return r.set.ColdShare + (1-r.set.ColdShare)*max(0, age)
+}
+
+// Rules.
+
+// maySend is the one answer to "may this request be sent (again), to this cache?".
+func (r *Router) maySend(q *request, c *cache) bool {
+	if q.done || q.streams || r.now >= q.Deadline || len(q.attempts) >= r.set.MaxAttempts {
+		return false
+	}
+	if c.Condition != Up {
+		return false // drains are kept from the moment they are known
+	}
+	for _, a := range q.attempts {
+		if a.pending && !r.set.Copies {
+			return false
+		}
+		if a.neverRan || q.class.Effect == Safe {
+			continue
+		}
+		// It may have run: its effect must not happen twice.
+		if q.class.Effect == Unsafe || !sameGroup(q.class.Scope, a.to, c) || r.now >= a.sent+q.class.KeyTTL {
+			return false
+		}
+	}
+	return true
+}
+
+func sameGroup(s Scope, a, b *cache) bool {
+	switch s {
+	case ScopeAll:
+		return true
+	case ScopeZone:
+		return a.Zone == b.Zone
+	}
+	return a.Cell == b.Cell
+}
+
+// mayRefuse is the one answer to "may it be refused, or only failed?": a
+// refusal tells the client that trying again is harmless.
+func (r *Router) mayRefuse(q *request) bool {
+	if q.class.Effect == Safe || q.class.Effect == Keyed && q.class.Scope == ScopeAll {
+		return true
+	}
+	for _, a := range q.attempts {
+		if !a.neverRan {
+			return false
+		}
+	}
+	return true
+}
+
+// Requests.
+
+var unknownClass = Class{Effect: Unsafe}
+
+func (r *Router) request(ev *Request) {
+	q := &request{Request: ev, class: r.classes[ev.Class], arrived: r.now}
+	if q.class == nil {
+		q.class = &unknownClass
+	}
+	if !q.HasKey {
+		q.Request = &Request{}
+		*q.Request = *ev
+		q.Key = mix(uint64(ev.ID) ^ r.rng)
+	}
+	r.reqs[q.ID] = q
+	if r.now < q.Deadline {
+		// No request is lost: whatever else happens, this timer gives the final answer.
+		r.at(q.Deadline, func() { r.answer(q) })
+	}
+	r.budget = min(r.budget+retryShare, retryBurst)
+	r.spare += probeShare / max(r.set.ProbePrice, 1e-9)
+	r.keys[0][q.Key]++
+	r.asked[0]++
+	r.forward(q)
+}
+
+// forward sends a request on, holds it for room, or answers it when neither can be.
+func (r *Router) forward(q *request) {
+	if r.isRetry(q) && r.budget < 1 {
+		r.giveUp(q) // the danger: retries feed the overload that caused them
+		return
+	}
+	c, crowded := r.pick(q)
+	switch {
+	case c != nil:
+		r.send(q, c)
+	case crowded && r.now < q.holdUntil():
+		r.hold(q)
+	default:
+		r.giveUp(q)
+	}
+}
+
+// isRetry reports whether a further attempt adds to what caches are asked for: one that did not
+// meet its cache has cost none of them anything.
+func (r *Router) isRetry(q *request) bool {
+	return len(q.attempts) > 0 && !q.attempts[len(q.attempts)-1].unmet
+}
+
+// giveUp answers a request unless an attempt is still out that may do so.
+func (r *Router) giveUp(q *request) {
+	for _, a := range q.attempts {
+		if a.pending {
+			return
+		}
+	}
+	r.answer(q)
+}
+
+// holdUntil is when a held request can no longer be served within its aim.
+func (q *request) holdUntil() Time {
+	return q.arrived + Time(holdShare*float64(min(q.class.Aim, q.Deadline-q.arrived)))
+}
+
+// hold keeps a request until a cache has room. The danger it answers: a crowded
+// cache serves everything late, and late failures cost most.
+func (r *Router) hold(q *request) {
+	if !q.held {
+		q.held = true
+		r.waiting = append(r.waiting, q)
+		r.at(q.holdUntil(), func() {
+			if q.held && !q.done {
+				r.shed[b2i(q.spares)]++
+				r.unhold(q)
+				r.giveUp(q)
+			}
+		})
+	}
+}
+
+func (r *Router) unhold(q *request) {
+	q.held = false
+	for i, w := range r.waiting {
+		if w == q {
+			r.waiting = append(r.waiting[:i], r.waiting[i+1:]...)
+			return
+		}
+	}
+}
+
+// admit sends held requests on when there is room again, the latest first: the danger of
+// the fair order is that in overload each one waits until it is too late.
+func (r *Router) admit() {
+	failed := 0
+	for i := len(r.waiting) - 1; i >= 0 && failed < admitTries; i-- {
+		q := r.waiting[i]
+		if c, _ := r.pick(q); c == nil {
+			failed++ // the danger: with thousands held, trying all at each answer takes seconds
+		} else {
+			r.unhold(q)
+			r.send(q, c)
+		}
+	}
+}
+
+func (r *Router) send(q *request, c *cache) {
+	if r.isRetry(q) || len(q.attempts) == 0 && q.astray && !r.originIdles() && !c.knows(q.Key) {
+		r.budget--
+	}
+	q.attempts = append(q.attempts, attempt{to: c, sent: r.now, pending: true, fetch: r.fetch(q, c)})
+	n := len(q.attempts) - 1
+	c.pending++
+	c.uses++
+	r.uses++
+	c.sends = r.recent(c) + 1
+	c.lastSend = r.now
+	if q.attempts[n].fetch {
+		r.fetching++
+	}
+	if c.zone.fails >= zoneThreshold {
+		c.zone.trialAt = r.now + r.set.ColdTime/4 // the trial is one request
+	}
+	r.do(Send{ID: q.ID, Cache: c.ID, StopAt: q.Deadline})
+	r.at(r.now+q.class.patience(), func() {
+		if q.attempts[n].pending {
+			r.overdue(q, n)
+			r.hedge(q, n)
+		}
+	})
+}
+
+// hedge sends a second copy of a request whose attempt is overdue at a cache that has answered
+// nothing since. The danger: a cache that hangs takes requests and answers none until two
+// rounds of probes have failed. Late answers are no reason: in overload they all are.
+func (r *Router) hedge(q *request, n int) {
+	if q.done || !r.set.Copies || q.attempts[n].to.answered > q.attempts[n].sent || r.budget < 1 {
+		return
+	}
+	if c, _ := r.pick(q); c != nil {
+		r.send(q, c)
+	}
+}
+
+// patience is how long an attempt may take before it counts as overdue.
+func (c *Class) patience() Time { return max(c.Aim/2, 1) }
+
+// fetch reports whether the origin likely has to serve a read that is sent to the cache.
+func (r *Router) fetch(q *request, c *cache) bool { return !q.Write && !c.knows(q.Key) }
+
+// overdue blames a late attempt on the origin if it is a likely miss and the cache answered the
+// last likely hit in time, else on the cache. The danger: an origin that is asked for too much serves all of
+// it late, writes too, and goes on with work that nobody waits for; a cache likewise.
+func (r *Router) overdue(q *request, n int) {
+	a := &q.attempts[n]
+	c := a.to
+	if a.fetch && c.prompt && r.now >= c.warmAt { // a cold one is slow itself and has few hits
+		r.at(a.sent+Time(originShare*float64(q.class.Aim)), func() {
+			if a := &q.attempts[n]; a.pending {
+				adjust(&r.fetches, false, originTolerated)
+				r.fetches = max(1, r.fetches)
+			}
+		})
+		return
+	}
+	c.prompt = false
+	if c.limit > r.alone() {
+		r.pool(false)
+		adjust(&c.limit, false, tolerated)
+		return
+	}
+	// The danger: where all caches are slow by themselves, less load makes none of them faster,
+	// and a share of nothing is served. Alone, an attempt may take its whole aim.
+	r.at(a.sent+q.class.Aim, func() {
+		if q.attempts[n].pending {
+			adjust(&c.limit, false, tolerated)
+		}
+	})
+}
+
+// closesIdle reports whether an idle connection to the cache costs more than it saves: a dial,
+// when this router comes back. At even shares keeping costs Routers/100 times what dialling
+// does, as 100 connections a cache cost ConnPrice; a cache used more than others earns its own
+// more often. The danger: every router keeps one to every cache, and the caches' tables are full.
+func (r *Router) closesIdle(c *cache) bool {
+	again := float64(c.uses-1) / float64(r.uses) * float64(len(r.ready))
+	return r.set.ConnPrice*float64(r.set.Routers) > 100*r.set.DialPrice*again
+}
+
+// alone is the limit at which all routers together keep one attempt out at a cache.
+func (r *Router) alone() float64 { return 1 / float64(max(1, r.set.Routers)) }
+
+// adjust moves a limit by the fate of one attempt under it. A limit comes to rest where
+// the tolerated share of attempts is overdue: some are long by nature.
+func adjust(limit *float64, good bool, tolerated float64) {
+	if good {
+		*limit += step * tolerated / (1 - tolerated)
+	} else {
+		*limit = max(leastLimit, *limit-step*min(*limit, 1))
+	}
+}
+
+// pool lets a verdict on one cache count in part at all that take more than one attempt of all
+// routers. The danger: of many routers each sends a cache little, and learns of a surge or of a
+// lost zone from each cache apart, when it is over.
+func (r *Router) pool(good bool) {
+	weight := pooled * float64(r.set.Routers)
+	part := weight / (weight + float64(len(r.ready)))
+	for _, c := range r.ready {
+		if limit := c.limit; limit > r.alone() {
+			adjust(&limit, good, tolerated)
+			c.limit = max(r.alone(), c.limit+part*(limit-c.limit))
+		}
+	}
+}
+
+// answer gives the final answer, once.
+func (r *Router) answer(q *request) {
+	if q.done || q.streams {
+		return
+	}
+	if r.mayRefuse(q) {
+		r.do(Refuse{ID: q.ID, Wait: min(r.set.RefuseWait, q.class.Aim)})
+	} else {
+		r.do(Fail{ID: q.ID})
+	}
+	r.finish(q)
+}
+
+// finish stops what is still out for a request that is over.
+func (r *Router) finish(q *request) {
+	q.done = true
+	if q.held {
+		r.unhold(q)
+	}
+	out := false
+	for i := range q.attempts {
+		if a := &q.attempts[i]; a.pending {
+			out = true
+			if r.set.Cancels && !q.streams && !a.stopped {
+				a.stopped = true
+				r.do(Cancel{q.ID, i})
+			}
+		}
+	}
+	if !out {
+		delete(r.reqs, q.ID)
+	}
+}
+
+func (r *Router) outcome(ev *Outcome) {
+	q := r.reqs[ev.ID]
+	if q == nil || ev.Attempt < 0 || ev.Attempt >= len(q.attempts) || !q.attempts[ev.Attempt].pending {
+		return
+	}
+	a := &q.attempts[ev.Attempt]
+	a.pending, a.neverRan = false, ev.Result.NeverRan()
+	a.to.pending--
+	if a.fetch {
+		r.fetching--
+	}
+	if ev.Result == Served || ev.Result == Errored || ev.Result == Rejected {
+		a.to.answered = r.now
+		r.reached(a.to, true)
+	} else if ev.Result == NoConnection {
+		a.unmet = true
+		r.reached(a.to, false)
+	}
+	if a.to.pending == 0 && r.closesIdle(a.to) {
+		r.do(CloseIdle{a.to.ID})
+	}
+	good := ev.Result == Served && r.now-a.sent < q.class.patience()
+	if good && !a.fetch {
+		a.to.prompt = true
+	}
+	fetched := ev.Result == Served && a.fetch && float64(r.now-a.sent) < originShare*float64(q.class.Aim)
+	if ev.Result == Errored || fetched && float64(r.fetching+1) > r.fetches/2 {
+		adjust(&r.fetches, fetched, originTolerated)
+		r.fetches = max(1, r.fetches)
+	}
+	if ev.Result == Rejected || ev.Result == NoConnection || good && float64(a.to.pending+1) > a.to.limit/2 {
+		r.pool(good)
+		adjust(&a.to.limit, good, tolerated)
+	} else if ev.Result == Served && a.to.limit < r.alone() && r.now-a.sent < q.class.Aim {
+		adjust(&a.to.limit, true, tolerated)
+	}
+	if a.fetch && (ev.Result == Served || ev.Result == Errored) {
+		r.missing -= r.missing / missWindow
+		if ev.Miss || ev.Result == Errored {
+			r.missing += 1.0 / missWindow
+		}
+	}
+	if ev.Result == Served {
+		a.to.keeps[0][q.Key] = true
+	}
+	defer r.admit()
+	if ev.Last || q.done {
+		r.finish(q)
+		return
+	}
+	if r.now >= q.Deadline {
+		r.answer(q) // the danger: the time-out at the deadline still owes the answer
+		return
+	}
+	r.forward(q)
+}
+
+// Hashing.
+
+// mix is the finaliser of SplitMix64.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+func b2i(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// unit maps a hash to [0, 1).
+func unit(x uint64) float64 { return float64(x>>11) / (1 << 53) }
+
+// hash maps an id to a number, by FNV-1a.
+func hash(s string) uint64 {
+	h := uint64(14695981039346656037)
+	for i := 0; i < len(s); i++ {
+		h = (h ^ uint64(s[i])) * 1099511628211
+	}
+	return mix(h)
+}
--- /dev/null
+++ b/internal/wire/settings.go
@@ -0,0 +1,82 @@
+package wire
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"oakferry/decide"
+)
+
+// info is the wire's form of the settings. Keys it does not name are skipped.
+type info struct {
+	Instances  int    `json:"instances"`
+	Discovery  string `json:"discovery"`
+	Weights    string `json:"weights"`
+	Categories []struct {
+		Name      string  `json:"name"`
+		Effect    string  `json:"effect"`
+		Scope     string  `json:"dedupScope"`
+		KeyTTL    int64   `json:"keyTtl"`
+		Aim       int64   `json:"aim"`
+		Limit     int64   `json:"hardLimit"`
+		Worth     float64 `json:"worth"`
+		LateWorth float64 `json:"lateWorth"`
+	} `json:"categories"`
+	Limits struct {
+		Cancel      bool  `json:"cancel"`
+		Probes      bool  `json:"probes"`
+		Copies      bool  `json:"secondCopies"`
+		RetryAfter  bool  `json:"retryAfter"`
+		MaxAttempts *int  `json:"maxAttempts"`
+		MaxWait     int64 `json:"maxRetryAfter"`
+	} `json:"limits"`
+	Rules struct {
+		AskEvery   int64   `json:"askEvery"`
+		Cold       int64   `json:"cold"`
+		DrainGrace int64   `json:"drainGrace"`
+		Fall       int64   `json:"fall"`
+		StartShare float64 `json:"startCapacity"`
+	} `json:"rules"`
+	Penalties struct {
+		Probe     float64 `json:"probe"`
+		Conn      float64 `json:"connection"`
+		Handshake float64 `json:"handshake"`
+	} `json:"penalties"`
+}
+
+var effects = map[string]decide.Effect{"read_like": decide.Safe, "idempotency_key": decide.Keyed,
+	"non_idempotent": decide.Unsafe}
+
+var groups = map[string]decide.Scope{"all": decide.ScopeAll, "zone": decide.ScopeZone, "cell": decide.ScopeCell}
+
+// parseSettings reads the settings of NewInstance. Those left out keep a value
+// that asks least of the fleet.
+func parseSettings(raw json.RawMessage) (decide.Settings, error) {
+	var in info
+	if len(raw) == 0 {
+		return decide.Settings{}, errors.New("no settings")
+	}
+	if err := json.Unmarshal(raw, &in); err != nil {
+		return decide.Settings{}, fmt.Errorf("settings: %w", plain(err))
+	}
+	s := decide.Settings{
+		Routers: in.Instances, MustWatch: in.Discovery == "subscribe", LiveSizes: in.Weights == "live",
+		MaxAttempts: 1, Copies: in.Limits.Copies, Cancels: in.Limits.Cancel, Probes: in.Limits.Probes,
+		DrainGrace: in.Rules.DrainGrace,
+		ColdTime:   in.Rules.Cold, ColdShare: in.Rules.StartShare,
+		TipTime: in.Rules.Fall, AskEvery: in.Rules.AskEvery, ProbePrice: in.Penalties.Probe,
+		ConnPrice: in.Penalties.Conn, DialPrice: in.Penalties.Handshake,
+	}
+	if in.Limits.MaxAttempts != nil {
+		s.MaxAttempts = *in.Limits.MaxAttempts
+	}
+	if in.Limits.RetryAfter {
+		s.RefuseWait = in.Limits.MaxWait
+	}
+	for _, c := range in.Categories {
+		s.Classes = append(s.Classes, decide.Class{Name: c.Name, Effect: effects[c.Effect], Scope: groups[c.Scope],
+			KeyTTL: c.KeyTTL, Aim: c.Aim, Limit: c.Limit, Worth: c.Worth, LateWorth: c.LateWorth})
+	}
+	return s, nil
+}
