--- /dev/null
+++ b/internal/router/config.go
@@ -0,0 +1,102 @@
+package router
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"strconv"
+
+	"oakferry/decide"
+	"oakferry/internal/wire"
+)
+
+// Config is what a router is told at its start.
+type Config struct {
+	Name      string
+	Listen    string // address for clients
+	Discovery string // address of the discovery service
+	Seed      uint64
+	Limits    Limits
+	Known     hostList // the caches as last known; may be old
+	Settings  decide.Settings
+	Transport wire.Transport
+}
+
+// Limits are those of the router's machine.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int64   `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// Defaults for what the configuration leaves out, in microseconds.
+const (
+	defaultDialTimeout = 250_000
+	defaultKeepalive   = 15_000_000
+)
+
+// ParseConfig reads the configuration. The error names the field that is wrong.
+func ParseConfig(raw []byte) (*Config, error) {
+	var in struct {
+		Name      string          `json:"name"`
+		Listen    string          `json:"listen"`
+		Discovery string          `json:"discovery"`
+		Seed      string          `json:"seed"`
+		Limits    Limits          `json:"limits"`
+		Known     json.RawMessage `json:"known"`
+		Settings  json.RawMessage `json:"settings"`
+	}
+	if err := json.Unmarshal(raw, &in); err != nil {
+		var t *json.UnmarshalTypeError
+		if errors.As(err, &t) {
+			return nil, fmt.Errorf("%s: a %s stands where %s is wanted", t.Field, t.Value, t.Type.Kind())
+		}
+		return nil, fmt.Errorf("not JSON: %w", err)
+	}
+	c := &Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, Limits: in.Limits}
+	if _, err := netip.ParseAddrPort(c.Listen); err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	if _, err := netip.ParseAddrPort(c.Discovery); err != nil {
+		return nil, fmt.Errorf("discovery: %w", err)
+	}
+	if in.Seed != "" {
+		seed, err := strconv.ParseUint(in.Seed, 16, 64)
+		if err != nil {
+			return nil, fmt.Errorf("seed: %q is not a hexadecimal number of 64 bits", in.Seed)
+		}
+		c.Seed = seed
+	}
+	for _, f := range []struct {
+		name string
+		bad  bool
+	}{{"cores", !(c.Limits.Cores >= 0)}, {"memory_mb", c.Limits.MemoryMB < 0},
+		{"sockets", c.Limits.Sockets < 0 || c.Limits.Sockets > 0 && c.Limits.Sockets < leastSockets}} {
+		if f.bad {
+			return nil, fmt.Errorf("limits.%s: out of range", f.name)
+		}
+	}
+	var err error
+	if len(in.Known) > 0 && string(in.Known) != "null" {
+		if c.Known, err = parseHosts(in.Known); err != nil {
+			return nil, fmt.Errorf("known: %w", err)
+		}
+	}
+	if c.Settings, c.Transport, err = wire.ParseSettings(in.Settings); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	if c.Transport.DialTimeout <= 0 {
+		c.Transport.DialTimeout = defaultDialTimeout
+	}
+	if c.Transport.Keepalive <= 0 {
+		c.Transport.Keepalive = defaultKeepalive
+	}
+	if c.Limits.Sockets == 0 {
+		c.Limits.Sockets = defaultSockets
+	}
+	if c.Limits.MemoryMB == 0 {
+		c.Limits.MemoryMB = defaultMemoryMB
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/router/limits.go
@@ -0,0 +1,60 @@
+// Package router is the router on real sockets: it carries events to the
+// decision module and its actions out.
+package router
+
+import (
+	"math"
+	"runtime"
+	"runtime/debug"
+	"sync/atomic"
+)
+
+const (
+	defaultSockets  = 1024
+	defaultMemoryMB = 192
+	leastSockets    = 64
+	reserved        = 48 // descriptors for what is not counted: the log, the poller, discovery, a moment's overlap
+)
+
+// Apply tells the runtime what the machine has.
+func (l Limits) Apply() {
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(l.Cores))))
+	debug.SetMemoryLimit(l.MemoryMB << 20 * 3 / 4)
+}
+
+// sockets counts descriptors, so that neither side can take those of the other.
+type sockets struct {
+	clients, upstreams         atomic.Int64
+	mostClients, mostUpstreams int64
+}
+
+func newSockets(most int) *sockets {
+	free := int64(max(most, leastSockets) - reserved)
+	return &sockets{mostClients: free * 3 / 5, mostUpstreams: free * 2 / 5}
+}
+
+func (s *sockets) takeClient() bool { return take(&s.clients, 1, s.mostClients) }
+func (s *sockets) giveClient()      { s.clients.Add(-1) }
+
+func (s *sockets) takeUpstream() bool { return take(&s.upstreams, 1, s.mostUpstreams) }
+func (s *sockets) giveUpstream()      { s.upstreams.Add(-1) }
+
+func take(n *atomic.Int64, more, most int64) bool {
+	if n.Add(more) > most {
+		n.Add(-more)
+		return false
+	}
+	return true
+}
+
+// memory counts the bytes of requests in hand and of answers that wait for their readers.
+type memory struct {
+	held atomic.Int64
+	most int64
+}
+
+func newMemory(mb int64) *memory { return &memory{most: mb << 20 / 4} }
+
+func (m *memory) take(n int64) bool { return take(&m.held, n, m.most) }
+func (m *memory) force(n int64)     { m.held.Add(n) }
+func (m *memory) give(n int64)      { m.held.Add(-n) }
--- /dev/null
+++ b/internal/router/loop.go
@@ -0,0 +1,344 @@
+package router
+
+import (
+	"container/heap"
+	"context"
+	"log"
+	"sync/atomic"
+	"time"
+
+	"oakferry/decide"
+)
+
+// loop owns the decision module and all state of requests, attempts and
+// upstream connections. Every method but post runs in its one goroutine, so
+// that nothing can slip in between a decision and what carries it out. It never
+// blocks on a socket.
+type loop struct {
+	cfg       *Config
+	module    *decide.Router
+	sockets   *sockets
+	memory    *memory
+	events    chan func()
+	done      chan struct{} // closed when the loop has ended
+	base      time.Time
+	now       decide.Time
+	timers    timerHeap
+	backlog   []decide.Event // what the module is still to be told
+	requests  map[int64]*request
+	lastID    int64
+	open      int // requests that still want their final answer
+	upstreams map[string]*upstream
+	discovery *discovery
+	index     int64 // version of the list
+	watching  bool
+	serving   atomic.Bool     // a cache is known that takes work
+	ctx       context.Context // ends the watch
+}
+
+// request is one command of a client that the module decides about.
+type request struct {
+	id       int64
+	cmd      command
+	deadline decide.Time
+	client   *client
+	slot     *slot
+	over     bool // the final answer is given, or nobody waits for it
+	out      int  // attempts without an outcome
+	attempts []*attempt
+}
+
+const (
+	eventBacklog  = 1024 // events under way to the loop before senders wait
+	busyReply     = "-BUSY\r\n"
+	failedReply   = "-ERR failed\r\n"
+	sweepInterval = 1_000_000 // microseconds between looks for idle connections
+)
+
+func newLoop(cfg *Config, s *sockets, m *memory) (*loop, error) {
+	module, err := decide.New(cfg.Settings, cfg.Seed)
+	if err != nil {
+		return nil, err
+	}
+	return &loop{cfg: cfg, module: module, sockets: s, memory: m, events: make(chan func(), eventBacklog),
+		done: make(chan struct{}), base: time.Now(), requests: map[int64]*request{},
+		upstreams: map[string]*upstream{}, discovery: newDiscovery(cfg.Discovery), index: cfg.Known.index}, nil
+}
+
+// clock is Unix time in microseconds. It runs on the monotonic clock from the
+// start on: a step of the system's clock must not move deadlines.
+func (l *loop) clock() decide.Time {
+	return l.base.UnixMicro() + time.Since(l.base).Microseconds()
+}
+
+// post has f run by the loop. After the loop's end it does nothing.
+func (l *loop) post(f func()) {
+	select {
+	case l.events <- f:
+	case <-l.done:
+	}
+}
+
+// run is the loop. It ends with ctx.
+func (l *loop) run(ctx context.Context) {
+	defer close(l.done)
+	l.ctx = ctx
+	l.now = l.clock()
+	known := l.cfg.Known
+	known.full = true
+	l.learn(known, decide.ListStale)
+	l.tell()
+	l.after(sweepInterval, l.sweep)
+	alarm := time.NewTimer(0)
+	defer alarm.Stop()
+	for {
+		if len(l.timers) > 0 {
+			alarm.Reset(time.Duration(l.timers[0].at-l.clock()) * time.Microsecond)
+		}
+		select {
+		case <-ctx.Done():
+			for _, u := range l.upstreams {
+				u.closeAll()
+			}
+			return
+		case f := <-l.events:
+			l.now = l.clock()
+			f()
+		case <-alarm.C:
+			l.now = l.clock()
+		}
+		l.tell()
+		for len(l.timers) > 0 && l.timers[0].at <= l.now {
+			heap.Pop(&l.timers).(timer).f()
+			l.tell()
+		}
+	}
+}
+
+// tell hands the module what has happened, in order, and does what it says.
+func (l *loop) tell() {
+	for len(l.backlog) > 0 {
+		ev := l.backlog[0]
+		l.backlog = l.backlog[1:]
+		for _, a := range l.module.Handle(l.now, ev) {
+			l.perform(a)
+		}
+	}
+	l.backlog = nil
+}
+
+func (l *loop) perform(a decide.Action) {
+	switch a := a.(type) {
+	case decide.Send:
+		l.send(a)
+	case decide.Cancel:
+		if r := l.requests[a.ID]; r != nil && a.Attempt < len(r.attempts) {
+			r.attempts[a.Attempt].giveUp(decide.Cancelled)
+		}
+	case decide.Refuse:
+		if r := l.requests[a.ID]; r != nil {
+			l.finish(r, appendBusy(nil, a.Wait))
+		}
+	case decide.Fail:
+		if r := l.requests[a.ID]; r != nil {
+			l.finish(r, []byte(failedReply))
+		}
+	case decide.SetTimer:
+		l.at(a.At, func() { l.backlog = append(l.backlog, &decide.Timer{Token: a.Token}) })
+	case decide.Probe:
+		l.probe(a.Cache)
+	case decide.CloseIdle:
+		if u := l.upstreams[a.Cache]; u != nil {
+			u.closeIdle(l.now)
+		}
+	case decide.Watch:
+		l.watch()
+	case decide.Log:
+		log.Print(a.Text)
+	}
+}
+
+// Requests.
+
+// accept takes a request from a client and asks the module about it.
+func (l *loop) accept(c *client, s *slot, cmd command, read decide.Time) {
+	if l.cfg.Transport.MaxOpen > 0 && l.open >= l.cfg.Transport.MaxOpen {
+		s.answer([]byte(busyReply)) // beyond what the settings let a router hold; never sent on
+		return
+	}
+	l.lastID++
+	r := &request{id: l.lastID, cmd: cmd, deadline: read + cmd.wait, client: c, slot: s}
+	l.requests[r.id] = r
+	l.open++
+	c.open[r.id] = r
+	l.backlog = append(l.backlog, &decide.Request{ID: r.id, Class: cmd.class, Tenant: cmd.tenant, Key: cmd.hash,
+		HasKey: true, Deadline: r.deadline, Cost: cmd.cost, Write: cmd.write})
+}
+
+// depart notes that a client has closed its connection.
+func (l *loop) depart(c *client) {
+	for _, r := range c.open {
+		l.finish(r, nil)
+		l.backlog = append(l.backlog, &decide.Departed{ID: r.id})
+	}
+}
+
+// finish gives the final answer, once. Attempts that have not begun end here, before
+// the answer leaves: nothing may go out for a request after it.
+func (l *loop) finish(r *request, answer []byte) {
+	if r.over {
+		return
+	}
+	r.over = true
+	l.open--
+	delete(r.client.open, r.id)
+	for _, a := range r.attempts {
+		if a.state == waiting {
+			a.end(decide.NotSent, nil)
+		}
+	}
+	r.slot.answer(answer)
+	l.forget(r)
+}
+
+// forget drops a request that is over once its attempts are.
+func (l *loop) forget(r *request) {
+	if r.over && r.out == 0 {
+		delete(l.requests, r.id)
+	}
+}
+
+func (l *loop) send(s decide.Send) {
+	r, u := l.requests[s.ID], l.upstreams[s.Cache]
+	if r == nil || u == nil {
+		return
+	}
+	a := &attempt{request: r, number: len(r.attempts), upstream: u, sent: l.now, stopAt: s.StopAt}
+	if a.stopAt == 0 || a.stopAt > r.deadline {
+		a.stopAt = r.deadline
+	}
+	r.attempts = append(r.attempts, a)
+	r.out++
+	u.start(a)
+}
+
+func (l *loop) probe(cache string) {
+	if u := l.upstreams[cache]; u != nil {
+		u.start(&attempt{upstream: u, sent: l.now, stopAt: l.now + probeTimeout})
+	}
+}
+
+// ended tells the module how an attempt went. The first answer that serves is
+// the final one by itself.
+func (l *loop) ended(a *attempt, result decide.Result, rep *reply) {
+	r := a.request
+	if r == nil {
+		ev := &decide.Probed{Cache: a.upstream.name, Result: result, Elapsed: l.now - a.sent, Load: decide.Load{Busy: -1}}
+		if rep != nil {
+			ev.Load = rep.load
+		}
+		l.backlog = append(l.backlog, ev)
+		return
+	}
+	r.out--
+	ev := &decide.Outcome{ID: r.id, Attempt: a.number, Result: result, Elapsed: l.now - a.sent, Load: decide.Load{Busy: -1}}
+	if rep != nil {
+		ev.Load, ev.Miss = rep.load, rep.miss
+		if result == decide.Served {
+			l.finish(r, rep.value)
+		}
+	}
+	ev.Last = r.over
+	l.backlog = append(l.backlog, ev)
+	l.forget(r)
+}
+
+// The list.
+
+// learn takes over a list of caches, for the module and for sending alike.
+func (l *loop) learn(h hostList, kind decide.ListKind) {
+	l.index = h.index
+	seen := make(map[string]bool, len(h.entries))
+	for i, e := range h.entries {
+		seen[e.ID] = true
+		u := l.upstreams[e.ID]
+		if u == nil {
+			u = newUpstream(l, e.ID)
+			l.upstreams[e.ID] = u
+		}
+		u.update(h.addrs[i], e.Condition == decide.Up)
+	}
+	for name, u := range l.upstreams {
+		if h.full && !seen[name] {
+			u.update(u.addr, false)
+		}
+	}
+	l.serving.Store(l.ready())
+	l.backlog = append(l.backlog, &decide.List{Kind: kind, Entries: h.entries})
+}
+
+func (l *loop) watch() {
+	if l.watching {
+		return
+	}
+	l.watching = true
+	go func(after int64) {
+		err := l.discovery.watch(l.ctx, after, func(h hostList) {
+			l.post(func() { l.learn(h, h.kind()) })
+		})
+		l.post(func() {
+			l.watching = false
+			log.Printf("discovery: %v", err)
+			l.backlog = append(l.backlog, &decide.List{Kind: decide.ListFailed})
+		})
+	}(l.index)
+}
+
+// ready reports whether the router can serve.
+func (l *loop) ready() bool {
+	for _, u := range l.upstreams {
+		if u.up {
+			return true
+		}
+	}
+	return false
+}
+
+// sweep closes upstream connections before their caches do.
+func (l *loop) sweep() {
+	for _, u := range l.upstreams {
+		u.closeIdle(l.now - l.cfg.Transport.Keepalive*3/4)
+	}
+	l.after(sweepInterval, l.sweep)
+}
+
+// Timers.
+
+type timer struct {
+	at  decide.Time
+	seq int64 // equal times keep their order
+	f   func()
+}
+
+type timerHeap []timer
+
+func (h timerHeap) Len() int { return len(h) }
+func (h timerHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+func (h timerHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *timerHeap) Push(x any)   { *h = append(*h, x.(timer)) }
+func (h *timerHeap) Pop() any {
+	old := *h
+	t := old[len(old)-1]
+	old[len(old)-1] = timer{}
+	*h = old[:len(old)-1]
+	return t
+}
+
+func (l *loop) at(t decide.Time, f func()) {
+	l.lastID++
+	heap.Push(&l.timers, timer{at: t, seq: l.lastID, f: f})
+}
+
+func (l *loop) after(d decide.Time, f func()) { l.at(l.now+d, f) }
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -30,6 +30,9 @@
 		RetryAfter  bool  `json:"retryAfter"`
 		MaxAttempts *int  `json:"maxAttempts"`
 		MaxWait     int64 `json:"maxRetryAfter"`
+		MaxOpen     int   `json:"maxOpen"`
+		DialTimeout int64 `json:"dialTimeout"`
+		Keepalive   int64 `json:"keepalive"`
 	} `json:"limits"`
 	Rules struct {
 		AskEvery   int64   `json:"askEvery"`
@@ -50,15 +53,24 @@
 
 var groups = map[string]decide.Scope{"all": decide.ScopeAll, "zone": decide.ScopeZone, "cell": decide.ScopeCell}
 
-// parseSettings reads the settings of NewInstance. Those left out keep a value
+// Transport holds the settings that bind whoever carries out the decisions.
+// The simulator does that by itself; a real router has to. 0 stands for a
+// setting that was left out.
+type Transport struct {
+	MaxOpen     int         // requests a router may have open
+	DialTimeout decide.Time // a connection that is not up by then counts as failed
+	Keepalive   decide.Time // a cache closes a connection that has stood idle so long
+}
+
+// ParseSettings reads the settings of NewInstance. Those left out keep a value
 // that asks least of the fleet.
-func parseSettings(raw json.RawMessage) (decide.Settings, error) {
+func ParseSettings(raw json.RawMessage) (decide.Settings, Transport, error) {
 	var in info
 	if len(raw) == 0 {
-		return decide.Settings{}, errors.New("no settings")
+		return decide.Settings{}, Transport{}, errors.New("no settings")
 	}
 	if err := json.Unmarshal(raw, &in); err != nil {
-		return decide.Settings{}, fmt.Errorf("settings: %w", plain(err))
+		return decide.Settings{}, Transport{}, fmt.Errorf("settings: %w", plain(err))
 	}
 	s := decide.Settings{
 		Routers: in.Instances, MustWatch: in.Discovery == "subscribe", LiveSizes: in.Weights == "live",
@@ -78,5 +90,6 @@
 		s.Classes = append(s.Classes, decide.Class{Name: c.Name, Effect: effects[c.Effect], Scope: groups[c.Scope],
 			KeyTTL: c.KeyTTL, Aim: c.Aim, Limit: c.Limit, Worth: c.Worth, LateWorth: c.LateWorth})
 	}
-	return s, nil
+	return s, Transport{MaxOpen: in.Limits.MaxOpen, DialTimeout: in.Limits.DialTimeout,
+		Keepalive: in.Limits.Keepalive}, nil
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -119,7 +119,7 @@
 	}
 	inst = *m.Inst
 	if name == "NewInstance" {
-		set, err := parseSettings(m.Info)
+		set, _, err := ParseSettings(m.Info)
 		if err != nil {
 			return 0, nil, fmt.Errorf("%s: %w", name, err)
 		}
