--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"os"
 
-	"oakferry/internal/wire"
+	"starlingwinch/internal/wire"
 )
 
 func main() {
--- a/cmd/starlingwinch/main.go
+++ b/cmd/starlingwinch/main.go
@@ -9,7 +9,7 @@
 	"os/signal"
 	"syscall"
 
-	"oakferry/internal/router"
+	"starlingwinch/internal/router"
 )
 
 func main() {
--- a/decide/example_test.go
+++ b/decide/example_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"oakferry/decide"
+	"starlingwinch/decide"
 )
 
 func Example() {
--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -18,7 +18,7 @@
 
 	"github.com/tidwall/redcon"
 
-	"oakferry/decide"
+	"starlingwinch/decide"
 )
 
 const (
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -7,8 +7,8 @@
 	"net/netip"
 	"strconv"
 
-	"oakferry/decide"
-	"oakferry/internal/wire"
+	"starlingwinch/decide"
+	"starlingwinch/internal/wire"
 )
 
 // Config is what a router is told at its start.
--- a/internal/router/discovery.go
+++ b/internal/router/discovery.go
@@ -11,7 +11,7 @@
 	"net/netip"
 	"time"
 
-	"oakferry/decide"
+	"starlingwinch/decide"
 )
 
 // hostList is an answer of discovery, checked.
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -7,7 +7,7 @@
 	"sync/atomic"
 	"time"
 
-	"oakferry/decide"
+	"starlingwinch/decide"
 )
 
 // loop owns the decision module and all state of requests, attempts and
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -12,7 +12,7 @@
 
 	"github.com/tidwall/redcon"
 
-	"oakferry/decide"
+	"starlingwinch/decide"
 )
 
 const (
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -5,7 +5,7 @@
 	"errors"
 	"fmt"
 
-	"oakferry/decide"
+	"starlingwinch/decide"
 )
 
 // info is the wire's form of the settings. Keys it does not name are skipped.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -11,7 +11,7 @@
 	"io"
 	"strconv"
 
-	"oakferry/decide"
+	"starlingwinch/decide"
 )
 
 // Host runs the routers of one process. They share nothing but the process.
