Test the router over loopback sockets; make room among idle clients

Where all client descriptors are taken, the longest idle client is now closed in place of the one that comes. A long write that breaks counts as not connected. A list that was never seen is asked for whole.

--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -28,6 +28,7 @@
 	pipelined    = 64                      // commands of one connection that may await their answers
 	writeTimeout = 5 * time.Second         // for an answer to a client that does not read
 	lingerTime   = time.Second             // for a client to read why its connection is closed
+	acceptPause  = 10 * time.Millisecond   // before another try where no descriptor was free
 	lastArrivals = 500 * time.Millisecond  // new connections may still come so long after SIGTERM
 	drainLimit   = 3600 * time.Millisecond // after SIGTERM all that can be answered has been
 	metaArg      = 3                       // place of the names and values in a command
@@ -116,18 +117,18 @@
 	sockets *sockets
 	memory  *memory
 
-	mu       sync.Mutex
-	clients  map[*client]struct{}
-	draining bool
-	wg       sync.WaitGroup // clients' goroutines
+	mu      sync.Mutex
+	clients map[*client]struct{}
+	wg      sync.WaitGroup // clients' goroutines
+	closing chan struct{}  // closed when no more connections are taken
 }
 
 // New makes a router and opens its listener.
 func New(cfg *Config) (*Server, error) {
 	s := &Server{cfg: cfg, sockets: newSockets(cfg.Limits.Sockets), memory: newMemory(cfg.Limits.MemoryMB),
-		clients: map[*client]struct{}{}}
+		clients: map[*client]struct{}{}, closing: make(chan struct{})}
 	var err error
-	if s.loop, err = newLoop(cfg, s.sockets, s.memory); err != nil {
+	if s.loop, err = newLoop(cfg, s.sockets); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	if s.ln, err = net.Listen("tcp", cfg.Listen); err != nil {
@@ -144,6 +145,7 @@
 		<-s.loop.done
 	}()
 	go s.loop.run(loopCtx)
+	log.Printf("serving on %s", s.ln.Addr())
 	failed := make(chan error, 1)
 	go func() { failed <- s.acceptAll() }()
 	select {
@@ -154,6 +156,7 @@
 	log.Print("draining")
 	limit := time.After(drainLimit)
 	time.Sleep(lastArrivals)
+	close(s.closing)
 	s.ln.Close()
 	<-failed // no client is added any more
 	s.drain()
@@ -171,25 +174,23 @@
 
 // acceptAll takes connections until the listener is closed.
 func (s *Server) acceptAll() error {
-	pause := time.Duration(0)
 	for {
-		nc, err := s.ln.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return err
+		if !s.room() {
+			return net.ErrClosed
 		}
+		nc, err := s.ln.Accept()
 		if err != nil {
+			s.sockets.giveClient()
+			if errors.Is(err, net.ErrClosed) {
+				return err
+			}
 			// Out of descriptors, or a connection that was reset while it queued: neither may
 			// end the router. Those in the queue wait.
-			pause = min(max(2*pause, time.Millisecond), 100*time.Millisecond)
-			time.Sleep(pause)
-			continue
-		}
-		pause = 0
-		if !s.sockets.takeClient() {
-			nc.Close()
+			time.Sleep(acceptPause)
 			continue
 		}
 		c := &client{srv: s, nc: nc.(*net.TCPConn), open: map[int64]*request{}, queue: make(chan *slot, pipelined)}
+		c.lastUsed.Store(s.loop.clock())
 		s.mu.Lock()
 		s.clients[c] = struct{}{}
 		s.mu.Unlock()
@@ -199,13 +200,42 @@
 	}
 }
 
+// room waits for a descriptor for one more client; it reports false once the router ends. The
+// danger: clients that hold connections they do not use shut out all others. The one idle for
+// longest makes room, as the protocol allows between requests.
+func (s *Server) room() bool {
+	for !s.sockets.takeClient() {
+		if c := s.longestIdle(); c != nil {
+			c.retire()
+		}
+		select {
+		case <-s.closing:
+			return false
+		case <-time.After(acceptPause):
+		}
+	}
+	return true
+}
+
+func (s *Server) longestIdle() *client {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var longest *client
+	for c := range s.clients {
+		if c.due.Load() == 0 && !c.retired.Load() &&
+			(longest == nil || c.lastUsed.Load() < longest.lastUsed.Load()) {
+			longest = c
+		}
+	}
+	return longest
+}
+
 // drain has each client's connection closed as soon as it is between requests.
 func (s *Server) drain() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.clients {
-		c.draining.Store(true)
-		c.nc.SetReadDeadline(time.Now())
+		c.retire()
 	}
 }
 
@@ -215,7 +245,15 @@
 	nc       *net.TCPConn
 	open     map[int64]*request // requests without a final answer; the loop's
 	queue    chan *slot         // answers due, in the order of the commands
-	draining atomic.Bool
+	retired  atomic.Bool        // to be closed between requests
+	due      atomic.Int64       // commands whose answer is not written
+	lastUsed atomic.Int64       // when the last answer was written
+}
+
+// retire has the connection closed as soon as it is between requests.
+func (c *client) retire() {
+	c.retired.Store(true)
+	c.nc.SetReadDeadline(time.Now())
 }
 
 // slot is the place of an answer in its connection's order.
@@ -241,6 +279,7 @@
 	defer c.srv.wg.Done()
 	defer close(c.queue)
 	var buf []byte
+	extended := false
 	for {
 		complete, args, used, err := nextCommand(buf)
 		if err != nil {
@@ -263,11 +302,12 @@
 		}
 		n, err := c.nc.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
-		if errors.Is(err, os.ErrDeadlineExceeded) && c.draining.Load() {
-			if len(buf) == 0 && !c.unread() {
+		if errors.Is(err, os.ErrDeadlineExceeded) && c.retired.Load() {
+			if extended || len(buf) == 0 && !c.unread() {
 				return
 			}
-			c.nc.SetReadDeadline(time.Now().Add(lastArrivals)) // it has begun a command
+			extended = true // it has begun a command
+			c.nc.SetReadDeadline(time.Now().Add(lastArrivals))
 			continue
 		}
 		if err != nil {
@@ -294,6 +334,7 @@
 func (c *client) say(answer []byte) {
 	s := newSlot(c.srv.memory)
 	s.answer(answer)
+	c.due.Add(1)
 	c.queue <- s
 }
 
@@ -339,6 +380,7 @@
 		return true
 	}
 	s.charge = int64(len(raw))
+	c.due.Add(1)
 	c.queue <- s
 	c.srv.loop.post(func() { c.srv.loop.accept(c, s, cmd, read) })
 	return true
@@ -367,6 +409,8 @@
 			}
 		}
 		s.memory.give(s.charge + int64(len(b)))
+		c.lastUsed.Store(c.srv.loop.clock())
+		c.due.Add(-1)
 	}
 	if !gone {
 		c.linger()
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -54,7 +54,8 @@
 		}
 		return nil, fmt.Errorf("not JSON: %w", err)
 	}
-	c := &Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, Limits: in.Limits}
+	c := &Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, Limits: in.Limits,
+		Known: hostList{index: noIndex}}
 	if _, err := netip.ParseAddrPort(c.Listen); err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
--- a/internal/router/discovery.go
+++ b/internal/router/discovery.go
@@ -31,6 +31,7 @@
 }
 
 const (
+	noIndex      = -1               // version of a list that was never seen
 	watchWait    = 20 * time.Second // how long discovery may hold a watch open
 	watchSlack   = 2 * time.Second  // how much longer an answer may take
 	mostListSize = 8 << 20          // bytes of an answer
@@ -59,7 +60,7 @@
 	if err := json.Unmarshal(raw, &in); err != nil {
 		return hostList{}, fmt.Errorf("list of hosts: %w", err)
 	}
-	if in.Index == nil || in.Endpoints == nil {
+	if in.Index == nil || *in.Index < 0 || in.Endpoints == nil {
 		return hostList{}, errors.New("list of hosts: index and endpoints are needed")
 	}
 	h := hostList{index: *in.Index, full: in.Snapshot}
@@ -121,7 +122,10 @@
 }
 
 func (d *discovery) call(ctx context.Context, after int64) (hostList, error) {
-	url := fmt.Sprintf("%s?after=%d&wait_ms=%d", d.url, after, watchWait.Milliseconds())
+	url := d.url
+	if after != noIndex {
+		url = fmt.Sprintf("%s?after=%d&wait_ms=%d", d.url, after, watchWait.Milliseconds())
+	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return hostList{}, err
@@ -141,5 +145,9 @@
 	if len(body) > mostListSize {
 		return hostList{}, errors.New("discovery's answer is too long")
 	}
-	return parseHosts(body)
+	h, err := parseHosts(body)
+	if err == nil && !h.full && (after == noIndex || h.index < after) {
+		err = fmt.Errorf("changes up to version %d do not follow version %d", h.index, after)
+	}
+	return h, err
 }
--- /dev/null
+++ b/internal/router/discovery_test.go
@@ -0,0 +1,141 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"starlingwinch/decide"
+)
+
+// answers is a discovery that hands each call to the test.
+type call struct {
+	query string
+	reply chan string // a body, or empty for 503
+}
+
+func newFakeDiscovery(t *testing.T) (addr string, calls chan call) {
+	t.Helper()
+	calls = make(chan call)
+	over := make(chan struct{})
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := call{r.URL.String(), make(chan string, 1)}
+		select {
+		case calls <- c:
+		case <-over:
+			return
+		}
+		select {
+		case body := <-c.reply:
+			if body == "" {
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+			fmt.Fprint(w, body)
+		case <-over:
+		case <-r.Context().Done():
+		}
+	}))
+	t.Cleanup(func() {
+		close(over)
+		srv.CloseClientConnections()
+		srv.Close()
+	})
+	return srv.Listener.Addr().String(), calls
+}
+
+// TestWatchGoesOn: each answer is followed by a call for what comes after it, and
+// what it tells takes effect.
+func TestWatchGoesOn(t *testing.T) {
+	cache := newFakeCache(t)
+	addr, calls := newFakeDiscovery(t)
+	r := start(t, testConfig(t, addr, nil))
+	first := receive(t, calls, "call")
+	if want := "/discovery/hosts?after=1&wait_ms=20000"; first.query != want {
+		t.Errorf("call %s, want %s", first.query, want)
+	}
+	first.reply <- hosts(7, false, host("c1", cache.addr(), "in_service"))
+	second := receive(t, calls, "call")
+	if want := "/discovery/hosts?after=7&wait_ms=20000"; second.query != want {
+		t.Errorf("call %s, want %s", second.query, want)
+	}
+	c := dial(t, r.addr)
+	c.send(get("r1"))
+	receive(t, cache.commands, "command").reply(t, served)
+	c.want("value")
+	second.reply <- hosts(9, true) // a whole list without the cache: it is gone
+	receive(t, calls, "call")
+	receive(t, cache.ended, "end of the idle connection")
+	c.send(get("r2"))
+	if got := c.line(); !strings.HasPrefix(got, "-BUSY") {
+		t.Errorf("answer %q", got)
+	}
+}
+
+// TestWatchWithoutAKnownList asks for the whole list first.
+func TestWatchWithoutAKnownList(t *testing.T) {
+	addr, calls := newFakeDiscovery(t)
+	start(t, testConfig(t, addr, func(in map[string]any) { delete(in, "known") }))
+	if c := receive(t, calls, "call"); c.query != "/discovery/hosts" {
+		t.Errorf("call %s", c.query)
+	}
+}
+
+// TestBadAnswersAreFailedCalls: the module hears of each as of a call that failed.
+func TestBadAnswersAreFailedCalls(t *testing.T) {
+	good := host("c1", "127.0.0.1:1", "in_service")
+	for _, body := range []string{"", "not JSON", "{}", `{"index":5}`, `{"index":-5,"snapshot":true,"endpoints":[]}`,
+		hosts(3, false), // older than what is known
+		hosts(9, true, good, good),
+		hosts(9, true, host("", "127.0.0.1:1", "in_service")),
+		hosts(9, true, host("c2", "example.org:1", "in_service")),
+		hosts(9, true, host("c2", "", "in_service")),
+		hosts(9, true, host("c2", "127.0.0.1:1", "odd")),
+		hosts(9, true, strings.Replace(good, `"weight":1`, `"weight":-1`, 1)),
+		hosts(9, true, strings.Replace(good, `"since_ms":0`, `"since_ms":-1`, 1)),
+	} {
+		addr, calls := newFakeDiscovery(t)
+		told := make(chan hostList, 1)
+		failed := make(chan error, 1)
+		go func() {
+			failed <- newDiscovery(addr).watch(context.Background(), 5, func(h hostList) { told <- h })
+		}()
+		receive(t, calls, "call").reply <- body
+		select {
+		case err := <-failed:
+			if err == nil {
+				t.Errorf("%q: no error", body)
+			}
+		case h := <-told:
+			t.Errorf("%q was taken: %+v", body, h)
+		}
+	}
+}
+
+// TestFailedWatchIsAskedForAgain at the module's own pace.
+func TestFailedWatchIsAskedForAgain(t *testing.T) {
+	addr, calls := newFakeDiscovery(t)
+	start(t, testConfig(t, addr, func(in map[string]any) {
+		in["settings"].(map[string]any)["rules"].(map[string]any)["askEvery"] = 1_000_000
+	}))
+	receive(t, calls, "call").reply <- ""
+	if c := receive(t, calls, "second call"); !strings.Contains(c.query, "after=1&") {
+		t.Errorf("call %s", c.query)
+	}
+}
+
+func TestParseHosts(t *testing.T) {
+	h, err := parseHosts([]byte(`{"index":43,"snapshot":false,"endpoints":[
+		{"name":"s1","address":"127.0.0.1:6379","zone":"z","group":3,"status":"terminating","weight":2.5,"since_ms":17},
+		{"name":"s2","address":"","zone":"z","group":3,"status":"terminated"}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []decide.Entry{{ID: "s1", Zone: "z", Cell: 3, Size: 2.5, Start: 17000, Condition: decide.Draining},
+		{ID: "s2", Zone: "z", Cell: 3, Size: 1, Condition: decide.Removed}}
+	if h.index != 43 || h.kind() != decide.ListChanges || len(h.entries) != 2 || h.entries[0] != want[0] || h.entries[1] != want[1] {
+		t.Errorf("got %+v", h)
+	}
+}
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -16,9 +16,8 @@
 // blocks on a socket.
 type loop struct {
 	cfg       *Config
-	module    *decide.Router
+	module    module
 	sockets   *sockets
-	memory    *memory
 	events    chan func()
 	done      chan struct{} // closed when the loop has ended
 	base      time.Time
@@ -36,6 +35,11 @@
 	ctx       context.Context // ends the watch
 }
 
+// module makes the decisions: *decide.Router, or a script in tests.
+type module interface {
+	Handle(now decide.Time, ev decide.Event) []decide.Action
+}
+
 // request is one command of a client that the module decides about.
 type request struct {
 	id       int64
@@ -55,13 +59,12 @@
 	sweepInterval = 1_000_000 // microseconds between looks for idle connections
 )
 
-func newLoop(cfg *Config, s *sockets, m *memory) (*loop, error) {
-	module, err := decide.New(cfg.Settings, cfg.Seed)
+func newLoop(cfg *Config, s *sockets) (*loop, error) {
+	m, err := decide.New(cfg.Settings, cfg.Seed)
 	if err != nil {
 		return nil, err
 	}
-	return &loop{cfg: cfg, module: module, sockets: s, memory: m, events: make(chan func(), eventBacklog),
-		done: make(chan struct{}), base: time.Now(), requests: map[int64]*request{},
+	return &loop{cfg: cfg, module: m, sockets: s, events: make(chan func(), eventBacklog), done: make(chan struct{}), base: time.Now(), requests: map[int64]*request{},
 		upstreams: map[string]*upstream{}, discovery: newDiscovery(cfg.Discovery), index: cfg.Known.index}, nil
 }
 
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -309,7 +309,7 @@
 		return
 	}
 	switch {
-	case !whole && a.stopping:
+	case !whole && a.stopping && a.result != decide.ConnLost:
 		a.end(decide.NotSent, nil)
 	case !whole:
 		c.close()
