Close gaps found by reading: half-written attempts, moved caches, descriptors

By reading, each with a test: a half-written attempt now stops before the final answer leaves, also where cancelling is not allowed; a connection to a cache's old address is not used again; idle connections elsewhere make room where upstream descriptors run out, and those that wait are told; the patience a client claims is bounded by the settings; a client connection gives the room of a large command back. The reason for which the router closed a half-written attempt is no longer taken for a break (seen as a failure of its test).

--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -25,6 +25,7 @@
 	mostValue    = 64 << 10                // bytes of a value
 	mostWord     = 1 << 10                 // ... of a key, an id or the list of names and values
 	mostCommand  = mostValue + 4<<10       // ... of a whole command
+	keptBuffer   = 8 << 10                 // bytes of room that a connection keeps between commands
 	pipelined    = 64                      // commands of one connection that may await their answers
 	writeTimeout = 5 * time.Second         // for an answer to a client that does not read
 	lingerTime   = time.Second             // for a client to read why its connection is closed
@@ -290,7 +291,11 @@
 			if !c.command(args, buf[:used]) {
 				return
 			}
-			buf = append(buf[:0], buf[used:]...)
+			if rest := buf[used:]; cap(buf) > keptBuffer && len(rest) <= keptBuffer {
+				buf = bytes.Clone(rest) // many clients with a large command once must not keep its room
+			} else {
+				buf = append(buf[:0], rest...)
+			}
 			continue
 		}
 		if len(buf) >= mostCommand {
--- a/internal/router/limits.go
+++ b/internal/router/limits.go
@@ -22,23 +22,22 @@
 	debug.SetMemoryLimit(l.MemoryMB << 20 * 3 / 4)
 }
 
-// sockets counts descriptors, so that neither side can take those of the other.
+// sockets shares the descriptors out, so that neither side can take those of the other. The
+// loop counts the connections to caches itself.
 type sockets struct {
-	clients, upstreams         atomic.Int64
-	mostClients, mostUpstreams int64
+	clients       atomic.Int64
+	mostClients   int64
+	mostUpstreams int
 }
 
 func newSockets(most int) *sockets {
-	free := int64(max(most, leastSockets) - reserved)
-	return &sockets{mostClients: free * 3 / 5, mostUpstreams: free * 2 / 5}
+	free := max(most, leastSockets) - reserved
+	return &sockets{mostClients: int64(free * 3 / 5), mostUpstreams: free * 2 / 5}
 }
 
 func (s *sockets) takeClient() bool { return take(&s.clients, 1, s.mostClients) }
 func (s *sockets) giveClient()      { s.clients.Add(-1) }
 
-func (s *sockets) takeUpstream() bool { return take(&s.upstreams, 1, s.mostUpstreams) }
-func (s *sockets) giveUpstream()      { s.upstreams.Add(-1) }
-
 func take(n *atomic.Int64, more, most int64) bool {
 	if n.Add(more) > most {
 		n.Add(-more)
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -28,6 +28,9 @@
 	lastID    int64
 	open      int // requests that still want their final answer
 	upstreams map[string]*upstream
+	conns     int         // to all upstreams, those coming up included
+	starved   bool        // an attempt waits for a descriptor
+	longest   decide.Time // patience of any client
 	discovery *discovery
 	index     int64 // version of the list
 	watching  bool
@@ -64,7 +67,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &loop{cfg: cfg, module: m, sockets: s, events: make(chan func(), eventBacklog), done: make(chan struct{}), base: time.Now(), requests: map[int64]*request{},
+	longest := decide.Time(0)
+	for _, c := range cfg.Settings.Classes {
+		longest = max(longest, c.Limit)
+	}
+	return &loop{cfg: cfg, longest: longest, module: m, sockets: s, events: make(chan func(), eventBacklog), done: make(chan struct{}), base: time.Now(), requests: map[int64]*request{},
 		upstreams: map[string]*upstream{}, discovery: newDiscovery(cfg.Discovery), index: cfg.Known.index}, nil
 }
 
@@ -169,6 +176,10 @@
 		s.answer([]byte(busyReply)) // beyond what the settings let a router hold; never sent on
 		return
 	}
+	if l.longest > 0 {
+		// The danger: timers last as long as the client claims to wait, and hold the request.
+		cmd.wait = min(cmd.wait, l.longest)
+	}
 	l.lastID++
 	r := &request{id: l.lastID, cmd: cmd, deadline: read + cmd.wait, client: c, slot: s}
 	l.requests[r.id] = r
@@ -186,7 +197,7 @@
 	}
 }
 
-// finish gives the final answer, once. Attempts that have not begun end here, before
+// finish gives the final answer, once. Attempts that are not written whole end here, before
 // the answer leaves: nothing may go out for a request after it.
 func (l *loop) finish(r *request, answer []byte) {
 	if r.over {
@@ -196,8 +207,8 @@
 	l.open--
 	delete(r.client.open, r.id)
 	for _, a := range r.attempts {
-		if a.state == waiting {
-			a.end(decide.NotSent, nil)
+		if a.state == waiting || a.state == writing {
+			a.giveUp(decide.Cancelled)
 		}
 	}
 	r.slot.answer(answer)
@@ -307,6 +318,41 @@
 	return false
 }
 
+// descriptor takes one for a connection to a cache. Where none is left, the connection that has
+// been idle for longest, at whichever cache, makes room.
+func (l *loop) descriptor() bool {
+	if l.conns >= l.sockets.mostUpstreams {
+		var oldest *upstream // the one used first stands first
+		for _, u := range l.upstreams {
+			if len(u.idle) > 0 && (oldest == nil || u.idle[0].idleSince < oldest.idle[0].idleSince) {
+				oldest = u
+			}
+		}
+		if oldest == nil {
+			l.starved = true
+			return false
+		}
+		c := oldest.idle[0]
+		oldest.idle = append(oldest.idle[:0], oldest.idle[1:]...)
+		c.close()
+	}
+	l.conns++
+	return true
+}
+
+// released takes a connection's descriptor back.
+func (l *loop) released() {
+	l.conns--
+	if l.starved {
+		l.starved = false
+		l.at(l.now, func() {
+			for _, u := range l.upstreams {
+				u.pump()
+			}
+		})
+	}
+}
+
 // sweep closes upstream connections before their caches do.
 func (l *loop) sweep() {
 	for _, u := range l.upstreams {
--- a/internal/router/outcome_test.go
+++ b/internal/router/outcome_test.go
@@ -386,3 +386,54 @@
 		t.Errorf("names and values %q", got[3])
 	}
 }
+
+// TestFinalAnswerStopsAHalfWrittenAttempt: no more of it goes out, and it never ran.
+func TestFinalAnswerStopsAHalfWrittenAttempt(t *testing.T) {
+	addr, conns := deafCache(t)
+	r := newRig(t, addr, nil)
+	q := huge(r)
+	r.send(q, long)
+	if _, err := receive(t, conns, "connection").Read(make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	r.do(func() { r.l.perform(decide.Refuse{ID: q.id}) })
+	r.want(decide.NotSent)
+	if got := string(receive(t, q.slot.wire, "answer")); got != busyReply {
+		t.Errorf("the client got %q", got)
+	}
+}
+
+// TestCacheThatMoves: connections to its old address are not used for new work.
+func TestCacheThatMoves(t *testing.T) {
+	old, moved := newFakeCache(t), newFakeCache(t)
+	r := newRig(t, old.addr(), nil)
+	r.send(r.request(nil), long)
+	cmd := receive(t, old.commands, "command")
+	r.do(func() {
+		h, err := parseHosts([]byte(hosts(2, false, host("c1", moved.addr(), "in_service"))))
+		if err != nil {
+			t.Error(err)
+		}
+		r.l.learn(h, h.kind())
+	})
+	cmd.reply(t, served)
+	r.want(decide.Served)
+	r.send(r.request(nil), long)
+	receive(t, moved.commands, "command").reply(t, served)
+	r.want(decide.Served)
+}
+
+// TestClaimedPatienceIsBounded by what the settings say of any client.
+func TestClaimedPatienceIsBounded(t *testing.T) {
+	r := newRig(t, "127.0.0.1:1", nil)
+	cmd, err := parseCommand([][]byte{[]byte("C.GET"), []byte("k"), []byte("id"), []byte("c=read,d=2000000000")}, 60)
+	if err != nil {
+		t.Fatal(err)
+	}
+	q := r.take(cmd)
+	r.do(func() {
+		if q.deadline > r.l.now+20_000_000 {
+			t.Errorf("deadline %d at %d", q.deadline, r.l.now)
+		}
+	})
+}
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -142,7 +142,7 @@
 
 // free takes back a connection that is ready for the next attempt.
 func (u *upstream) free(c *conn) {
-	if !u.up {
+	if !u.up || c.addr != u.addr {
 		c.close()
 		return
 	}
@@ -154,8 +154,8 @@
 // dial opens as many connections as there is need and room for. The danger: a
 // burst that dials one for each request fills the cache's table and takes its time.
 func (u *upstream) dial() {
-	for u.dialing < min(len(u.waiting), mostDials) && len(u.conns) < u.most && u.l.sockets.takeUpstream() {
-		c := &conn{upstream: u}
+	for u.dialing < min(len(u.waiting), mostDials) && len(u.conns) < u.most && u.l.descriptor() {
+		c := &conn{upstream: u, addr: u.addr}
 		u.conns[c] = struct{}{}
 		u.dialing++
 		go c.run(u.addr, time.Duration(u.l.cfg.Transport.DialTimeout)*time.Microsecond)
@@ -219,6 +219,7 @@
 // come in order, and a quick one must not wait for a slow one.
 type conn struct {
 	upstream  *upstream
+	addr      string
 	nc        *net.TCPConn // nil until it is up
 	raw       syscall.RawConn
 	attempt   *attempt // what it carries
@@ -229,7 +230,6 @@
 // run dials and then reads answers, until the connection ends.
 func (c *conn) run(addr string, timeout time.Duration) {
 	u := c.upstream
-	defer u.l.sockets.giveUpstream()
 	nc, raw, err := dialTCP(addr, timeout)
 	u.l.post(func() { u.dialed(c, nc, raw, err) })
 	if err != nil {
@@ -274,6 +274,7 @@
 	if c.nc != nil {
 		c.nc.Close()
 	}
+	c.upstream.l.released()
 }
 
 // write sends the attempt that has waited longest. The loop itself writes as much as the socket takes at
@@ -348,10 +349,11 @@
 	}
 	c.close()
 	if a := c.attempt; a != nil {
-		if a.state == writing {
-			a.stopping, a.result = true, decide.ConnLost
-		} else {
+		switch {
+		case a.state != writing:
 			a.end(decide.ConnLost, nil)
+		case !a.stopping: // else the router itself has closed it
+			a.stopping, a.result = true, decide.ConnLost
 		}
 	}
 	u.pump()
