Take pipelined commands sooner; bound discovery's headers and dial

Up to 512 commands of a connection may await answers (64 before): one left unread behind slow ones was taken long after its client began to wait. A discovery machine that has vanished fails its call after 2 s, not 22.

--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -26,7 +26,7 @@
 	mostWord     = 1 << 10                 // ... of a key, an id or the list of names and values
 	mostCommand  = mostValue + 4<<10       // ... of a whole command
 	keptBuffer   = 8 << 10                 // bytes of room that a connection keeps between commands
-	pipelined    = 64                      // commands of one connection that may await their answers
+	pipelined    = 512                     // commands of one connection that may await their answers
 	writeTimeout = 5 * time.Second         // for an answer to a client that does not read
 	lingerTime   = time.Second             // for a client to read why its connection is closed
 	acceptPause  = 10 * time.Millisecond   // before another try where no descriptor was free
--- a/internal/router/client_test.go
+++ b/internal/router/client_test.go
@@ -47,6 +47,24 @@
 	c.want("+PONG")
 }
 
+// TestManyPipelinedCommandsAreTakenAtOnce. The danger: a command left unread behind others that
+// are slow is taken long after its client began to wait, and is answered too late.
+func TestManyPipelinedCommandsAreTakenAtOnce(t *testing.T) {
+	srv, err := New(testConfig(t, silentDiscovery(t), nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv.loop.module = &script{} // answers nothing
+	r := startServer(t, srv)
+	c := dial(t, r.addr)
+	c.send(strings.Repeat(get("r"), pipelined/2))
+	for taken := 0; taken < pipelined/2; {
+		turn := make(chan int, 1)
+		r.srv.loop.post(func() { turn <- r.srv.loop.open })
+		taken = receive(t, turn, "turn of the loop")
+	}
+}
+
 // TestClientGone: nobody waits for the answer any more, so the attempt is stopped.
 func TestClientGone(t *testing.T) {
 	cache := newFakeCache(t)
@@ -85,7 +103,7 @@
 	}()
 	slow := dial(t, r.addr)
 	slow.nc.SetReadBuffer(4096)
-	slow.send(strings.Repeat(get("slow"), pipelined))
+	slow.send(strings.Repeat(get("slow"), 64))
 	other := dial(t, r.addr)
 	for range 50 {
 		other.send(get("quick"))
--- a/internal/router/discovery.go
+++ b/internal/router/discovery.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math"
+	"net"
 	"net/http"
 	"net/netip"
 	"time"
@@ -35,6 +36,7 @@
 	watchWait    = 20 * time.Second // how long discovery may hold a watch open
 	watchSlack   = 2 * time.Second  // how much longer an answer may take
 	mostListSize = 8 << 20          // bytes of an answer
+	mostHeader   = 64 << 10         // ... of its header
 	mostName     = 256              // bytes of a cache's name
 )
 
@@ -101,8 +103,14 @@
 func newDiscovery(addr string) *discovery {
 	return &discovery{url: "http://" + addr + "/discovery/hosts", client: &http.Client{
 		Timeout: watchWait + watchSlack,
-		// One connection: it counts against the router's descriptors.
-		Transport: &http.Transport{MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1, IdleConnTimeout: 90 * time.Second},
+		Transport: &http.Transport{
+			MaxConnsPerHost:        1, // it counts against the router's descriptors
+			MaxIdleConnsPerHost:    1,
+			IdleConnTimeout:        90 * time.Second,
+			MaxResponseHeaderBytes: mostHeader,
+			// A machine that has vanished must not hold the call for as long as a watch may take.
+			DialContext: (&net.Dialer{Timeout: watchSlack}).DialContext,
+		},
 		// A redirect would lead away from the address that was configured.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
