--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -22,17 +22,18 @@
 )
 
 const (
-	mostValue    = 64 << 10                // bytes of a value
-	mostWord     = 1 << 10                 // ... of a key, an id or the list of names and values
-	mostCommand  = mostValue + 4<<10       // ... of a whole command
-	keptBuffer   = 8 << 10                 // bytes of room that a connection keeps between commands
-	pipelined    = 512                     // commands of one connection that may await their answers
-	writeTimeout = 5 * time.Second         // for an answer to a client that does not read
-	lingerTime   = time.Second             // for a client to read why its connection is closed
-	acceptPause  = 10 * time.Millisecond   // before another try where no descriptor was free
-	lastArrivals = 500 * time.Millisecond  // new connections may still come so long after SIGTERM
-	drainLimit   = 3600 * time.Millisecond // after SIGTERM all that can be answered has been
-	metaArg      = 3                       // place of the names and values in a command
+	mostValue    = 64 << 10               // bytes of a value
+	mostWord     = 1 << 10                // ... of a key, an id or the list of names and values
+	mostCommand  = mostValue + 4<<10      // ... of a whole command
+	keptBuffer   = 8 << 10                // bytes of room that a connection keeps between commands
+	pipelined    = 512                    // commands of one connection that may await their answers
+	writeTimeout = 5 * time.Second        // for an answer to a client that does not read
+	lingerTime   = time.Second            // for a client to read why its connection is closed
+	acceptPause  = 10 * time.Millisecond  // before another try where no descriptor was free
+	lastArrivals = 500 * time.Millisecond // new connections may still come so long after SIGTERM
+	commandGrace = 100 * time.Millisecond // for the rest of a command that has begun when its connection is to close
+	drainSlack   = 650 * time.Millisecond // beyond the longest deadline, for the drain after SIGTERM: SIGKILL may follow 50 ms later
+	metaArg      = 3                      // place of the names and values in a command
 )
 
 // command is a client's request as it came.
@@ -155,7 +156,7 @@
 	case <-ctx.Done():
 	}
 	log.Print("draining")
-	limit := time.After(drainLimit)
+	limit := time.After(time.Duration(s.loop.longest)*time.Microsecond + drainSlack)
 	time.Sleep(lastArrivals)
 	close(s.closing)
 	s.ln.Close()
@@ -312,7 +313,7 @@
 				return
 			}
 			extended = true // it has begun a command
-			c.nc.SetReadDeadline(time.Now().Add(lastArrivals))
+			c.nc.SetReadDeadline(time.Now().Add(commandGrace))
 			continue
 		}
 		if err != nil {
--- a/internal/router/client_test.go
+++ b/internal/router/client_test.go
@@ -228,6 +228,27 @@
 	}
 }
 
+// TestDrainEndsInTime: what can't be answered holds the router up no longer than the longest
+// deadline allows, and so does a command that never becomes whole.
+func TestDrainEndsInTime(t *testing.T) {
+	srv, err := New(testConfig(t, silentDiscovery(t), nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv.loop.module = &script{} // answers nothing
+	srv.loop.longest = 1000
+	r := startServer(t, srv)
+	stuck, half := dial(t, r.addr), dial(t, r.addr)
+	stuck.send(words("PING") + get("r1"))
+	stuck.line() // not ready: no cache is known
+	half.send(words("PING") + "*4\r\n$5\r\nC.G")
+	half.line()
+	r.stop()
+	if err := receive(t, r.ended, "end of the router"); err != nil {
+		t.Error(err)
+	}
+}
+
 // TestIdleClientsMakeRoom: clients that hold connections without using them don't shut out others.
 func TestIdleClientsMakeRoom(t *testing.T) {
 	cache := newFakeCache(t)
