--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -119,16 +119,18 @@
 	sockets *sockets
 	memory  *memory
 
-	mu      sync.Mutex
-	clients map[*client]struct{}
-	wg      sync.WaitGroup // clients' goroutines
-	closing chan struct{}  // closed when no more connections are taken
+	mu       sync.Mutex
+	clients  map[*client]struct{}
+	wg       sync.WaitGroup // clients' goroutines
+	closing  chan struct{}  // closed when no more connections are taken
+	arrivals time.Duration  // how long connections are still taken after SIGTERM
 }
 
 // New makes a router and opens its listener.
 func New(cfg *Config) (*Server, error) {
 	s := &Server{cfg: cfg, sockets: newSockets(cfg.Limits.Sockets), memory: newMemory(cfg.Limits.MemoryMB),
-		clients: map[*client]struct{}{}, closing: make(chan struct{})}
+		clients: map[*client]struct{}{}, closing: make(chan struct{}),
+		arrivals: lastArrivals}
 	var err error
 	if s.loop, err = newLoop(cfg, s.sockets); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
@@ -157,7 +159,7 @@
 	}
 	log.Print("draining")
 	limit := time.After(time.Duration(s.loop.longest)*time.Microsecond + drainSlack)
-	time.Sleep(lastArrivals)
+	time.Sleep(s.arrivals)
 	close(s.closing)
 	s.ln.Close()
 	<-failed // no client is added any more
