--- a/internal/router/client_test.go
+++ b/internal/router/client_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"log"
 	"net"
 	"strings"
 	"sync/atomic"
@@ -339,3 +340,25 @@
 	r.want(decide.Served)
 	receive(t, other.ended, "end of the idle connection")
 }
+
+// stuckWriter takes nothing until it is released.
+type stuckWriter struct{ release chan struct{} }
+
+func (w stuckWriter) Write(b []byte) (int, error) {
+	<-w.release
+	return len(b), nil
+}
+
+// TestLogThatNobodyReads does not hold the loop up.
+func TestLogThatNobodyReads(t *testing.T) {
+	r := newRig(t, "127.0.0.1:1", nil)
+	stuck := stuckWriter{make(chan struct{})}
+	defer log.SetOutput(log.Writer())
+	defer close(stuck.release)
+	log.SetOutput(stuck)
+	r.do(func() {
+		for range 4 * logBacklog {
+			r.l.perform(decide.Log{Text: "line"})
+		}
+	})
+}
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -19,6 +19,7 @@
 	module    module
 	sockets   *sockets
 	events    chan func()
+	lines     chan string   // for the log
 	done      chan struct{} // closed when the loop has ended
 	base      time.Time
 	now       decide.Time
@@ -56,6 +57,7 @@
 }
 
 const (
+	logBacklog    = 256  // lines that wait for whoever reads the log; more are dropped
 	eventBacklog  = 1024 // events under way to the loop before senders wait
 	busyReply     = "-BUSY\r\n"
 	failedReply   = "-ERR failed\r\n"
@@ -71,7 +73,7 @@
 	for _, c := range cfg.Settings.Classes {
 		longest = max(longest, c.Limit)
 	}
-	return &loop{cfg: cfg, longest: longest, module: m, sockets: s, events: make(chan func(), eventBacklog), done: make(chan struct{}), base: time.Now(), requests: map[int64]*request{},
+	return &loop{cfg: cfg, longest: longest, module: m, sockets: s, events: make(chan func(), eventBacklog), lines: make(chan string, logBacklog), done: make(chan struct{}), base: time.Now(), requests: map[int64]*request{},
 		upstreams: map[string]*upstream{}, discovery: newDiscovery(cfg.Discovery), index: cfg.Known.index}, nil
 }
 
@@ -89,9 +91,29 @@
 	}
 }
 
+// log hands a line to the log's writer. The danger: a log that nobody reads stops the router.
+func (l *loop) log(line string) {
+	select {
+	case l.lines <- line:
+	default:
+	}
+}
+
+func (l *loop) writeLog() {
+	for {
+		select {
+		case line := <-l.lines:
+			log.Print(line)
+		case <-l.done:
+			return
+		}
+	}
+}
+
 // run is the loop. It ends with ctx.
 func (l *loop) run(ctx context.Context) {
 	defer close(l.done)
+	go l.writeLog()
 	l.ctx = ctx
 	l.now = l.clock()
 	known := l.cfg.Known
@@ -164,7 +186,7 @@
 	case decide.Watch:
 		l.watch()
 	case decide.Log:
-		log.Print(a.Text)
+		l.log(a.Text)
 	}
 }
 
@@ -302,7 +324,7 @@
 		})
 		l.post(func() {
 			l.watching = false
-			log.Printf("discovery: %v", err)
+			l.log("discovery: " + err.Error())
 			l.backlog = append(l.backlog, &decide.List{Kind: decide.ListFailed})
 		})
 	}(l.index)
