Take over a new discovery on SIGHUP

Seen: node ended with 129 at the first SIGHUP, nine requests lost with it. Checked: nothing in main.go takes the signal, so its default ends the program. To blame: run in main.go, and in loop.go the watch, which knew one discovery for life. A call for the whole list waits 2 s, no longer 22. Tests: SIGHUP of the program under load and while it drains, bad and good and back again; late answer of the old discovery.

--- a/cmd/starlingwinch/main_test.go
+++ b/cmd/starlingwinch/main_test.go
@@ -42,8 +42,15 @@
 	return cmd
 }
 
-func TestStartServeAndEnd(t *testing.T) {
-	cmd := program(t, fmt.Sprintf(config, "127.0.0.1:0"))
+// started is the program at work.
+type started struct {
+	cmd  *exec.Cmd
+	addr string
+	log  *bufio.Reader
+}
+
+func start(t *testing.T, cmd *exec.Cmd) *started {
+	t.Helper()
 	stderr, err := cmd.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -52,14 +59,41 @@
 		t.Fatal(err)
 	}
 	kill := time.AfterFunc(patience, func() { cmd.Process.Kill() }) // a program that hangs must not hang the test
-	defer kill.Stop()
-	log := bufio.NewReader(stderr)
-	line, err := log.ReadString('\n')
-	_, addr, ok := strings.Cut(strings.TrimSpace(line), "serving on ")
-	if !ok {
-		t.Fatalf("the program said %q, %v", line, err)
+	t.Cleanup(func() { kill.Stop() })
+	s := &started{cmd: cmd, log: bufio.NewReader(stderr)}
+	s.addr = s.wait(t, "serving on ")
+	return s
+}
+
+// wait reads the log up to a line that holds the text, and returns what follows it.
+func (s *started) wait(t *testing.T, text string) string {
+	t.Helper()
+	for {
+		line, err := s.log.ReadString('\n')
+		if err != nil {
+			t.Fatalf("%q was not logged: %v", text, err)
+		}
+		if _, rest, ok := strings.Cut(strings.TrimSpace(line), text); ok {
+			return rest
+		}
 	}
-	nc, err := net.Dial("tcp", addr)
+}
+
+// end sends SIGTERM and waits for the program.
+func (s *started) end(t *testing.T) {
+	t.Helper()
+	if err := s.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	rest, _ := io.ReadAll(s.log)
+	if err := s.cmd.Wait(); err != nil {
+		t.Errorf("after SIGTERM: %v\n%s", err, rest)
+	}
+}
+
+func TestStartServeAndEnd(t *testing.T) {
+	s := start(t, program(t, fmt.Sprintf(config, "127.0.0.1:0")))
+	nc, err := net.Dial("tcp", s.addr)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -69,13 +103,60 @@
 	if line, err := bufio.NewReader(nc).ReadString('\n'); line != "+PONG\r\n" {
 		t.Fatalf("PING: %q, %v", line, err)
 	}
-	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
-		t.Fatal(err)
+	s.end(t)
+}
+
+// TestHangUpUnderLoad: SIGHUP takes over a new configuration and leaves the old one where the new
+// is wrong; clients notice neither, and a drain goes on.
+func TestHangUpUnderLoad(t *testing.T) {
+	cmd := program(t, fmt.Sprintf(config, "127.0.0.1:0"))
+	path := strings.TrimPrefix(cmd.Env[len(cmd.Env)-1], "BALANCER_CONFIG=")
+	s := start(t, cmd)
+	stop, failed := make(chan struct{}), make(chan error, 1)
+	go func() {
+		failed <- func() error {
+			nc, err := net.Dial("tcp", s.addr)
+			if err != nil {
+				return err
+			}
+			defer nc.Close()
+			nc.SetDeadline(time.Now().Add(patience))
+			r := bufio.NewReader(nc)
+			for {
+				select {
+				case <-stop:
+					return nil
+				default:
+				}
+				fmt.Fprint(nc, "*1\r\n$4\r\nPING\r\n")
+				if line, err := r.ReadString('\n'); line != "+PONG\r\n" {
+					return fmt.Errorf("PING: %q, %v", line, err)
+				}
+			}
+		}()
+	}()
+	hangUp := func(config, logged string) {
+		t.Helper()
+		if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := s.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		s.wait(t, logged)
 	}
-	rest, _ := io.ReadAll(log)
-	if err := cmd.Wait(); err != nil {
-		t.Errorf("after SIGTERM: %v\n%s", err, rest)
+	good := fmt.Sprintf(config, "127.0.0.1:0")
+	hangUp("{", "the old configuration stays")
+	hangUp(strings.Replace(good, `"127.0.0.1:1","seed"`, `"127.0.0.1:2","seed"`, 1), "discovery moves to 127.0.0.1:2")
+	hangUp(good, "discovery moves to 127.0.0.1:1")
+	close(stop)
+	if err := <-failed; err != nil {
+		t.Error(err)
 	}
+	s.cmd.Process.Signal(syscall.SIGTERM)
+	s.wait(t, "draining")
+	s.cmd.Process.Signal(syscall.SIGHUP)
+	s.end(t)
 }
 
 func TestBadConfigurationEndsWithOneLine(t *testing.T) {
--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -176,6 +176,12 @@
 	return nil
 }
 
+// Reload takes over a new configuration while the router serves.
+func (s *Server) Reload(cfg *Config) { s.loop.post(func() { s.loop.reload(cfg) }) }
+
+// Log writes a line to the log, unless nobody reads it.
+func (s *Server) Log(line string) { s.loop.log(line) }
+
 // acceptAll takes connections until the listener is closed.
 func (s *Server) acceptAll() error {
 	for {
--- a/internal/router/discovery.go
+++ b/internal/router/discovery.go
@@ -102,7 +102,6 @@
 
 func newDiscovery(addr string) *discovery {
 	return &discovery{url: "http://" + addr + "/discovery/hosts", client: &http.Client{
-		Timeout: watchWait + watchSlack,
 		Transport: &http.Transport{
 			MaxConnsPerHost:        1, // it counts against the router's descriptors
 			MaxIdleConnsPerHost:    1,
@@ -130,10 +129,13 @@
 }
 
 func (d *discovery) call(ctx context.Context, after int64) (hostList, error) {
-	url := d.url
+	url, wait := d.url, watchSlack
 	if after != noIndex {
 		url = fmt.Sprintf("%s?after=%d&wait_ms=%d", d.url, after, watchWait.Milliseconds())
+		wait += watchWait
 	}
+	ctx, stop := context.WithTimeout(ctx, wait)
+	defer stop()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return hostList{}, err
--- a/internal/router/discovery_test.go
+++ b/internal/router/discovery_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"starlingwinch/decide"
 )
@@ -139,3 +140,60 @@
 		t.Errorf("got %+v", h)
 	}
 }
+
+// moved is the configuration with discovery at another address.
+func moved(cfg *Config, addr string) *Config {
+	next := *cfg
+	next.Discovery = addr
+	return &next
+}
+
+// TestReloadAsksTheNewDiscoveryForAll, more than once, and lets go of the old one.
+func TestReloadAsksTheNewDiscoveryForAll(t *testing.T) {
+	first, second := newFakeCache(t), newFakeCache(t)
+	oldAddr, oldCalls := newFakeDiscovery(t)
+	newAddr, newCalls := newFakeDiscovery(t)
+	cfg := testConfig(t, oldAddr, nil, host("c1", first.addr(), "in_service"))
+	r := start(t, cfg)
+	receive(t, oldCalls, "call")
+	r.srv.Reload(moved(cfg, newAddr))
+	c := receive(t, newCalls, "call to the new discovery")
+	if c.query != "/discovery/hosts" {
+		t.Errorf("call %s, want the whole list", c.query)
+	}
+	c.reply <- hosts(0, true, host("c2", second.addr(), "in_service")) // its versions are its own
+	if c := receive(t, newCalls, "watch"); c.query != "/discovery/hosts?after=0&wait_ms=20000" {
+		t.Errorf("call %s", c.query)
+	}
+	cl := dial(t, r.addr)
+	cl.send(get("r1"))
+	receive(t, second.commands, "command").reply(t, served)
+	cl.want("value")
+	r.srv.Reload(moved(cfg, oldAddr))
+	if c := receive(t, oldCalls, "call after the second SIGHUP"); c.query != "/discovery/hosts" {
+		t.Errorf("call %s, want the whole list", c.query)
+	}
+}
+
+// TestLateAnswerOfTheOldDiscovery is not heard: here it is on its way to the loop as discovery moves.
+func TestLateAnswerOfTheOldDiscovery(t *testing.T) {
+	cache := newFakeCache(t)
+	oldAddr, oldCalls := newFakeDiscovery(t)
+	newAddr, newCalls := newFakeDiscovery(t)
+	r := newRig(t, cache.addr(), func(c *Config) { c.Discovery = oldAddr })
+	r.do(func() { r.l.watch() })
+	late := receive(t, oldCalls, "call")
+	r.do(func() {
+		late.reply <- hosts(50, true)
+		for deadline := time.Now().Add(patience); len(r.l.events) == 0 && time.Now().Before(deadline); {
+			time.Sleep(time.Millisecond)
+		}
+		r.l.reload(moved(r.l.cfg, newAddr))
+	})
+	receive(t, newCalls, "call to the new discovery")
+	r.do(func() {
+		if r.l.index != noIndex || !r.l.upstreams["c1"].up {
+			t.Errorf("version %d, c1 up %v: the old list was taken", r.l.index, r.l.upstreams["c1"].up)
+		}
+	})
+}
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"context"
 	"log"
+	"reflect"
 	"sync/atomic"
 	"time"
 
@@ -33,10 +34,10 @@
 	starved   bool        // an attempt waits for a descriptor
 	longest   decide.Time // patience of any client
 	discovery *discovery
-	index     int64 // version of the list
-	watching  bool
+	index     int64           // version of the list
+	endWatch  func()          // ends the watch that runs; nil while none does
 	serving   atomic.Bool     // a cache is known that takes work
-	ctx       context.Context // ends the watch
+	ctx       context.Context // ends every watch
 }
 
 // module makes the decisions: *decide.Router, or a script in tests.
@@ -314,20 +315,52 @@
 }
 
 func (l *loop) watch() {
-	if l.watching {
+	if l.endWatch != nil {
 		return
 	}
-	l.watching = true
-	go func(after int64) {
-		err := l.discovery.watch(l.ctx, after, func(h hostList) {
-			l.post(func() { l.learn(h, h.kind()) })
-		})
+	ctx, end := context.WithCancel(l.ctx)
+	l.endWatch = end
+	d, after := l.discovery, l.index
+	// What a watch says once it has been ended is not heard: a late answer of the old discovery
+	// must not overwrite what the new one has told.
+	say := func(f func()) {
 		l.post(func() {
-			l.watching = false
+			if ctx.Err() == nil {
+				f()
+			}
+		})
+	}
+	go func() {
+		err := d.watch(ctx, after, func(h hostList) { say(func() { l.learn(h, h.kind()) }) })
+		say(func() {
+			end()
+			l.endWatch = nil
 			l.log("discovery: " + err.Error())
 			l.backlog = append(l.backlog, &decide.List{Kind: decide.ListFailed})
 		})
-	}(l.index)
+		d.client.CloseIdleConnections()
+	}()
+}
+
+// reload takes over a new configuration: where discovery is. The new one is asked for its whole
+// list at once, as its versions need not go on from those of the old one.
+func (l *loop) reload(cfg *Config) {
+	if cfg.Listen != l.cfg.Listen || cfg.Limits != l.cfg.Limits || !reflect.DeepEqual(cfg.Settings, l.cfg.Settings) ||
+		cfg.Transport != l.cfg.Transport {
+		l.log("SIGHUP: new addresses for clients, limits and settings wait for a restart")
+	}
+	if cfg.Discovery == l.cfg.Discovery {
+		l.log("SIGHUP: discovery stays at " + cfg.Discovery)
+		return
+	}
+	l.log("SIGHUP: discovery moves to " + cfg.Discovery)
+	l.cfg.Discovery = cfg.Discovery
+	if l.endWatch != nil {
+		l.endWatch()
+		l.endWatch = nil
+	}
+	l.discovery, l.index = newDiscovery(cfg.Discovery), noIndex
+	l.watch()
 }
 
 // ready reports whether the router can serve.
