Tell lost attempts from late ones

Attempts that later ones have overtaken, at a cache whose answers come well within the patience, no longer lower its limit or fill its room, and where they are many they are sent again at the patience at no charge.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -31,6 +31,9 @@
 	hotLeast        = 2   // requests for a key before it can be hot
 	admitTries      = 32  // held requests without room that are looked at for one answer
 	retryBurst      = 10  // ... and in one burst
+	recently        = 16  // attempts at a cache over which its pace and its share of lost ones fade
+	unhurried       = .5  // of the patience, that a cache which is not crowded takes in the mean at most
+	lossy           = .12 // share of lost attempts from which a cache's lost ones are sent again at once
 )
 
 // cache is what this router knows of one cache server.
@@ -52,6 +55,10 @@
 	sends    float64 // fading count of attempts, as of lastSend
 	answered Time    // when it last answered anything
 	prompt   bool    // it answered the last likely hit in time
+	passed   [2]Time // when the latest attempt was sent that it answered in time: of hits, of the origin's work
+	pace     float64 // fading mean of how much of the patience its answers took
+	lost     float64 // fading share of attempts that it lost
+	hung     int     // lost attempts that are still out
 }
 
 // zone is what this router knows of the way to a zone.
@@ -68,6 +75,7 @@
 	stopped  bool // Cancel was asked for
 	neverRan bool
 	unmet    bool // no connection came about
+	lost     bool // later ones have overtaken it
 }
 
 type request struct {
@@ -455,8 +463,8 @@
 // leaves gaps between attempts. The danger: a cache slowed down by crowding stays slow until it
 // has been mostly idle, and one attempt of every router at all times is enough to keep it so.
 func (r *Router) hasRoom(c *cache) bool {
-	if c.limit >= 1 || c.pending > 0 {
-		return float64(c.pending) < c.limit
+	if c.limit >= 1 || c.pending > c.hung {
+		return float64(c.pending-c.hung) < c.limit
 	}
 	return r.now >= c.lastSend+Time(float64(r.patience)*(1/c.limit-1))
 }
@@ -700,7 +708,13 @@
 // nothing since. The danger: a cache that hangs takes requests and answers none until two
 // rounds of probes have failed. Late answers are no reason: in overload they all are.
 func (r *Router) hedge(q *request, n int) {
-	if q.done || !r.set.Copies || q.attempts[n].to.answered > q.attempts[n].sent || r.budget < 1 {
+	a := &q.attempts[n]
+	if a.lost && a.to.lost > lossy {
+		r.budget = max(r.budget, 1) // it takes nothing from the cache, which is not crowded either
+	} else if a.to.answered > a.sent || r.budget < 1 {
+		return
+	}
+	if q.done || !r.set.Copies {
 		return
 	}
 	if c, _ := r.pick(q); c != nil {
@@ -720,6 +734,14 @@
 func (r *Router) overdue(q *request, n int) {
 	a := &q.attempts[n]
 	c := a.to
+	// The danger: a cache, or the way to it, loses part of what it is sent. Taken for crowding, that
+	// lowers its limit until hardly anything is sent at all.
+	if c.passed[b2i(a.fetch || q.Write)] > a.sent && c.pace < unhurried {
+		a.lost = true
+		c.hung++
+		c.lost += (1 - c.lost) / recently
+		return
+	}
 	if a.fetch && c.prompt && r.now >= c.warmAt { // a cold one is slow itself and has few hits
 		r.at(a.sent+Time(originShare*float64(q.class.Aim)), func() {
 			if a := &q.attempts[n]; a.pending {
@@ -825,6 +847,9 @@
 	if a.fetch {
 		r.fetching--
 	}
+	if a.lost {
+		a.to.hung--
+	}
 	if ev.Result == Served || ev.Result == Errored || ev.Result == Rejected {
 		a.to.answered = r.now
 		r.reached(a.to, true)
@@ -836,6 +861,14 @@
 		r.do(CloseIdle{a.to.ID})
 	}
 	good := ev.Result == Served && r.now-a.sent < q.class.patience()
+	if ev.Result == Served {
+		a.to.pace += (min(2, float64(r.now-a.sent)/float64(q.class.patience())) - a.to.pace) / recently
+	}
+	if good {
+		kind := &a.to.passed[b2i(ev.Miss || q.Write)]
+		*kind = max(*kind, a.sent)
+		a.to.lost -= a.to.lost / recently
+	}
 	if good && !a.fetch {
 		a.to.prompt = true
 	}
