--- a/decide/decide.go
+++ b/decide/decide.go
@@ -31,9 +31,9 @@
 	hotLeast        = 2   // requests for a key before it can be hot
 	admitTries      = 32  // held requests without room that are looked at for one answer
 	retryBurst      = 10  // ... and in one burst
-	recently        = 16  // attempts at a cache over which its pace and its share of lost ones fade
-	unhurried       = .5  // of the patience, that a cache which is not crowded takes in the mean at most
-	lossy           = .12 // share of lost attempts from which a cache's lost ones are sent again at once
+	recently        = 32  // attempts over which the shares of late and of lost ones fade
+	unhurried       = .1  // share of a cache's answers that are late, where it is not crowded
+	lossy           = .06 // share of lost attempts from which they are sent again without limit
 )
 
 // cache is what this router knows of one cache server.
@@ -56,8 +56,7 @@
 	answered Time    // when it last answered anything
 	prompt   bool    // it answered the last likely hit in time
 	passed   [2]Time // when the latest attempt was sent that it answered in time: of hits, of the origin's work
-	pace     float64 // fading mean of how much of the patience its answers took
-	lost     float64 // fading share of attempts that it lost
+	late     float64 // fading share of its answers that came after the patience
 	hung     int     // lost attempts that are still out
 }
 
@@ -121,6 +120,7 @@
 	asked    [2]int            // ... and of all keys
 	shed     [2]int            // requests refused in this window for want of room: at caches, at the origin
 	shedding bool
+	lost     float64 // fading share of attempts that were lost
 }
 
 // New returns a router for the settings. The error names a wrong field.
@@ -708,15 +708,15 @@
 // nothing since. The danger: a cache that hangs takes requests and answers none until two
 // rounds of probes have failed. Late answers are no reason: in overload they all are.
 func (r *Router) hedge(q *request, n int) {
+	if q.done || !r.set.Copies {
+		return
+	}
 	a := &q.attempts[n]
-	if a.lost && a.to.lost > lossy {
+	if a.lost && r.lost > lossy {
 		r.budget = max(r.budget, 1) // it takes nothing from the cache, which is not crowded either
 	} else if a.to.answered > a.sent || r.budget < 1 {
 		return
 	}
-	if q.done || !r.set.Copies {
-		return
-	}
 	if c, _ := r.pick(q); c != nil {
 		r.send(q, c)
 	}
@@ -736,10 +736,10 @@
 	c := a.to
 	// The danger: a cache, or the way to it, loses part of what it is sent. Taken for crowding, that
 	// lowers its limit until hardly anything is sent at all.
-	if c.passed[b2i(a.fetch || q.Write)] > a.sent && c.pace < unhurried {
+	if c.passed[b2i(a.fetch || q.Write)] > a.sent && c.late < unhurried {
 		a.lost = true
 		c.hung++
-		c.lost += (1 - c.lost) / recently
+		r.lost += (1 - r.lost) / recently
 		return
 	}
 	if a.fetch && c.prompt && r.now >= c.warmAt { // a cold one is slow itself and has few hits
@@ -862,12 +862,12 @@
 	}
 	good := ev.Result == Served && r.now-a.sent < q.class.patience()
 	if ev.Result == Served {
-		a.to.pace += (min(2, float64(r.now-a.sent)/float64(q.class.patience())) - a.to.pace) / recently
+		a.to.late += (float64(b2i(!good)) - a.to.late) / recently
 	}
 	if good {
 		kind := &a.to.passed[b2i(ev.Miss || q.Write)]
 		*kind = max(*kind, a.sent)
-		a.to.lost -= a.to.lost / recently
+		r.lost -= r.lost / recently
 	}
 	if good && !a.fetch {
 		a.to.prompt = true
