--- a/decide/decide.go
+++ b/decide/decide.go
@@ -933,3 +933,11 @@
 	}
 	return mix(h)
 }
+
+func (r *Router) Trace() string {
+	s := fmt.Sprintf(" reqs %d wait %d fetching %d fetches %.1f missing %.2f budget %.1f |", len(r.reqs), len(r.waiting), r.fetching, r.fetches, r.missing, r.budget)
+	for _, c := range r.ready {
+		s += fmt.Sprintf(" %s p%d l%.1f u%d h%v w%v", c.ID[:4], c.pending, c.limit, c.uses, c.healthy, r.now >= c.warmAt)
+	}
+	return s
+}
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -97,6 +97,8 @@
 	stopAt   decide.Time
 	state    attemptState
 	conn     *conn
+	was *conn
+	uses int
 	stopping bool          // given up while part of it is written
 	result   decide.Result // ... for this reason
 }
@@ -224,6 +226,7 @@
 	raw       syscall.RawConn
 	attempt   *attempt // what it carries
 	idleSince decide.Time
+	uses int
 	closed    bool
 }
 
@@ -288,6 +291,8 @@
 	}
 	c.upstream.waiting = c.upstream.waiting[1:]
 	c.attempt, a.conn = a, c
+	c.uses++
+	a.uses, a.was = c.uses, c
 	switch {
 	case err != nil:
 		a.state = writing
