Switch the guard against lost attempts on where many are lost

Seen in the trace: at the one look at the patience most hung attempts had not yet been overtaken, as each cache serves few misses. So the share of attempts that are still out at their aim though later ones were served decides (8 %); under it all is as it was. The origin's promptness now counts over all caches.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"sort"
 )
 
@@ -31,9 +32,9 @@
 	hotLeast        = 2   // requests for a key before it can be hot
 	admitTries      = 32  // held requests without room that are looked at for one answer
 	retryBurst      = 10  // ... and in one burst
-	recently        = 32  // attempts over which the shares of late and of lost ones fade
-	unhurried       = .1  // share of a cache's answers that are late, where it is not crowded
-	lossy           = .06 // share of lost attempts from which they are sent again without limit
+	recently        = 48  // attempts over which the shares of late and of lost ones fade
+	unhurried       = .35 // share of a cache's answers that are late, where it is not crowded
+	lossy           = .08 // share of lost attempts from which they are sent again without limit
 )
 
 // cache is what this router knows of one cache server.
@@ -55,7 +56,7 @@
 	sends    float64 // fading count of attempts, as of lastSend
 	answered Time    // when it last answered anything
 	prompt   bool    // it answered the last likely hit in time
-	passed   [2]Time // when the latest attempt was sent that it answered in time: of hits, of the origin's work
+	passed   Time    // when the latest attempt was sent that it answered in time
 	late     float64 // fading share of its answers that came after the patience
 	hung     int     // lost attempts that are still out
 }
@@ -121,6 +122,7 @@
 	shed     [2]int            // requests refused in this window for want of room: at caches, at the origin
 	shedding bool
 	lost     float64 // fading share of attempts that were lost
+	passed   Time    // when the latest attempt was sent that the origin served in time, at any cache
 }
 
 // New returns a router for the settings. The error names a wrong field.
@@ -482,12 +484,7 @@
 func (c *cache) knows(key uint64) bool { return c.keeps[0][key] || c.keeps[1][key] }
 
 func (q *request) triedAt(c *cache) bool {
-	for _, a := range q.attempts {
-		if a.to == c {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(q.attempts, func(a attempt) bool { return a.to == c })
 }
 
 // warmEnough keeps a cold cache to its share, whichever way a request comes to
@@ -565,12 +562,7 @@
 	if q.class.Effect == Safe || q.class.Effect == Keyed && q.class.Scope == ScopeAll {
 		return true
 	}
-	for _, a := range q.attempts {
-		if !a.neverRan {
-			return false
-		}
-	}
-	return true
+	return !slices.ContainsFunc(q.attempts, func(a attempt) bool { return !a.neverRan })
 }
 
 // Requests.
@@ -624,12 +616,9 @@
 
 // giveUp answers a request unless an attempt is still out that may do so.
 func (r *Router) giveUp(q *request) {
-	for _, a := range q.attempts {
-		if a.pending {
-			return
-		}
+	if !slices.ContainsFunc(q.attempts, func(a attempt) bool { return a.pending }) {
+		r.answer(q)
 	}
-	r.answer(q)
 }
 
 // holdUntil is when a held request can no longer be served within its aim.
@@ -655,11 +644,8 @@
 
 func (r *Router) unhold(q *request) {
 	q.held = false
-	for i, w := range r.waiting {
-		if w == q {
-			r.waiting = append(r.waiting[:i], r.waiting[i+1:]...)
-			return
-		}
+	if i := slices.Index(r.waiting, q); i >= 0 {
+		r.waiting = slices.Delete(r.waiting, i, i+1)
 	}
 }
 
@@ -696,14 +682,44 @@
 		c.zone.trialAt = r.now + r.set.ColdTime/4 // the trial is one request
 	}
 	r.do(Send{ID: q.ID, Cache: c.ID, StopAt: q.Deadline})
-	r.at(r.now+q.class.patience(), func() {
-		if q.attempts[n].pending {
-			r.overdue(q, n)
-			r.hedge(q, n)
+	r.at(r.now+q.class.patience(), func() { r.slow(q, n, true) })
+	r.at(r.now+q.class.Aim, func() {
+		if a := &q.attempts[n]; a.pending && r.overtaken(q, a) {
+			r.lost += (1 - r.lost) / recently
 		}
 	})
 }
 
+// slow looks after an attempt that is out for longer than the patience.
+func (r *Router) slow(q *request, n int, first bool) {
+	a := &q.attempts[n]
+	if !a.pending || q.done {
+		return
+	}
+	if r.lost > lossy && r.overtaken(q, a) {
+		a.lost = true
+		a.to.hung++
+		if !first {
+			adjust(&a.to.limit, true, .5) // it was held against the cache
+		}
+	} else if first {
+		r.overdue(q, n)
+	}
+	if first || a.lost {
+		r.hedge(q, n)
+	}
+	if r.lost > lossy && !a.lost {
+		r.at(r.now+q.class.patience()/4, func() { r.slow(q, n, false) })
+	}
+}
+
+// overtaken reports whether later attempts were answered in time though this one was not. The
+// danger: a cache, or the way to it, loses part of what it is sent. Taken for crowding, that lowers
+// its limit until hardly anything is sent at all.
+func (r *Router) overtaken(q *request, a *attempt) bool {
+	return a.to.passed > a.sent && a.to.late < unhurried && (!a.fetch && !q.Write || r.passed > a.sent)
+}
+
 // hedge sends a second copy of a request whose attempt is overdue at a cache that has answered
 // nothing since. The danger: a cache that hangs takes requests and answers none until two
 // rounds of probes have failed. Late answers are no reason: in overload they all are.
@@ -712,7 +728,7 @@
 		return
 	}
 	a := &q.attempts[n]
-	if a.lost && r.lost > lossy {
+	if a.lost {
 		r.budget = max(r.budget, 1) // it takes nothing from the cache, which is not crowded either
 	} else if a.to.answered > a.sent || r.budget < 1 {
 		return
@@ -734,14 +750,6 @@
 func (r *Router) overdue(q *request, n int) {
 	a := &q.attempts[n]
 	c := a.to
-	// The danger: a cache, or the way to it, loses part of what it is sent. Taken for crowding, that
-	// lowers its limit until hardly anything is sent at all.
-	if c.passed[b2i(a.fetch || q.Write)] > a.sent && c.late < unhurried {
-		a.lost = true
-		c.hung++
-		r.lost += (1 - r.lost) / recently
-		return
-	}
 	if a.fetch && c.prompt && r.now >= c.warmAt { // a cold one is slow itself and has few hits
 		r.at(a.sent+Time(originShare*float64(q.class.Aim)), func() {
 			if a := &q.attempts[n]; a.pending {
@@ -865,8 +873,10 @@
 		a.to.late += (float64(b2i(!good)) - a.to.late) / recently
 	}
 	if good {
-		kind := &a.to.passed[b2i(ev.Miss || q.Write)]
-		*kind = max(*kind, a.sent)
+		a.to.passed = max(a.to.passed, a.sent)
+		if ev.Miss || q.Write {
+			r.passed = max(r.passed, a.sent)
+		}
 		r.lost -= r.lost / recently
 	}
 	if good && !a.fetch {
@@ -903,41 +913,3 @@
 	}
 	r.forward(q)
 }
-
-// Hashing.
-
-// mix is the finaliser of SplitMix64.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
-func b2i(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
-// unit maps a hash to [0, 1).
-func unit(x uint64) float64 { return float64(x>>11) / (1 << 53) }
-
-// hash maps an id to a number, by FNV-1a.
-func hash(s string) uint64 {
-	h := uint64(14695981039346656037)
-	for i := 0; i < len(s); i++ {
-		h = (h ^ uint64(s[i])) * 1099511628211
-	}
-	return mix(h)
-}
-
-func (r *Router) Trace() string {
-	s := fmt.Sprintf(" reqs %d wait %d fetching %d fetches %.1f missing %.2f budget %.1f |", len(r.reqs), len(r.waiting), r.fetching, r.fetches, r.missing, r.budget)
-	for _, c := range r.ready {
-		s += fmt.Sprintf(" %s p%d l%.1f u%d h%v w%v", c.ID[:4], c.pending, c.limit, c.uses, c.healthy, r.now >= c.warmAt)
-	}
-	return s
-}
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -3,7 +3,6 @@
 import (
 	"container/heap"
 	"context"
-	"fmt"
 	"log"
 	"reflect"
 	"sync/atomic"
@@ -59,7 +58,7 @@
 }
 
 const (
-	logBacklog    = 25600  // lines that wait for whoever reads the log; more are dropped
+	logBacklog    = 256  // lines that wait for whoever reads the log; more are dropped
 	eventBacklog  = 1024 // events under way to the loop before senders wait
 	busyReply     = "-BUSY\r\n"
 	failedReply   = "-ERR failed\r\n"
@@ -123,7 +122,6 @@
 	l.learn(known, decide.ListStale)
 	l.tell()
 	l.after(sweepInterval, l.sweep)
-	l.after(sweepInterval, l.trace)
 	alarm := time.NewTimer(0)
 	defer alarm.Stop()
 	for {
@@ -171,9 +169,6 @@
 			r.attempts[a.Attempt].giveUp(decide.Cancelled)
 		}
 	case decide.Refuse:
-		if r := l.requests[a.ID]; r != nil {
-			l.lines <- fmt.Sprintf("T refuse att %d", len(r.attempts))
-		}
 		if r := l.requests[a.ID]; r != nil {
 			l.finish(r, appendBusy(nil, a.Wait))
 		}
@@ -274,10 +269,6 @@
 // the final one by itself.
 func (l *loop) ended(a *attempt, result decide.Result, rep *reply) {
 	r := a.request
-	traceCount[result]++
-	if r != nil {
-		l.lines <- fmt.Sprintf("T outcome %s res %d after %d write %v class %s key %s att %d conn %d/%p", a.upstream.name, result, (l.now-a.sent)/1000, r.cmd.write, r.cmd.class, r.cmd.args[1], a.number, a.uses, a.was)
-	}
 	if r == nil {
 		ev := &decide.Probed{Cache: a.upstream.name, Result: result, Elapsed: l.now - a.sent, Load: decide.Load{Busy: -1}}
 		if rep != nil {
@@ -290,9 +281,6 @@
 	ev := &decide.Outcome{ID: r.id, Attempt: a.number, Result: result, Elapsed: l.now - a.sent, Load: decide.Load{Busy: -1}}
 	if rep != nil {
 		ev.Load, ev.Miss = rep.load, rep.miss
-		if result == decide.Served {
-			tracer(a.upstream.name, rep.miss, r.cmd.class, l.now-a.sent)
-		}
 		if result == decide.Served {
 			l.finish(r, rep.value)
 		}
@@ -310,7 +298,6 @@
 	seen := make(map[string]bool, len(h.entries))
 	for i, e := range h.entries {
 		seen[e.ID] = true
-		zoneOf[e.ID] = fmt.Sprint(e.Zone, h.addrs[i])
 		u := l.upstreams[e.ID]
 		if u == nil {
 			u = newUpstream(l, e.ID)
@@ -459,43 +446,3 @@
 }
 
 func (l *loop) after(d decide.Time, f func()) { l.at(l.now+d, f) }
-
-var traceCount [16]int
-
-func (l *loop) trace() {
-	l.after(sweepInterval, l.trace)
-	for k, v := range traceLat {
-		l.lines <- fmt.Sprintf("T lat %s n %d mean %d max %d", k, v[0], v[1]/v[0]/1000, v[2]/1000)
-	}
-	traceLat = map[string]*[3]int64{}
-	for n, e := range zoneOf {
-		l.lines <- "T zone " + n + " " + e
-	}
-	s := fmt.Sprintf("T res %v open %d conns %d", traceCount, l.open, l.conns)
-	traceCount = [16]int{}
-	if m, ok := l.module.(*decide.Router); ok {
-		s += m.Trace()
-	}
-	for n, u := range l.upstreams {
-		if len(u.conns) > 0 || u.up {
-			s += fmt.Sprintf(" [%s c%d i%d d%d w%d]", n[:4], len(u.conns), len(u.idle), u.dialing, len(u.waiting))
-		}
-	}
-	l.lines <- s
-}
-
-var traceLat = map[string]*[3]int64{}
-
-func tracer(n string, miss bool, class string, d int64) {
-	k := fmt.Sprintf("%s %s miss %v", n, class, miss)
-	v := traceLat[k]
-	if v == nil {
-		v = &[3]int64{}
-		traceLat[k] = v
-	}
-	v[0]++
-	v[1] += d
-	v[2] = max(v[2], d)
-}
-
-var zoneOf = map[string]string{}
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -97,8 +97,6 @@
 	stopAt   decide.Time
 	state    attemptState
 	conn     *conn
-	was *conn
-	uses int
 	stopping bool          // given up while part of it is written
 	result   decide.Result // ... for this reason
 }
@@ -226,7 +224,6 @@
 	raw       syscall.RawConn
 	attempt   *attempt // what it carries
 	idleSince decide.Time
-	uses int
 	closed    bool
 }
 
@@ -291,8 +288,6 @@
 	}
 	c.upstream.waiting = c.upstream.waiting[1:]
 	c.attempt, a.conn = a, c
-	c.uses++
-	a.uses, a.was = c.uses, c
 	switch {
 	case err != nil:
 		a.state = writing
