Read both sides strictly; rest connections before reuse; bound silent and stuck clients

Measured before: usual clients send within 1 ms of connecting and pause 0.4 s at most; 2.2 to 2.5 s of silence are safe.

Now resp.go reads for both sides; the reader reads only while an answer is awaited, the loop looks into the socket before each reuse and lets a connection rest 4 ms first. Open ids are kept until their attempts are over. Caches that are gone are dropped, timers end with their attempts, buffers count as memory.

--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -9,6 +9,7 @@
 	"log"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -22,18 +23,21 @@
 )
 
 const (
-	mostValue    = 64 << 10               // bytes of a value
-	mostWord     = 1 << 10                // ... of a key, an id or the list of names and values
-	mostCommand  = mostValue + 4<<10      // ... of a whole command
-	keptBuffer   = 8 << 10                // bytes of room that a connection keeps between commands
-	pipelined    = 512                    // commands of one connection that may await their answers
-	writeTimeout = 5 * time.Second        // for an answer to a client that does not read
-	lingerTime   = time.Second            // for a client to read why its connection is closed
-	acceptPause  = 10 * time.Millisecond  // before another try where no descriptor was free
-	lastArrivals = 500 * time.Millisecond // new connections may still come so long after SIGTERM
-	commandGrace = 100 * time.Millisecond // for the rest of a command that has begun when its connection is to close
-	drainSlack   = 650 * time.Millisecond // beyond the longest deadline, for the drain after SIGTERM: SIGKILL may follow 50 ms later
-	metaArg      = 3                      // place of the names and values in a command
+	keptBuffer   = 8 << 10                 // bytes of room that a connection keeps between commands
+	pipelined    = 512                     // commands of one connection that may await their answers
+	writeTimeout = 5 * time.Second         // for an answer to a client that does not read
+	lingerTime   = time.Second             // for a client to read why its connection is closed
+	acceptPause  = 10 * time.Millisecond   // before another try where no descriptor was free
+	lastArrivals = 500 * time.Millisecond  // new connections may still come so long after SIGTERM
+	commandGrace = 100 * time.Millisecond  // for the rest of a command that has begun when its connection is to close
+	drainSlack   = 650 * time.Millisecond  // beyond the longest deadline, for the drain after SIGTERM: SIGKILL may follow 50 ms later
+	idArg        = 2                       // place of the id in a command
+	metaArg      = 3                       // ... of the names and values
+	commandTime  = 2500 * time.Millisecond // for a command to come whole, and for the first one to begin
+	idleTime     = 10 * time.Second        // for the next command to begin
+	crowdedTime  = 2200 * time.Millisecond // ... where descriptors run short
+	firstWord    = 20_000                  // microseconds in which a client that means to ask has begun
+	mostErrors   = 16                      // bad commands after which a connection is closed
 )
 
 // command is a client's request as it came.
@@ -50,8 +54,8 @@
 	write    bool
 }
 
-// parseCommand reads a C.GET or C.SET. It keeps args.
-func parseCommand(args [][]byte, size int) (command, error) {
+// parseCommand reads a C.GET or C.SET of one of the classes. It keeps args.
+func parseCommand(args [][]byte, size int, classes []decide.Class) (command, error) {
 	c := command{args: args, size: size, write: strings.EqualFold(string(args[0]), "C.SET")}
 	want := metaArg + 1
 	if c.write {
@@ -65,9 +69,6 @@
 			return c, errors.New("an argument is empty or too long")
 		}
 	}
-	if c.write && len(args[want-1]) > mostValue {
-		return c, errors.New("the value is too long")
-	}
 	h := fnv.New64a()
 	h.Write(args[1])
 	c.hash = h.Sum64()
@@ -80,15 +81,18 @@
 		name, value, _ := strings.Cut(meta[from:to], "=")
 		switch name {
 		case "c":
+			if c.class != "" {
+				return c, errors.New("c stands twice")
+			}
 			c.class = value
 		case "t":
 			c.tenant = value
 		case "d":
-			ms, err := strconv.ParseInt(value, 10, 32)
-			if err != nil || ms < 0 || c.waitTo > 0 {
+			ms, err := strconv.ParseUint(value, 10, 31)
+			if err != nil || c.waitTo > 0 {
 				return c, errors.New("d is not a number of milliseconds")
 			}
-			c.wait, c.waitFrom, c.waitTo = ms*1000, to-len(value), to
+			c.wait, c.waitFrom, c.waitTo = decide.Time(ms)*1000, to-len(value), to
 		case "h":
 			if us, err := strconv.ParseInt(value, 10, 64); err == nil && us > 0 {
 				c.cost = us
@@ -99,6 +103,13 @@
 	if c.class == "" || c.waitTo == 0 {
 		return c, errors.New("c and d are needed")
 	}
+	i := slices.IndexFunc(classes, func(known decide.Class) bool { return known.Name == c.class })
+	if i < 0 {
+		return c, errors.New("unknown class")
+	}
+	if c.write == (classes[i].Effect == decide.Safe) {
+		return c, fmt.Errorf("%s does not fit the class", args[0])
+	}
 	return c, nil
 }
 
@@ -128,7 +139,7 @@
 
 // New makes a router and opens its listener.
 func New(cfg *Config) (*Server, error) {
-	s := &Server{cfg: cfg, sockets: newSockets(cfg.Limits.Sockets), memory: newMemory(cfg.Limits.MemoryMB),
+	s := &Server{cfg: cfg, sockets: newSockets(cfg.Limits), memory: newMemory(cfg.Limits.MemoryMB),
 		clients: map[*client]struct{}{}, closing: make(chan struct{}),
 		arrivals: lastArrivals}
 	var err error
@@ -185,12 +196,8 @@
 // acceptAll takes connections until the listener is closed.
 func (s *Server) acceptAll() error {
 	for {
-		if !s.room() {
-			return net.ErrClosed
-		}
 		nc, err := s.ln.Accept()
 		if err != nil {
-			s.sockets.giveClient()
 			if errors.Is(err, net.ErrClosed) {
 				return err
 			}
@@ -199,6 +206,7 @@
 			time.Sleep(acceptPause)
 			continue
 		}
+		s.room()
 		c := &client{srv: s, nc: nc.(*net.TCPConn), open: map[int64]*request{}, queue: make(chan *slot, pipelined)}
 		c.lastUsed.Store(s.loop.clock())
 		s.mu.Lock()
@@ -210,34 +218,41 @@
 	}
 }
 
-// room waits for a descriptor for one more client; it reports false once the router ends. The
-// danger: clients that hold connections they do not use shut out all others. The one idle for
-// longest makes room, as the protocol allows between requests.
-func (s *Server) room() bool {
+// room waits for a descriptor's turn for a connection that has been accepted. The danger: clients
+// that hold connections they do not use shut out all others.
+func (s *Server) room() {
 	for !s.sockets.takeClient() {
-		if c := s.longestIdle(); c != nil {
+		if c := s.leastMissed(); c != nil {
 			c.retire()
 		}
 		select {
-		case <-s.closing:
-			return false
+		case <-s.closing: // there is no next one: it is the last to be over the bound
+			s.sockets.clients.Add(1)
+			return
+		case <-s.sockets.freed:
 		case <-time.After(acceptPause):
 		}
 	}
-	return true
 }
 
-func (s *Server) longestIdle() *client {
+// leastMissed is the client whose connection makes room, as the protocol allows between requests: the
+// one that has been open for longest without a command, but for those just opened; else the one
+// idle for longest.
+func (s *Server) leastMissed() *client {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var longest *client
+	var least *client
+	leastSilent, settled := false, s.loop.clock()-firstWord
 	for c := range s.clients {
-		if c.due.Load() == 0 && !c.retired.Load() &&
-			(longest == nil || c.lastUsed.Load() < longest.lastUsed.Load()) {
-			longest = c
+		if c.due.Load() > 0 || c.retired.Load() {
+			continue
+		}
+		silent := !c.asked.Load() && c.lastUsed.Load() < settled
+		if least == nil || silent && !leastSilent || silent == leastSilent && c.lastUsed.Load() < least.lastUsed.Load() {
+			least, leastSilent = c, silent
 		}
 	}
-	return longest
+	return least
 }
 
 // drain has each client's connection closed as soon as it is between requests.
@@ -256,6 +271,8 @@
 	open     map[int64]*request // requests without a final answer; the loop's
 	queue    chan *slot         // answers due, in the order of the commands
 	retired  atomic.Bool        // to be closed between requests
+	asked    atomic.Bool        // a whole command has come
+	errors   int                // bad commands in a row; the reader's
 	due      atomic.Int64       // commands whose answer is not written
 	lastUsed atomic.Int64       // when the last answer was written
 }
@@ -289,48 +306,109 @@
 	defer c.srv.wg.Done()
 	defer close(c.queue)
 	var buf []byte
-	extended := false
+	held := int64(0) // bytes of buf that are counted
+	defer func() { c.srv.memory.give(held) }()
+	began := time.Now()
 	for {
-		complete, args, used, err := nextCommand(buf)
+		args, used, err := nextCommand(buf)
 		if err != nil {
 			c.say(redcon.AppendError(nil, "ERR Protocol error: "+err.Error()))
 			return
 		}
-		if complete {
+		if used > 0 {
 			if !c.command(args, buf[:used]) {
 				return
 			}
 			if rest := buf[used:]; cap(buf) > keptBuffer && len(rest) <= keptBuffer {
 				buf = bytes.Clone(rest) // many clients with a large command once must not keep its room
+				c.srv.memory.give(held)
+				held = 0
 			} else {
 				buf = append(buf[:0], rest...)
 			}
+			began = time.Now()
 			continue
 		}
-		if len(buf) >= mostCommand {
-			c.say([]byte("-ERR Protocol error: too big a command\r\n"))
-			return
-		}
 		if len(buf) == cap(buf) {
-			buf = append(make([]byte, 0, max(1024, 2*cap(buf))), buf...)
-		}
-		n, err := c.nc.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+n]
-		if errors.Is(err, os.ErrDeadlineExceeded) && c.retired.Load() {
-			if extended || len(buf) == 0 && !c.unread() {
+			size := min(max(1024, 2*cap(buf)), mostCommand)
+			if size == cap(buf) {
+				c.say([]byte("-ERR Protocol error: too big a command\r\n"))
 				return
 			}
-			extended = true // it has begun a command
-			c.nc.SetReadDeadline(time.Now().Add(commandGrace))
-			continue
+			if more := int64(size - cap(buf)); size > keptBuffer {
+				if !c.srv.memory.take(more) {
+					c.say([]byte(busyReply))
+					return
+				}
+				held += more
+			}
+			buf = append(make([]byte, 0, size), buf...)
 		}
-		if err != nil {
+		n, err := c.receive(buf[len(buf):cap(buf)], len(buf) > 0, began)
+		if len(buf) == 0 {
+			began = time.Now()
+		}
+		buf = buf[:len(buf)+n]
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded) && len(buf) > 0:
+			c.say([]byte("-ERR Protocol error: the command does not go on\r\n"))
+			return
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			return
+		case err != nil:
 			c.srv.loop.post(func() { c.srv.loop.depart(c) })
 			return
 		}
 	}
 }
 
+// receive reads more of a command, which began at the given time if it has begun. The danger: a
+// client that stops in a command, or says nothing at all, keeps its connection for good.
+func (c *client) receive(b []byte, begun bool, began time.Time) (int, error) {
+	for {
+		limit := began.Add(commandTime)
+		if !begun && c.asked.Load() {
+			limit = began.Add(idleTime)
+			if c.srv.sockets.crowded() {
+				limit = began.Add(crowdedTime)
+			}
+		}
+		pause := limit
+		if !begun { // look again now and then: it gets crowded, and nothing idles while answers are due
+			if next := time.Now().Add(crowdedTime / 4); next.Before(pause) {
+				pause = next
+			}
+		}
+		if c.retired.Load() {
+			soon := time.Now()
+			if begun || c.unread() {
+				soon = soon.Add(commandGrace)
+			}
+			if soon.Before(limit) {
+				limit = soon
+			}
+			pause = limit
+		}
+		c.nc.SetReadDeadline(pause)
+		if c.retired.Load() && pause != limit {
+			continue // it was retired in between, and its deadline is overwritten
+		}
+		n, err := c.nc.Read(b)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		if c.due.Load() > 0 && !begun {
+			began = time.Now()
+			if !c.retired.Load() {
+				continue
+			}
+		}
+		if !time.Now().Before(limit) {
+			return 0, err
+		}
+	}
+}
+
 // unread reports whether bytes have come that were not read yet.
 func (c *client) unread() bool {
 	raw, err := c.nc.SyscallConn()
@@ -352,6 +430,14 @@
 	c.queue <- s
 }
 
+// reject answers a bad command. It reports whether the connection goes on: one that sends nothing
+// else is closed.
+func (c *client) reject(why string) bool {
+	c.say(redcon.AppendError(nil, "ERR "+why))
+	c.errors++
+	return c.errors < mostErrors
+}
+
 // command carries out one command. It reports whether the connection goes on.
 func (c *client) command(args [][]byte, raw []byte) bool {
 	if len(args) == 0 {
@@ -361,6 +447,7 @@
 	verb := strings.ToUpper(string(args[0][:min(len(args[0]), 32)]))
 	switch verb {
 	case "PING":
+		c.asked.Store(true)
 		switch {
 		case !c.srv.loop.serving.Load():
 			c.say([]byte("-LOADING no caches are known yet\r\n"))
@@ -375,19 +462,22 @@
 		return false
 	case "C.GET", "C.SET":
 	default:
-		c.say([]byte("-ERR unknown command\r\n"))
-		return true
+		return c.reject("unknown command")
 	}
 	// The command outlives the buffer.
-	_, args, _, err := nextCommand(bytes.Clone(raw))
-	if err != nil {
-		return false
+	args, _, err := nextCommand(bytes.Clone(raw))
+	if err == nil && raw[0] != '*' {
+		err = errors.New("an array is wanted")
+	}
+	var cmd command
+	if err == nil {
+		cmd, err = parseCommand(args, len(raw), c.srv.cfg.Settings.Classes)
 	}
-	cmd, err := parseCommand(args, len(raw))
 	if err != nil {
-		c.say(redcon.AppendError(nil, "ERR "+err.Error()))
-		return true
+		return c.reject(err.Error())
 	}
+	c.errors = 0
+	c.asked.Store(true)
 	s := newSlot(c.srv.memory)
 	if !s.memory.take(int64(len(raw))) {
 		c.say([]byte(busyReply))
@@ -452,17 +542,3 @@
 		total += n
 	}
 }
-
-// nextCommand takes one command off b. The danger: the codec panics on lengths out of range.
-func nextCommand(b []byte) (complete bool, args [][]byte, used int, err error) {
-	defer func() {
-		if recover() != nil {
-			err = errors.New("invalid length")
-		}
-	}()
-	complete, args, kind, rest, err := redcon.ReadNextCommand(b, nil)
-	if err == nil && kind == redcon.Tile38 {
-		err = errors.New("expected '*'")
-	}
-	return complete, args, len(b) - len(rest), err
-}
--- a/internal/router/limits.go
+++ b/internal/router/limits.go
@@ -28,15 +28,28 @@
 	clients       atomic.Int64
 	mostClients   int64
 	mostUpstreams int
+	freed         chan struct{} // holds a word when a client's descriptor has been given back
 }
 
-func newSockets(most int) *sockets {
-	free := max(most, leastSockets) - reserved
-	return &sockets{mostClients: int64(free * 3 / 5), mostUpstreams: free * 2 / 5}
+// newSockets shares out what the limits leave. Answers of all caches at once must fit into memory
+// beside what is counted there.
+func newSockets(l Limits) *sockets {
+	free := max(l.Sockets, leastSockets) - reserved
+	return &sockets{mostClients: int64(free * 3 / 5), freed: make(chan struct{}, 1),
+		mostUpstreams: min(free*2/5, int(max(1, l.MemoryMB<<20/4/mostReply)))}
 }
 
 func (s *sockets) takeClient() bool { return take(&s.clients, 1, s.mostClients) }
-func (s *sockets) giveClient()      { s.clients.Add(-1) }
+func (s *sockets) giveClient() {
+	s.clients.Add(-1)
+	select {
+	case s.freed <- struct{}{}:
+	default:
+	}
+}
+
+// crowded reports whether clients' descriptors run short.
+func (s *sockets) crowded() bool { return s.clients.Load() > s.mostClients/2 }
 
 func take(n *atomic.Int64, more, most int64) bool {
 	if n.Add(more) > most {
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -27,6 +27,7 @@
 	timers    timerHeap
 	backlog   []decide.Event // what the module is still to be told
 	requests  map[int64]*request
+	ids       map[string]struct{} // of these requests, as their clients named them
 	lastID    int64
 	open      int // requests that still want their final answer
 	upstreams map[string]*upstream
@@ -74,7 +75,7 @@
 	for _, c := range cfg.Settings.Classes {
 		longest = max(longest, c.Limit)
 	}
-	return &loop{cfg: cfg, longest: longest, module: m, sockets: s, events: make(chan func(), eventBacklog), lines: make(chan string, logBacklog), done: make(chan struct{}), base: time.Now(), requests: map[int64]*request{},
+	return &loop{cfg: cfg, longest: longest, module: m, sockets: s, events: make(chan func(), eventBacklog), lines: make(chan string, logBacklog), done: make(chan struct{}), base: time.Now(), requests: map[int64]*request{}, ids: map[string]struct{}{},
 		upstreams: map[string]*upstream{}, discovery: newDiscovery(cfg.Discovery), index: cfg.Known.index}, nil
 }
 
@@ -142,7 +143,7 @@
 		}
 		l.tell()
 		for len(l.timers) > 0 && l.timers[0].at <= l.now {
-			heap.Pop(&l.timers).(timer).f()
+			heap.Pop(&l.timers).(*timer).f()
 			l.tell()
 		}
 	}
@@ -199,6 +200,12 @@
 		s.answer([]byte(busyReply)) // beyond what the settings let a router hold; never sent on
 		return
 	}
+	name := string(cmd.args[idArg])
+	if _, taken := l.ids[name]; taken {
+		s.answer([]byte("-ERR the id is that of an open request\r\n"))
+		return
+	}
+	l.ids[name] = struct{}{}
 	if l.longest > 0 {
 		// The danger: timers last as long as the client claims to wait, and hold the request.
 		cmd.wait = min(cmd.wait, l.longest)
@@ -240,14 +247,21 @@
 
 // forget drops a request that is over once its attempts are.
 func (l *loop) forget(r *request) {
-	if r.over && r.out == 0 {
+	if r.over && r.out == 0 && l.requests[r.id] == r {
 		delete(l.requests, r.id)
+		delete(l.ids, string(r.cmd.args[idArg]))
 	}
 }
 
 func (l *loop) send(s decide.Send) {
 	r, u := l.requests[s.ID], l.upstreams[s.Cache]
-	if r == nil || u == nil {
+	if r == nil {
+		return
+	}
+	if u == nil { // gone by now
+		r.attempts = append(r.attempts, &attempt{state: over})
+		l.backlog = append(l.backlog, &decide.Outcome{ID: r.id, Attempt: len(r.attempts) - 1, Result: decide.NotSent,
+			Last: r.over, Load: decide.Load{Busy: -1}})
 		return
 	}
 	a := &attempt{request: r, number: len(r.attempts), upstream: u, sent: l.now, stopAt: s.StopAt}
@@ -303,11 +317,11 @@
 			u = newUpstream(l, e.ID)
 			l.upstreams[e.ID] = u
 		}
-		u.update(h.addrs[i], e.Condition == decide.Up)
+		u.update(h.addrs[i], e.Condition == decide.Up, e.Condition == decide.Removed)
 	}
 	for name, u := range l.upstreams {
 		if h.full && !seen[name] {
-			u.update(u.addr, false)
+			u.update(u.addr, false, true)
 		}
 	}
 	l.serving.Store(l.ready())
@@ -419,30 +433,47 @@
 // Timers.
 
 type timer struct {
-	at  decide.Time
-	seq int64 // equal times keep their order
-	f   func()
+	at    decide.Time
+	seq   int64 // equal times keep their order
+	f     func()
+	place int // in the heap; below 0 once it is out of it
 }
 
-type timerHeap []timer
+type timerHeap []*timer
 
 func (h timerHeap) Len() int { return len(h) }
 func (h timerHeap) Less(i, j int) bool {
 	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
 }
-func (h timerHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *timerHeap) Push(x any)   { *h = append(*h, x.(timer)) }
+func (h timerHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].place, h[j].place = i, j
+}
+func (h *timerHeap) Push(x any) {
+	x.(*timer).place = len(*h)
+	*h = append(*h, x.(*timer))
+}
 func (h *timerHeap) Pop() any {
 	old := *h
 	t := old[len(old)-1]
-	old[len(old)-1] = timer{}
+	old[len(old)-1] = nil
 	*h = old[:len(old)-1]
+	t.place = -1
 	return t
 }
 
-func (l *loop) at(t decide.Time, f func()) {
+func (l *loop) at(t decide.Time, f func()) *timer {
 	l.lastID++
-	heap.Push(&l.timers, timer{at: t, seq: l.lastID, f: f})
+	set := &timer{at: t, seq: l.lastID, f: f}
+	heap.Push(&l.timers, set)
+	return set
 }
 
 func (l *loop) after(d decide.Time, f func()) { l.at(l.now+d, f) }
+
+// stop takes a timer back. The danger: timers of attempts that are over hold their requests.
+func (l *loop) stop(t *timer) {
+	if t != nil && t.place >= 0 {
+		heap.Remove(&l.timers, t.place)
+	}
+}
--- /dev/null
+++ b/internal/router/resp.go
@@ -0,0 +1,224 @@
+package router
+
+import (
+	"bytes"
+	"errors"
+	"math"
+	"strconv"
+	"strings"
+
+	"starlingwinch/decide"
+)
+
+// What comes from a socket is read here, for both sides, and nothing is taken on trust. The
+// codec's own readers take signs, spaces and any size in a length, and panic on some.
+
+const (
+	mostValue   = 64 << 10               // bytes of a value
+	mostWord    = 1 << 10                // ... of a key, an id, a list of names and values, a word of an answer
+	mostCommand = mostValue + 4<<10      // ... of a whole command
+	mostLine    = 512                    // ... of a line
+	mostArgs    = 16                     // arguments of a command
+	mostReply   = mostValue + 3*mostWord // bytes of a whole answer
+)
+
+var (
+	errReply  = errors.New("malformed answer")
+	errLength = errors.New("invalid length")
+)
+
+// figure reads a header line of the given kind, such as "$12\r\n", that begins at b[at]. next is
+// where it ends, or 0 where it is not whole yet. A size of -1 stands for null.
+func figure(b []byte, at int, kind byte, most int) (size, next int, err error) {
+	if at >= len(b) {
+		return 0, 0, nil
+	}
+	if b[at] != kind {
+		return 0, 0, errLength
+	}
+	for i := at + 1; i < len(b); i++ {
+		switch c := b[i]; {
+		case c == '\r':
+			if string(b[at+1:i]) == "-1" {
+				size = -1
+			} else if i == at+1 || b[at+1] == '-' || b[at+1] == '0' && i > at+2 {
+				return 0, 0, errLength
+			}
+			if i+1 == len(b) {
+				return 0, 0, nil
+			}
+			if b[i+1] != '\n' {
+				return 0, 0, errLength
+			}
+			return size, i + 2, nil
+		case c == '-' && i == at+1, c == '1' && i == at+2 && b[at+1] == '-': // null, perhaps
+		case c < '0' || c > '9' || b[at+1] == '-':
+			return 0, 0, errLength
+		default:
+			// A length is refused as soon as it is too large, before what it announces has come.
+			if size = size*10 + int(c-'0'); size > most {
+				return 0, 0, errLength
+			}
+		}
+	}
+	return 0, 0, nil
+}
+
+// bulk reads a bulk string that begins at b[at], up to next; data is nil where it is null.
+func bulk(b []byte, at, most int) (data []byte, next int, err error) {
+	size, from, err := figure(b, at, '$', most)
+	if err != nil || from == 0 {
+		return nil, 0, err
+	}
+	if size < 0 {
+		return nil, from, nil
+	}
+	for i, c := range []byte("\r\n") {
+		if end := from + size + i; end >= len(b) {
+			return nil, 0, nil
+		} else if b[end] != c {
+			return nil, 0, errLength
+		}
+	}
+	return b[from : from+size : from+size], from + size + 2, nil
+}
+
+// line takes one line off b, without its end; next is 0 where it is not whole yet.
+func line(b []byte, most int) (text []byte, next int, err error) {
+	end := bytes.IndexByte(b, '\n')
+	if text = b; end >= 0 {
+		text, next = bytes.TrimSuffix(b[:end], []byte("\r")), end+1
+	}
+	if len(text) > most || bytes.ContainsFunc(bytes.TrimSuffix(text, []byte("\r")), func(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }) {
+		return nil, 0, errors.New("unreadable line")
+	}
+	return text, next, nil
+}
+
+// nextCommand takes one command off b: an array of bulk strings, or a line of words (used is 0 where
+// it is not whole yet). The arguments lie in b.
+func nextCommand(b []byte) (args [][]byte, used int, err error) {
+	if len(b) == 0 {
+		return nil, 0, nil
+	}
+	if b[0] != '*' {
+		text, used, err := line(b, mostWord)
+		return bytes.Fields(text), used, err
+	}
+	n, at, err := figure(b, 0, '*', mostArgs)
+	if err != nil || at == 0 {
+		return nil, 0, err
+	}
+	if n < 0 {
+		return nil, 0, errLength
+	}
+	for range n {
+		most := mostWord
+		if len(args) > metaArg {
+			most = mostValue
+		}
+		arg, next, err := bulk(b, at, most)
+		switch {
+		case err != nil:
+			return nil, 0, err
+		case next == 0:
+			return nil, 0, nil
+		case arg == nil:
+			return nil, 0, errLength
+		}
+		args, at = append(args, arg), next
+	}
+	return args, at, nil
+}
+
+// reply is a cache's answer.
+type reply struct {
+	result decide.Result
+	value  []byte // a bulk string on the wire, for the client as it is
+	miss   bool
+	pong   bool
+	load   decide.Load
+}
+
+// nextReply takes one answer off b; used is 0 where it is not whole yet. Legal are an array of value,
+// word or null and report or null, the error lines of the protocol's table, and the answer to a
+// probe. All else is an error, and what follows it on the connection can't be told apart.
+func nextReply(b []byte) (rep *reply, used int, err error) {
+	if len(b) == 0 {
+		return nil, 0, nil
+	}
+	rep = &reply{result: decide.Errored, load: decide.Load{Busy: -1}}
+	if b[0] != '*' {
+		return rep.line(b)
+	}
+	n, at, err := figure(b, 0, '*', 3)
+	switch {
+	case err != nil || at == 0:
+		return nil, 0, err
+	case n != 3:
+		return nil, 0, errReply
+	}
+	value, end, err := bulk(b, at, mostValue)
+	if err != nil || end == 0 {
+		return nil, 0, err
+	}
+	if value == nil {
+		return nil, 0, errReply // a null serves nobody
+	}
+	word, next, err := bulk(b, end, mostWord)
+	if err != nil || next == 0 {
+		return nil, 0, err
+	}
+	report, used, err := bulk(b, next, mostWord)
+	if err != nil || used == 0 {
+		return nil, 0, err
+	}
+	rep.result, rep.value = decide.Served, bytes.Clone(b[at:end])
+	rep.miss = string(word) == "miss" || string(word) == "pending"
+	rep.load = parseLoad(string(report))
+	return rep, used, nil
+}
+
+func (rep *reply) line(b []byte) (*reply, int, error) {
+	if b[0] != '-' && b[0] != '+' {
+		return nil, 0, errReply
+	}
+	text, used, err := line(b, mostLine)
+	if err != nil || used == 0 {
+		return nil, 0, err
+	}
+	words := strings.Fields(string(text))
+	switch {
+	case !bytes.HasSuffix(b[:used], []byte("\r\n")) || len(words) == 0:
+		return nil, 0, errReply
+	case string(text) == "+PONG":
+		rep.pong = true
+	case words[0] == "-BUSY":
+		rep.result = decide.Rejected
+	case words[0] != "-ERR":
+		return nil, 0, errReply
+	}
+	if len(words) > 1 {
+		rep.load = parseLoad(words[len(words)-1])
+	}
+	return rep, used, nil
+}
+
+// parseLoad reads a load report; what it does not know or can't read it skips.
+func parseLoad(s string) decide.Load {
+	l := decide.Load{Busy: -1}
+	for _, field := range strings.Split(s, ",") {
+		name, text, _ := strings.Cut(field, "=")
+		v, err := strconv.ParseFloat(text, 64)
+		if err != nil || !(v >= 0) || math.IsInf(v, 0) {
+			continue
+		}
+		switch name {
+		case "busy", "util":
+			l.Busy = v
+		case "fail_rate", "eps":
+			l.Errors = v
+		}
+	}
+	return l
+}
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -1,12 +1,10 @@
 package router
 
 import (
-	"bytes"
 	"errors"
-	"math"
 	"net"
+	"slices"
 	"strconv"
-	"strings"
 	"syscall"
 	"time"
 
@@ -20,9 +18,7 @@
 	fleetConns   = 72      // connections to a cache over all routers: it holds 90, and a full table slows it
 	leastConns   = 2       // ... and one router's part of them, at least
 	mostDials    = 4       // connections to one cache that come up at a time
-	mostReply    = mostValue + 4096
-	mostLine     = 512 // bytes of a line of an answer
-	mostItems    = 16  // of an array
+	restTime     = 4_000   // microseconds that a connection rests between an answer and the next request
 )
 
 // upstream is one cache server: its connections and the attempts that wait for one.
@@ -31,6 +27,8 @@
 	name    string
 	addr    string
 	up      bool // the list says that it may be sent new work
+	gone    bool // the list does not name it any more
+	resting bool // a timer is set for the end of a connection's rest
 	conns   map[*conn]struct{}
 	idle    []*conn // the one used last stands last
 	dialing int
@@ -44,12 +42,12 @@
 }
 
 // update takes over what the list says.
-func (u *upstream) update(addr string, up bool) {
+func (u *upstream) update(addr string, up, gone bool) {
 	if addr != u.addr {
 		u.addr = addr
 		u.closeIdle(u.l.now)
 	}
-	u.up = up
+	u.up, u.gone = up, gone
 	if !up {
 		// The danger: an attempt that waits for a connection is sent after the drain is known.
 		for len(u.waiting) > 0 {
@@ -57,13 +55,21 @@
 		}
 		u.closeIdle(u.l.now)
 	}
+	u.drop()
+}
+
+// drop lets go of a cache that is gone once nothing is open on it.
+func (u *upstream) drop() {
+	if u.gone && len(u.conns) == 0 && len(u.waiting) == 0 && u.l.upstreams[u.name] == u {
+		delete(u.l.upstreams, u.name)
+	}
 }
 
 // closeIdle closes the connections that have stood idle since the given time or longer.
 func (u *upstream) closeIdle(since decide.Time) {
 	kept := u.idle[:0]
 	for _, c := range u.idle {
-		if c.idleSince <= since {
+		if c.idleSince <= since || !c.quiet() {
 			c.close()
 		} else {
 			kept = append(kept, c)
@@ -99,16 +105,18 @@
 	conn     *conn
 	stopping bool          // given up while part of it is written
 	result   decide.Result // ... for this reason
+	timers   [2]*timer     // to be stopped with it
 }
 
 // start sends an attempt on an idle connection, or has it wait for one.
 func (u *upstream) start(a *attempt) {
 	l := u.l
-	l.at(a.stopAt, func() { a.giveUp(decide.NoAnswer) })
+	a.timers[0] = l.at(a.stopAt, func() { a.giveUp(decide.NoAnswer) })
 	u.waiting = append(u.waiting, a)
 	u.pump()
 	if a.state == waiting {
-		l.at(a.sent+l.cfg.Transport.DialTimeout, func() {
+		// The danger: one that waits to the end has neither time for another attempt nor was it sent.
+		a.timers[1] = l.at(a.sent+min(l.cfg.Transport.DialTimeout, (a.stopAt-a.sent)*2/5), func() {
 			if a.state == waiting {
 				a.end(decide.NoConnection, nil)
 			}
@@ -130,23 +138,46 @@
 			a.end(decide.NotSent, nil)
 			continue
 		}
-		if len(u.idle) == 0 {
+		c := u.rested()
+		if c == nil {
 			u.dial()
 			return
 		}
-		c := u.idle[len(u.idle)-1]
-		u.idle = u.idle[:len(u.idle)-1]
 		c.write(a)
 	}
 }
 
+// rested takes an idle connection on which nothing has come since its answer. The danger: a second
+// copy of the answer, a moment behind the first, would be taken for the answer to the next request.
+func (u *upstream) rested() *conn {
+	for i := len(u.idle) - 1; i >= 0; i-- {
+		c := u.idle[i]
+		if c.idleSince > u.l.now-restTime {
+			continue
+		}
+		u.idle = slices.Delete(u.idle, i, i+1)
+		if c.quiet() {
+			return c
+		}
+		c.close()
+	}
+	if len(u.idle) > 0 && !u.resting {
+		u.resting = true
+		u.l.at(u.idle[0].idleSince+restTime, func() {
+			u.resting = false
+			u.pump()
+		})
+	}
+	return nil
+}
+
 // free takes back a connection that is ready for the next attempt.
-func (u *upstream) free(c *conn) {
+func (u *upstream) free(c *conn, since decide.Time) {
 	if !u.up || c.addr != u.addr {
 		c.close()
 		return
 	}
-	c.idleSince = u.l.now
+	c.idleSince = since
 	u.idle = append(u.idle, c)
 	u.pump()
 }
@@ -154,8 +185,8 @@
 // dial opens as many connections as there is need and room for. The danger: a
 // burst that dials one for each request fills the cache's table and takes its time.
 func (u *upstream) dial() {
-	for u.dialing < min(len(u.waiting), mostDials) && len(u.conns) < u.most && u.l.descriptor() {
-		c := &conn{upstream: u, addr: u.addr}
+	for u.dialing < min(len(u.waiting)-len(u.idle), mostDials) && len(u.conns) < u.most && u.l.descriptor() {
+		c := &conn{upstream: u, addr: u.addr, turn: make(chan struct{}, 1)}
 		u.conns[c] = struct{}{}
 		u.dialing++
 		go c.run(u.addr, time.Duration(u.l.cfg.Transport.DialTimeout)*time.Microsecond)
@@ -176,7 +207,7 @@
 		nc.Close()
 	default:
 		c.nc, c.raw = nc, raw
-		u.free(c)
+		u.free(c, u.l.now-restTime) // nothing has been asked on it
 	}
 }
 
@@ -203,16 +234,20 @@
 	if a.state == waiting {
 		for i, w := range a.upstream.waiting {
 			if w == a {
-				a.upstream.waiting = append(a.upstream.waiting[:i], a.upstream.waiting[i+1:]...)
+				a.upstream.waiting = slices.Delete(a.upstream.waiting, i, i+1)
 				break
 			}
 		}
 	}
 	a.state = over
+	for _, t := range a.timers {
+		a.upstream.l.stop(t)
+	}
 	if a.conn != nil {
 		a.conn.attempt, a.conn = nil, nil
 	}
 	a.upstream.l.ended(a, result, rep)
+	a.upstream.drop()
 }
 
 // conn is one connection to a cache. It carries one request at a time: answers
@@ -222,12 +257,14 @@
 	addr      string
 	nc        *net.TCPConn // nil until it is up
 	raw       syscall.RawConn
-	attempt   *attempt // what it carries
+	attempt   *attempt      // what it carries
+	turn      chan struct{} // lets the reader wait for one answer; closed with the connection
 	idleSince decide.Time
 	closed    bool
 }
 
-// run dials and then reads answers, until the connection ends.
+// run dials and then reads one answer for each request, until the connection ends. Between
+// them it reads nothing: what comes then stays in the socket, where the loop looks for it.
 func (c *conn) run(addr string, timeout time.Duration) {
 	u := c.upstream
 	nc, raw, err := dialTCP(addr, timeout)
@@ -236,20 +273,41 @@
 		return
 	}
 	defer nc.Close()
-	var buf []byte
-	for {
-		rep, rest, err := readReply(nc, buf)
+	for range c.turn {
+		rep, clean, err := readReply(nc)
 		if err != nil {
 			u.l.post(c.broken)
 			return
 		}
-		buf = rest
-		// Bytes behind an answer are not awaited by anyone: the connection is out of step.
-		clean := len(rest) == 0
 		u.l.post(func() { c.answered(rep, clean) })
 	}
 }
 
+// readReply reads one answer. It is clean where nothing came behind it.
+func readReply(nc net.Conn) (rep *reply, clean bool, err error) {
+	buf := make([]byte, 0, 1024)
+	for {
+		rep, used, err := nextReply(buf)
+		if err != nil {
+			return nil, false, err
+		}
+		if used > 0 {
+			return rep, used == len(buf), nil
+		}
+		if len(buf) >= mostReply {
+			return nil, false, errReply
+		}
+		if len(buf) == cap(buf) {
+			buf = append(make([]byte, 0, min(2*cap(buf), mostReply)), buf...)
+		}
+		n, err := nc.Read(buf[len(buf):cap(buf)])
+		if err != nil {
+			return nil, false, err
+		}
+		buf = buf[:len(buf)+n]
+	}
+}
+
 func dialTCP(addr string, timeout time.Duration) (*net.TCPConn, syscall.RawConn, error) {
 	nc, err := (&net.Dialer{Timeout: timeout, KeepAlive: -1}).Dial("tcp", addr)
 	if err != nil {
@@ -270,11 +328,22 @@
 		return
 	}
 	c.closed = true
+	close(c.turn)
 	delete(c.upstream.conns, c)
 	if c.nc != nil {
 		c.nc.Close()
 	}
 	c.upstream.l.released()
+	c.upstream.drop()
+}
+
+// quiet reports whether an idle connection is open and nothing waits in it to be read.
+func (c *conn) quiet() bool {
+	var err error
+	rerr := c.raw.Control(func(fd uintptr) {
+		_, _, err = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return rerr == nil && (err == syscall.EAGAIN || err == syscall.EINTR)
 }
 
 // write sends the attempt that has waited longest. The loop itself writes as much as the socket takes at
@@ -288,6 +357,7 @@
 	}
 	c.upstream.waiting = c.upstream.waiting[1:]
 	c.attempt, a.conn = a, c
+	c.turn <- struct{}{} // the reader has taken the last one, so this does not block
 	switch {
 	case err != nil:
 		a.state = writing
@@ -341,12 +411,6 @@
 // broken takes the news that the connection has ended.
 func (c *conn) broken() {
 	u := c.upstream
-	for i, w := range u.idle {
-		if w == c {
-			u.idle = append(u.idle[:i], u.idle[i+1:]...)
-			break
-		}
-	}
 	c.close()
 	if a := c.attempt; a != nil {
 		switch {
@@ -370,7 +434,11 @@
 		return
 	}
 	result := rep.result
-	if a.request == nil && rep.pong {
+	switch probe := a.request == nil; {
+	case rep.pong != probe && result != decide.Rejected && (rep.pong || rep.value != nil):
+		c.broken() // an answer to something else
+		return
+	case rep.pong:
 		result = decide.Served
 	}
 	a.end(result, rep)
@@ -378,7 +446,7 @@
 		c.close()
 		return
 	}
-	c.upstream.free(c)
+	c.upstream.free(c, c.upstream.l.now)
 }
 
 // encode is what goes over the wire: the client's words, but for the time that this attempt has.
@@ -401,150 +469,3 @@
 	}
 	return b
 }
-
-// reply is a cache's answer.
-type reply struct {
-	result decide.Result
-	value  []byte // a bulk string on the wire, for the client as it is
-	miss   bool
-	pong   bool
-	load   decide.Load
-}
-
-var errReply = errors.New("malformed answer")
-
-// readReply reads one answer and returns it with the bytes that came behind it.
-func readReply(nc net.Conn, buf []byte) (*reply, []byte, error) {
-	for {
-		n, resp, err := nextReply(buf)
-		if err != nil {
-			return nil, nil, err
-		}
-		if n > 0 {
-			return parseReply(resp), append([]byte(nil), buf[n:]...), nil
-		}
-		if len(buf) >= mostReply {
-			return nil, nil, errReply
-		}
-		if len(buf) == cap(buf) {
-			buf = append(make([]byte, 0, max(1024, 2*cap(buf))), buf...)
-		}
-		m, err := nc.Read(buf[len(buf):cap(buf)])
-		if err != nil {
-			return nil, nil, err
-		}
-		buf = buf[:len(buf)+m]
-	}
-}
-
-// nextReply takes one answer off b; n is 0 where it is not whole yet. The danger: the
-// codec panics on lengths out of range and calls what is malformed incomplete, so a
-// cache gone mad would end the router or leave it waiting.
-func nextReply(b []byte) (n int, resp redcon.RESP, err error) {
-	defer func() {
-		if recover() != nil {
-			n, err = 0, errReply
-		}
-	}()
-	if n, resp = redcon.ReadNextRESP(b); n > 0 || len(b) == 0 {
-		return n, resp, nil
-	}
-	return 0, resp, incomplete(b)
-}
-
-// incomplete tells a beginning of an answer from what can't become one.
-func incomplete(b []byte) error {
-	for items := 1; items > 0 && len(b) > 0; items-- {
-		if n, _ := redcon.ReadNextRESP(b); n > 0 {
-			b = b[n:]
-			continue
-		}
-		line, _, whole := bytes.Cut(b, []byte("\r\n"))
-		switch b[0] {
-		case redcon.Bulk, redcon.Array:
-		case redcon.String, redcon.Error, redcon.Integer:
-			if whole || len(line) > mostLine {
-				return errReply
-			}
-			return nil
-		default:
-			return errReply
-		}
-		if !whole {
-			if len(line) > mostLine {
-				return errReply
-			}
-			return nil
-		}
-		size, err := strconv.Atoi(string(line[1:]))
-		if err != nil || size < 0 || size > mostValue {
-			return errReply
-		}
-		if b[0] == redcon.Bulk {
-			if rest := b[len(line)+2:]; len(rest) >= size+2 {
-				return errReply // all there, so its end is wrong
-			}
-			return nil
-		}
-		if items = size + 1; items > mostItems+1 {
-			return errReply
-		}
-		b = b[len(line)+2:]
-	}
-	return nil
-}
-
-// parseReply reads what an answer means, by the protocol's table.
-func parseReply(resp redcon.RESP) *reply {
-	rep := &reply{result: decide.Errored, load: decide.Load{Busy: -1}}
-	switch resp.Type {
-	case redcon.Array:
-		item := 0
-		resp.ForEach(func(r redcon.RESP) bool {
-			switch {
-			case item == 0 && r.Type == redcon.Bulk && !isNull(r):
-				rep.result, rep.value = decide.Served, bytes.Clone(r.Raw)
-			case item == 1:
-				rep.miss = string(r.Data) == "miss" || string(r.Data) == "pending"
-			case item == 2:
-				rep.load = parseLoad(string(r.Data))
-			}
-			item++
-			return item < 3
-		})
-	case redcon.Bulk:
-		rep.load = parseLoad(string(resp.Data))
-	case redcon.String:
-		rep.pong = string(resp.Data) == "PONG"
-	case redcon.Error:
-		words := strings.Fields(string(resp.Data))
-		if len(words) > 0 && words[0] == "BUSY" {
-			rep.result = decide.Rejected
-		}
-		if len(words) > 1 {
-			rep.load = parseLoad(words[len(words)-1])
-		}
-	}
-	return rep
-}
-
-func isNull(r redcon.RESP) bool { return len(r.Raw) > 1 && r.Raw[1] == '-' }
-
-// parseLoad reads a load report; what it does not know it skips.
-func parseLoad(s string) decide.Load {
-	l := decide.Load{Busy: -1}
-	for _, field := range strings.Split(s, ",") {
-		name, text, _ := strings.Cut(field, "=")
-		v, err := strconv.ParseFloat(text, 64)
-		if err != nil || !(v >= 0) || math.IsInf(v, 0) {
-			continue
-		}
-		switch name {
-		case "busy", "util":
-			l.Busy = v
-		case "fail_rate", "eps":
-			l.Errors = v
-		}
-	}
-	return l
-}
