Retry requests whose connection broke at once at their own cache; let connections rest longer

Cause: a tenth of attempts ends in a reset (connections closed right after an answer, kept ones reset at the next request), the budget holds 5 %, and each retry went to a cache that misses.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -43,10 +43,10 @@
 	zone              *zone
 	warmAt            Time // cold until then
 	coldFrom          Time // when the process is held to have started
-	healthy           bool
-	fails             int // consecutive failed probes
-	pending, hung     int // attempts out, those of finished requests included, and the lost ones among them
-	probing           int // number of the round whose probe is out; 0 for none
+	healthy, prompt   bool // by its probes; it answered the last likely hit in time
+	fails             int  // consecutive failed probes
+	pending, hung     int  // attempts out, those of finished requests included, and the lost ones among them
+	probing           int  // number of the round whose probe is out; 0 for none
 	hash              uint64
 	score             float64            // of the key being placed
 	limit             float64            // attempts this router keeps out here at most
@@ -55,7 +55,6 @@
 	lastSend, erredAt Time
 	sends             float64 // fading count of attempts, as of lastSend
 	answered, passed  Time    // when it last answered; when the latest answered in time was sent
-	prompt            bool    // it answered the last likely hit in time
 	late              float64 // fading share of its answers that came after the patience
 	erring            float64 // share of errors among its answers, as of erredAt; it fades with time, too
 }
@@ -73,7 +72,7 @@
 	pending     bool
 	stopped     bool // Cancel was asked for
 	neverRan    bool
-	unmet, lost bool // no connection came about; later ones have overtaken it
+	unmet, lost bool // no connection came about, or it broke at once; later ones have overtaken it
 }
 
 type request struct {
@@ -487,7 +486,8 @@
 func (c *cache) knows(key uint64) bool { return c.keeps[0][key] || c.keeps[1][key] }
 
 func (q *request) triedAt(c *cache) bool {
-	return slices.ContainsFunc(q.attempts, func(a attempt) bool { return a.to == c })
+	broke := len(q.attempts) == 1 && q.attempts[0].unmet && !q.attempts[0].neverRan
+	return !broke && slices.ContainsFunc(q.attempts, func(a attempt) bool { return a.to == c })
 }
 
 // warmEnough keeps a cold cache to its share, whichever way a request comes to
@@ -859,8 +859,8 @@
 	if ev.Result == Served || ev.Result == Errored || ev.Result == Rejected {
 		a.to.answered = r.now
 		r.reached(a.to, true)
-	} else if ev.Result == NoConnection {
-		a.unmet = true
+	} else if a.unmet = ev.Result == NoConnection || ev.Result == ConnLost &&
+		r.now-a.sent < q.class.patience()/2; ev.Result == NoConnection {
 		r.reached(a.to, false)
 	}
 	if a.to.pending == 0 && r.closesIdle(a.to) {
--- a/decide/limits_test.go
+++ b/decide/limits_test.go
@@ -689,3 +689,23 @@
 		t.Error("it is never tried again")
 	}
 }
+
+// A connection that breaks at once costs its cache little: the request tries the same cache again, once and
+// uncharged. The danger: elsewhere it misses, and where connections break often the budget runs dry.
+func TestBrokenAtOnceTriesItsCacheAgain(t *testing.T) {
+	b := quietBench(t, 4, nil)
+	b.r.budget = 0
+	first := b.ask(1, "read", 9)
+	again := sends(b.answer(1, 0, ConnLost, false))
+	if len(again) != 1 || again[0].Cache != first.Cache {
+		t.Fatalf("sent to %s, then %v", first.Cache, again)
+	}
+	other := sends(b.answer(1, 1, ConnLost, false))
+	if len(other) != 1 || other[0].Cache == first.Cache {
+		t.Errorf("the third attempt: %v", other)
+	}
+	b.ask(2, "once", 9)
+	if got := sends(b.answer(2, 0, ConnLost, false)); len(got) != 0 {
+		t.Errorf("an unsafe request that may have run is sent again: %v", got)
+	}
+}
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"slices"
+	"sort"
 	"strconv"
 	"syscall"
 	"time"
@@ -18,7 +19,8 @@
 	fleetConns   = 72      // connections to a cache over all routers: it holds 90, and a full table slows it
 	leastConns   = 2       // ... and one router's part of them, at least
 	mostDials    = 4       // connections to one cache that come up at a time
-	restTime     = 4_000   // microseconds that a connection rests between an answer and the next request
+	restTime     = 4_000   // microseconds that a connection rests between an answer and the next request at least
+	fullRest     = 40_000  // ... and where there is a choice: a cache may close right after an answer, and that takes its way
 )
 
 // upstream is one cache server: its connections and the attempts that wait for one.
@@ -150,10 +152,13 @@
 // rested takes an idle connection on which nothing has come since its answer. The danger: a second
 // copy of the answer, a moment behind the first, would be taken for the answer to the next request.
 func (u *upstream) rested() *conn {
-	for i := len(u.idle) - 1; i >= 0; i-- {
+	for len(u.idle) > 0 {
+		// The one used last of those that are fully rested, so that others can idle out; else the first.
+		i := sort.Search(len(u.idle), func(i int) bool { return u.idle[i].idleSince > u.l.now-fullRest })
+		i = max(i-1, 0)
 		c := u.idle[i]
 		if c.idleSince > u.l.now-restTime {
-			continue
+			break
 		}
 		u.idle = slices.Delete(u.idle, i, i+1)
 		if c.quiet() {
@@ -178,7 +183,8 @@
 		return
 	}
 	c.idleSince = since
-	u.idle = append(u.idle, c)
+	i := sort.Search(len(u.idle), func(i int) bool { return u.idle[i].idleSince > since })
+	u.idle = slices.Insert(u.idle, i, c)
 	u.pump()
 }
 
