--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -161,6 +161,7 @@
 		<-s.loop.done
 	}()
 	go s.loop.run(loopCtx)
+	<-s.loop.begun // a PING must not be told that no caches are known when they are
 	log.Printf("serving on %s", s.ln.Addr())
 	failed := make(chan error, 1)
 	go func() { failed <- s.acceptAll() }()
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -21,6 +21,7 @@
 	sockets   *sockets
 	events    chan func()
 	lines     chan string   // for the log
+	begun     chan struct{} // closed when it knows the first list
 	done      chan struct{} // closed when the loop has ended
 	base      time.Time
 	now       decide.Time
@@ -75,7 +76,7 @@
 	for _, c := range cfg.Settings.Classes {
 		longest = max(longest, c.Limit)
 	}
-	return &loop{cfg: cfg, longest: longest, module: m, sockets: s, events: make(chan func(), eventBacklog), lines: make(chan string, logBacklog), done: make(chan struct{}), base: time.Now(), requests: map[int64]*request{}, ids: map[string]struct{}{},
+	return &loop{cfg: cfg, longest: longest, module: m, sockets: s, events: make(chan func(), eventBacklog), lines: make(chan string, logBacklog), begun: make(chan struct{}), done: make(chan struct{}), base: time.Now(), requests: map[int64]*request{}, ids: map[string]struct{}{},
 		upstreams: map[string]*upstream{}, discovery: newDiscovery(cfg.Discovery), index: cfg.Known.index}, nil
 }
 
@@ -122,6 +123,7 @@
 	known.full = true
 	l.learn(known, decide.ListStale)
 	l.tell()
+	close(l.begun)
 	l.after(sweepInterval, l.sweep)
 	alarm := time.NewTimer(0)
 	defer alarm.Stop()
