--- /dev/null
+++ b/internal/machine/machine.go
@@ -0,0 +1,141 @@
+// Package machine is all that the router takes from the machine it runs on: its clock and timers,
+// its connections and datagrams, its files, its entropy, its signals and its log. The router and
+// the stand-ins are written against this page alone; New gives the real machine, package sim a
+// virtual one on which equal seeds give equal runs.
+//
+// A machine calls its users; they never wait. All calls, in both directions, are made in one
+// goroutine, the machine's loop; the exceptions are Post and Log, which any goroutine may call, and the work
+// of Work. Nothing that a call here does makes the machine call back before that call has
+// returned, so a user is never entered twice. Users start no goroutine and block on nothing.
+//
+// Order is the machine's: what happens at one instant is told in the order in which it came
+// about, and timers that are due at one instant fire in the order in which they were set.
+package machine
+
+import "errors"
+
+// Time is an instant or a span in microseconds; instants are Unix time as the machine had it at
+// its start, counted on from there without the steps that its clock may make.
+type Time = int64
+
+// ErrWait says that nothing can be read or written at once: the handler will be told when.
+var ErrWait = errors.New("machine: not at once")
+
+// ErrTimeout says that a connection did not come up in time.
+var ErrTimeout = errors.New("machine: the connection did not come up in time")
+
+// ErrDescriptors says that the process holds as many descriptors as it may.
+var ErrDescriptors = errors.New("machine: no descriptor is left")
+
+// ErrRefused says that nobody listens at the address.
+var ErrRefused = errors.New("machine: connection refused")
+
+// ErrReset says that the other side has broken the connection off.
+var ErrReset = errors.New("machine: connection reset")
+
+// ErrClosed says that this side has closed the connection.
+var ErrClosed = errors.New("machine: closed")
+
+// Signal is what an operator's tools tell a process.
+type Signal uint8
+
+const (
+	Terminate Signal = iota // SIGTERM or an interrupt: drain and end
+	HangUp                  // SIGHUP: read the configuration again
+)
+
+// Machine is one machine as a process sees it.
+type Machine interface {
+	// Now is the time on a clock that never steps.
+	Now() Time
+	// Wall is Unix time as the machine's clock has it at the moment: it may be wrong, and step.
+	Wall() Time
+	// Entropy is a number that nobody can guess; on a virtual machine the seed decides it.
+	Entropy() uint64
+
+	// At has f called at t or, where t has passed, in a later turn of the loop.
+	At(t Time, f func()) Timer
+	// Post has f called in a later turn of the loop. Any goroutine may call it.
+	Post(f func())
+	// Work has f run beside the loop, for what takes long, and then done in a turn of the loop. f must
+	// touch nothing that the loop uses meanwhile.
+	Work(f, done func())
+
+	// Listen has accept called with each connection that comes in at the address, which is an IP
+	// address and a port (0 for any free one). accept names the connection's handler.
+	Listen(addr string, accept func(Conn) Handler) (Listener, error)
+	// Dial opens a connection. done is called once: with a connection that is up, whose handler it
+	// names, or with the reason why none came up within the timeout. Until then the Dialing can be given up.
+	Dial(addr string, timeout Time, done func(Conn, error) Handler) Dialing
+	// ListenPacket has got called with each datagram that comes to the address. got must not keep b.
+	ListenPacket(addr string, got func(from string, b []byte)) (PacketConn, error)
+
+	// ReadFile is a file's content. One that is longer than most bytes is an error.
+	ReadFile(name string, most int64) ([]byte, error)
+	// Signals has f called at each signal. Until then they are kept.
+	Signals(f func(Signal))
+	// Log adds a line to the process's log. It never waits: where nobody reads the log, lines are
+	// dropped. Any goroutine may call it.
+	Log(line string)
+}
+
+// Timer is a call that is to come.
+type Timer interface {
+	// Stop takes it back. It holds nothing from then on; after the call it does nothing.
+	Stop()
+}
+
+// Handler is told of a connection. No call comes after the connection's Close.
+type Handler interface {
+	// Readable says that something has come since the last call: bytes, the end, or an error. It is
+	// not said again for what was left unread: read up to ErrWait, or come back by yourself.
+	Readable()
+	// Writable says that a Write that took less than it was given can go on.
+	Writable()
+}
+
+// Conn is a stream connection over TCP that is up.
+type Conn interface {
+	// Read takes what has come, without waiting: ErrWait where that is nothing, io.EOF at the end,
+	// ErrReset where the connection broke.
+	Read(b []byte) (int, error)
+	// Write sends as much of b as the machine takes at once; n < len(b) with a nil error says that
+	// it takes no more for now. An error says that nothing more can be sent, ever.
+	Write(b []byte) (n int, err error)
+	// Quiet reports whether the connection is open and nothing waits in it to be read: neither
+	// bytes nor the end. It takes nothing out.
+	Quiet() bool
+	// CloseWrite ends this side's sending; the other side reads what was sent and then the end.
+	CloseWrite() error
+	// Close ends the connection and gives its descriptor back. Where bytes that have come were not read, the
+	// other side may see a reset instead of the end. A second call does nothing.
+	Close()
+	// Local and Remote are the two addresses.
+	Local() string
+	Remote() string
+}
+
+// Listener takes connections in at an address.
+type Listener interface {
+	Addr() string
+	// Pause stops taking connections in, which wait in the machine's queue (or are refused where that
+	// is full), until Resume.
+	Pause()
+	Resume()
+	// Close ends it. Connections that wait in the queue are reset; those taken in stay.
+	Close()
+}
+
+// Dialing is a connection that is coming up.
+type Dialing interface {
+	// Cancel gives it up: done is not called any more and the descriptor is given back.
+	Cancel()
+}
+
+// PacketConn sends datagrams, and takes them in. They get lost, late, twice or out of order.
+type PacketConn interface {
+	Addr() string
+	// Send sends one. That it was sent says nothing of its arrival.
+	Send(to string, b []byte) error
+	Close()
+}
--- /dev/null
+++ b/internal/rules/events.go
@@ -0,0 +1,89 @@
+// Package rules watches the four rules from outside: by what is on the sockets of clients, caches
+// and discovery, and never by a router's own books. It does no I/O and reads no clock; the
+// stand-ins report what they see to an Observer, with the time in it.
+//
+// The rules are those of the operators: one final answer for each request, in time, made for that
+// request; no effect twice, and no refusal where it may have run; nothing new to a cache that drains
+// or is gone after the grace; no cold cache and no store pushed over by the routers.
+package rules
+
+// Time is an instant or a span in microseconds.
+type Time = int64
+
+// Answer is the kind of a final answer.
+type Answer uint8
+
+const (
+	Served  Answer = iota // a value or a receipt
+	Refused               // -BUSY: trying again is harmless
+	Failed                // anything else: promises nothing
+)
+
+func (a Answer) String() string { return [...]string{"served", "refused", "failed"}[a] }
+
+// Ask is one request as its client wrote it.
+type Ask struct {
+	ID       string // new with every try
+	Router   string // name of the router it was written to
+	Class    string
+	Key      string
+	IdemKey  string // k, of a keyed write
+	Sent     Time   // when its last byte was written to a connection that the router's machine accepted
+	Deadline Time   // when the client stops waiting
+	Write    bool
+}
+
+// Attempt is one command as a cache got it.
+type Attempt struct {
+	ID, Key, IdemKey string
+	Class            string
+	Router, Cache    string
+	Write            bool
+	First, Last      Time // arrival of its first and its last byte
+	Sent             Time // when the router wrote its first byte, where that is known; else First
+}
+
+// Observer is told of what happens on the sockets. Calls come in the order of time.
+type Observer interface {
+	// Asked: a client has written a request whole. Answered: the last byte of its answer has come;
+	// value is what a serving answer holds. Left: the client has closed the connection, or has given the
+	// request up, before an answer. Broken: the router has ended the connection with no whole answer.
+	Asked(now Time, a Ask)
+	Answered(now Time, id string, kind Answer, value string)
+	Left(now Time, id string)
+	Broken(now Time, id string)
+
+	// Began: a command has come whole at a cache, also one that it turns away. Bad: something came
+	// that no client sent in this form. Ran: a cache has carried a request out (a write's effect took
+	// place, or a read's value was made); repeat tells that the cache knew the key of the write and dropped
+	// it. Replied: the cache has written its answer, value being what a serving one holds. Ended: the connection of a
+	// running command was closed by the router.
+	Began(now Time, a Attempt)
+	Bad(now Time, cache, why string)
+	Ran(now Time, a Attempt, repeat bool)
+	Replied(now Time, cache, id string, kind Answer, value string)
+	Ended(now Time, cache, id string)
+
+	// Listed: discovery has written to a router what it says of a cache (or, for a list that must be asked for, the time has
+	// passed by which it counts as told).
+	Listed(now Time, router, cache string, takesWork bool)
+
+	// CacheUp: a cache's process has started, with the work it can do a second when warm (in µs of
+	// work), the share of that it starts with, and the time by which it is warm; coldFor 0 stands for a warm one. CacheDown: it has ended, fallen tells that
+	// load pushed it over. Offered: the cache has been sent work of so many µs. StoreOffered: the central
+	// store was asked for a fetch, by a cache that is cold (or not), and StoreFell: it has stopped under
+	// its load.
+	CacheUp(now Time, cache string, capacity, coldShare float64, coldFor Time)
+	CacheDown(now Time, cache string, fallen bool)
+	Offered(now Time, cache string, work Time)
+	StoreOffered(now Time, work Time, cold bool)
+	StoreFell(now Time)
+
+	// RouterUp and RouterDown: a router's process has started, or has ended. clean tells that it ended by
+	// itself after a signal to do so, else it was killed (what it held is its clients' to retry).
+	RouterUp(now Time, router string)
+	RouterDown(now Time, router string, clean bool)
+	// Usage: a router's descriptors and, once all is quiet, what is left in its maps. most is the limit.
+	Usage(now Time, router string, descriptors, most int)
+	Leftover(now Time, router, what string, n int)
+}
