--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -56,6 +56,7 @@
 	slot     *slot
 	over     bool // the final answer is given, or nobody waits for it
 	out      int  // attempts without an outcome
+	untold   int  // events about it that the module is still to be told
 	attempts []*attempt
 }
 
@@ -159,10 +160,31 @@
 		for _, a := range l.module.Handle(l.now, ev) {
 			l.perform(a)
 		}
+		switch ev := ev.(type) {
+		case *decide.Outcome:
+			l.told(ev.ID)
+		case *decide.Departed:
+			l.told(ev.ID)
+		}
 	}
 	l.backlog = nil
 }
 
+// say queues an event about a request for the module. The danger: a request that is forgotten
+// before the module has heard that it is over may be sent once more in between, and an attempt that nobody
+// makes has no outcome: its cache's place is taken for good.
+func (l *loop) say(r *request, ev decide.Event) {
+	r.untold++
+	l.backlog = append(l.backlog, ev)
+}
+
+func (l *loop) told(id int64) {
+	if r := l.requests[id]; r != nil {
+		r.untold--
+		l.forget(r)
+	}
+}
+
 func (l *loop) perform(a decide.Action) {
 	switch a := a.(type) {
 	case decide.Send:
@@ -223,9 +245,11 @@
 
 // depart notes that a client has closed its connection.
 func (l *loop) depart(c *client) {
+	for _, r := range c.open {
+		l.say(r, &decide.Departed{ID: r.id})
+	}
 	for _, r := range c.open {
 		l.finish(r, nil)
-		l.backlog = append(l.backlog, &decide.Departed{ID: r.id})
 	}
 }
 
@@ -247,9 +271,9 @@
 	l.forget(r)
 }
 
-// forget drops a request that is over once its attempts are.
+// forget drops a request that is over once its attempts are and the module knows it.
 func (l *loop) forget(r *request) {
-	if r.over && r.out == 0 && l.requests[r.id] == r {
+	if r.over && r.out == 0 && r.untold == 0 && l.requests[r.id] == r {
 		delete(l.requests, r.id)
 		delete(l.ids, string(r.cmd.args[idArg]))
 	}
@@ -260,9 +284,9 @@
 	if r == nil {
 		return
 	}
-	if u == nil { // gone by now
+	if u == nil || r.over { // the cache is gone by now, or the client is: an attempt has an outcome all the same
 		r.attempts = append(r.attempts, &attempt{state: over})
-		l.backlog = append(l.backlog, &decide.Outcome{ID: r.id, Attempt: len(r.attempts) - 1, Result: decide.NotSent,
+		l.say(r, &decide.Outcome{ID: r.id, Attempt: len(r.attempts) - 1, Result: decide.NotSent,
 			Last: r.over, Load: decide.Load{Busy: -1}})
 		return
 	}
@@ -276,9 +300,12 @@
 }
 
 func (l *loop) probe(cache string) {
-	if u := l.upstreams[cache]; u != nil {
-		u.start(&attempt{upstream: u, sent: l.now, stopAt: l.now + probeTimeout})
+	u := l.upstreams[cache]
+	if u == nil {
+		l.backlog = append(l.backlog, &decide.Probed{Cache: cache, Result: decide.NotSent, Load: decide.Load{Busy: -1}})
+		return
 	}
+	u.start(&attempt{upstream: u, sent: l.now, stopAt: l.now + probeTimeout})
 }
 
 // ended tells the module how an attempt went. The first answer that serves is
@@ -302,8 +329,7 @@
 		}
 	}
 	ev.Last = r.over
-	l.backlog = append(l.backlog, ev)
-	l.forget(r)
+	l.say(r, ev)
 }
 
 // The list.
@@ -311,6 +337,8 @@
 // learn takes over a list of caches, for the module and for sending alike.
 func (l *loop) learn(h hostList, kind decide.ListKind) {
 	l.index = h.index
+	// The danger: what ends with a drain is told before the drain, and is sent there again.
+	l.backlog = append(l.backlog, &decide.List{Kind: kind, Entries: h.entries})
 	seen := make(map[string]bool, len(h.entries))
 	for i, e := range h.entries {
 		seen[e.ID] = true
@@ -327,7 +355,6 @@
 		}
 	}
 	l.serving.Store(l.ready())
-	l.backlog = append(l.backlog, &decide.List{Kind: kind, Entries: h.entries})
 }
 
 func (l *loop) watch() {
