--- a/decide/api.go
+++ b/decide/api.go
@@ -225,11 +225,13 @@
 // Probe, CloseIdle, Watch or Log. The caller carries them out in order.
 type Action interface{ action() }
 
-// Send starts the next attempt of a request, given up at StopAt.
+// Send starts the next attempt of a request, given up at StopAt. Where WriteBy is not 0, the last byte
+// must be on its way before then: later the caches may not remember an attempt that may have run.
 type Send struct {
-	ID     int64
-	Cache  string
-	StopAt Time
+	ID      int64
+	Cache   string
+	StopAt  Time
+	WriteBy Time
 }
 
 // Cancel ends the wait on an attempt.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -549,6 +549,18 @@
 	return true
 }
 
+// remembered is until when the caches remember the earlier attempts of a keyed request that may have
+// run, those before the n-th; 0 where there is none. The danger: the next one waits for a connection
+// and is written when its repeat is no longer dropped.
+func (q *request) remembered(n int) (until Time) {
+	for _, a := range q.attempts[:n] {
+		if q.class.Effect == Keyed && !a.neverRan && (until == 0 || a.sent+q.class.KeyTTL < until) {
+			until = a.sent + q.class.KeyTTL
+		}
+	}
+	return until
+}
+
 func sameGroup(s Scope, a, b *cache) bool {
 	return s == ScopeAll || s == ScopeZone && a.Zone == b.Zone || s == ScopeCell && a.Cell == b.Cell
 }
@@ -678,7 +690,7 @@
 	if c.zone.fails >= zoneThreshold {
 		c.zone.trialAt = r.now + r.set.ColdTime/4 // the trial is one request
 	}
-	r.do(Send{ID: q.ID, Cache: c.ID, StopAt: q.Deadline})
+	r.do(Send{ID: q.ID, Cache: c.ID, StopAt: q.Deadline, WriteBy: q.remembered(n)})
 	r.at(r.now+q.class.patience(), func() { r.slow(q, n, true) })
 	r.at(r.now+q.class.Aim, func() {
 		if a := &q.attempts[n]; a.pending && !a.lost && r.overtaken(q, a) {
--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
-	"log"
 	"net"
 	"os"
 	"slices"
@@ -50,7 +49,7 @@
 	class    string
 	tenant   string
 	hash     uint64      // of the key
-	wait     decide.Time // how long the client waits
+	wait     decide.Time // how long the client waits, cut at what its class allows
 	cost     decide.Time
 	write    bool
 }
@@ -73,6 +72,7 @@
 	h := fnv.New64a()
 	h.Write(args[1])
 	c.hash = h.Sum64()
+	keyed := false
 	meta := string(args[metaArg])
 	for from := 0; from < len(meta); {
 		to := from + len(meta[from:])
@@ -94,6 +94,8 @@
 				return c, errors.New("d is not a number of milliseconds")
 			}
 			c.wait, c.waitFrom, c.waitTo = decide.Time(ms)*1000, to-len(value), to
+		case "k":
+			keyed = keyed || value != ""
 		case "h":
 			if us, err := strconv.ParseInt(value, 10, 64); err == nil && us > 0 {
 				c.cost = us
@@ -111,6 +113,13 @@
 	if c.write == (classes[i].Effect == decide.Safe) {
 		return c, fmt.Errorf("%s does not fit the class", args[0])
 	}
+	if classes[i].Effect == decide.Keyed && !keyed {
+		return c, errors.New("k is needed: no cache can drop a repeat of this class without it")
+	}
+	if limit := classes[i].Limit; limit > 0 {
+		// The danger: timers last as long as the client claims to wait, and hold the request.
+		c.wait = min(c.wait, limit)
+	}
 	return c, nil
 }
 
@@ -162,7 +171,7 @@
 	}()
 	go s.loop.run(loopCtx)
 	<-s.loop.begun // a PING must not be told that no caches are known when they are
-	log.Printf("serving on %s", s.ln.Addr())
+	s.loop.log(fmt.Sprintf("serving on %s", s.ln.Addr()))
 	failed := make(chan error, 1)
 	go func() { failed <- s.acceptAll() }()
 	select {
@@ -170,7 +179,7 @@
 		return fmt.Errorf("accept: %w", err)
 	case <-ctx.Done():
 	}
-	log.Print("draining")
+	s.loop.log("draining") // not by itself: nobody may read the log, and the drain would wait for that
 	limit := time.After(time.Duration(s.loop.longest)*time.Microsecond + drainSlack)
 	time.Sleep(s.arrivals)
 	close(s.closing)
@@ -465,7 +474,15 @@
 		c.say([]byte("+OK\r\n"))
 		return false
 	case "C.GET", "C.SET":
+	case "POST", "HOST:":
+		// The danger: a web page has a browser send HTTP here, and a command in the body is carried out.
+		c.say(redcon.AppendError(nil, "ERR Protocol error: this is no HTTP server"))
+		return false
 	default:
+		if raw[0] != '*' && bytes.Contains(args[len(args)-1], []byte("HTTP/")) {
+			c.say(redcon.AppendError(nil, "ERR Protocol error: this is no HTTP server"))
+			return false
+		}
 		return c.reject("unknown command")
 	}
 	// The command outlives the buffer.
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -4,7 +4,10 @@
 	"container/heap"
 	"context"
 	"log"
-	"reflect"
+	"maps"
+	"math"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -36,10 +39,15 @@
 	starved   bool        // an attempt waits for a descriptor
 	longest   decide.Time // patience of any client
 	discovery *discovery
-	index     int64           // version of the list
-	endWatch  func()          // ends the watch that runs; nil while none does
-	serving   atomic.Bool     // a cache is known that takes work
-	ctx       context.Context // ends every watch
+	index     int64              // version of the list; noIndex has the whole list asked for
+	lists     []newList          // that are still to be learned
+	inTrouble int                // caches that serve nothing, by the log
+	deadSaid  decide.Time        // when it was last said that none does
+	hungAfter decide.Time        // an attempt that was called off after that long was not answered
+	wall      func() decide.Time // the system's clock, which may be wrong and may step
+	endWatch  func()             // ends the watch that runs; nil while none does
+	serving   atomic.Bool        // a cache is known that takes work
+	ctx       context.Context    // ends every watch
 }
 
 // module makes the decisions: *decide.Router, or a script in tests.
@@ -73,12 +81,12 @@
 	if err != nil {
 		return nil, err
 	}
-	longest := decide.Time(0)
+	longest, hungAfter := decide.Time(0), decide.Time(math.MaxInt64)
 	for _, c := range cfg.Settings.Classes {
-		longest = max(longest, c.Limit)
+		longest, hungAfter = max(longest, c.Limit), min(hungAfter, c.Aim/2)
 	}
-	return &loop{cfg: cfg, longest: longest, module: m, sockets: s, events: make(chan func(), eventBacklog), lines: make(chan string, logBacklog), begun: make(chan struct{}), done: make(chan struct{}), base: time.Now(), requests: map[int64]*request{}, ids: map[string]struct{}{},
-		upstreams: map[string]*upstream{}, discovery: newDiscovery(cfg.Discovery), index: cfg.Known.index}, nil
+	return &loop{cfg: cfg, longest: longest, hungAfter: hungAfter, module: m, sockets: s, events: make(chan func(), eventBacklog), lines: make(chan string, logBacklog), begun: make(chan struct{}), done: make(chan struct{}), base: time.Now(), requests: map[int64]*request{}, ids: map[string]struct{}{},
+		wall: func() decide.Time { return time.Now().UnixMicro() }, upstreams: map[string]*upstream{}, discovery: newDiscovery(cfg.Discovery), index: cfg.Known.index}, nil
 }
 
 // clock is Unix time in microseconds. It runs on the monotonic clock from the
@@ -124,6 +132,7 @@
 	known.full = true
 	l.learn(known, decide.ListStale)
 	l.tell()
+	l.watch() // also where the settings say that lists are pushed: the agent that has them must be asked
 	close(l.begun)
 	l.after(sweepInterval, l.sweep)
 	alarm := time.NewTimer(0)
@@ -231,8 +240,7 @@
 	}
 	l.ids[name] = struct{}{}
 	if l.longest > 0 {
-		// The danger: timers last as long as the client claims to wait, and hold the request.
-		cmd.wait = min(cmd.wait, l.longest)
+		cmd.wait = min(cmd.wait, l.longest) // of a class without a limit of its own
 	}
 	l.lastID++
 	r := &request{id: l.lastID, cmd: cmd, deadline: read + cmd.wait, client: c, slot: s}
@@ -290,7 +298,7 @@
 			Last: r.over, Load: decide.Load{Busy: -1}})
 		return
 	}
-	a := &attempt{request: r, number: len(r.attempts), upstream: u, sent: l.now, stopAt: s.StopAt}
+	a := &attempt{request: r, number: len(r.attempts), upstream: u, sent: l.now, stopAt: s.StopAt, writeBy: s.WriteBy}
 	if a.stopAt == 0 || a.stopAt > r.deadline {
 		a.stopAt = r.deadline
 	}
@@ -311,6 +319,7 @@
 // ended tells the module how an attempt went. The first answer that serves is
 // the final one by itself.
 func (l *loop) ended(a *attempt, result decide.Result, rep *reply) {
+	a.upstream.seen(result, l.now-a.sent)
 	r := a.request
 	if r == nil {
 		ev := &decide.Probed{Cache: a.upstream.name, Result: result, Elapsed: l.now - a.sent, Load: decide.Load{Busy: -1}}
@@ -332,78 +341,9 @@
 	l.say(r, ev)
 }
 
-// The list.
-
-// learn takes over a list of caches, for the module and for sending alike.
-func (l *loop) learn(h hostList, kind decide.ListKind) {
-	l.index = h.index
-	// The danger: what ends with a drain is told before the drain, and is sent there again.
-	l.backlog = append(l.backlog, &decide.List{Kind: kind, Entries: h.entries})
-	seen := make(map[string]bool, len(h.entries))
-	for i, e := range h.entries {
-		seen[e.ID] = true
-		u := l.upstreams[e.ID]
-		if u == nil {
-			u = newUpstream(l, e.ID)
-			l.upstreams[e.ID] = u
-		}
-		u.update(h.addrs[i], e.Condition == decide.Up, e.Condition == decide.Removed)
-	}
-	for name, u := range l.upstreams {
-		if h.full && !seen[name] {
-			u.update(u.addr, false, true)
-		}
-	}
-	l.serving.Store(l.ready())
-}
-
-func (l *loop) watch() {
-	if l.endWatch != nil {
-		return
-	}
-	ctx, end := context.WithCancel(l.ctx)
-	l.endWatch = end
-	d, after := l.discovery, l.index
-	// What a watch says once it has been ended is not heard: a late answer of the old discovery
-	// must not overwrite what the new one has told.
-	say := func(f func()) {
-		l.post(func() {
-			if ctx.Err() == nil {
-				f()
-			}
-		})
-	}
-	go func() {
-		err := d.watch(ctx, after, func(h hostList) { say(func() { l.learn(h, h.kind()) }) })
-		say(func() {
-			end()
-			l.endWatch = nil
-			l.log("discovery: " + err.Error())
-			l.backlog = append(l.backlog, &decide.List{Kind: decide.ListFailed})
-		})
-		d.client.CloseIdleConnections()
-	}()
-}
-
-// reload takes over a new configuration: where discovery is. The new one is asked for its whole
-// list at once, as its versions need not go on from those of the old one.
-func (l *loop) reload(cfg *Config) {
-	if cfg.Listen != l.cfg.Listen || cfg.Limits != l.cfg.Limits || !reflect.DeepEqual(cfg.Settings, l.cfg.Settings) ||
-		cfg.Transport != l.cfg.Transport {
-		l.log("SIGHUP: new addresses for clients, limits and settings wait for a restart")
-	}
-	if cfg.Discovery == l.cfg.Discovery {
-		l.log("SIGHUP: discovery stays at " + cfg.Discovery)
-		return
-	}
-	l.log("SIGHUP: discovery moves to " + cfg.Discovery)
-	l.cfg.Discovery = cfg.Discovery
-	if l.endWatch != nil {
-		l.endWatch()
-		l.endWatch = nil
-	}
-	l.discovery, l.index = newDiscovery(cfg.Discovery), noIndex
-	l.watch()
+// fleet is the upstreams by name.
+func (l *loop) fleet() []*upstream {
+	return slices.SortedFunc(maps.Values(l.upstreams), func(a, b *upstream) int { return strings.Compare(a.name, b.name) })
 }
 
 // ready reports whether the router can serve.
@@ -456,6 +396,9 @@
 	for _, u := range l.upstreams {
 		u.closeIdle(l.now - l.cfg.Transport.Keepalive*3/4)
 	}
+	if l.inTrouble > 0 {
+		l.sayDead()
+	}
 	l.after(sweepInterval, l.sweep)
 }
 
--- a/internal/router/resp.go
+++ b/internal/router/resp.go
@@ -85,11 +85,14 @@
 
 // line takes one line off b, without its end; next is 0 where it is not whole yet.
 func line(b []byte, most int) (text []byte, next int, err error) {
-	end := bytes.IndexByte(b, '\n')
-	if text = b; end >= 0 {
-		text, next = bytes.TrimSuffix(b[:end], []byte("\r")), end+1
-	}
-	if len(text) > most || bytes.ContainsFunc(bytes.TrimSuffix(text, []byte("\r")), func(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }) {
+	text = b
+	if end := bytes.IndexByte(b, '\n'); end >= 0 {
+		text, next = b[:end], end+1
+	}
+	// One carriage return ends the line, or is the last that has come of it. The danger: a second one is
+	// taken for an end too, and the same bytes are read one way whole and another way split.
+	text = bytes.TrimSuffix(text, []byte("\r"))
+	if len(text) > most || bytes.ContainsFunc(text, func(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }) {
 		return nil, 0, errors.New("unreadable line")
 	}
 	return text, next, nil
--- a/internal/router/trouble_test.go
+++ b/internal/router/trouble_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"log"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -217,3 +219,166 @@
 		}
 	}
 }
+
+// holding is a rig whose one connection to c1 carries the first of two requests; the second waits
+// for it.
+func holding(t *testing.T, cache *fakeCache) (r *rig, first, second *request) {
+	t.Helper()
+	r = newRig(t, cache.addr(), nil)
+	r.do(func() { r.l.upstreams["c1"].most = 1 })
+	first, second = r.request(nil), r.request(nil)
+	r.send(first, long)
+	r.send(second, long)
+	return r, first, second
+}
+
+// TestEndOfAConnectionWakesWhatWaitsForIt. The danger: attempts wait for a connection that has been
+// closed, and stall until their dial time-out.
+func TestEndOfAConnectionWakesWhatWaitsForIt(t *testing.T) {
+	wantSecond := func(cache *fakeCache, r *rig) {
+		t.Helper()
+		cmd := receive(t, cache.commands, "command on a new connection")
+		if cmd.args[2] != "r2" {
+			t.Errorf("got %q", cmd.args)
+		}
+		cmd.reply(t, served)
+		r.want(decide.Served)
+	}
+	t.Run("after an unclean answer", func(t *testing.T) {
+		cache := newFakeCache(t)
+		r, _, _ := holding(t, cache)
+		receive(t, cache.commands, "command").reply(t, served+"noise")
+		r.want(decide.Served)
+		wantSecond(cache, r)
+	})
+	t.Run("after an attempt was given up", func(t *testing.T) {
+		cache := newFakeCache(t)
+		r, first, _ := holding(t, cache)
+		receive(t, cache.commands, "command")
+		r.do(func() { r.l.perform(decide.Cancel{ID: first.id}) })
+		r.want(decide.Cancelled)
+		wantSecond(cache, r)
+	})
+	t.Run("after the address has changed", func(t *testing.T) {
+		cache, next := newFakeCache(t), newFakeCache(t)
+		r, _, _ := holding(t, cache)
+		cmd := receive(t, cache.commands, "command")
+		r.list(2, false, host("c1", next.addr(), "in_service"))
+		cmd.reply(t, served)
+		r.want(decide.Served)
+		wantSecond(next, r)
+	})
+}
+
+// TestKeyedRequestIsNotWrittenAfterItsWindow. The danger: it waits for a connection, and is written
+// when the caches have forgotten the attempt before it, which may have run.
+func TestKeyedRequestIsNotWrittenAfterItsWindow(t *testing.T) {
+	cache := newFakeCache(t)
+	r := newRig(t, cache.addr(), nil)
+	r.do(func() { r.l.upstreams["c1"].most = 1 })
+	r.send(r.request(nil), long)
+	cmd := receive(t, cache.commands, "command")
+	q := r.request([]byte("value"))
+	r.do(func() {
+		r.l.perform(decide.Send{ID: q.id, Cache: "c1", StopAt: q.deadline, WriteBy: r.l.now + 50_000})
+	})
+	r.want(decide.NotSent) // by its timer: the connection is not free yet
+	cmd.reply(t, served)
+	r.want(decide.Served)
+	r.do(func() {
+		// The last look sees the window too, where the timer is late.
+		u := r.l.upstreams["c1"]
+		if a := (&attempt{upstream: u, stopAt: r.l.now + 2, writeBy: r.l.now}); u.sendable(a) {
+			t.Error("sendable at the end of its window")
+		}
+	})
+}
+
+// TestTimeIsCutAtWhatTheClassAllows, its own and no other's.
+func TestTimeIsCutAtWhatTheClassAllows(t *testing.T) {
+	classes := []decide.Class{{Name: "short", Effect: decide.Safe, Limit: 1_200_000}, {Name: "long", Effect: decide.Safe, Limit: 3_000_000}}
+	for class, want := range map[string]decide.Time{"short": 1_200_000, "long": 3_000_000} {
+		cmd, err := parseCommand([][]byte{[]byte("C.GET"), []byte("k"), []byte("i"), []byte("c=" + class + ",d=9000")}, 50, classes)
+		if err != nil || cmd.wait != want {
+			t.Errorf("%s waits %d, %v", class, cmd.wait, err)
+		}
+	}
+}
+
+// TestKeyedWriteWithoutItsKey is turned away: no cache could drop its repeat.
+func TestKeyedWriteWithoutItsKey(t *testing.T) {
+	r := start(t, testConfig(t, silentDiscovery(t), nil))
+	c := dial(t, r.addr)
+	for _, meta := range []string{"c=put,d=100", "c=put,d=100,k="} {
+		c.send(words("C.SET", "k1", "id", meta, "value"))
+		if got := c.line(); !strings.HasPrefix(got, "-ERR k is needed") {
+			t.Errorf("%s: %q", meta, got)
+		}
+	}
+}
+
+// TestHTTPIsClosed. The danger: a page in a browser posts to the router's address; line by line its
+// header is skipped as bad commands, and the command in its body is carried out.
+func TestHTTPIsClosed(t *testing.T) {
+	cache := newFakeCache(t)
+	r := start(t, testConfig(t, silentDiscovery(t), nil, host("c1", cache.addr(), "in_service")))
+	for _, head := range []string{"POST / HTTP/1.1\r\n", "GET / HTTP/1.1\r\n", "Host: here\r\n", "post /\r\n"} {
+		c := dial(t, r.addr)
+		c.send(head + "\r\n" + get("r1"))
+		if got := c.line(); !strings.HasPrefix(got, "-ERR Protocol error") {
+			t.Errorf("%q: %q", head, got)
+		}
+		c.wantClosed()
+	}
+	select {
+	case cmd := <-cache.commands:
+		t.Errorf("carried out: %q", cmd.args)
+	default:
+	}
+}
+
+// TestLineIsReadOneWayWholeAndSplit, wherever it is split.
+func TestLineIsReadOneWayWholeAndSplit(t *testing.T) {
+	for _, wire := range []string{"PING\r\n", "PING\n", "PING\r\r\n", "PI\rNG\r\n", "PING \r\n", "\r\n", "\r\r\n"} {
+		_, _, whole := nextCommand([]byte(wire))
+		for i := 1; i < len(wire); i++ {
+			_, used, err := nextCommand([]byte(wire[:i]))
+			if used == 0 && err == nil {
+				_, _, err = nextCommand([]byte(wire))
+			}
+			if (err == nil) != (whole == nil) {
+				t.Errorf("%q split at %d: %v; whole: %v", wire, i, err, whole)
+			}
+		}
+	}
+	if _, _, err := nextCommand([]byte("PING\r\r\n")); err == nil {
+		t.Error("two carriage returns were taken for the end of a line")
+	}
+}
+
+// stuck is a log that nobody reads.
+type stuck struct{ over chan struct{} }
+
+func (s stuck) Write(b []byte) (int, error) {
+	<-s.over
+	return len(b), nil
+}
+
+// TestDrainEndsThoughNobodyReadsTheLog.
+func TestDrainEndsThoughNobodyReadsTheLog(t *testing.T) {
+	s := stuck{make(chan struct{})}
+	log.SetOutput(s)
+	t.Cleanup(func() { log.SetOutput(os.Stderr) })
+	t.Cleanup(func() { close(s.over) })
+	srv, err := New(testConfig(t, silentDiscovery(t), nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv.arrivals = 0
+	r := startServer(t, srv)
+	dial(t, r.addr).nc.Close()
+	r.stop()
+	if err := receive(t, r.ended, "end of the router"); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -28,9 +28,14 @@
 	l       *loop
 	name    string
 	addr    string
+	entry   decide.Entry // what the list says of it
+	told    decide.Time  // its last start in the list's words
+	listed  bool
+	trouble trouble
 	up      bool // the list says that it may be sent new work
 	gone    bool // the list does not name it any more
 	resting bool // a timer is set for the end of a connection's rest
+	waking  bool // ... for a look at what waits
 	conns   map[*conn]struct{}
 	idle    []*conn // the one used last stands last
 	dialing int
@@ -49,7 +54,10 @@
 		u.addr = addr
 		u.closeIdle(u.l.now)
 	}
-	u.up, u.gone = up, gone
+	if gone {
+		u.recovered()
+	}
+	u.up, u.gone, u.listed = up, gone, true
 	if !up {
 		// The danger: an attempt that waits for a connection is sent after the drain is known.
 		for len(u.waiting) > 0 {
@@ -103,17 +111,25 @@
 	upstream *upstream
 	sent     decide.Time
 	stopAt   decide.Time
+	writeBy  decide.Time // its last byte has to be written before then; 0 for no such bound
 	state    attemptState
 	conn     *conn
 	stopping bool          // given up while part of it is written
 	result   decide.Result // ... for this reason
-	timers   [2]*timer     // to be stopped with it
+	timers   [3]*timer     // to be stopped with it
 }
 
 // start sends an attempt on an idle connection, or has it wait for one.
 func (u *upstream) start(a *attempt) {
 	l := u.l
 	a.timers[0] = l.at(a.stopAt, func() { a.giveUp(decide.NoAnswer) })
+	if a.writeBy > 0 && a.writeBy < a.stopAt {
+		a.timers[2] = l.at(a.writeBy, func() {
+			if a.state == waiting || a.state == writing {
+				a.giveUp(decide.NoAnswer)
+			}
+		})
+	}
 	u.waiting = append(u.waiting, a)
 	u.pump()
 	if a.state == waiting {
@@ -128,7 +144,7 @@
 
 // sendable is the last look before an attempt's first byte: all may have changed while it waited.
 func (u *upstream) sendable(a *attempt) bool {
-	return u.up && u.l.now < a.stopAt && (a.request == nil || !a.request.over)
+	return u.up && u.l.now < a.stopAt && (a.writeBy == 0 || u.l.now < a.writeBy) && (a.request == nil || !a.request.over)
 }
 
 // pump gives idle connections to waiting attempts, first come first served, and
@@ -176,6 +192,18 @@
 	return nil
 }
 
+// wake has attempts that wait for a connection looked at, in a turn of its own. The danger: a
+// connection ends that they were counting on, and they stall until their dial time-out.
+func (u *upstream) wake() {
+	if len(u.waiting) > 0 && !u.waking {
+		u.waking = true
+		u.l.at(u.l.now, func() {
+			u.waking = false
+			u.pump()
+		})
+	}
+}
+
 // free takes back a connection that is ready for the next attempt.
 func (u *upstream) free(c *conn, since decide.Time) {
 	if !u.up || c.addr != u.addr {
@@ -340,6 +368,7 @@
 		c.nc.Close()
 	}
 	c.upstream.l.released()
+	c.upstream.wake()
 	c.upstream.drop()
 }
 
