--- a/decide/decide.go
+++ b/decide/decide.go
@@ -283,8 +283,9 @@
 	if e.Size <= 0 {
 		c.Size = 1
 	}
-	if e.Start > 0 && e.Start+r.set.ColdTime > r.now {
-		c.coldFrom, c.warmAt = e.Start, e.Start+r.set.ColdTime
+	// The danger: a start that was told wrong, and is corrected, leaves the cache cold.
+	if c.coldFrom, c.warmAt = min(e.Start, r.now), 0; e.Start > 0 {
+		c.warmAt = c.coldFrom + r.set.ColdTime
 	}
 }
 
@@ -875,7 +876,7 @@
 		r.now-a.sent < q.class.patience()/2; ev.Result == NoConnection {
 		r.reached(a.to, false)
 	}
-	if a.to.pending == 0 && r.closesIdle(a.to) {
+	if a.to.pending == 0 && r.caches[a.to.ID] == a.to && r.closesIdle(a.to) {
 		r.do(CloseIdle{a.to.ID})
 	}
 	good := ev.Result == Served && r.now-a.sent < q.class.patience()
