--- /dev/null
+++ b/decide/inspect_test.go
@@ -0,0 +1,22 @@
+package decide
+
+import "testing"
+
+func TestInspectionFollowsARequestFromItsAskingToItsOutcome(t *testing.T) {
+	b := newBench(t, settings())
+	b.feed(&List{Kind: ListFull, Entries: fleet(3)})
+	if n := b.r.InFlight("nowhere"); n != 0 {
+		t.Errorf("%d attempts out at a cache never listed", n)
+	}
+	s := b.ask(1, "read", 7)
+	if s == nil {
+		t.Fatal("the request was not sent")
+	}
+	if out, open := b.r.InFlight(s.Cache), b.r.Open(); out != 1 || open != 1 {
+		t.Errorf("once sent: %d attempts out, %d requests open, want 1 and 1", out, open)
+	}
+	b.feed(&Outcome{ID: 1, Result: Served, Last: true})
+	if out, open := b.r.InFlight(s.Cache), b.r.Open(); out != 0 || open != 0 {
+		t.Errorf("once served: %d attempts out, %d requests open, want none", out, open)
+	}
+}
--- /dev/null
+++ b/internal/books/world_test.go
@@ -0,0 +1,365 @@
+package books
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"math/rand"
+	"slices"
+	"testing"
+
+	"starlingwinch/decide"
+)
+
+const ms = 1000
+
+// defects are the ways in which a world's loop can be at fault.
+type defects struct {
+	dropsSends  bool // a Send for a request that is forgotten by now has no outcome
+	dropsProbes bool // nor has a Probe of a cache that is gone by now
+}
+
+// world is a small loop around the real module, on a clock of its own. As the loop of the service does, it
+// acts on what happens at once and tells it from a queue, so that news and requests cross.
+type world struct {
+	t        *testing.T
+	rng      *rand.Rand
+	set      decide.Settings
+	module   *decide.Router
+	books    *Books
+	now      decide.Time
+	defects  defects
+	backlog  []decide.Event
+	timers   timerHeap
+	clients  []*client // by the number of the request, less 1
+	attempts []*sent   // out, in the order of their sending
+	probes   []probe
+	listed   [fleetSize]bool
+	breaches []Breach
+	// what came about, so that a test can tell that it tested something
+	sends, served, probed, closed, crossed int
+}
+
+type client struct {
+	id       int64
+	deadline decide.Time
+	attempts int
+	out      int
+	over     bool
+	streams  bool
+}
+
+type sent struct {
+	client *client
+	n      int
+	cache  string
+	stopAt decide.Time
+	begun  bool // its answer has started
+}
+
+type probe struct {
+	cache string
+	at    decide.Time
+}
+
+const fleetSize = 8
+
+func cacheName(i int) string { return fmt.Sprintf("c%d", i) }
+
+func randomSettings(rng *rand.Rand) decide.Settings {
+	s := decide.Settings{
+		Routers: 1 + rng.Intn(3), MaxAttempts: 1 + rng.Intn(4),
+		Copies: rng.Intn(2) == 0, Cancels: rng.Intn(3) > 0, Probes: rng.Intn(4) > 0, MustWatch: rng.Intn(2) == 0,
+		DrainGrace: 1000 * ms, ColdTime: 10_000 * ms, ColdShare: .2, TipTime: 2000 * ms, AskEvery: 10_000 * ms,
+		ProbePrice: .001, DialPrice: .5,
+		Classes: []decide.Class{
+			{Name: "read", Effect: decide.Safe, Aim: 200 * ms, Limit: 800 * ms, Worth: 2},
+			{Name: "zone", Effect: decide.Keyed, Scope: decide.ScopeZone, KeyTTL: 500 * ms, Aim: 200 * ms,
+				Limit: 800 * ms, Worth: 3},
+			{Name: "once", Effect: decide.Unsafe, Aim: 200 * ms, Limit: 800 * ms, Worth: 3},
+		},
+	}
+	if rng.Intn(2) == 0 {
+		s.ConnPrice = 40 // connections are closed after use
+	}
+	return s
+}
+
+func newWorld(t *testing.T, seed int64, d defects) *world {
+	t.Helper()
+	rng := rand.New(rand.NewSource(seed))
+	w := &world{t: t, rng: rng, set: randomSettings(rng), now: 1_000_000 * ms, defects: d}
+	m, err := decide.New(w.set, uint64(seed))
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.module = m
+	w.books = New(m, func(b Breach) { w.breaches = append(w.breaches, b) })
+	w.books.Every = true
+	return w
+}
+
+func (w *world) queue(ev decide.Event) { w.backlog = append(w.backlog, ev) }
+
+// tell hands over what is queued and does what is asked for.
+func (w *world) tell() {
+	for len(w.backlog) > 0 {
+		ev := w.backlog[0]
+		w.backlog = w.backlog[1:]
+		for _, a := range w.books.Handle(w.now, ev) {
+			w.perform(a)
+		}
+	}
+}
+
+func (w *world) perform(a decide.Action) {
+	switch a := a.(type) {
+	case decide.Send:
+		w.send(a)
+	case decide.Cancel:
+		for _, s := range w.attempts {
+			if s.client.id == a.ID && s.n == a.Attempt {
+				w.end(s, pickOne(w.rng, decide.Cancelled, decide.NotSent))
+				break
+			}
+		}
+	case decide.Refuse:
+		w.finish(w.clients[a.ID-1])
+	case decide.Fail:
+		w.finish(w.clients[a.ID-1])
+	case decide.SetTimer:
+		heap.Push(&w.timers, a)
+	case decide.Probe:
+		w.probe(a)
+	case decide.CloseIdle:
+		w.closed++
+	}
+}
+
+func (w *world) send(a decide.Send) {
+	w.sends++
+	c := w.clients[a.ID-1]
+	s := &sent{client: c, n: c.attempts, cache: a.Cache, stopAt: min(a.StopAt, c.deadline)}
+	c.attempts++
+	if c.over {
+		w.crossed++
+		if !w.defects.dropsSends || c.out > 0 {
+			w.queue(&decide.Outcome{ID: c.id, Attempt: s.n, Result: decide.NotSent, Last: true})
+		}
+		return
+	}
+	if !w.lists(a.Cache) {
+		w.queue(&decide.Outcome{ID: c.id, Attempt: s.n, Result: decide.NotSent})
+		return
+	}
+	c.out++
+	w.attempts = append(w.attempts, s)
+}
+
+func (w *world) probe(a decide.Probe) {
+	w.probed++
+	if w.lists(a.Cache) {
+		w.probes = append(w.probes, probe{a.Cache, w.now})
+	} else if !w.defects.dropsProbes {
+		w.queue(&decide.Probed{Cache: a.Cache, Result: decide.NotSent})
+	}
+}
+
+func (w *world) lists(cache string) bool {
+	var i int
+	fmt.Sscanf(cache, "c%d", &i)
+	return w.listed[i]
+}
+
+// end gives an attempt its outcome.
+func (w *world) end(s *sent, result decide.Result) {
+	c := s.client
+	w.attempts = slices.DeleteFunc(w.attempts, func(o *sent) bool { return o == s })
+	c.out--
+	if result == decide.Served {
+		w.served++
+		w.finish(c)
+	}
+	if s.begun {
+		c.over = true
+	}
+	w.queue(&decide.Outcome{ID: c.id, Attempt: s.n, Result: result, Last: c.over, Miss: w.rng.Intn(3) == 0})
+}
+
+// finish is the final answer, or the client's leaving. Some attempts were not written yet and end now.
+func (w *world) finish(c *client) {
+	if c.over {
+		return
+	}
+	c.over = true
+	for _, s := range slices.Clone(w.attempts) {
+		if s.client == c && (s.begun || w.rng.Intn(2) == 0) {
+			w.end(s, decide.NotSent)
+		}
+	}
+}
+
+func (w *world) leave(c *client) {
+	if !c.over {
+		w.finish(c)
+		w.queue(&decide.Departed{ID: c.id})
+	}
+}
+
+func (w *world) ask() {
+	names := []string{"read", "read", "read", "zone", "once", "unheard-of"}
+	c := &client{id: int64(len(w.clients) + 1), deadline: w.now + decide.Time(w.rng.Intn(900*ms)) - 20*ms}
+	w.clients = append(w.clients, c)
+	w.queue(&decide.Request{ID: c.id, Class: names[w.rng.Intn(len(names))], Key: uint64(w.rng.Intn(40)),
+		HasKey: w.rng.Intn(9) > 0, Deadline: c.deadline, Write: w.rng.Intn(9) == 0})
+}
+
+func (w *world) list() {
+	kind := pickOne(w.rng, decide.ListChanges, decide.ListChanges, decide.ListFull, decide.ListStale, decide.ListFailed)
+	ev := &decide.List{Kind: kind}
+	if kind == decide.ListFailed {
+		w.queue(ev)
+		return
+	}
+	for i := range fleetSize {
+		if kind == decide.ListChanges && w.rng.Intn(fleetSize) > 0 {
+			continue
+		}
+		if kind != decide.ListChanges && w.rng.Intn(4) == 0 {
+			w.listed[i] = false
+			continue
+		}
+		e := decide.Entry{ID: cacheName(i), Zone: string(rune('a' + i%2)), Cell: i % 4, Size: 1,
+			Condition: pickOne(w.rng, decide.Up, decide.Up, decide.Up, decide.Draining, decide.Removed)}
+		if w.rng.Intn(4) == 0 {
+			e.Start = w.now - decide.Time(w.rng.Intn(12_000*ms))
+		}
+		w.listed[i] = e.Condition != decide.Removed
+		ev.Entries = append(ev.Entries, e)
+	}
+	w.queue(ev)
+}
+
+// reply ends an attempt that is out, or has its answer begin.
+func (w *world) reply() {
+	if len(w.attempts) == 0 {
+		return
+	}
+	s := w.attempts[w.rng.Intn(len(w.attempts))]
+	switch {
+	case !s.client.over && !s.client.streams && w.rng.Intn(20) == 0:
+		s.begun, s.client.streams = true, true
+		w.queue(&decide.Started{ID: s.client.id, Attempt: s.n})
+	case s.client.streams && !s.begun || w.rng.Intn(2) == 0:
+		w.end(s, decide.Result(1+w.rng.Intn(int(decide.NotStored))))
+	default:
+		w.end(s, decide.Served)
+	}
+}
+
+// expire ends what has had its time.
+func (w *world) expire() {
+	for _, s := range slices.Clone(w.attempts) {
+		if w.now >= s.stopAt && !s.begun && slices.Contains(w.attempts, s) {
+			w.end(s, decide.NoAnswer)
+		}
+	}
+	for len(w.probes) > 0 && w.now >= w.probes[0].at+500*ms {
+		w.queue(&decide.Probed{Cache: w.probes[0].cache, Result: decide.NoAnswer})
+		w.probes = w.probes[1:]
+	}
+}
+
+// advance moves the clock on, firing what is due.
+func (w *world) advance(d decide.Time) {
+	end := w.now + d
+	for len(w.timers) > 0 && w.timers[0].At <= end {
+		tm := heap.Pop(&w.timers).(decide.SetTimer)
+		w.now = max(w.now, tm.At)
+		w.expire()
+		w.queue(&decide.Timer{Token: tm.Token})
+		if w.rng.Intn(3) > 0 { // else more comes in before the module hears of it
+			w.tell()
+		}
+	}
+	w.now = end
+	w.expire()
+}
+
+// step has something happen.
+func (w *world) step() {
+	switch x := w.rng.Intn(100); {
+	case x < 40:
+		w.ask()
+	case x < 46 && len(w.clients) > 0:
+		w.leave(w.clients[max(0, len(w.clients)-1-w.rng.Intn(30))])
+	case x < 50:
+		w.list()
+	case x < 55 && len(w.probes) > 0:
+		w.queue(&decide.Probed{Cache: w.probes[0].cache, Result: pickOne(w.rng, decide.Served, decide.NoAnswer)})
+		w.probes = w.probes[1:]
+	default:
+		w.reply()
+	}
+}
+
+// play has so many things happen, and then lets all that is open come to its end.
+func (w *world) play(steps int) {
+	for range steps {
+		for range 1 + w.rng.Intn(4) {
+			w.step()
+		}
+		w.tell()
+		w.advance(decide.Time(w.rng.Intn(20 * ms)))
+		w.tell()
+		w.check()
+	}
+	for _, s := range slices.Clone(w.attempts) {
+		if s.begun {
+			w.end(s, decide.ConnLost)
+		}
+	}
+	for range 40 { // longer than any deadline and the slack
+		w.advance(100 * ms)
+		w.tell()
+		w.repair()
+		w.check()
+	}
+}
+
+func (w *world) repair() {
+	for _, ev := range w.books.Overdue(w.now) {
+		w.queue(ev)
+	}
+	w.tell()
+}
+
+func (w *world) check() {
+	w.books.Check(w.now, func(cache string) int {
+		n := 0
+		for _, s := range w.attempts {
+			if s.cache == cache {
+				n++
+			}
+		}
+		return n
+	})
+}
+
+func pickOne[T any](rng *rand.Rand, of ...T) T { return of[rng.Intn(len(of))] }
+
+// timerHeap fires in the order of time, and of setting at one time.
+type timerHeap []decide.SetTimer
+
+func (h timerHeap) Len() int { return len(h) }
+func (h timerHeap) Less(i, j int) bool {
+	return cmp.Or(cmp.Compare(h[i].At, h[j].At), cmp.Compare(h[i].Token, h[j].Token)) < 0
+}
+func (h timerHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *timerHeap) Push(x any)   { *h = append(*h, x.(decide.SetTimer)) }
+func (h *timerHeap) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return x
+}
