--- a/internal/books/timers.go
+++ b/internal/books/timers.go
@@ -14,7 +14,7 @@
 	words []uint64 // a ring, the word of tokens 64i to 64i+63 at i modulo its length
 	first int64    // number of the window's first word
 	old   map[int64]struct{}
-	lost  int64 // tokens below are not known one by one any more
+	lost  int64 // once the map was forgotten, tokens from 0 to below this may have been in it
 }
 
 // set adds a token. It reports whether it was not in the set.
@@ -46,7 +46,7 @@
 	if w < t.first {
 		_, had := t.old[token]
 		delete(t.old, token)
-		return had || token < t.lost
+		return had || 0 <= token && token < t.lost
 	}
 	word, bit := &t.words[w%tokenWords], uint64(1)<<(token&63)
 	had := *word&bit != 0
