--- a/internal/books/books_test.go
+++ b/internal/books/books_test.go
@@ -1,6 +1,7 @@
 package books
 
 import (
+	"math"
 	"slices"
 	"testing"
 
@@ -422,3 +423,31 @@
 		})
 	}
 }
+
+func TestADeadlineAtTheEndOfTimeIsNotOverdue(t *testing.T) {
+	b := newBench(t)
+	b.tell(&decide.Request{ID: 1, Deadline: math.MaxInt64}, decide.Send{ID: 1, Cache: "a", StopAt: math.MaxInt64})
+	if events := b.overdue(10 * slack); len(events) != 0 {
+		t.Errorf("%d events are overdue", len(events))
+	}
+}
+
+func TestATrailTellsOnceWhatConcernsTheRequestAndTheCache(t *testing.T) {
+	b := newBench(t)
+	b.tell(asked(1), send(1))
+	b.tell(asked(2), send(2))
+	b.tell(asked(3), decide.Refuse{ID: 3})
+	b.tell(&decide.Outcome{ID: 1, Result: decide.Errored})
+	b.tell(&decide.PeerMessage{}, decide.Refuse{ID: 2})
+	b.overdue(wanted + slack)
+	if len(b.breaches) < 2 || b.breaches[1].Kind != OutcomeMissing {
+		t.Fatalf("reported %v, want the answer to 1 and the outcome of 2", b.breaches)
+	}
+	want := []string{
+		"1003 request 2, wanted by 5000", "1003 send 2/0 a, given up at 5000", // its own
+		"1001 listed a", "1002 send 1/0 a", "1005 outcome 1/0 a errored", // the cache's
+	}
+	if got := b.breaches[1].Trail; !slices.Equal(got, want) {
+		t.Errorf("the trail is %q, want %q", got, want)
+	}
+}
--- a/internal/books/overdue.go
+++ b/internal/books/overdue.go
@@ -51,14 +51,14 @@
 
 // unanswered reports whether a request misses its final answer. One that has begun takes its time.
 func (q *request) unanswered(now decide.Time) bool {
-	if q.over || q.told || now <= q.deadline+slack {
+	if q.over || q.told || now-slack <= q.deadline {
 		return false
 	}
 	return !slices.ContainsFunc(q.attempts, func(a attempt) bool { return a.out && a.streams })
 }
 
 func (a *attempt) late(now decide.Time) bool {
-	return a.out && !a.unsent && !a.streams && !a.told && now > a.stopAt+slack
+	return a.out && !a.unsent && !a.streams && !a.told && now-slack > a.stopAt
 }
 
 func (b *Books) overdueRequest(events []decide.Event, q *request) []decide.Event {
--- a/internal/books/trail.go
+++ b/internal/books/trail.go
@@ -49,7 +49,10 @@
 	result decide.Result
 }
 
-const ringSize = 64
+const (
+	ringSize    = 64
+	historyKept = 16 // attempts of a request that its history names: its latest
+)
 
 // ring holds the latest notes.
 type ring struct {
@@ -90,16 +93,19 @@
 	}
 	for i := range uint(ringSize) {
 		n := &b.ring.notes[(b.ring.next+i)%ringSize]
-		if n.what != noteNone && (id != 0 && n.id == id && q == nil || cache != "" && n.cache == cache) {
-			lines = append(lines, n.String())
+		ofRequest := id != 0 && n.id == id
+		if n.what == noteNone || ofRequest && q != nil || !ofRequest && (cache == "" || n.cache != cache) {
+			continue
 		}
+		lines = append(lines, n.String())
 	}
 	return lines
 }
 
 func (q *request) history() []string {
 	lines := []string{fmt.Sprintf("%d request %d, wanted by %d", q.asked, q.id, q.deadline)}
-	for i, a := range q.attempts {
+	for i := max(0, len(q.attempts)-historyKept); i < len(q.attempts); i++ {
+		a := &q.attempts[i]
 		lines = append(lines, fmt.Sprintf("%d send %d/%d %s, given up at %d", a.sent, q.id, i, a.to.name, a.stopAt))
 		if !a.out {
 			lines = append(lines, fmt.Sprintf("%d outcome %d/%d %s", a.ended, q.id, i, resultName(a.result)))
--- a/internal/books/world_test.go
+++ b/internal/books/world_test.go
@@ -70,7 +70,8 @@
 	s := decide.Settings{
 		Routers: 1 + rng.Intn(3), MaxAttempts: 1 + rng.Intn(4),
 		Copies: rng.Intn(2) == 0, Cancels: rng.Intn(3) > 0, Probes: rng.Intn(4) > 0, MustWatch: rng.Intn(2) == 0,
-		DrainGrace: pickOne[decide.Time](rng, 100*ms, 1000*ms), ColdTime: 10_000 * ms, ColdShare: .2, TipTime: 2000 * ms, AskEvery: 10_000 * ms,
+		DrainGrace: pickOne[decide.Time](rng, 100*ms, 1000*ms), ColdTime: 10_000 * ms, ColdShare: .2,
+		TipTime: 2000 * ms, AskEvery: 10_000 * ms,
 		ProbePrice: .001, DialPrice: .5,
 		Classes: []decide.Class{
 			{Name: "read", Effect: decide.Safe, Aim: 200 * ms, Limit: 800 * ms, Worth: 2},
