--- a/internal/rules/events.go
+++ b/internal/rules/events.go
@@ -17,9 +17,10 @@
 	Served  Answer = iota // a value or a receipt
 	Refused               // -BUSY: trying again is harmless
 	Failed                // anything else: promises nothing
+	Cut                   // a client only: a value whose connection ended before it was whole, as its length told
 )
 
-func (a Answer) String() string { return [...]string{"served", "refused", "failed"}[a] }
+func (a Answer) String() string { return [...]string{"served", "refused", "failed", "cut off"}[a] }
 
 // Ask is one request as its client wrote it.
 type Ask struct {
@@ -45,9 +46,13 @@
 
 // Observer is told of what happens on the sockets. Calls come in the order of time.
 type Observer interface {
-	// Asked: a client has written a request whole. Answered: the last byte of its answer has come;
-	// value is what a serving answer holds. Left: the client has closed the connection, or has given the
-	// request up, before an answer. Broken: the router has ended the connection with no whole answer.
+	// Asked: a client has written a request whole. The same id is told again, with the second
+	// connection's router, where the close of a connection crossed the request and the client has sent it
+	// once more. Answered: the last byte of its answer has come; value is what a serving answer holds,
+	// without load reports; bytes past an answer are one more Answered of the same id. Left: the client has
+	// closed the connection, or has given the request up, before an answer; at the deadline or later it
+	// excuses nothing, so a client waits for the deadline and the slack before it goes. Broken: the
+	// router, or its end, has ended the connection with no byte of an answer, or with part of a line.
 	Asked(now Time, a Ask)
 	Answered(now Time, id string, kind Answer, value string)
 	Left(now Time, id string)
@@ -56,23 +61,24 @@
 	// Began: a command has come whole at a cache, also one that it turns away. Bad: something came
 	// that no client sent in this form. Ran: a cache has carried a request out (a write's effect took
 	// place, or a read's value was made); repeat tells that the cache knew the key of the write and dropped
-	// it. Replied: the cache has written its answer, value being what a serving one holds. Ended: the connection of a
-	// running command was closed by the router.
+	// it. Replied: the cache has written its answer whole, value being what a serving one holds. Ended:
+	// the connection of a running command was closed, by the router or by the cache, also where a cut
+	// network hides it from the cache.
 	Began(now Time, a Attempt)
 	Bad(now Time, cache, why string)
 	Ran(now Time, a Attempt, repeat bool)
 	Replied(now Time, cache, id string, kind Answer, value string)
 	Ended(now Time, cache, id string)
 
-	// Listed: discovery has written to a router what it says of a cache (or, for a list that must be asked for, the time has
-	// passed by which it counts as told).
+	// Listed: discovery has written to a router what it says of a cache (or, for a list that must be
+	// asked for, the time has passed by which it counts as told).
 	Listed(now Time, router, cache string, takesWork bool)
 
 	// CacheUp: a cache's process has started, with the work it can do a second when warm (in µs of
-	// work), the share of that it starts with, and the time by which it is warm; coldFor 0 stands for a warm one. CacheDown: it has ended, fallen tells that
-	// load pushed it over. Offered: the cache has been sent work of so many µs. StoreOffered: the central
-	// store was asked for a fetch, by a cache that is cold (or not), and StoreFell: it has stopped under
-	// its load.
+	// work), the share of that it starts with, and how long it takes to be warm; coldFor 0 stands for a
+	// warm one. CacheDown: it has ended, fallen tells that load pushed it over. Offered: the cache has been
+	// sent work of so many µs, also work that it turns away. StoreOffered: the central store was asked for
+	// a fetch, by a cache that is cold (or not), and StoreFell: it has stopped under its load.
 	CacheUp(now Time, cache string, capacity, coldShare float64, coldFor Time)
 	CacheDown(now Time, cache string, fallen bool)
 	Offered(now Time, cache string, work Time)
@@ -80,7 +86,8 @@
 	StoreFell(now Time)
 
 	// RouterUp and RouterDown: a router's process has started, or has ended. clean tells that it ended by
-	// itself after a signal to do so, else it was killed (what it held is its clients' to retry).
+	// itself after a signal to do so, or was killed as it had not ended in time: what it held is lost. Else
+	// it was killed, and what it held is its clients' to retry.
 	RouterUp(now Time, router string)
 	RouterDown(now Time, router string, clean bool)
 	// Usage: a router's descriptors and, once all is quiet, what is left in its maps. most is the limit.
--- /dev/null
+++ b/internal/rules/load.go
@@ -0,0 +1,177 @@
+package rules
+
+import "fmt"
+
+// bins is the number of parts that a window of load is summed in.
+const bins = 12
+
+// window sums work over a span that slides on with time.
+type window struct {
+	part  Time // length of a bin
+	last  Time // number of the newest bin, in parts since the clock's zero
+	sums  [bins]Time
+	total Time
+}
+
+func (w *window) init(span Time) { *w = window{part: max(span/bins, 1)} }
+
+// slide lets go of what is older than the window.
+func (w *window) slide(now Time) {
+	n := now / w.part
+	if n-w.last >= bins {
+		w.sums, w.total = [bins]Time{}, 0
+		w.last = n
+		return
+	}
+	for w.last < n {
+		w.last++
+		i := w.last % bins
+		w.total -= w.sums[i]
+		w.sums[i] = 0
+	}
+}
+
+func (w *window) add(now, work Time) {
+	w.slide(now)
+	w.sums[w.last%bins] += work
+	w.total += work
+}
+
+// cache is a cache's name through its lives.
+type cache struct {
+	name       string
+	zone, cell string
+	life       *cacheLife
+	load       window
+	over       bool // its load was over the multiple when work last came
+}
+
+// cacheLife is one process of a cache. Attempts point to theirs, so its end ends them all at once.
+type cacheLife struct {
+	down      bool
+	downAt    Time
+	started   Time
+	capacity  float64 // work (µs) a second when warm; 0 where it was not told
+	coldShare float64
+	coldFor   Time
+	pushed    bool // has been reported
+}
+
+// warmth is the share of its capacity that it can do: it rises evenly from the cold share.
+func (l *cacheLife) warmth(now Time) float64 {
+	age := now - l.started
+	if age >= l.coldFor {
+		return 1
+	}
+	return l.coldShare + (1-l.coldShare)*float64(age)/float64(l.coldFor)
+}
+
+func (w *Watcher) cache(name string) *cache {
+	c := w.caches[name]
+	if c == nil {
+		c = &cache{name: name, life: &cacheLife{}}
+		c.load.init(w.set.FallFor)
+		w.caches[name] = c
+	}
+	return c
+}
+
+// Place tells the zone and the cell of a cache, for the classes whose key is known there alone. Caches
+// that were not placed are in one zone and cell.
+func (w *Watcher) Place(cache, zone, cell string) {
+	c := w.cache(cache)
+	c.zone, c.cell = zone, cell
+}
+
+// CacheUp implements Observer.
+func (w *Watcher) CacheUp(now Time, name string, capacity, coldShare float64, coldFor Time) {
+	w.advance(now)
+	c := w.cache(name)
+	if !c.life.down {
+		c.life.down, c.life.downAt = true, now // its end was not told
+	}
+	c.life = &cacheLife{started: now, capacity: capacity, coldShare: coldShare, coldFor: coldFor}
+	c.load.init(w.set.FallFor)
+	c.over = false
+}
+
+// CacheDown implements Observer.
+func (w *Watcher) CacheDown(now Time, name string, fallen bool) {
+	w.advance(now)
+	c := w.cache(name)
+	l := c.life
+	if l.down {
+		return
+	}
+	l.down, l.downAt = true, now
+	if !fallen {
+		return
+	}
+	if l.warmth(now) >= 1 {
+		w.counts.Overloads++
+		return
+	}
+	w.pushedOver(c, now, "it fell")
+}
+
+// Offered implements Observer. The work is a budget for each window: a short heavy burst can spend it
+// before the window has passed.
+func (w *Watcher) Offered(now Time, name string, work Time) {
+	w.advance(now)
+	c := w.cache(name)
+	c.load.add(now, work)
+	l := c.life
+	if w.set.FallMultiple <= 0 || l.capacity <= 0 || l.down {
+		return
+	}
+	warmth := l.warmth(now)
+	able := l.capacity * warmth * float64(w.set.FallFor) / 1e6
+	over := float64(c.load.total) > w.set.FallMultiple*(1+w.set.FallSlack)*able
+	switch {
+	case over && warmth < 1:
+		w.pushedOver(c, now, fmt.Sprintf("%.1f times what it can do, in the last %s",
+			float64(c.load.total)/able, span(w.set.FallFor)))
+	case over && !c.over:
+		w.counts.Overloads++
+	}
+	c.over = over
+}
+
+// pushedOver reports a cold cache once a life.
+func (w *Watcher) pushedOver(c *cache, now Time, how string) {
+	if c.life.pushed {
+		return
+	}
+	c.life.pushed = true
+	w.violate(nil, Violation{Rule: ColdPushedOver, At: now, Cache: c.name,
+		Text: fmt.Sprintf("%s, %s after its start", how, span(now-c.life.started))})
+}
+
+// storeLoad is what the store was asked for.
+type storeLoad struct{ all, cold window }
+
+func (s *storeLoad) init(span Time) {
+	s.all.init(span)
+	s.cold.init(span)
+}
+
+// StoreOffered implements Observer.
+func (w *Watcher) StoreOffered(now Time, work Time, cold bool) {
+	w.advance(now)
+	w.store.all.add(now, work)
+	if cold {
+		w.store.cold.add(now, work)
+	}
+}
+
+// StoreFell implements Observer.
+func (w *Watcher) StoreFell(now Time) {
+	w.advance(now)
+	w.store.all.slide(now)
+	w.store.cold.slide(now)
+	all, cold := float64(w.store.all.total), float64(w.store.cold.total)
+	if cold > w.set.StoreColdShare*all {
+		w.violate(nil, Violation{Rule: StorePushedOver, At: now,
+			Text: fmt.Sprintf("%.0f%% of its load was misses at cold caches", 100*cold/all)})
+	}
+}
--- /dev/null
+++ b/internal/rules/rules_test.go
@@ -0,0 +1,611 @@
+package rules
+
+import (
+	"slices"
+	"strings"
+	"testing"
+)
+
+const ms Time = 1000
+
+// figures are the settings of the tests: a class of each kind.
+func figures() Settings {
+	return Settings{
+		Classes: map[string]Class{
+			"read":    {Effect: Safe, Aim: 500 * ms, Deadline: 1200 * ms, Worth: 2, LateWorth: 0.5},
+			"put":     {Effect: Keyed, Scope: ScopeAll, Window: 1200 * ms, Deadline: 3000 * ms, Worth: 3},
+			"zoneput": {Effect: Keyed, Scope: ScopeZone, Window: 1200 * ms, Deadline: 3000 * ms, Worth: 3},
+			"cellput": {Effect: Keyed, Scope: ScopeCell, Window: 1200 * ms, Deadline: 3000 * ms, Worth: 3},
+			"once":    {Effect: Unsafe, Deadline: 3000 * ms, Worth: 5},
+		},
+		MaxAttempts:    3,
+		Slack:          50 * ms,
+		Flight:         20 * ms,
+		DrainGrace:     1000 * ms,
+		FallMultiple:   3,
+		FallFor:        3000 * ms,
+		StoreFallFor:   3000 * ms,
+		StoreColdShare: 0.3,
+	}
+}
+
+// scene is a watcher with short words for the events of one request "q" and others.
+type scene struct {
+	*Watcher
+	got []Violation
+}
+
+func newScene(set Settings) *scene {
+	s := &scene{}
+	s.Watcher = New(set, func(v Violation) { s.got = append(s.got, v) })
+	for _, c := range []struct{ name, zone, cell string }{
+		{"a", "north", "1"}, {"b", "north", "2"}, {"c", "south", "3"}, {"a2", "north", "1"},
+	} {
+		s.Place(c.name, c.zone, c.cell)
+	}
+	s.RouterUp(0, "r")
+	return s
+}
+
+func (s *scene) ask(at Time, id, class string) {
+	deadline := at + s.set.Classes[class].Deadline
+	s.Asked(at, Ask{ID: id, Router: "r", Class: class, Key: "key", IdemKey: "k", Sent: at, Deadline: deadline})
+}
+
+func (s *scene) attempt(at Time, cache, id, class string) Attempt {
+	return Attempt{ID: id, Key: "key", IdemKey: "k", Class: class, Router: "r", Cache: cache,
+		First: at, Last: at, Sent: at - 5*ms}
+}
+
+// begin has an attempt come that was sent 5 ms before.
+func (s *scene) begin(at Time, cache, id, class string) {
+	s.Began(at, s.attempt(at, cache, id, class))
+}
+
+func (s *scene) ran(at Time, cache, id, class string, repeat bool) {
+	s.Ran(at, s.attempt(at, cache, id, class), repeat)
+}
+
+// serve is a cache's work and reply.
+func (s *scene) serve(at Time, cache, id, class string) {
+	s.ran(at, cache, id, class, false)
+	s.Replied(at, cache, id, Served, "value of "+id)
+}
+
+func (s *scene) rules() []Rule {
+	var rules []Rule
+	for _, v := range s.got {
+		rules = append(rules, v.Rule)
+	}
+	return rules
+}
+
+// Each case breaks its rules and no other; where none is named it is the near miss of the case before it.
+var streams = []struct {
+	name   string
+	broken []Rule
+	play   func(s *scene)
+}{
+	{"no answer by the deadline", []Rule{Lost}, func(s *scene) {
+		s.ask(0, "q", "read")
+		s.Tick(1251 * ms)
+	}},
+	{"no answer yet at the deadline and its slack", nil, func(s *scene) {
+		s.ask(0, "q", "read")
+		s.Tick(1250 * ms)
+		s.Answered(1250*ms, "q", Failed, "")
+	}},
+	{"a client that gives up at its deadline was not answered", []Rule{Lost}, func(s *scene) {
+		s.ask(0, "q", "read")
+		s.Left(1200*ms, "q")
+		s.Tick(2000 * ms)
+	}},
+	{"a client that gives up before its deadline waits for nothing", nil, func(s *scene) {
+		s.ask(0, "q", "read")
+		s.Left(1199*ms, "q")
+		s.Tick(2000 * ms)
+	}},
+	{"a live router breaks the connection", []Rule{Lost}, func(s *scene) {
+		s.ask(0, "q", "read")
+		s.Broken(100*ms, "q")
+		s.Tick(1000 * ms)
+	}},
+	{"a connection breaks just before its router is known to be killed", nil, func(s *scene) {
+		s.ask(0, "q", "read")
+		s.Broken(100*ms, "q")
+		s.RouterDown(130*ms, "r", false)
+		s.Tick(2000 * ms)
+	}},
+	{"a router ends cleanly with a request unanswered", []Rule{Lost}, func(s *scene) {
+		s.ask(0, "q", "read")
+		s.RouterDown(90*ms, "r", true)
+		s.Broken(100*ms, "q")
+	}},
+	{"a killed router's silent connection", nil, func(s *scene) {
+		s.ask(0, "q", "read")
+		s.RouterDown(90*ms, "r", false)
+		s.RouterUp(200*ms, "r")
+		s.Tick(2000 * ms)
+	}},
+	{"a router that has been killed does not excuse the next one's loss", []Rule{Lost}, func(s *scene) {
+		s.RouterDown(10*ms, "r", false)
+		s.RouterUp(20*ms, "r")
+		s.ask(30*ms, "q", "read")
+		s.Tick(2000 * ms)
+	}},
+	{"a request that is written to a dead router", nil, func(s *scene) {
+		s.RouterDown(10*ms, "r", true)
+		s.ask(30*ms, "q", "read")
+		s.Tick(2000 * ms)
+	}},
+	{"a router reads a request, closes, and the client sends it again", []Rule{Lost}, func(s *scene) {
+		s.ask(0, "q", "read")
+		s.begin(10*ms, "a", "q", "read")
+		s.ask(20*ms, "q", "read")
+		s.Answered(30*ms, "q", Failed, "")
+	}},
+	{"a request crosses the close of its connection and is sent again", nil, func(s *scene) {
+		s.ask(0, "q", "read")
+		s.Broken(10*ms, "q")
+		s.ask(20*ms, "q", "read")
+		s.begin(30*ms, "a", "q", "read")
+		s.serve(40*ms, "a", "q", "read")
+		s.Answered(50*ms, "q", Served, "value of q")
+		s.Tick(2000 * ms)
+	}},
+	{"a value is cut off that its cache has given whole", []Rule{Lost}, func(s *scene) {
+		s.ask(0, "q", "read")
+		s.begin(10*ms, "a", "q", "read")
+		s.serve(40*ms, "a", "q", "read")
+		s.Answered(50*ms, "q", Cut, "")
+	}},
+	{"a value is cut off by its cache", nil, func(s *scene) {
+		s.ask(0, "q", "read")
+		s.begin(10*ms, "a", "q", "read")
+		s.Ended(40*ms, "a", "q")
+		s.Answered(50*ms, "q", Cut, "")
+	}},
+	{"an answer after the deadline and its slack", []Rule{Lost, Late}, func(s *scene) {
+		s.ask(0, "q", "read")
+		s.Answered(1251*ms, "q", Failed, "")
+	}},
+	{"an answer within the slack", nil, func(s *scene) {
+		s.ask(0, "q", "read")
+		s.Answered(1250*ms, "q", Failed, "")
+	}},
+	{"a second answer", []Rule{Doubled}, func(s *scene) {
+		s.ask(0, "q", "read")
+		s.Answered(10*ms, "q", Refused, "")
+		s.Answered(20*ms, "q", Failed, "")
+	}},
+	{"an answer to a request long forgotten", []Rule{Doubled}, func(s *scene) {
+		s.ask(0, "q", "read")
+		s.Answered(10*ms, "q", Refused, "")
+		s.Answered(60_000*ms, "q", Failed, "")
+	}},
+	{"one answer each to two requests", nil, func(s *scene) {
+		s.ask(0, "q", "read")
+		s.ask(0, "p", "read")
+		s.Answered(10*ms, "q", Refused, "")
+		s.Answered(10*ms, "p", Refused, "")
+	}},
+	{"a value made for another request", []Rule{WrongValue}, func(s *scene) {
+		s.ask(0, "q", "read")
+		s.ask(0, "p", "read")
+		s.begin(10*ms, "a", "q", "read")
+		s.begin(10*ms, "a", "p", "read")
+		s.serve(20*ms, "a", "q", "read")
+		s.serve(20*ms, "a", "p", "read")
+		s.Answered(30*ms, "q", Served, "value of p")
+		s.Answered(30*ms, "p", Served, "value of p")
+	}},
+	{"a value that no cache has made", []Rule{WrongValue}, func(s *scene) {
+		s.ask(0, "q", "read")
+		s.begin(10*ms, "a", "q", "read")
+		s.Answered(30*ms, "q", Served, "value of q")
+	}},
+	{"a served answer where the cache has failed", []Rule{WrongValue}, func(s *scene) {
+		s.ask(0, "q", "read")
+		s.begin(10*ms, "a", "q", "read")
+		s.Replied(20*ms, "a", "q", Failed, "value of q")
+		s.Answered(30*ms, "q", Served, "value of q")
+	}},
+	{"the value of one of two copies", nil, func(s *scene) {
+		s.set.Copies = true
+		s.ask(0, "q", "read")
+		s.begin(10*ms, "a", "q", "read")
+		s.begin(100*ms, "b", "q", "read")
+		s.Replied(120*ms, "b", "q", Served, "from b")
+		s.Replied(121*ms, "a", "q", Served, "from a")
+		s.Answered(130*ms, "q", Served, "from a")
+	}},
+	{"an attempt sent after the final answer", []Rule{SentAfterFinal}, func(s *scene) {
+		s.ask(0, "q", "read")
+		s.Answered(10*ms, "q", Refused, "")
+		s.begin(16*ms, "a", "q", "read")
+	}},
+	{"an attempt that was under way at the final answer", nil, func(s *scene) {
+		s.ask(0, "q", "read")
+		s.Answered(10*ms, "q", Refused, "")
+		s.begin(15*ms, "a", "q", "read")
+	}},
+	{"an attempt sent at an unknown time that came long after the final answer", []Rule{SentAfterFinal}, func(s *scene) {
+		s.ask(0, "q", "read")
+		s.Answered(10*ms, "q", Refused, "")
+		a := s.attempt(31*ms, "a", "q", "read")
+		a.Sent = a.First
+		s.Began(31*ms, a)
+	}},
+	{"an attempt sent at an unknown time that may have been in flight", nil, func(s *scene) {
+		s.ask(0, "q", "read")
+		s.Answered(10*ms, "q", Refused, "")
+		a := s.attempt(30*ms, "a", "q", "read")
+		a.Sent = a.First
+		s.Began(30*ms, a)
+	}},
+	{"an unsafe request runs twice", []Rule{UnsafeResent, EffectTwice}, func(s *scene) {
+		s.ask(0, "q", "once")
+		s.begin(10*ms, "a", "q", "once")
+		s.serve(20*ms, "a", "q", "once")
+		s.begin(30*ms, "b", "q", "once")
+		s.serve(40*ms, "b", "q", "once")
+		s.Answered(50*ms, "q", Served, "value of q")
+	}},
+	{"an unsafe request is sent again while the first attempt is out", []Rule{UnsafeResent}, func(s *scene) {
+		s.ask(0, "q", "once")
+		s.begin(10*ms, "a", "q", "once")
+		s.Ended(20*ms, "a", "q")
+		s.begin(30*ms, "b", "q", "once")
+		s.Answered(50*ms, "q", Failed, "")
+	}},
+	{"an unsafe request is sent again before the first is known to be turned away", []Rule{UnsafeResent}, func(s *scene) {
+		s.set.Copies = true
+		s.ask(0, "q", "once")
+		s.begin(10*ms, "a", "q", "once")
+		s.Replied(26*ms, "a", "q", Refused, "")
+		s.begin(30*ms, "b", "q", "once")
+		s.Answered(50*ms, "q", Failed, "")
+	}},
+	{"a cache turns an unsafe request away on a closed connection", []Rule{UnsafeResent}, func(s *scene) {
+		s.ask(0, "q", "once")
+		s.begin(10*ms, "a", "q", "once")
+		s.Ended(12*ms, "a", "q")
+		s.Replied(14*ms, "a", "q", Refused, "")
+		s.begin(30*ms, "b", "q", "once")
+		s.Answered(50*ms, "q", Failed, "")
+	}},
+	{"an unsafe request is sent again after it was turned away", nil, func(s *scene) {
+		s.ask(0, "q", "once")
+		s.begin(10*ms, "a", "q", "once")
+		s.Replied(11*ms, "a", "q", Refused, "")
+		s.begin(30*ms, "b", "q", "once")
+		s.serve(40*ms, "b", "q", "once")
+		s.Answered(50*ms, "q", Served, "value of q")
+	}},
+	{"a keyed write is sent again after its window, and runs twice", []Rule{KeyedResent, EffectTwice}, func(s *scene) {
+		s.ask(0, "q", "put")
+		s.begin(10*ms, "a", "q", "put")
+		s.serve(20*ms, "a", "q", "put")
+		s.begin(1261*ms, "b", "q", "put")
+		s.serve(1300*ms, "b", "q", "put")
+		s.Answered(1310*ms, "q", Served, "value of q")
+	}},
+	{"a keyed write is sent again just within its window", nil, func(s *scene) {
+		s.ask(0, "q", "put")
+		s.begin(10*ms, "a", "q", "put")
+		s.serve(20*ms, "a", "q", "put")
+		s.begin(1260*ms, "b", "q", "put")
+		s.ran(1270*ms, "b", "q", "put", true)
+		s.Replied(1270*ms, "b", "q", Served, "value of q")
+		s.Answered(1310*ms, "q", Served, "value of q")
+	}},
+	{"a keyed write is sent outside its zone, and runs twice", []Rule{KeyedResent, EffectTwice}, func(s *scene) {
+		s.ask(0, "q", "zoneput")
+		s.begin(10*ms, "a", "q", "zoneput")
+		s.serve(20*ms, "a", "q", "zoneput")
+		s.begin(30*ms, "c", "q", "zoneput")
+		s.serve(40*ms, "c", "q", "zoneput")
+		s.Answered(50*ms, "q", Served, "value of q")
+	}},
+	{"a keyed write is sent again within its zone", nil, func(s *scene) {
+		s.ask(0, "q", "zoneput")
+		s.begin(10*ms, "a", "q", "zoneput")
+		s.Ended(20*ms, "a", "q")
+		s.begin(30*ms, "b", "q", "zoneput")
+		s.Answered(50*ms, "q", Failed, "")
+	}},
+	{"a keyed write is sent outside its cell", []Rule{KeyedResent}, func(s *scene) {
+		s.ask(0, "q", "cellput")
+		s.begin(10*ms, "a", "q", "cellput")
+		s.Ended(20*ms, "a", "q")
+		s.begin(30*ms, "b", "q", "cellput")
+		s.Answered(50*ms, "q", Failed, "")
+	}},
+	{"a keyed write is sent again within its cell", nil, func(s *scene) {
+		s.ask(0, "q", "cellput")
+		s.begin(10*ms, "a", "q", "cellput")
+		s.Ended(20*ms, "a", "q")
+		s.begin(30*ms, "a2", "q", "cellput")
+		s.Answered(50*ms, "q", Failed, "")
+	}},
+	{"a client's own retry with the same key after its window runs again", nil, func(s *scene) {
+		for i, id := range []string{"q", "p"} {
+			at := Time(i) * 2000 * ms
+			s.ask(at, id, "put")
+			s.begin(at+10*ms, "a", id, "put")
+			s.serve(at+20*ms, "a", id, "put")
+			s.Answered(at+30*ms, id, Served, "value of "+id)
+		}
+	}},
+	{"an unsafe request is refused after it ran", []Rule{RefusedAfterRun}, func(s *scene) {
+		s.ask(0, "q", "once")
+		s.begin(10*ms, "a", "q", "once")
+		s.serve(20*ms, "a", "q", "once")
+		s.Answered(30*ms, "q", Refused, "")
+	}},
+	{"a write keyed in a zone is refused while it may run", []Rule{RefusedAfterRun}, func(s *scene) {
+		s.ask(0, "q", "zoneput")
+		s.begin(10*ms, "a", "q", "zoneput")
+		s.Answered(30*ms, "q", Refused, "")
+	}},
+	{"an unsafe request is refused with an attempt in flight", []Rule{RefusedAfterRun}, func(s *scene) {
+		s.ask(0, "q", "once")
+		s.Answered(10*ms, "q", Refused, "")
+		s.begin(14*ms, "a", "q", "once")
+	}},
+	{"an unsafe request is refused after it was turned away", nil, func(s *scene) {
+		s.ask(0, "q", "once")
+		s.begin(10*ms, "a", "q", "once")
+		s.Replied(20*ms, "a", "q", Refused, "")
+		s.Answered(30*ms, "q", Refused, "")
+	}},
+	{"a write keyed everywhere is refused while it may run", nil, func(s *scene) {
+		s.ask(0, "q", "put")
+		s.begin(10*ms, "a", "q", "put")
+		s.Answered(30*ms, "q", Refused, "")
+	}},
+	{"a second copy where none is allowed", []Rule{SecondCopy}, func(s *scene) {
+		s.ask(0, "q", "read")
+		s.begin(10*ms, "a", "q", "read")
+		s.begin(105*ms, "b", "q", "read")
+		s.Ended(171*ms, "a", "q")
+		s.Answered(200*ms, "q", Failed, "")
+	}},
+	{"the close of the first attempt is seen after the second one", nil, func(s *scene) {
+		s.ask(0, "q", "read")
+		s.begin(10*ms, "a", "q", "read")
+		s.begin(105*ms, "b", "q", "read")
+		s.Ended(170*ms, "a", "q")
+		s.Answered(200*ms, "q", Failed, "")
+	}},
+	{"a second attempt after the first one's cache went down", nil, func(s *scene) {
+		s.ask(0, "q", "read")
+		s.begin(10*ms, "a", "q", "read")
+		s.CacheDown(50*ms, "a", false)
+		s.begin(105*ms, "b", "q", "read")
+		s.Answered(200*ms, "q", Failed, "")
+	}},
+	{"a fourth attempt", []Rule{TooManyAttempts}, func(s *scene) {
+		s.ask(0, "q", "read")
+		for i := range Time(4) {
+			s.begin(i*10*ms, "a", "q", "read")
+			s.Replied(i*10*ms, "a", "q", Refused, "")
+		}
+		s.Answered(200*ms, "q", Refused, "")
+	}},
+	{"a third attempt", nil, func(s *scene) {
+		s.ask(0, "q", "read")
+		for i := range Time(3) {
+			s.begin(i*10*ms, "a", "q", "read")
+			s.Replied(i*10*ms, "a", "q", Refused, "")
+		}
+		s.Answered(200*ms, "q", Refused, "")
+	}},
+	{"new work to a draining cache after the grace", []Rule{LateDrain}, func(s *scene) {
+		s.Listed(100*ms, "r", "a", false)
+		s.Listed(900*ms, "r", "a", false)
+		s.ask(1100*ms, "q", "read")
+		s.begin(1156*ms, "a", "q", "read")
+		s.Answered(1200*ms, "q", Failed, "")
+	}},
+	{"new work to a draining cache that came back before it arrived", []Rule{LateDrain}, func(s *scene) {
+		s.Listed(100*ms, "r", "a", false)
+		s.ask(1100*ms, "q", "read")
+		s.Listed(1162*ms, "r", "a", true)
+		s.begin(1165*ms, "a", "q", "read")
+		s.Answered(1200*ms, "q", Failed, "")
+	}},
+	{"new work to a draining cache within the grace", nil, func(s *scene) {
+		s.Listed(100*ms, "r", "a", false)
+		s.ask(1100*ms, "q", "read")
+		s.begin(1155*ms, "a", "q", "read")
+		s.Answered(1200*ms, "q", Failed, "")
+	}},
+	{"new work to a cache that drained and came back", nil, func(s *scene) {
+		s.Listed(100*ms, "r", "a", false)
+		s.Listed(200*ms, "r", "a", true)
+		s.ask(1500*ms, "q", "read")
+		s.begin(1510*ms, "a", "q", "read")
+		s.Answered(1600*ms, "q", Failed, "")
+	}},
+	{"new work to a draining cache by a router that was not told", nil, func(s *scene) {
+		s.Listed(100*ms, "another", "a", false)
+		s.ask(1500*ms, "q", "read")
+		s.begin(1510*ms, "a", "q", "read")
+		s.Answered(1600*ms, "q", Failed, "")
+	}},
+	{"a cold cache gets more than its budget", []Rule{ColdPushedOver}, func(s *scene) {
+		s.CacheUp(0, "a", 1e6, 0.1, 20_000*ms) // 0.1 s of work a second at first: 0.9 s is its budget
+		s.Offered(10*ms, "a", 905*ms)
+		s.Offered(20*ms, "a", 905*ms)
+	}},
+	{"a cold cache gets less than its budget again and again", nil, func(s *scene) {
+		s.CacheUp(0, "a", 1e6, 0.1, 20_000*ms)
+		for i := range Time(5) {
+			s.Offered(i*3000*ms, "a", 900*ms)
+		}
+	}},
+	{"a cold cache falls", []Rule{ColdPushedOver}, func(s *scene) {
+		s.CacheUp(0, "a", 1e6, 0.1, 20_000*ms)
+		s.CacheDown(19_999*ms, "a", true)
+	}},
+	{"a warm cache gets too much and falls", nil, func(s *scene) {
+		s.CacheUp(0, "a", 1e6, 0.1, 20_000*ms)
+		s.Offered(20_000*ms, "a", 9001*ms)
+		s.CacheDown(20_000*ms, "a", true)
+	}},
+	{"the store falls under misses at cold caches", []Rule{StorePushedOver}, func(s *scene) {
+		s.StoreOffered(1000*ms, 69, false)
+		s.StoreOffered(1000*ms, 31, true)
+		s.StoreFell(1500 * ms)
+	}},
+	{"the store falls under what others have asked for", nil, func(s *scene) {
+		s.StoreOffered(0, 1000, true) // long before
+		s.StoreOffered(4000*ms, 70, false)
+		s.StoreOffered(4000*ms, 30, true)
+		s.StoreFell(4500 * ms)
+	}},
+	{"a cache gets what no client can have sent", []Rule{BadCommand}, func(s *scene) {
+		s.Bad(0, "a", "-SYNTAX")
+	}},
+	{"a cache gets a request of nobody", []Rule{BadCommand}, func(s *scene) {
+		s.begin(10*ms, "a", "q", "read")
+	}},
+	{"a cache gets a request under another key", []Rule{BadCommand}, func(s *scene) {
+		s.ask(0, "q", "read")
+		a := s.attempt(10*ms, "a", "q", "read")
+		a.Key = "other"
+		s.Began(10*ms, a)
+		s.Answered(20*ms, "q", Failed, "")
+	}},
+	{"a cache gets a request as its client sent it", nil, func(s *scene) {
+		s.ask(0, "q", "read")
+		s.begin(10*ms, "a", "q", "read")
+		s.Answered(20*ms, "q", Failed, "")
+	}},
+	{"a router holds too many descriptors, for a while", []Rule{TooManyOpen}, func(s *scene) {
+		s.Usage(0, "r", 101, 100)
+		s.Usage(1, "r", 102, 100)
+	}},
+	{"a router holds all the descriptors it may", nil, func(s *scene) {
+		s.Usage(0, "r", 100, 100)
+	}},
+	{"something is left in a router's maps", []Rule{LeftBehind}, func(s *scene) {
+		s.Leftover(0, "r", "requests", 1)
+	}},
+	{"nothing is left in a router's maps", nil, func(s *scene) {
+		s.Leftover(0, "r", "requests", 0)
+	}},
+}
+
+func TestEachStreamBreaksItsRulesAndNoOther(t *testing.T) {
+	shown := [ruleCount]bool{}
+	for _, c := range streams {
+		t.Run(c.name, func(t *testing.T) {
+			s := newScene(figures())
+			c.play(s)
+			s.Close(90_000 * ms)
+			if !slices.Equal(s.rules(), c.broken) {
+				t.Errorf("found %v, want %v", s.got, c.broken)
+			}
+			if counts := s.Counts(); counts.Violations() != len(c.broken) {
+				t.Errorf("counted %d, want %d", counts.Violations(), len(c.broken))
+			}
+		})
+		for _, r := range c.broken {
+			shown[r] = true
+		}
+	}
+	for r, ok := range shown {
+		if !ok {
+			t.Errorf("no stream breaks the rule %q", Rule(r))
+		}
+	}
+}
+
+func TestCountsByClassAndWorth(t *testing.T) {
+	s := newScene(figures())
+	for i, late := range []Time{100 * ms, 600 * ms} {
+		id := string(rune('a' + i))
+		s.ask(0, id, "read")
+		s.begin(10*ms, "a", id, "read")
+		s.serve(20*ms, "a", id, "read")
+		s.Answered(late, id, Served, "value of "+id)
+	}
+	s.ask(600*ms, "c", "read")
+	s.ask(600*ms, "d", "once")
+	s.Answered(700*ms, "d", Refused, "")
+	s.Close(700 * ms)
+	c := s.Counts()
+	if c.Asked != 4 || c.Served != 2 || c.InTime != 1 || c.Refused != 1 || c.Unsettled != 1 || c.Attempts != 2 {
+		t.Errorf("%+v", c)
+	}
+	if want := (2 + 2*0.5) / (3*2 + 5); c.Share() != want {
+		t.Errorf("share %v, want %v", c.Share(), want)
+	}
+	var names []string
+	for _, k := range c.Classes {
+		names = append(names, k.Class)
+	}
+	if !slices.IsSorted(names) || len(names) != 5 {
+		t.Errorf("classes %v", names)
+	}
+}
+
+func TestOverloadOfAWarmCacheIsCountedByTheSpell(t *testing.T) {
+	s := newScene(figures())
+	s.CacheUp(0, "a", 1e6, 1, 0)
+	for _, at := range []Time{0, 100 * ms, 10_000 * ms} {
+		s.Offered(at, "a", 9001*ms)
+		s.Offered(at+50*ms, "a", 0)
+	}
+	s.Offered(20_000*ms, "a", 1)
+	if n := s.Counts().Overloads; n != 1 {
+		t.Errorf("%d spells before the load fell, want 1", n)
+	}
+	s.Offered(30_000*ms, "a", 9001*ms)
+	if n := s.Counts().Overloads; n != 2 || len(s.got) > 0 {
+		t.Errorf("%d spells, violations %v, want 2 and none", n, s.got)
+	}
+}
+
+func TestRepeatThatCachesShouldHaveDroppedIsNoRoutersDoing(t *testing.T) {
+	s := newScene(figures())
+	s.ask(0, "q", "put")
+	s.begin(10*ms, "a", "q", "put")
+	s.ran(20*ms, "a", "q", "put", false)
+	s.Ended(20*ms, "a", "q")
+	s.begin(30*ms, "b", "q", "put")
+	s.ran(40*ms, "b", "q", "put", false)
+	s.Answered(50*ms, "q", Failed, "")
+	if c := s.Counts(); c.Undropped != 1 || len(s.got) != 0 {
+		t.Errorf("%d undropped, violations %v", c.Undropped, s.got)
+	}
+}
+
+func TestViolationIsOneReadableLine(t *testing.T) {
+	v := Violation{Rule: WrongValue, At: 12_345_678, Request: "q", Router: "r", Text: "no cache has served it"}
+	if got, want := v.String(), "12.345678 s: wrong value, request q, router r: no cache has served it"; got != want {
+		t.Errorf("%q, want %q", got, want)
+	}
+}
+
+func TestHistoryOfABrokenRequestIsKept(t *testing.T) {
+	s := newScene(figures())
+	s.ask(0, "q", "read")
+	s.begin(10*ms, "a", "q", "read")
+	s.Replied(20*ms, "a", "q", Failed, "")
+	s.Close(90_000 * ms)
+	want := []string{
+		"    0.000 ms  read of key asked of router r, deadline 1200.000 ms",
+		"   10.000 ms  began at cache a, sent by router r at 5.000 ms",
+		"   20.000 ms  cache a replied: failed",
+		" 1200.000 ms  BROKEN: lost",
+	}
+	if got := s.History("q"); !slices.Equal(got, want) {
+		t.Errorf("got\n%s", strings.Join(got, "\n"))
+	}
+	if got := s.History("p"); got != nil {
+		t.Errorf("the history of nobody is %v", got)
+	}
+}
