--- /dev/null
+++ b/internal/rules/answers.go
@@ -0,0 +1,77 @@
+package rules
+
+// checkAnswer judges a final answer by what the caches did.
+func (w *Watcher) checkAnswer(r *request, value string) {
+	v := Violation{At: r.finalAt}
+	switch r.final {
+	case Served:
+		if v.Text = w.wrongValue(r, value); v.Text != "" {
+			v.Rule = WrongValue
+			w.violate(r, v)
+		}
+	case Refused:
+		if r.class.refusable() {
+			return
+		}
+		for i := range r.attempts {
+			if a := &r.attempts[i]; !a.turnedAway(r.finalAt) {
+				v.Rule, v.Cache, v.Text = RefusedAfterRun, a.cache.name, "an attempt there may have run"
+				w.violate(r, v)
+				return
+			}
+		}
+	case Cut:
+		// A value that its cache did not finish either is no fault of the router.
+		for i := range r.attempts {
+			if !r.attempts[i].replied {
+				return
+			}
+		}
+		if r.life.killed {
+			return
+		}
+		r.class.tally.Lost++
+		v.Rule, v.Text = Lost, "its value was cut off, though the caches had given theirs whole"
+		w.violate(r, v)
+	}
+}
+
+// wrongValue says what is wrong with a value that a request was served with; nothing where it is right.
+func (w *Watcher) wrongValue(r *request, value string) string {
+	served := false
+	for i := range r.attempts {
+		a := &r.attempts[i]
+		if !a.replied || a.reply != Served {
+			continue
+		}
+		if a.value == value || a.dropped && len(value) > longestKept {
+			return ""
+		}
+		served = true
+	}
+	owner := w.madeFor(value)
+	switch {
+	case owner != nil:
+		return "the value was made for request " + owner.ask.ID
+	case served:
+		return "no cache has made this value for it"
+	default:
+		return "no cache has served it"
+	}
+}
+
+// madeFor finds the request, the first asked, that a cache made a value for.
+func (w *Watcher) madeFor(value string) *request {
+	var first *request
+	for _, r := range w.requests {
+		if first != nil && first.order < r.order {
+			continue
+		}
+		for i := range r.attempts {
+			if a := &r.attempts[i]; a.replied && a.reply == Served && a.value == value {
+				first = r
+			}
+		}
+	}
+	return first
+}
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -150,10 +150,10 @@
 }
 
 // LateDrains is the number of attempts begun at caches that drained or were gone.
-func (c *Counts) LateDrains() int { return c.Broken[LateDrain] }
+func (c Counts) LateDrains() int { return c.Broken[LateDrain] }
 
 // Violations is the number of broken rules.
-func (c *Counts) Violations() int {
+func (c Counts) Violations() int {
 	n := 0
 	for _, v := range c.Broken {
 		n += v
