--- /dev/null
+++ b/internal/standin/cache.go
@@ -0,0 +1,227 @@
+package standin
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"starlingwinch/internal/machine"
+	"starlingwinch/internal/rules"
+)
+
+// Cancel says what becomes of the work of a request whose connection has ended.
+type Cancel uint8
+
+const (
+	CancelNone   Cancel = iota // it goes on
+	CancelQueued               // it is dropped while it waits
+	CancelAll                  // it stops
+)
+
+// CacheOptions describe a cache server.
+type CacheOptions struct {
+	Name, Zone string
+	Group      int
+	Capacity   Capacity
+	Cancel     Cancel
+
+	MemoryKeys   int
+	Coalesce     bool // misses of one key share a fetch
+	MissHolds    bool // a request that waits for a fetch holds its slot
+	FetchTimeout Time // 0 for none
+
+	Connections   int  // 0 stands for 90
+	TellsFull     bool // a connection too many is told -BUSY before its end
+	Streams       int  // requests of one connection that are begun at once; 0 stands for 100
+	HandshakeWork Time // work that a new connection costs
+	HandshakeTime Time // the first request on it waits so long in any case
+	IdleFor       Time // a connection that stood idle so long is closed; 0 never
+
+	Probes    bool // PING and INFO are answered with care and cost work
+	ProbeWork Time
+	Reports   bool // answers hold a load report
+	ValueSize int  // of a value whose request names no size
+
+	// RouterOf names the router at a remote address, for the addresses that were opened for no router.
+	RouterOf func(remote string) string
+}
+
+// Cache is one cache server. It keeps its name and its addresses over restarts of its process.
+type Cache struct {
+	m       machine.Machine
+	o       CacheOptions
+	rng     *rand.Rand
+	obs     rules.Observer
+	load    *Workload
+	store   *Store
+	repeats *Repeats
+
+	doors   []*door
+	up      bool
+	proc    *processor
+	memory  *memory
+	fetches []*fetch // that are out, in the order in which they began
+	conns   []*cacheConn
+	calls   map[*call]struct{} // begun and not over
+	offered offeredOver
+	faults  faults
+}
+
+// door is an address that a cache listens on.
+type door struct {
+	addr, router string
+	ln           machine.Listener
+}
+
+// CacheParts are what a cache shares with others.
+type CacheParts struct {
+	Workload *Workload
+	Store    *Store
+	Repeats  *Repeats
+	Observer rules.Observer
+}
+
+// NewCache is a cache that is not started yet.
+func NewCache(m machine.Machine, o CacheOptions, parts CacheParts, rng *rand.Rand) *Cache {
+	if o.Connections == 0 {
+		o.Connections = 90
+	}
+	if o.Streams == 0 {
+		o.Streams = 100
+	}
+	c := &Cache{m: m, o: o, rng: rng, obs: seen(parts.Observer), load: parts.Workload, store: parts.Store,
+		repeats: parts.Repeats}
+	c.store.caches = append(c.store.caches, c)
+	return c
+}
+
+// Name is the cache's name.
+func (c *Cache) Name() string { return c.o.Name }
+
+// Zone is where it stands.
+func (c *Cache) Zone() string { return c.o.Zone }
+
+// Up reports whether its process runs.
+func (c *Cache) Up() bool { return c.up }
+
+// Open listens at an address and returns the one that it got. Attempts that come in there are those of
+// the router; without a name, RouterOf tells.
+func (c *Cache) Open(addr, router string) (string, error) {
+	d := &door{addr: addr, router: router}
+	if err := c.listen(d); err != nil {
+		return "", err
+	}
+	c.doors = append(c.doors, d)
+	return d.addr, nil
+}
+
+func (c *Cache) listen(d *door) error {
+	ln, err := c.m.Listen(d.addr, func(conn machine.Conn) machine.Handler { return c.accept(conn, d) })
+	if err != nil {
+		return err
+	}
+	d.ln, d.addr = ln, ln.Addr()
+	if c.faults.silent {
+		ln.Pause()
+	}
+	return nil
+}
+
+// Start starts the process. A cold one holds no key and can do little at first; a warm one that runs
+// since long ago still begins with an empty memory, which Warm fills.
+func (c *Cache) Start(cold bool) error {
+	if c.up {
+		return nil
+	}
+	c.up = true
+	c.proc = newProcessor(c.m, &c.o.Capacity, cold)
+	c.memory = newMemory(c.o.MemoryKeys)
+	c.calls = map[*call]struct{}{}
+	c.offered = offeredOver{span: c.o.Capacity.FallFor}
+	c.faults.apply(c)
+	share := 1.0
+	if c.proc.coldFor > 0 {
+		share = c.o.Capacity.ColdShare
+	}
+	warm := c.o.Capacity.Cores * c.proc.speed() * float64(Second)
+	c.obs.CacheUp(c.m.Now(), c.o.Name, warm, share, c.proc.coldFor)
+	for _, d := range c.doors {
+		if d.ln != nil {
+			continue
+		}
+		if err := c.listen(d); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Warm puts keys into the memory, the first as the one used longest ago.
+func (c *Cache) Warm(keys []string) {
+	for _, k := range keys {
+		c.memory.keep(k)
+	}
+}
+
+// Cold reports whether its process has not reached its whole capacity yet.
+func (c *Cache) Cold() bool { return c.up && c.proc.warmth() < 1 }
+
+// Holds is the number of requests that run or wait.
+func (c *Cache) Holds() int { return len(c.calls) }
+
+// Connections is the number of those that are open.
+func (c *Cache) Connections() int { return len(c.conns) }
+
+// Stop ends the process: its connections end, new ones are refused.
+func (c *Cache) Stop() { c.end(false) }
+
+// Restart ends the process and starts a new one.
+func (c *Cache) Restart(cold bool) error {
+	c.end(false)
+	return c.Start(cold)
+}
+
+func (c *Cache) end(fallen bool) {
+	if !c.up {
+		return
+	}
+	c.up = false
+	c.obs.CacheDown(c.m.Now(), c.o.Name, fallen)
+	for _, d := range c.doors {
+		if d.ln != nil {
+			d.ln.Close()
+			d.ln = nil
+		}
+	}
+	c.proc.stop()
+	for _, conn := range slices.Clone(c.conns) {
+		conn.drop()
+	}
+	for _, f := range slices.Clone(c.fetches) {
+		f.desert()
+	}
+	c.conns, c.calls, c.fetches = nil, nil, nil
+}
+
+// sent books work that it was sent, and falls over where that was too much. It reports whether the
+// process still runs.
+func (c *Cache) sent(id string, work Time) bool {
+	now := c.m.Now()
+	c.obs.Offered(now, c.o.Name, work)
+	sum := c.offered.add(now, work)
+	o := &c.o.Capacity
+	if o.FallFor > 0 && o.FallMultiple > 0 && float64(sum) > o.FallMultiple*c.proc.able()*float64(o.FallFor) {
+		c.end(true)
+	}
+	return c.up
+}
+
+// void drops the copy of a key that was written.
+func (c *Cache) void(key string) {
+	if !c.up {
+		return
+	}
+	c.memory.void(key)
+	for _, f := range c.fetches {
+		f.stale = f.stale || f.key == key
+	}
+}
--- /dev/null
+++ b/internal/standin/capacity.go
@@ -0,0 +1,307 @@
+package standin
+
+import (
+	"container/heap"
+	"math"
+
+	"starlingwinch/internal/machine"
+)
+
+// Capacity is what a cache's processor can do.
+type Capacity struct {
+	Cores float64
+	Speed float64 // of a core; 0 stands for 1
+	Slots int     // requests in work at once
+	Queue int     // requests that may wait for a slot
+
+	Thrash   float64 // share of capacity lost for each request a core held ...
+	ThrashAt float64 // ... beyond so many a core
+	FullTax  float64 // share of capacity lost when the table of connections is full
+
+	ColdShare float64 // of the capacity at a cold start, rising evenly ...
+	ColdFor   Time    // ... to the whole within this time
+
+	FallMultiple float64 // sent more than this multiple of what it can do ...
+	FallFor      Time    // ... for this long, it falls over; 0 never
+
+	Choke Choke
+}
+
+// Choke makes a cache that was crowded slow, long after the crowd has gone.
+type Choke struct {
+	At     float64 // more than Cores + At x the root of Cores held ...
+	Over   Time    // ... in the mean of this time
+	Slower float64 // makes it so many times slower; 0 never
+	Below  float64 // until its cores were busy under this share ...
+	Rest   Time    // ... for this long
+	Most   Time    // or this time is up
+}
+
+// job is a piece of work. Its zero value, with work and done, is ready for use.
+type job struct {
+	work  float64 // µs on one core
+	start func()  // it holds a slot: run, or leave it
+	done  func()  // the work is done, the slot is free again
+
+	state   jobState
+	slotted bool
+	finish  float64 // attained service at which it is done
+	seq     uint64
+	index   int // in the heap
+}
+
+type jobState uint8
+
+const (
+	idle jobState = iota
+	queued
+	held // holds a slot, does no work
+	running
+)
+
+// processor shares its cores evenly among the running jobs, each of which gets one core at the most.
+// All running jobs go at one rate, so one count of attained service orders their ends.
+type processor struct {
+	m  machine.Machine
+	o  *Capacity
+	up Time
+	// coldFor is 0 for a start that is warm.
+	coldFor Time
+
+	jobs     jobHeap
+	queue    []*job
+	slots    int // in use
+	attained float64
+	last     Time
+	rateAt   float64 // service of each job in each µs since last
+	seq      uint64
+	timer    machine.Timer
+	slow     float64 // how many times slower a fault makes it
+	choked   float64 // and a choke; 1 without
+	halted   bool
+	tax      float64 // share of the connection table that is full
+	busy     bool    // dispatch is under way
+	crowd    *crowd
+}
+
+func newProcessor(m machine.Machine, o *Capacity, cold bool) *processor {
+	p := &processor{m: m, o: o, up: m.Now(), last: m.Now(), slow: 1, choked: 1}
+	if cold {
+		p.coldFor = o.ColdFor
+	}
+	if o.Choke.Slower > 1 {
+		p.crowd = newCrowd(p)
+	}
+	return p
+}
+
+// warmth is the share of its capacity that it has by now.
+func (p *processor) warmth() float64 {
+	age := p.m.Now() - p.up
+	if age >= p.coldFor {
+		return 1
+	}
+	return p.o.ColdShare + (1-p.o.ColdShare)*float64(age)/float64(p.coldFor)
+}
+
+// able is the work it can do in each µs now, faults and crowds aside.
+func (p *processor) able() float64 { return p.o.Cores * p.speed() * p.warmth() }
+
+func (p *processor) speed() float64 {
+	if p.o.Speed > 0 {
+		return p.o.Speed
+	}
+	return 1
+}
+
+// holds is the number of requests that run or wait.
+func (p *processor) holds() int { return len(p.queue) + p.slots }
+
+func (p *processor) rate() float64 {
+	if p.halted || len(p.jobs) == 0 {
+		return 0
+	}
+	over := float64(p.holds())/p.o.Cores - p.o.ThrashAt
+	share := p.o.Cores * p.warmth() / float64(len(p.jobs))
+	if over > 0 {
+		share /= 1 + p.o.Thrash*over
+	}
+	share *= 1 - p.o.FullTax*p.tax
+	return min(1, share) * p.speed() / (p.slow * p.choked)
+}
+
+// change makes a change to what the rate depends on.
+func (p *processor) change(f func()) {
+	p.advance()
+	f()
+	p.plan()
+}
+
+// advance books the service since the last call. The rate was constant meanwhile, or nearly so.
+func (p *processor) advance() {
+	now := p.m.Now()
+	p.attained += float64(now-p.last) * p.rateAt
+	p.last = now
+}
+
+// coldStep is how long the rate is held constant while it rises.
+const coldStep = 50 * Millisecond
+
+// plan sets the timer to the next end, or to the next step of warmth.
+func (p *processor) plan() {
+	if p.timer != nil {
+		p.timer.Stop()
+		p.timer = nil
+	}
+	p.rateAt = p.rate()
+	if p.rateAt <= 0 {
+		return
+	}
+	left := (p.jobs[0].finish - p.attained) / p.rateAt
+	wait := Time(min(math.Ceil(max(left, 0)), float64(Second)*1e6))
+	if p.warmth() < 1 {
+		wait = min(wait, coldStep)
+	}
+	p.timer = p.m.At(p.m.Now()+wait, p.tick)
+}
+
+// nearly is the service that may be missing at a job's end, for the rounding of many additions.
+const nearly = 0.01
+
+func (p *processor) tick() {
+	p.timer = nil
+	p.advance()
+	for len(p.jobs) > 0 && p.jobs[0].finish <= p.attained+nearly && !p.halted {
+		j := p.jobs[0]
+		p.remove(j)
+		j.done()
+		p.advance() // done may have stopped the process or begun new work
+	}
+	p.dispatch()
+	p.plan()
+}
+
+// admit takes a job into the queue, or reports that there is no room for it.
+func (p *processor) admit(j *job) bool {
+	if p.slots >= p.o.Slots && len(p.queue) >= p.o.Queue && !p.halted {
+		return false
+	}
+	j.state, j.slotted = queued, true
+	p.change(func() { p.queue = append(p.queue, j) })
+	p.dispatch()
+	return true
+}
+
+// readmit takes a job in again that was admitted before, ahead of those that wait.
+func (p *processor) readmit(j *job) {
+	j.state = queued
+	p.change(func() { p.queue = append([]*job{j}, p.queue...) })
+	p.dispatch()
+}
+
+// beside runs a job that takes no slot.
+func (p *processor) beside(j *job) { p.run(j) }
+
+// run begins the work of a job that holds its slot, or needs none.
+func (p *processor) run(j *job) {
+	p.change(func() {
+		p.seq++
+		j.state, j.seq, j.finish = running, p.seq, p.attained+j.work
+		heap.Push(&p.jobs, j)
+	})
+}
+
+// leave takes a job out, whatever its state, and hands its slot on.
+func (p *processor) leave(j *job) {
+	if j.state == idle {
+		return
+	}
+	p.change(func() { p.remove(j) })
+	p.dispatch()
+}
+
+func (p *processor) remove(j *job) {
+	switch j.state {
+	case queued:
+		for i, q := range p.queue {
+			if q == j {
+				p.queue = append(p.queue[:i], p.queue[i+1:]...)
+				break
+			}
+		}
+	case running:
+		heap.Remove(&p.jobs, j.index)
+		fallthrough
+	case held:
+		// The danger: a job that was held when the process ended comes back to one that has no slots in use.
+		if j.slotted && p.slots > 0 {
+			p.slots--
+		}
+	}
+	j.state = idle
+}
+
+// dispatch gives free slots to those that wait.
+func (p *processor) dispatch() {
+	if p.busy {
+		return
+	}
+	p.busy = true
+	for p.slots < p.o.Slots && len(p.queue) > 0 && !p.halted {
+		j := p.queue[0]
+		p.advance()
+		p.queue = append(p.queue[:0], p.queue[1:]...)
+		j.state = held
+		p.slots++
+		p.plan()
+		j.start()
+	}
+	p.busy = false
+}
+
+// halt stops all work, or lets it go on.
+func (p *processor) halt(on bool) {
+	p.change(func() { p.halted = on })
+	p.dispatch()
+}
+
+// stop ends it for good.
+func (p *processor) stop() {
+	p.halted = true
+	for _, j := range append(p.queue, p.jobs...) {
+		j.state = idle
+	}
+	p.jobs, p.queue, p.slots = nil, nil, 0
+	if p.timer != nil {
+		p.timer.Stop()
+		p.timer = nil
+	}
+	p.crowd.stop()
+}
+
+// jobHeap orders running jobs by their ends, and those of one end by their beginnings.
+type jobHeap []*job
+
+func (h jobHeap) Len() int { return len(h) }
+func (h jobHeap) Less(i, k int) bool {
+	if h[i].finish != h[k].finish {
+		return h[i].finish < h[k].finish
+	}
+	return h[i].seq < h[k].seq
+}
+func (h jobHeap) Swap(i, k int) {
+	h[i], h[k] = h[k], h[i]
+	h[i].index, h[k].index = i, k
+}
+func (h *jobHeap) Push(x any) {
+	j := x.(*job)
+	j.index = len(*h)
+	*h = append(*h, j)
+}
+func (h *jobHeap) Pop() any {
+	old := *h
+	j := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return j
+}
--- /dev/null
+++ b/internal/standin/discovery.go
@@ -0,0 +1,439 @@
+package standin
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+
+	"starlingwinch/internal/machine"
+	"starlingwinch/internal/rules"
+)
+
+// What discovery says of a cache.
+const (
+	InService   = "in_service"
+	Terminating = "terminating"
+	Terminated  = "terminated" // among changes only
+)
+
+// Entry is a line of discovery's list.
+type Entry struct {
+	Name      string
+	Address   string
+	Addresses map[string]string // by router, where one has an address of its own
+	Zone      string
+	Type      string
+	Group     int
+	Status    string
+	Weight    float64
+	Since     Time // of the last start; 0 for long ago
+}
+
+// DiscoveryOptions describe the service.
+type DiscoveryOptions struct {
+	Delay Time // from a change to its showing in the list
+
+	CallCost Time // it works through calls in turn; each costs this ...
+	LineCost Time // ... and this for each line of the answer
+	Timeout  Time // a call that would wait longer ends with 503; 0 never
+
+	// Routers and AskEvery: a change counts as told to a router that has neither waited nor asked for so
+	// long. 0 leaves that out.
+	Routers  []string
+	AskEvery Time
+
+	// RouterOf names the router at a remote address, for the addresses that were opened for no router.
+	RouterOf func(remote string) string
+}
+
+// Discovery is the service that names the caches.
+type Discovery struct {
+	m   machine.Machine
+	o   DiscoveryOptions
+	obs rules.Observer
+
+	doors []*door
+	conns []*discoveryConn
+
+	coming  []change // changes that do not show yet, in order of time
+	timer   machine.Timer
+	lines   []*line // by name
+	index   int64
+	floor   int64 // versions up to here are answered with the whole list
+	freeAt  Time  // when the calls before are done
+	told    map[string]map[string]bool
+	callers map[string]*caller
+
+	late                 Time
+	silent, atOnce, down bool
+	resets               bool
+	bad                  BadEntry
+}
+
+// change is a change on its way into the list.
+type change struct {
+	at   Time
+	make func(d *Discovery)
+}
+
+// line is an entry with the version of its last change.
+type line struct {
+	Entry
+	version int64
+}
+
+// caller is what discovery knows of a router's calls.
+type caller struct {
+	last    Time
+	waiting int
+	timer   machine.Timer
+}
+
+// NewDiscovery is a service with an empty list, of version 1.
+func NewDiscovery(m machine.Machine, o DiscoveryOptions, obs rules.Observer) *Discovery {
+	d := &Discovery{m: m, o: o, obs: seen(obs), index: 1, told: map[string]map[string]bool{},
+		callers: map[string]*caller{}}
+	for _, r := range o.Routers {
+		d.callers[r] = &caller{last: m.Now()}
+	}
+	return d
+}
+
+// Open listens at an address and returns the one that it got. Calls that come in there are those of the
+// router; without a name, RouterOf tells.
+func (d *Discovery) Open(addr, router string) (string, error) {
+	door := &door{addr: addr, router: router}
+	if err := d.listen(door); err != nil {
+		return "", err
+	}
+	d.doors = append(d.doors, door)
+	return door.addr, nil
+}
+
+func (d *Discovery) listen(door *door) error {
+	ln, err := d.m.Listen(door.addr, func(conn machine.Conn) machine.Handler { return d.accept(conn, door) })
+	if err != nil {
+		return err
+	}
+	door.ln, door.addr = ln, ln.Addr()
+	return nil
+}
+
+// Index is the version of the list as it shows.
+func (d *Discovery) Index() int64 { return d.index }
+
+// Close ends the service.
+func (d *Discovery) Close() {
+	for _, door := range d.doors {
+		if door.ln != nil {
+			door.ln.Close()
+			door.ln = nil
+		}
+	}
+	d.endAll()
+	if d.timer != nil {
+		d.timer.Stop()
+	}
+	for _, r := range d.o.Routers {
+		if t := d.callers[r].timer; t != nil {
+			t.Stop()
+		}
+	}
+}
+
+func (d *Discovery) endAll() {
+	for _, c := range slices.Clone(d.conns) {
+		c.drop()
+	}
+}
+
+// Add puts a cache on the list.
+func (d *Discovery) Add(e Entry) { d.change(func(d *Discovery) { d.set(e) }) }
+
+// SetStatus changes what the list says of a cache.
+func (d *Discovery) SetStatus(name, status string) {
+	d.change(func(d *Discovery) {
+		if l := d.line(name); l != nil {
+			e := l.Entry
+			e.Status = status
+			d.set(e)
+		}
+	})
+}
+
+// Remove takes a cache off the list; watches are told that it is terminated.
+func (d *Discovery) Remove(name string) { d.SetStatus(name, Terminated) }
+
+// Replace takes a cache off the list and puts another on, in one change.
+func (d *Discovery) Replace(name string, e Entry) {
+	d.change(func(d *Discovery) {
+		if l := d.line(name); l != nil {
+			old := l.Entry
+			old.Status = Terminated
+			d.set(old)
+		}
+		d.set(e)
+	})
+}
+
+// change has a change show after the delay.
+func (d *Discovery) change(f func(*Discovery)) {
+	d.coming = append(d.coming, change{d.m.Now(), f})
+	d.publish()
+}
+
+// publish lets the changes show whose time has come, as one version.
+func (d *Discovery) publish() {
+	if d.timer != nil {
+		d.timer.Stop()
+		d.timer = nil
+	}
+	now, lag := d.m.Now(), d.o.Delay+d.late
+	due := 0
+	for due < len(d.coming) && d.coming[due].at+lag <= now {
+		due++
+	}
+	if due > 0 {
+		d.index++
+		for _, c := range d.coming[:due] {
+			c.make(d)
+		}
+		d.coming = d.coming[due:]
+		d.wake()
+	}
+	if len(d.coming) > 0 {
+		d.timer = d.m.At(d.coming[0].at+lag, d.publish)
+	}
+}
+
+// wake answers the watches that have something to tell, and sees to routers that do not ask.
+func (d *Discovery) wake() {
+	for _, c := range slices.Clone(d.conns) {
+		if c.call != nil && c.call.waits && c.call.after != d.index {
+			c.answer()
+		}
+	}
+	for _, r := range d.o.Routers {
+		d.overdue(r)
+	}
+}
+
+func (d *Discovery) line(name string) *line {
+	at, ok := slices.BinarySearchFunc(d.lines, name, func(l *line, n string) int { return cmp.Compare(l.Name, n) })
+	if !ok {
+		return nil
+	}
+	return d.lines[at]
+}
+
+// mostLines bounds the list together with the caches that have gone.
+const mostLines = 4096
+
+func (d *Discovery) set(e Entry) {
+	if e.Status == "" {
+		e.Status = InService
+	}
+	at, ok := slices.BinarySearchFunc(d.lines, e.Name, func(l *line, n string) int { return cmp.Compare(l.Name, n) })
+	if ok {
+		d.lines[at].Entry, d.lines[at].version = e, d.index
+		return
+	}
+	d.lines = slices.Insert(d.lines, at, &line{e, d.index})
+	if len(d.lines) > mostLines {
+		d.lines = slices.DeleteFunc(d.lines, func(l *line) bool { return l.Status == Terminated })
+		d.floor = d.index
+	}
+}
+
+// list is the body of an answer: the changes after a version, or the whole list.
+func (d *Discovery) list(router string, after int64) (body []byte, whole bool) {
+	whole = after < 0 || after < d.floor || after > d.index
+	type endpoint struct {
+		Name    string  `json:"name"`
+		Address string  `json:"address"`
+		Zone    string  `json:"zone"`
+		Type    string  `json:"type"`
+		Group   int     `json:"group"`
+		Status  string  `json:"status"`
+		Weight  float64 `json:"weight"`
+		Since   int64   `json:"since_ms"`
+	}
+	out := struct {
+		Index     int64 `json:"index"`
+		Snapshot  bool  `json:"snapshot"`
+		Endpoints []any `json:"endpoints"`
+	}{d.index, whole, []any{}}
+	for _, l := range d.lines {
+		if whole && l.Status == Terminated || !whole && l.version <= after {
+			continue
+		}
+		addr := l.Address
+		if own := l.Addresses[router]; own != "" {
+			addr = own
+		}
+		out.Endpoints = append(out.Endpoints, endpoint{l.Name, addr, l.Zone, l.Type, l.Group, l.Status, l.Weight,
+			l.Since / Millisecond})
+	}
+	if d.bad != "" {
+		out.Endpoints = append(out.Endpoints, badEntries[d.bad])
+	}
+	body, err := json.Marshal(out)
+	if err != nil { // a weight that is no number; the list's author is at fault
+		panic(err)
+	}
+	if d.bad == BadJSON {
+		body = body[:len(body)/2]
+	}
+	return body, whole
+}
+
+// listed reports what an answer has told a router: what is new to it, and in a whole list also what
+// is not on it any more.
+func (d *Discovery) listed(router string, after int64, whole bool) {
+	if d.bad != "" {
+		return // what can't be read tells nothing
+	}
+	for _, l := range d.lines {
+		if whole || l.version > after {
+			d.tell(router, l)
+		}
+	}
+}
+
+func (d *Discovery) tell(router string, l *line) {
+	told := d.told[router]
+	if told == nil {
+		told = map[string]bool{}
+		d.told[router] = told
+	}
+	works := l.Status == InService
+	was, known := told[l.Name]
+	if was == works && known || !known && l.Status == Terminated {
+		return
+	}
+	told[l.Name] = works
+	d.obs.Listed(d.m.Now(), router, l.Name, works)
+}
+
+// overdue tells the list to a router that neither waits nor asks, once it should have.
+func (d *Discovery) overdue(router string) {
+	c := d.callers[router]
+	if c.timer != nil {
+		c.timer.Stop()
+		c.timer = nil
+	}
+	if d.o.AskEvery == 0 || c.waiting > 0 {
+		return
+	}
+	if due := c.last + d.o.AskEvery; d.m.Now() < due {
+		c.timer = d.m.At(due, func() { d.overdue(router) })
+		return
+	}
+	for _, l := range d.lines {
+		d.tell(router, l)
+	}
+}
+
+// Late has changes show so much later than they would; 0 ends that, and what was held back shows.
+func (d *Discovery) Late(more Time) {
+	d.late = more
+	d.publish()
+}
+
+// Stale is Late: the list shows the caches as they were that long ago.
+func (d *Discovery) Stale(ago Time) { d.Late(ago) }
+
+// Down ends all watches. Calls are answered 503, or by the connection's end.
+func (d *Discovery) Down(on, resets bool) {
+	d.down, d.resets = on, resets
+	if !on {
+		return
+	}
+	for _, c := range slices.Clone(d.conns) {
+		if resets {
+			c.drop()
+		} else if c.call != nil {
+			c.refuse()
+		}
+	}
+}
+
+// Silent has it take calls and answer none. Those that came meanwhile are answered afterwards.
+func (d *Discovery) Silent(on bool) {
+	d.silent = on
+	if on {
+		return
+	}
+	for _, c := range slices.Clone(d.conns) {
+		c.Readable()
+	}
+	d.wake()
+}
+
+// AnswerAtOnce has watches answered without a wait, with nothing new.
+func (d *Discovery) AnswerAtOnce(on bool) {
+	d.atOnce = on
+	if !on {
+		return
+	}
+	for _, c := range slices.Clone(d.conns) {
+		if c.call != nil && c.call.waits {
+			c.answer()
+		}
+	}
+}
+
+// VersionBack sets the list's version back, as a service does that has lost its memory.
+func (d *Discovery) VersionBack(n int64) {
+	d.index = max(1, d.index-n)
+	for _, l := range d.lines {
+		l.version = min(l.version, d.index)
+	}
+	d.wake()
+}
+
+// Move closes the addresses and every connection, and opens others, one for each of those before.
+func (d *Discovery) Move(addrs []string) ([]string, error) {
+	d.endAll()
+	var got []string
+	for i, door := range d.doors {
+		if door.ln != nil {
+			door.ln.Close()
+			door.ln = nil
+		}
+		if i >= len(addrs) {
+			continue
+		}
+		door.addr = addrs[i]
+		if err := d.listen(door); err != nil {
+			return nil, err
+		}
+		got = append(got, door.addr)
+	}
+	return got, nil
+}
+
+// BadEntry is something that no list may hold.
+type BadEntry string
+
+// What can be wrong with a list.
+const (
+	BadName    BadEntry = "name"
+	BadAddress BadEntry = "address"
+	BadStatus  BadEntry = "status"
+	BadSince   BadEntry = "since"
+	BadShape   BadEntry = "shape"
+	BadJSON    BadEntry = "json" // it ends in the middle
+)
+
+var badEntries = map[BadEntry]any{
+	BadName:    map[string]any{"name": "", "address": "127.0.0.1:1", "status": InService},
+	BadAddress: map[string]any{"name": "s-bad", "address": "nowhere", "status": InService},
+	BadStatus:  map[string]any{"name": "s-bad", "address": "127.0.0.1:1", "status": "asleep"},
+	BadSince:   map[string]any{"name": "s-bad", "address": "127.0.0.1:1", "status": InService, "since_ms": -5},
+	BadShape:   "s-bad",
+	BadJSON:    map[string]any{},
+}
+
+// Spoil has every answer hold something that no list may hold; the empty string ends that.
+func (d *Discovery) Spoil(how BadEntry) { d.bad = how }
--- /dev/null
+++ b/internal/standin/keys.go
@@ -0,0 +1,60 @@
+package standin
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+)
+
+// Keys is a space of keys of which few are popular: the one of rank i is asked for in proportion to
+// 1/(i+offset)^exponent.
+type Keys struct {
+	sums []float64
+	salt uint64
+	hot  int     // keys that draw more than their part for now
+	more float64 // and the share that they draw
+}
+
+// NewKeys is a space of n keys.
+func NewKeys(n int, exponent, offset float64, rng *rand.Rand) *Keys {
+	k := &Keys{sums: make([]float64, n), salt: rng.Uint64()}
+	sum := 0.0
+	for i := range k.sums {
+		sum += math.Pow(float64(i)+max(offset, 1), -exponent)
+		k.sums[i] = sum
+	}
+	return k
+}
+
+// Heat has so many keys draw a share of all requests besides; 0 ends that.
+func (k *Keys) Heat(keys int, share float64) { k.hot, k.more = keys, share }
+
+// Draw is the key of a request.
+func (k *Keys) Draw(rng *rand.Rand) string {
+	if k.hot > 0 && chance(rng, k.more) {
+		return k.Name(len(k.sums) + rng.IntN(k.hot)) // unknown to any cache so far
+	}
+	at, _ := slices.BinarySearch(k.sums, rng.Float64()*k.sums[len(k.sums)-1])
+	return k.Name(min(at, len(k.sums)-1))
+}
+
+// Name is the key of that rank, 16 hexadecimal digits.
+func (k *Keys) Name(rank int) string { return fmt.Sprintf("%016x", mix(k.salt+uint64(rank))) }
+
+// Popular is the names of the first n keys, the most popular last.
+func (k *Keys) Popular(n int) []string {
+	var names []string
+	for i := min(n, len(k.sums)) - 1; i >= 0; i-- {
+		names = append(names, k.Name(i))
+	}
+	return names
+}
+
+// mix is the finisher of splitmix64: close numbers become far ones, and no two become one.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/internal/standin/resp.go
@@ -0,0 +1,203 @@
+package standin
+
+import (
+	"bytes"
+	"errors"
+	"strings"
+)
+
+// Bounds of what comes from a socket. RESP's lengths are read here, strictly: a router that sends a
+// sign, a space or a leading zero in one is at fault and must be told so.
+const (
+	mostArgs  = 16
+	mostWord  = 1 << 10
+	mostValue = 64 << 10
+	mostLine  = 512
+	// mostCommand holds the longest legal command: its words, its value and their lengths.
+	mostCommand = mostValue + mostArgs*(mostWord+16)
+)
+
+var (
+	errLength = errors.New("bad length")
+	errForm   = errors.New("neither an answer nor a command")
+)
+
+// length reads a header such as "$12\r\n" at b[at:]. next is 0 while it is not whole. null is -1.
+func length(b []byte, at int, kind byte, most int) (n, next int, err error) {
+	if at >= len(b) {
+		return 0, 0, nil
+	}
+	if b[at] != kind {
+		return 0, 0, errForm
+	}
+	rest := b[at+1:]
+	end := bytes.IndexByte(rest, '\n')
+	digits := rest
+	if end >= 0 {
+		if end == 0 || rest[end-1] != '\r' {
+			return 0, 0, errLength
+		}
+		digits = rest[:end-1]
+	}
+	if len(digits) > 8 {
+		return 0, 0, errLength
+	}
+	if end < 0 {
+		return 0, 0, nil
+	}
+	if string(digits) == "-1" {
+		return -1, at + 1 + end + 1, nil
+	}
+	size, ok := number(digits)
+	if !ok || size > int64(most) {
+		return 0, 0, errLength
+	}
+	return int(size), at + 1 + end + 1, nil
+}
+
+// number reads decimal digits without a sign or a leading zero, nine of them at most.
+func number(b []byte) (int64, bool) {
+	if len(b) == 0 || len(b) > 9 || b[0] == '0' && len(b) > 1 {
+		return 0, false
+	}
+	n := int64(0)
+	for _, c := range b {
+		if c < '0' || c > '9' {
+			return 0, false
+		}
+		n = n*10 + int64(c-'0')
+	}
+	return n, true
+}
+
+// bulk reads a bulk string at b[at:]. next is 0 while it is not whole; null tells that it is null.
+func bulk(b []byte, at, most int) (data []byte, next int, null bool, err error) {
+	n, from, err := length(b, at, '$', most)
+	if err != nil || from == 0 {
+		return nil, 0, false, err
+	}
+	if n < 0 {
+		return nil, from, true, nil
+	}
+	end := from + n
+	if end < len(b) && b[end] != '\r' || end+1 < len(b) && b[end+1] != '\n' {
+		return nil, 0, false, errLength
+	}
+	if end+2 > len(b) {
+		return nil, 0, false, nil
+	}
+	return b[from:end], end + 2, false, nil
+}
+
+// readCommand takes one command, an array of bulk strings, off b. used is 0 while it is not whole.
+func readCommand(b []byte) (args [][]byte, used int, err error) {
+	n, at, err := length(b, 0, '*', mostArgs)
+	if err != nil || at == 0 {
+		return nil, 0, err
+	}
+	if n <= 0 {
+		return nil, 0, errLength
+	}
+	for i := range n {
+		most := mostWord
+		if i == valueArg {
+			most = mostValue
+		}
+		arg, next, null, err := bulk(b, at, most)
+		if err != nil || null {
+			return nil, 0, errLength
+		}
+		if next == 0 {
+			return nil, 0, nil
+		}
+		args, at = append(args, arg), next
+	}
+	return args, at, nil
+}
+
+// Places of a request's words.
+const (
+	keyArg   = 1
+	idArg    = 2
+	metaArg  = 3
+	valueArg = 4
+)
+
+// ask is a request as it stands on the wire.
+type ask struct {
+	write         bool
+	key, id       string
+	class, tenant string
+	idem          string // k
+	wait          Time   // d
+	size          int
+	retry         bool
+	hint          Time // h
+}
+
+// parseAsk reads a request's words. The error says what no client sends.
+func parseAsk(args [][]byte) (ask, error) {
+	var a ask
+	a.write = string(args[0]) == "C.SET"
+	want := valueArg
+	if a.write {
+		want++
+	}
+	if len(args) != want {
+		return a, errors.New("wrong number of words")
+	}
+	a.key, a.id = string(args[keyArg]), string(args[idArg])
+	if a.key == "" || a.id == "" {
+		return a, errors.New("key or id is empty")
+	}
+	return a, a.parseMeta(string(args[metaArg]))
+}
+
+func (a *ask) parseMeta(text string) error {
+	seen := map[string]bool{}
+	for _, pair := range strings.Split(text, ",") {
+		name, value, ok := strings.Cut(pair, "=")
+		if !ok || value == "" || seen[name] {
+			return errors.New("bad entry among the names and values")
+		}
+		seen[name] = true
+		if err := a.setMeta(name, value); err != nil {
+			return err
+		}
+	}
+	if !seen["c"] || !seen["d"] {
+		return errors.New("c and d are needed")
+	}
+	return nil
+}
+
+func (a *ask) setMeta(name, value string) error {
+	switch name {
+	case "c":
+		a.class = value
+		return nil
+	case "t":
+		a.tenant = value
+		return nil
+	case "k":
+		a.idem = value
+		return nil
+	}
+	n, ok := number([]byte(value))
+	if !ok {
+		return errors.New(name + " is no number, or unknown")
+	}
+	switch name {
+	case "d":
+		a.wait = n * Millisecond
+	case "h":
+		a.hint = n
+	case "r":
+		a.retry = n == 1
+	case "size":
+		a.size = int(min(n, mostValue))
+	default:
+		return errors.New("unknown name " + name)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/tally.go
@@ -0,0 +1,67 @@
+package standin
+
+import "math"
+
+// Tally counts how the requests of a class ended. A client's retries belong to its first try.
+type Tally struct {
+	Class    string
+	Requests int
+	InAim    int // served within the aim
+	Late     int // served after it
+	Refused  int
+	Failed   int
+	Lost     int // the connection ended with no whole answer, or no answer came in time
+	Left     int // the client left early
+
+	Tries   int // written to a router
+	Resent  int // once more, because the router closed the connection before it read them
+	Latency Histogram
+	Earned  float64 // worth of the served
+	Offered float64 // worth of all
+}
+
+// Histogram counts times in fixed buckets, each a fifth wider than the one before.
+type Histogram struct {
+	Counts [buckets]int
+	N      int
+}
+
+const (
+	buckets    = 72
+	firstBound = 100.0 // µs; the last bound is about 40 s
+	bucketStep = 1.2
+)
+
+// Add counts a time.
+func (h *Histogram) Add(t Time) {
+	at := 0
+	if float64(t) > firstBound {
+		at = int(math.Ceil(math.Log(float64(t)/firstBound) / math.Log(bucketStep)))
+	}
+	h.Counts[min(at, buckets-1)]++
+	h.N++
+}
+
+// Quantile is a bound that a share q of the times do not exceed; 0 where there are none.
+func (h *Histogram) Quantile(q float64) Time {
+	need, have := int(math.Ceil(q*float64(h.N))), 0
+	for i, n := range h.Counts {
+		if have += n; have >= need && have > 0 {
+			return Time(firstBound * math.Pow(bucketStep, float64(i)))
+		}
+	}
+	return 0
+}
+
+// Service is the worth earned over the worth asked for, of several tallies; 1 where nothing was asked.
+func Service(all []*Tally) float64 {
+	earned, offered := 0.0, 0.0
+	for _, t := range all {
+		earned += t.Earned
+		offered += t.Offered
+	}
+	if offered == 0 {
+		return 1
+	}
+	return earned / offered
+}
