--- /dev/null
+++ b/internal/standin/capacity_test.go
@@ -0,0 +1,331 @@
+package standin
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+)
+
+// finish asks for n warm keys at once and returns when the last answer came, after the start.
+func (s *stand) finish(t *testing.T, n int) Time {
+	t.Helper()
+	w := s.dial(t, s.addr)
+	began := s.now
+	for i := range n {
+		s.c.Warm([]string{"k"})
+		w.send(t, get("k", fmt.Sprintf("%d-%d", began, i)))
+	}
+	for len(w.take()) >= 0 && s.c.Holds() > 0 || s.now == began {
+		s.run(t, Millisecond)
+		if s.now-began > 100*Second {
+			t.Fatal("never done")
+		}
+	}
+	return s.now - began
+}
+
+func near(t *testing.T, what string, got, want, slack Time) {
+	t.Helper()
+	if got < want-slack || got > want+slack {
+		t.Errorf("%s took %d µs, want %d ± %d", what, got, want, slack)
+	}
+}
+
+func TestRequestGetsOneCoreAtMostAndSharesWhenThereAreMore(t *testing.T) {
+	s := newStand(t, cacheOptions())
+	near(t, "one request of 60 ms", s.finish(t, 1), 60*Millisecond, 2*Millisecond)
+	near(t, "six on six cores", s.finish(t, 6), 60*Millisecond, 2*Millisecond)
+	near(t, "twelve on six cores", s.finish(t, 12), 120*Millisecond, 2*Millisecond)
+}
+
+func TestRequestsBeyondTheSlotsWaitAndBeyondTheQueueAreTurnedAway(t *testing.T) {
+	o := cacheOptions()
+	o.Capacity.Slots, o.Capacity.Queue = 2, 3
+	s := newStand(t, o)
+	s.c.Warm([]string{"k"})
+	w := s.dial(t, s.addr)
+	for i := range 7 {
+		w.send(t, get("k", fmt.Sprint(i)))
+	}
+	s.run(t, Second)
+	for i := range 7 {
+		want := "served"
+		if i >= 5 {
+			want = "refused"
+		}
+		s.notes.has(t, fmt.Sprintf("replied %d %s", i, want), 1)
+	}
+}
+
+func TestColdCacheRisesEvenlyToItsWholeCapacity(t *testing.T) {
+	s := newStand(t, cacheOptions())
+	if err := s.c.Restart(true); err != nil {
+		t.Fatal(err)
+	}
+	near(t, "six at the start", s.finish(t, 6), 359*Millisecond, 8*Millisecond)
+	s.run(t, 10*Second-375*Millisecond)
+	near(t, "six half way", s.finish(t, 6), 103*Millisecond, 3*Millisecond)
+	s.run(t, 10*Second)
+	near(t, "six when warm", s.finish(t, 6), 60*Millisecond, 2*Millisecond)
+}
+
+func TestCrowdedCacheThrashes(t *testing.T) {
+	o := cacheOptions()
+	o.Capacity.Thrash, o.Capacity.ThrashAt = 0.5, 2
+	s := newStand(t, o)
+	near(t, "twelve, two a core", s.finish(t, 12), 120*Millisecond, 2*Millisecond)
+	if got := s.finish(t, 24); got < 300*Millisecond {
+		t.Errorf("24 requests took %d µs: no thrash", got)
+	}
+}
+
+// overload sends work at a multiple of what a cold cache can do, for a time, and reports whether it fell.
+func overload(t *testing.T, multiple float64, d Time) bool {
+	t.Helper()
+	o := cacheOptions()
+	o.Capacity.ColdFor, o.Streams = 1000*Second, 10_000 // its capacity hardly moves
+	s := newStand(t, o)
+	s.c.Restart(true)
+	const each = 60 * Millisecond
+	gap := Time(float64(each) / (multiple * 6 * 0.16))
+	w := s.dial(t, s.addr)
+	for at := Time(0); at < d && s.c.Up(); at += gap {
+		w.send(t, get("k", fmt.Sprint(at)))
+		s.run(t, gap)
+		w.take()
+	}
+	if s.c.Up() {
+		return false
+	}
+	s.notes.has(t, "down s-1 fallen true", 1)
+	s.run(t, 60*Second)
+	if s.c.Up() || w.end == nil || s.dial(t, s.addr).err == nil {
+		t.Error("what has fallen over does not stay down")
+	}
+	return true
+}
+
+func TestCacheFallsOverAtMoreThanThreeTimesItsCapacityForThreeSeconds(t *testing.T) {
+	for _, c := range []struct {
+		multiple float64
+		d        Time
+		falls    bool
+	}{{3.2, 3500 * Millisecond, true}, {2.5, 30 * Second, false}, {3.2, 2500 * Millisecond, false},
+		{8, 1500 * Millisecond, true}} {
+		if got := overload(t, c.multiple, c.d); got != c.falls {
+			t.Errorf("%.1f times for %d µs: fell %t, want %t", c.multiple, c.d, got, c.falls)
+		}
+	}
+}
+
+func TestChokedCacheStaysSlowUntilItHasRested(t *testing.T) {
+	o := cacheOptions()
+	o.Capacity.Choke = Choke{At: 4, Over: Second, Slower: 3, Below: 0.3, Rest: 3 * Second, Most: 30 * Second}
+	s := newStand(t, o)
+	s.c.Warm([]string{"k"})
+	w := s.dial(t, s.addr)
+	for i := range 300 {
+		w.send(t, get("k", fmt.Sprint(i)))
+	}
+	s.run(t, 4*Second)
+	if s.c.proc.choked != 3 {
+		t.Fatal("a crowd of 300 for three seconds did not choke it")
+	}
+	for s.c.Holds() > 0 {
+		s.run(t, 100*Millisecond)
+	}
+	near(t, "right after the crowd", s.finish(t, 1), 180*Millisecond, 2*Millisecond)
+	s.run(t, 4*Second)
+	near(t, "after its rest", s.finish(t, 1), 60*Millisecond, 2*Millisecond)
+	s.c.Stop()
+	s.run(t, Second)
+	for _, e := range s.events {
+		if e.f != nil && e.at < s.now+10*Second {
+			t.Error("a stopped cache still has a timer")
+		}
+	}
+}
+
+func TestMemoryDropsTheKeyUsedLongestAgo(t *testing.T) {
+	m := newMemory(2)
+	m.keep("a")
+	m.keep("b")
+	m.use("a")
+	m.keep("c")
+	if !m.use("a") || m.use("b") || !m.use("c") {
+		t.Error("b was used longest ago, and something else went")
+	}
+	m.void("a")
+	if m.use("a") {
+		t.Error("a is void and still held")
+	}
+}
+
+func TestWorkOfARequestIsTheSameAtEveryCacheAndHasItsMean(t *testing.T) {
+	classes := DefaultClasses()
+	w := NewWorkload(classes, chanceOf(5))
+	if w.Of("log-page", "x") != w.Of("log-page", "x") || w.Of("log-page", "x") == w.Of("log-page", "y") {
+		t.Error("the work does not follow the id")
+	}
+	sum := Time(0)
+	const n = 200_000
+	for i := range n {
+		sum += w.Of("call-lookup", fmt.Sprint(i))
+	}
+	near(t, "the mean", sum/n, classes[0].Work, classes[0].Work/20)
+}
+
+func TestConcurrentMissesShareAFetchWhereTheyMay(t *testing.T) {
+	for _, joint := range []bool{true, false} {
+		o := cacheOptions()
+		o.Coalesce = joint
+		s := newStand(t, o)
+		w := s.dial(t, s.addr)
+		w.send(t, get("k", "a")+get("k", "b"))
+		s.run(t, Millisecond)
+		want := 2
+		if joint {
+			want = 1
+		}
+		if s.store.Busy() != want {
+			t.Errorf("joint %t: %d fetches are out", joint, s.store.Busy())
+		}
+		s.run(t, Second)
+		expect(t, "answers", w.take(), hit("k", "a", "miss")+hit("k", "b", "pending"))
+	}
+}
+
+func TestWriteVoidsTheCopiesOfAllCaches(t *testing.T) {
+	s := newStand(t, cacheOptions())
+	o := cacheOptions()
+	o.Name = "s-2"
+	other, addr := s.another(t, o)
+	other.Warm([]string{"k"})
+	w, v := s.dial(t, s.addr), s.dial(t, addr)
+	w.send(t, put("k", "i1", "x"))
+	s.run(t, Second)
+	expect(t, "receipt", w.take(), served("w", "k", "i1", ""))
+	v.send(t, get("k", "i2"))
+	s.run(t, Second)
+	expect(t, "the read after it", v.take(), hit("k", "i2", "miss"))
+}
+
+func TestCopyThatWasWrittenWhileItWasFetchedIsNotKept(t *testing.T) {
+	s := newStand(t, cacheOptions())
+	w := s.dial(t, s.addr)
+	w.send(t, get("k", "a"))
+	s.run(t, 10*Millisecond)
+	s.c.void("k")
+	s.run(t, Second)
+	w.send(t, get("k", "b"))
+	s.run(t, Second)
+	expect(t, "answers", w.take(), hit("k", "a", "miss")+hit("k", "b", "miss"))
+}
+
+func TestRepeatIsDroppedInsideItsWindowAndRunsAfterIt(t *testing.T) {
+	for _, c := range []struct {
+		after  Time
+		repeat bool
+	}{{50 * Millisecond, true}, {1100 * Millisecond, true}, {1300 * Millisecond, false}} {
+		s := newStand(t, cacheOptions())
+		o := cacheOptions()
+		o.Name = "s-2"
+		_, addr := s.another(t, o)
+		w, v := s.dial(t, s.addr), s.dial(t, addr)
+		w.send(t, put("k", "i1", "x"))
+		s.run(t, c.after)
+		v.send(t, put("k", "i2", "x"))
+		s.run(t, 2*Second)
+		s.notes.has(t, "ran i1 repeat false", 1)
+		s.notes.has(t, fmt.Sprintf("ran i2 repeat %t", c.repeat), 1)
+		expect(t, "the repeat's answer", v.take(), served("w", "k", "i2", ""))
+	}
+}
+
+func TestWriteStoppedBeforeItRanIsNotARepeat(t *testing.T) {
+	s := newStand(t, cacheOptions())
+	w, v := s.dial(t, s.addr), s.dial(t, s.addr)
+	w.send(t, put("k", "i1", "x"))
+	s.run(t, 50*Millisecond) // half of its work
+	w.conn.Close()
+	v.send(t, put("k", "i2", "x"))
+	s.run(t, Second)
+	s.notes.has(t, "ran i1 repeat false", 0)
+	s.notes.has(t, "ran i2 repeat false", 1)
+}
+
+func TestStoreFailsWhatItCannotQueue(t *testing.T) {
+	s := newStand(t, cacheOptions())
+	s.store.o.Places, s.store.o.Queue = 1, 1
+	w := s.dial(t, s.addr)
+	w.send(t, get("a", "1")+get("b", "2")+get("c", "3"))
+	s.run(t, 2*Second)
+	expect(t, "answers", w.take(), hit("a", "1", "miss")+hit("b", "2", "miss")+"-ERR failed\r\n")
+}
+
+func TestStoreStopsUnderMoreThanThreeTimesItsCapacity(t *testing.T) {
+	for _, multiple := range []float64{2.5, 3.2} {
+		l := newLab()
+		n := &notes{l: l}
+		s := NewStore(l, StoreOptions{Places: 2, Latency: 80 * Millisecond, Queue: 1000, FallMultiple: 3,
+			FallFor: 3 * Second, DownLeast: 5 * Second, DownMost: 5 * Second}, chanceOf(1), n)
+		ok, failed := 0, 0
+		gap := Time(float64(80*Millisecond) / (2 * multiple))
+		for at := Time(0); at < 4*Second && !s.Down(); at += gap {
+			s.call("k", false, true, func(done bool) {
+				if done {
+					ok++
+				} else {
+					failed++
+				}
+			})
+			l.run(t, gap)
+		}
+		n.has(t, "store fell", map[bool]int{true: 1}[multiple > 3])
+		l.run(t, 6*Second)
+		if s.Down() || ok == 0 || (failed > 0) != (multiple > 3) {
+			t.Errorf("%.1f times: down %t, %d done, %d failed", multiple, s.Down(), ok, failed)
+		}
+	}
+}
+
+func TestStoreGoesOnWithAbandonedWorkWhereItDoes(t *testing.T) {
+	for _, goesOn := range []bool{false, true} {
+		s := newStand(t, cacheOptions())
+		s.store.o.GoesOn = goesOn
+		w := s.dial(t, s.addr)
+		w.send(t, get("k", "i"))
+		s.run(t, Millisecond)
+		w.conn.Close()
+		s.run(t, Millisecond)
+		if got := s.store.Busy() == 1; got != goesOn {
+			t.Errorf("goes on %t: %d fetches are out", goesOn, s.store.Busy())
+		}
+	}
+}
+
+func TestFetchRunsOutOfTime(t *testing.T) {
+	o := cacheOptions()
+	o.FetchTimeout = 50 * Millisecond
+	s := newStand(t, o)
+	w := s.dial(t, s.addr)
+	w.send(t, get("k", "i"))
+	s.run(t, 51*Millisecond)
+	expect(t, "answer", w.take(), "-ERR failed\r\n")
+}
+
+func TestMissHoldsItsSlotWhereItDoes(t *testing.T) {
+	for _, holds := range []bool{false, true} {
+		o := cacheOptions()
+		o.MissHolds, o.Capacity.Slots = holds, 1
+		s := newStand(t, o)
+		s.c.Warm([]string{"warm"})
+		w, v := s.dial(t, s.addr), s.dial(t, s.addr)
+		w.send(t, get("cold", "a"))
+		v.send(t, get("warm", "b"))
+		s.run(t, 70*Millisecond)
+		if got := strings.HasPrefix(v.take(), "*"); got == holds {
+			t.Errorf("holds %t: the second request was served %t meanwhile", holds, got)
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/discovery_test.go
@@ -0,0 +1,285 @@
+package standin
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+)
+
+// registry is a discovery service in a lab, with one cache on its list.
+type registry struct {
+	*lab
+	d     *Discovery
+	notes *notes
+	addr  string
+}
+
+func newRegistry(t *testing.T, o DiscoveryOptions) *registry {
+	t.Helper()
+	l := newLab()
+	r := &registry{lab: l, notes: &notes{l: l}}
+	r.d = NewDiscovery(l, o, r.notes)
+	var err error
+	if r.addr, err = r.d.Open("127.0.0.1:0", "r-1"); err != nil {
+		t.Fatal(err)
+	}
+	r.d.Add(Entry{Name: "s-1", Address: "10.1.0.1:1", Zone: "a", Type: "m", Group: 2, Weight: 1})
+	l.run(t, o.Delay)
+	return r
+}
+
+func hosts(query string) string {
+	return "GET /discovery/hosts" + query + " HTTP/1.1\r\nHost: d\r\n\r\n"
+}
+
+// body is the body of the one answer that has come.
+func body(t *testing.T, w *peer) string {
+	t.Helper()
+	got := w.take()
+	head, rest, ok := strings.Cut(got, "\r\n\r\n")
+	if !ok || !strings.HasPrefix(head, "HTTP/1.1 200 OK\r\n") ||
+		!strings.Contains(head, fmt.Sprintf("Content-Length: %d", len(rest))) {
+		t.Errorf("not one whole answer: %q", got)
+	}
+	return rest
+}
+
+func entry(name, addr, status string) string {
+	return fmt.Sprintf(`{"name":%q,"address":%q,"zone":"a","type":"m","group":2,"status":%q,"weight":1,"since_ms":0}`,
+		name, addr, status)
+}
+
+func listOf(index int, whole bool, entries ...string) string {
+	return fmt.Sprintf(`{"index":%d,"snapshot":%t,"endpoints":[%s]}`, index, whole, strings.Join(entries, ","))
+}
+
+var first = entry("s-1", "10.1.0.1:1", InService)
+
+func TestWholeListAndWatchOnChanges(t *testing.T) {
+	r := newRegistry(t, DiscoveryOptions{})
+	w := r.dial(t, r.addr)
+	w.send(t, hosts(""))
+	r.run(t, 0)
+	expect(t, "the whole list", body(t, w), listOf(2, true, first))
+	r.notes.has(t, "listed r-1 s-1 true", 1)
+
+	w.send(t, hosts("?after=2&wait_ms=20000"))
+	r.run(t, 19*Second)
+	expect(t, "a watch with nothing to tell", w.take(), "")
+	r.run(t, 2*Second)
+	expect(t, "when its time is up", body(t, w), listOf(2, false))
+
+	w.send(t, hosts("?after=2&wait_ms=20000"))
+	r.run(t, Second)
+	r.d.SetStatus("s-1", Terminating)
+	r.run(t, 0)
+	expect(t, "a change", body(t, w), listOf(3, false, entry("s-1", "10.1.0.1:1", Terminating)))
+	r.notes.has(t, "listed r-1 s-1 false", 1)
+
+	r.d.Remove("s-1")
+	w.send(t, hosts("?after=3&wait_ms=20000"))
+	r.run(t, 0)
+	expect(t, "its end among changes", body(t, w), listOf(4, false, entry("s-1", "10.1.0.1:1", Terminated)))
+	w.send(t, hosts(""))
+	r.run(t, 0)
+	expect(t, "and not on the whole list", body(t, w), listOf(4, true))
+}
+
+func TestReplacementIsOneChange(t *testing.T) {
+	r := newRegistry(t, DiscoveryOptions{})
+	r.d.Replace("s-1", Entry{Name: "s-0", Addresses: map[string]string{"r-1": "10.1.0.2:1"}, Address: "10.1.0.3:1",
+		Zone: "a", Type: "m", Group: 2, Weight: 1})
+	w := r.dial(t, r.addr)
+	w.send(t, hosts("?after=2&wait_ms=1"))
+	r.run(t, 0)
+	expect(t, "both lines", body(t, w), listOf(3, false, entry("s-0", "10.1.0.2:1", InService),
+		entry("s-1", "10.1.0.1:1", Terminated)))
+}
+
+func TestChangesShowLateAndStaleOnesLater(t *testing.T) {
+	r := newRegistry(t, DiscoveryOptions{Delay: 2 * Second})
+	w := r.dial(t, r.addr)
+	w.send(t, hosts("?after=2&wait_ms=60000"))
+	r.d.SetStatus("s-1", Terminating)
+	r.run(t, 1900*Millisecond)
+	expect(t, "before the delay", w.take(), "")
+	r.run(t, 200*Millisecond)
+	expect(t, "after it", body(t, w), listOf(3, false, entry("s-1", "10.1.0.1:1", Terminating)))
+
+	r.d.Stale(5 * Second)
+	r.d.SetStatus("s-1", InService)
+	w.send(t, hosts("?after=3&wait_ms=60000"))
+	r.run(t, 6900*Millisecond)
+	expect(t, "while stale", w.take(), "")
+	r.run(t, 200*Millisecond)
+	expect(t, "so much later", body(t, w), listOf(4, false, first))
+	r.d.SetStatus("s-1", Terminating)
+	r.run(t, 3*Second)
+	r.d.Stale(0)
+	if r.d.Index() != 5 {
+		t.Error("what was held back does not show once the list is fresh again")
+	}
+}
+
+func TestVersionThatIsAheadOfTheListGetsTheWholeList(t *testing.T) {
+	r := newRegistry(t, DiscoveryOptions{})
+	r.d.SetStatus("s-1", Terminating)
+	r.d.SetStatus("s-1", InService)
+	w := r.dial(t, r.addr)
+	w.send(t, hosts("?after=4&wait_ms=60000"))
+	r.run(t, Second)
+	expect(t, "while versions agree", w.take(), "")
+	r.d.VersionBack(2)
+	r.run(t, 0)
+	expect(t, "once the version went back", body(t, w), listOf(2, true, first))
+}
+
+func TestDiscoveryThatIsDownAnswers503OrResets(t *testing.T) {
+	r := newRegistry(t, DiscoveryOptions{})
+	w := r.dial(t, r.addr)
+	w.send(t, hosts("?after=2&wait_ms=60000"))
+	r.run(t, Second)
+	r.d.Down(true, false)
+	r.run(t, 0)
+	if got := w.take(); !strings.HasPrefix(got, "HTTP/1.1 503 ") {
+		t.Errorf("the watch ended with %q", got)
+	}
+	w.send(t, hosts(""))
+	r.run(t, 0)
+	if got := w.take(); !strings.HasPrefix(got, "HTTP/1.1 503 ") {
+		t.Errorf("a call got %q", got)
+	}
+	r.d.Down(true, true)
+	r.run(t, 0)
+	if v := r.dial(t, r.addr); w.end == nil || v.end == nil {
+		t.Error("connections stay open")
+	}
+	r.d.Down(false, false)
+	v := r.dial(t, r.addr)
+	v.send(t, hosts(""))
+	r.run(t, 0)
+	expect(t, "afterwards", body(t, v), listOf(2, true, first))
+}
+
+func TestSilentDiscoveryAnswersOnlyAfterwards(t *testing.T) {
+	r := newRegistry(t, DiscoveryOptions{})
+	w, v := r.dial(t, r.addr), r.dial(t, r.addr)
+	w.send(t, hosts("?after=2&wait_ms=60000"))
+	r.run(t, 0)
+	r.d.Silent(true)
+	v.send(t, hosts(""))
+	r.d.SetStatus("s-1", Terminating)
+	r.run(t, 10*Second)
+	expect(t, "while silent", w.take()+v.take(), "")
+	r.d.Silent(false)
+	r.run(t, Second)
+	gone := entry("s-1", "10.1.0.1:1", Terminating)
+	expect(t, "the watch", body(t, w), listOf(3, false, gone))
+	expect(t, "the call", body(t, v), listOf(3, true, gone))
+}
+
+func TestWatchIsAnsweredAtOnceWhereItIs(t *testing.T) {
+	r := newRegistry(t, DiscoveryOptions{})
+	r.d.AnswerAtOnce(true)
+	w := r.dial(t, r.addr)
+	w.send(t, hosts("?after=2&wait_ms=60000"))
+	r.run(t, 0)
+	expect(t, "at once", body(t, w), listOf(2, false))
+}
+
+func TestMovedDiscoveryIsFoundAtItsNewAddressAlone(t *testing.T) {
+	r := newRegistry(t, DiscoveryOptions{})
+	w := r.dial(t, r.addr)
+	got, err := r.d.Move([]string{"127.0.0.1:0"})
+	r.run(t, 0)
+	if err != nil || len(got) != 1 || w.end == nil || r.dial(t, r.addr).err == nil {
+		t.Fatalf("moved to %v with %v; the old connection ended with %v", got, err, w.end)
+	}
+	v := r.dial(t, got[0])
+	v.send(t, hosts(""))
+	r.run(t, 0)
+	expect(t, "there", body(t, v), listOf(2, true, first))
+}
+
+func TestCallsWaitInTurnAndFailWhenThatTakesTooLong(t *testing.T) {
+	r := newRegistry(t, DiscoveryOptions{CallCost: 400 * Millisecond, Timeout: Second})
+	var all []*peer
+	for range 5 {
+		w := r.dial(t, r.addr)
+		w.send(t, hosts(""))
+		all = append(all, w)
+	}
+	r.run(t, 500*Millisecond)
+	if all[0].take() == "" || all[1].take() != "" {
+		t.Error("calls are not worked through in turn")
+	}
+	r.run(t, 2*Second)
+	for i, want := range []string{"", "200", "200", "503", "503"} {
+		if got := all[i].take(); want != "" && !strings.HasPrefix(got, "HTTP/1.1 "+want) {
+			t.Errorf("call %d got %.20q, want %s", i, got, want)
+		}
+	}
+}
+
+func TestBadListsTellNothing(t *testing.T) {
+	for _, how := range []BadEntry{BadName, BadAddress, BadStatus, BadSince, BadShape, BadJSON} {
+		r := newRegistry(t, DiscoveryOptions{})
+		good := listOf(2, true, first)
+		r.d.Spoil(how)
+		w := r.dial(t, r.addr)
+		w.send(t, hosts(""))
+		r.run(t, 0)
+		if got := body(t, w); got == good || got == "" {
+			t.Errorf("%s: got %q", how, got)
+		}
+		r.notes.has(t, "listed r-1 s-1 true", 0)
+	}
+}
+
+func TestRouterThatDoesNotAskCountsAsTold(t *testing.T) {
+	r := newRegistry(t, DiscoveryOptions{Routers: []string{"r-1", "r-2"}, AskEvery: 6 * Second})
+	w := r.dial(t, r.addr)
+	w.send(t, hosts(""))
+	r.run(t, 0)
+	w.send(t, hosts("?after=2&wait_ms=60000"))
+	r.run(t, Second)
+	r.d.Silent(true) // r-1 waits and is not answered
+	r.d.SetStatus("s-1", Terminating)
+	r.run(t, 20*Second)
+	r.notes.has(t, "listed r-1 s-1 false", 0)
+	r.notes.has(t, "listed r-2 s-1 false", 1)
+}
+
+func TestBadCallsAreRejected(t *testing.T) {
+	r := newRegistry(t, DiscoveryOptions{})
+	for _, c := range []struct{ in, want string }{
+		{"POST /discovery/hosts HTTP/1.1\r\nHost: d\r\n\r\n", "405"},
+		{"GET /other HTTP/1.1\r\nHost: d\r\n\r\n", "404"},
+		{"GET /discovery/hosts HTTP/1.1\r\n\r\n", "400"},
+		{"GET /discovery/hosts HTTP/1.0\r\nHost: d\r\n\r\n", "400"},
+		{"GET /discovery/hosts HTTP/1.1\r\nHost: d\r\nContent-Length: 4\r\n\r\nbody", "400"},
+		{hosts("?after=x"), "400"},
+		{hosts("?after=-1"), "400"},
+		{hosts("?after=1&wait_ms=1e9"), "400"},
+		{"GET /" + strings.Repeat("x", mostHead-5), "400"},
+	} {
+		w := r.dial(t, r.addr)
+		w.send(t, c.in)
+		r.run(t, 0)
+		if got := w.take(); !strings.HasPrefix(got, "HTTP/1.1 "+c.want) || w.end == nil {
+			t.Errorf("%.40q got %.20q, want %s and the end", c.in, got, c.want)
+		}
+	}
+}
+
+func FuzzReadGet(f *testing.F) {
+	f.Add([]byte(hosts("")))
+	f.Add([]byte(hosts("?after=1&wait_ms=2")))
+	f.Add([]byte("GET / HTTP/1.1\r\nHost:\r\nConnection: close\r\n\r\nrest"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		g, used, err := readGet(b)
+		if used > len(b) || err != nil && used != 0 || used > 0 && !strings.HasPrefix(g.path, "/") {
+			t.Fatalf("%q: used %d, path %q, %v", b, used, g.path, err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/standin/fleet.go
@@ -0,0 +1,225 @@
+package standin
+
+import (
+	"fmt"
+	"math/rand/v2"
+
+	"starlingwinch/internal/machine"
+	"starlingwinch/internal/rules"
+)
+
+// Options describe a whole fleet with its clients. DefaultOptions holds the operators' figures.
+type Options struct {
+	Caches  int
+	Zones   []string
+	Classes []Class
+	Keys    int
+	Zipf    float64
+	Offset  float64
+
+	Cache     CacheOptions // of each; names, zones and groups are given
+	Store     StoreOptions
+	Discovery DiscoveryOptions
+	Clients   int           // groups of clients, dealt to the zones in turn
+	Client    ClientOptions // of each; its rate is that of all groups together
+	Routers   []string      // names; each has addresses of its own at every cache and at discovery
+}
+
+// DefaultOptions are those of a usual day with nine caches and three routers.
+func DefaultOptions() Options {
+	return Options{
+		Caches: 9, Zones: []string{"ahmedabad", "rajkot", "surat"}, Classes: DefaultClasses(),
+		Keys: 20000, Zipf: 1.05, Offset: 3,
+		Cache: CacheOptions{
+			Capacity: Capacity{Cores: 6, Speed: 1, Slots: 96, Queue: 2400, Thrash: 0.05, ThrashAt: 4, FullTax: 0.25,
+				ColdShare: 0.16, ColdFor: 20 * Second, FallMultiple: 3, FallFor: 3 * Second},
+			Cancel: CancelAll, MemoryKeys: 600, Coalesce: true, Connections: 90, Streams: 100,
+			HandshakeWork: 16 * Millisecond, HandshakeTime: Millisecond, IdleFor: 60 * Second,
+			Probes: true, ProbeWork: 2400,
+		},
+		Store: StoreOptions{Places: 8, Latency: 80 * Millisecond, CV: 0.6, Queue: 60, FallMultiple: 3,
+			FallFor: 3 * Second, DownLeast: 3 * Second, DownMost: 8 * Second},
+		Discovery: DiscoveryOptions{Delay: 1500 * Millisecond, CallCost: 2 * Millisecond, LineCost: 100,
+			Timeout: Second, AskEvery: 6 * Second},
+		Clients: 6,
+		Client: ClientOptions{Tenant: "logbook", Rate: 200, Retries: 1, Wait: FixedWait, WaitTime: 50 * Millisecond,
+			Honour: 0.6, TryShare: 0.75},
+		Routers: []string{"r-1", "r-2", "r-3"},
+	}
+}
+
+// Places provide the machines that the stand-ins run on: one host for each on a virtual network, or
+// one for all.
+type Places struct {
+	Cache     func(name, zone string) machine.Machine
+	Store     func() machine.Machine
+	Discovery func() machine.Machine
+	Client    func(name, zone string) machine.Machine
+	// Listen is the address that a stand-in of that name listens on for a router; nil stands for a free
+	// port of 127.0.0.1.
+	Listen func(standin, router string) string
+	// Routers is the routers that the front of a zone deals connections to, now.
+	Routers func(zone string) []Target
+}
+
+// Fleet is all that surrounds the routers.
+type Fleet struct {
+	Workload  *Workload
+	Keys      *Keys
+	Store     *Store
+	Repeats   *Repeats
+	Caches    []*Cache
+	Discovery *Discovery
+	// Lists is the address of discovery for each router.
+	Lists   map[string]string
+	Clients []*Client
+
+	o     Options
+	p     Places
+	rng   *rand.Rand
+	obs   rules.Observer
+	names int
+}
+
+// NewFleet sets a fleet up: its caches run, warm, and are on the list; the clients wait for Start. Each
+// part draws from a generator of its own, so that a change of one leaves the draws of the others.
+func NewFleet(o Options, p Places, rng *rand.Rand, obs rules.Observer) (*Fleet, error) {
+	f := &Fleet{o: o, p: p, rng: rng, obs: seen(obs), Repeats: NewRepeats(), Lists: map[string]string{}}
+	f.Workload = NewWorkload(o.Classes, f.part())
+	f.Keys = NewKeys(o.Keys, o.Zipf, o.Offset, f.part())
+	f.Store = NewStore(p.Store(), o.Store, f.part(), f.obs)
+	o.Discovery.Routers = o.Routers
+	f.Discovery = NewDiscovery(p.Discovery(), o.Discovery, f.obs)
+	for _, r := range o.Routers {
+		addr, err := f.Discovery.Open(f.listen("discovery", r), r)
+		if err != nil {
+			return nil, fmt.Errorf("discovery for %s: %w", r, err)
+		}
+		f.Lists[r] = addr
+	}
+	for range o.Caches {
+		if _, err := f.AddCache(false); err != nil {
+			return nil, err
+		}
+	}
+	for i := range o.Clients {
+		f.addClient(i)
+	}
+	return f, nil
+}
+
+// part is a generator for one part.
+func (f *Fleet) part() *rand.Rand { return rand.New(rand.NewPCG(f.rng.Uint64(), f.rng.Uint64())) }
+
+func (f *Fleet) listen(standin, router string) string {
+	if f.p.Listen == nil {
+		return "127.0.0.1:0"
+	}
+	return f.p.Listen(standin, router)
+}
+
+// AddCache starts one more cache and has discovery name it. A warm one holds the most popular keys.
+func (f *Fleet) AddCache(cold bool) (*Cache, error) {
+	c, e, err := f.newCache(cold)
+	if err == nil {
+		f.Discovery.Add(e)
+	}
+	return c, err
+}
+
+// Replace ends a cache and starts a cold one, under a new name, in its place.
+func (f *Fleet) Replace(old *Cache) (*Cache, error) {
+	old.Stop()
+	c, e, err := f.newCache(true)
+	if err == nil {
+		f.Discovery.Replace(old.Name(), e)
+	}
+	return c, err
+}
+
+func (f *Fleet) newCache(cold bool) (*Cache, Entry, error) {
+	o := f.o.Cache
+	o.Zone = f.o.Zones[f.names%len(f.o.Zones)]
+	o.Group = f.names % len(f.o.Zones)
+	f.names++
+	o.Name = fmt.Sprintf("s-%08x", uint32(mix(uint64(f.names))))
+	m := f.p.Cache(o.Name, o.Zone)
+	c := NewCache(m, o, CacheParts{f.Workload, f.Store, f.Repeats, f.obs}, f.part())
+	e := Entry{Name: o.Name, Zone: o.Zone, Type: "std-6", Group: o.Group, Weight: 1, Addresses: map[string]string{}}
+	for _, r := range f.o.Routers {
+		addr, err := c.Open(f.listen(o.Name, r), r)
+		if err != nil {
+			return nil, e, fmt.Errorf("cache %s for %s: %w", o.Name, r, err)
+		}
+		e.Addresses[r], e.Address = addr, addr
+	}
+	if err := c.Start(cold); err != nil {
+		return nil, e, fmt.Errorf("cache %s: %w", o.Name, err)
+	}
+	if cold {
+		e.Since = m.Now()
+	} else {
+		c.Warm(f.Keys.Popular(o.MemoryKeys))
+	}
+	f.Caches = append(f.Caches, c)
+	return c, e, nil
+}
+
+func (f *Fleet) addClient(i int) {
+	o := f.o.Client
+	o.Zone = f.o.Zones[i%len(f.o.Zones)]
+	o.Classes, o.Keys, o.Rate = f.o.Classes, f.Keys, o.Rate/float64(f.o.Clients)
+	if o.Routers == nil {
+		zone := o.Zone
+		o.Routers = func() []Target { return f.p.Routers(zone) }
+	}
+	m := f.p.Client(fmt.Sprintf("c-%d", i+1), o.Zone)
+	f.Clients = append(f.Clients, NewClient(m, o, f.Workload, f.part(), f.obs))
+}
+
+// Start has the clients begin.
+func (f *Fleet) Start() {
+	for _, c := range f.Clients {
+		c.Start()
+	}
+}
+
+// Stop has the clients make no more requests.
+func (f *Fleet) Stop() {
+	for _, c := range f.Clients {
+		c.Stop()
+	}
+}
+
+// Open is the number of requests under way.
+func (f *Fleet) Open() int {
+	n := 0
+	for _, c := range f.Clients {
+		n += c.Open()
+	}
+	return n
+}
+
+// Tallies are the counts of all clients, by class.
+func (f *Fleet) Tallies() []*Tally {
+	var all []*Tally
+	for i, class := range f.o.Classes {
+		sum := &Tally{Class: class.Name}
+		for _, c := range f.Clients {
+			sum.Add(c.Tallies()[i])
+		}
+		all = append(all, sum)
+	}
+	return all
+}
+
+// Close ends all of it.
+func (f *Fleet) Close() {
+	for _, c := range f.Clients {
+		c.Close()
+	}
+	f.Discovery.Close()
+	for _, c := range f.Caches {
+		c.Stop()
+	}
+}
--- /dev/null
+++ b/internal/standin/fleet_test.go
@@ -0,0 +1,167 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"starlingwinch/decide"
+	"starlingwinch/internal/machine"
+	"starlingwinch/internal/wire"
+)
+
+// passThrough stands in for a router: each connection of a client gets one of its own to one cache,
+// and bytes go through both ways.
+type passThrough struct {
+	m     machine.Machine
+	name  string
+	fleet *Fleet
+	next  int
+}
+
+type half struct {
+	stream
+	other *half
+}
+
+func (h *half) Writable() { h.flush() }
+func (h *half) Readable() {
+	err := h.fill(mostCommand)
+	if h.other.conn != nil {
+		h.other.send(h.in)
+		h.in = nil
+	}
+	if err != nil {
+		h.close()
+		if h.other.conn != nil {
+			h.other.close()
+		}
+		h.other.closed = true
+	}
+}
+
+func (p *passThrough) accept(conn machine.Conn) machine.Handler {
+	a, b := &half{stream: stream{conn: conn}}, &half{}
+	a.other, b.other = b, a
+	p.next++
+	c := p.fleet.Caches[p.next%len(p.fleet.Caches)]
+	addr := ""
+	for _, d := range c.doors {
+		if d.router == p.name {
+			addr = d.addr
+		}
+	}
+	p.m.Dial(addr, Second, func(conn machine.Conn, err error) machine.Handler {
+		if err != nil || b.closed {
+			a.close()
+			if err == nil {
+				conn.Close()
+			}
+			return b
+		}
+		b.conn = conn
+		b.send(a.in)
+		a.in = nil
+		return b
+	})
+	return a
+}
+
+// playFleet runs a whole fleet behind routers that only pass bytes through, and returns what was seen.
+func playFleet(t *testing.T, seed uint64) ([]string, *Fleet) {
+	t.Helper()
+	l := newLab()
+	n := &notes{l: l}
+	host := func() machine.Machine { return l }
+	at := func(string, string) machine.Machine { return l }
+	var targets []Target
+	o := DefaultOptions()
+	o.Cache.MemoryKeys = 15000
+	f, err := NewFleet(o, Places{Cache: at, Store: host, Discovery: host, Client: at,
+		Routers: func(string) []Target { return targets }}, chanceOf(seed), n)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range o.Routers {
+		p := &passThrough{m: l, name: name, fleet: f}
+		ln, err := l.Listen("127.0.0.1:0", p.accept)
+		if err != nil {
+			t.Fatal(err)
+		}
+		targets = append(targets, Target{name, ln.Addr()})
+	}
+	f.Start()
+	l.run(t, 5*Second)
+	if _, err := f.AddCache(true); err != nil {
+		t.Fatal(err)
+	}
+	f.Caches[0].Hang(true)
+	l.run(t, 5*Second)
+	f.Caches[0].Hang(false)
+	f.Stop()
+	l.run(t, 5*Second)
+	return n.lines, f
+}
+
+func TestFleetServesItsClients(t *testing.T) {
+	lines, f := playFleet(t, 1)
+	total := &Tally{}
+	for _, one := range f.Tallies() {
+		total.Add(one)
+	}
+	if total.Requests < 1800 || total.InAim < total.Requests*6/10 || f.Open() != 0 {
+		t.Errorf("%d open, %+v", f.Open(), *total)
+	}
+	if sum := total.InAim + total.Late + total.Refused + total.Failed + total.Lost + total.Left; sum != total.Requests {
+		t.Errorf("%d requests have %d ends", total.Requests, sum)
+	}
+	zones := map[string]int{}
+	for _, c := range f.Caches {
+		zones[c.Zone()]++
+	}
+	if len(f.Caches) != 10 || zones["ahmedabad"] != 4 || zones["rajkot"] != 3 || zones["surat"] != 3 {
+		t.Errorf("caches by zone: %v", zones)
+	}
+	for _, line := range lines {
+		if len(line) > 3 && line[:3] == "bad" {
+			t.Fatalf("a client's command was not of the protocol's form: %s", line)
+		}
+	}
+	f.Close()
+}
+
+func TestEqualSeedsGiveEqualRuns(t *testing.T) {
+	a, _ := playFleet(t, 2)
+	b, _ := playFleet(t, 2)
+	if fmt.Sprint(a) != fmt.Sprint(b) {
+		t.Error("two runs of one seed differ")
+	}
+	if c, _ := playFleet(t, 3); fmt.Sprint(a) == fmt.Sprint(c) {
+		t.Error("two seeds give one run")
+	}
+}
+
+func TestReplacedCacheIsColdAndHasANameOfItsOwn(t *testing.T) {
+	_, f := playFleet(t, 4)
+	old := f.Caches[1]
+	c, err := f.Replace(old)
+	if err != nil || old.Up() || !c.Cold() || c.Name() == old.Name() {
+		t.Errorf("%v: old up %t, new cold %t, names %s and %s", err, old.Up(), c.Cold(), old.Name(), c.Name())
+	}
+}
+
+func TestRouterReadsItsSettings(t *testing.T) {
+	var config struct{ Settings json.RawMessage }
+	if err := json.Unmarshal(DefaultRouterSettings().JSON(), &config); err != nil {
+		t.Fatal(err)
+	}
+	s, transport, err := wire.ParseSettings(config.Settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	put := s.Classes[2]
+	if put.Effect != decide.Keyed || put.Scope != decide.ScopeAll || put.KeyTTL != 1200*Millisecond ||
+		!s.MustWatch || s.DrainGrace != Second || transport.Keepalive != 60*Second || s.AskEvery != 6*Second {
+		t.Errorf("the router read %+v and %+v", s, transport)
+	}
+}
--- a/internal/standin/lab_test.go
+++ b/internal/standin/lab_test.go
@@ -228,8 +228,8 @@
 func (c *labConn) Local() string  { return c.local }
 func (c *labConn) Remote() string { return c.remote }
 
-// wire is the test's own end of a connection.
-type wire struct {
+// peer is the test's own end of a connection.
+type peer struct {
 	conn  machine.Conn
 	got   []byte
 	end   error // how it ended
@@ -237,9 +237,9 @@
 	reads bool
 }
 
-func (l *lab) dial(t testing.TB, addr string) *wire {
+func (l *lab) dial(t testing.TB, addr string) *peer {
 	t.Helper()
-	w := &wire{reads: true}
+	w := &peer{reads: true}
 	l.Dial(addr, Second, func(c machine.Conn, err error) machine.Handler {
 		w.conn, w.err = c, err
 		return w
@@ -248,8 +248,8 @@
 	return w
 }
 
-func (w *wire) Writable() {}
-func (w *wire) Readable() {
+func (w *peer) Writable() {}
+func (w *peer) Readable() {
 	var b [4096]byte
 	for w.reads && w.end == nil {
 		n, err := w.conn.Read(b[:])
@@ -261,7 +261,7 @@
 	}
 }
 
-func (w *wire) send(t testing.TB, text string) {
+func (w *peer) send(t testing.TB, text string) {
 	t.Helper()
 	if n, err := w.conn.Write([]byte(text)); n != len(text) {
 		t.Fatalf("sent %d of %d bytes: %v", n, len(text), err)
@@ -269,7 +269,7 @@
 }
 
 // take returns what has come since the last call.
-func (w *wire) take() string {
+func (w *peer) take() string {
 	s := string(w.got)
 	w.got = nil
 	return s
--- /dev/null
+++ b/internal/standin/settings.go
@@ -0,0 +1,76 @@
+package standin
+
+import "encoding/json"
+
+// RouterSettings are what a router is told at its start. DefaultRouterSettings holds the operators' figures.
+type RouterSettings struct {
+	Name      string
+	Listen    string
+	Discovery string
+	Seed      string // hexadecimal; empty for none
+	Cores     float64
+	MemoryMB  int64
+	Sockets   int
+
+	Routers     int
+	Classes     []Class
+	MaxAttempts int
+	Probes      bool
+	Copies      bool
+	Cancel      bool
+	RetryAfter  bool
+	MaxWait     Time // longest advice that clients follow
+	MaxOpen     int
+	DialTimeout Time
+	Keepalive   Time
+	AskEvery    Time
+	Cold        Time
+	DrainGrace  Time
+	Fall        Time
+	ColdShare   float64
+
+	ProbePrice, ConnPrice, DialPrice float64
+}
+
+// DefaultRouterSettings are those of the operators' fleet.
+func DefaultRouterSettings() RouterSettings {
+	return RouterSettings{
+		Cores: 1, MemoryMB: 256, Sockets: 1024,
+		Routers: 3, Classes: DefaultClasses(), MaxAttempts: 3, Probes: true, Copies: true, Cancel: true,
+		RetryAfter: true, MaxWait: 1500 * Millisecond, MaxOpen: 20000, DialTimeout: 200 * Millisecond,
+		Keepalive: 60 * Second, AskEvery: 6 * Second, Cold: 23 * Second, DrainGrace: Second, Fall: 3 * Second,
+		ColdShare: 0.16, ProbePrice: 0.01, ConnPrice: 0.03, DialPrice: 0.03,
+	}
+}
+
+// The names that effects have in the settings.
+var effectNames = [...]string{Safe: "read_like", Keyed: "idempotency_key", Unsafe: "non_idempotent"}
+
+// JSON is the configuration as a router reads it. Times are in microseconds.
+func (s RouterSettings) JSON() []byte {
+	type object = map[string]any
+	categories := []object{}
+	for _, c := range s.Classes {
+		categories = append(categories, object{"name": c.Name, "effect": effectNames[c.Effect], "dedupScope": "all",
+			"keyTtl": c.Window, "aim": c.Aim, "hardLimit": c.Deadline, "worth": c.Worth, "lateWorth": c.LateWorth})
+	}
+	settings := object{
+		"instances": s.Routers, "discovery": "subscribe", "weights": "none", "categories": categories,
+		"limits": object{"cancel": s.Cancel, "probes": s.Probes, "secondCopies": s.Copies, "retryAfter": s.RetryAfter,
+			"maxAttempts": s.MaxAttempts, "maxRetryAfter": s.MaxWait, "maxOpen": s.MaxOpen,
+			"dialTimeout": s.DialTimeout, "keepalive": s.Keepalive},
+		"rules": object{"askEvery": s.AskEvery, "cold": s.Cold, "drainGrace": s.DrainGrace, "fall": s.Fall,
+			"startCapacity": s.ColdShare},
+		"penalties": object{"probe": s.ProbePrice, "connection": s.ConnPrice, "handshake": s.DialPrice},
+	}
+	config := object{"name": s.Name, "listen": s.Listen, "discovery": s.Discovery, "settings": settings,
+		"limits": object{"cores": s.Cores, "memory_mb": s.MemoryMB, "sockets": s.Sockets}}
+	if s.Seed != "" {
+		config["seed"] = s.Seed
+	}
+	b, err := json.MarshalIndent(config, "", " ")
+	if err != nil { // a figure that is no number; whoever set it is at fault
+		panic(err)
+	}
+	return b
+}
--- a/internal/standin/tally.go
+++ b/internal/standin/tally.go
@@ -65,3 +65,22 @@
 	}
 	return earned / offered
 }
+
+// Add adds another tally's counts.
+func (t *Tally) Add(o *Tally) {
+	t.Requests += o.Requests
+	t.InAim += o.InAim
+	t.Late += o.Late
+	t.Refused += o.Refused
+	t.Failed += o.Failed
+	t.Lost += o.Lost
+	t.Left += o.Left
+	t.Tries += o.Tries
+	t.Resent += o.Resent
+	t.Earned += o.Earned
+	t.Offered += o.Offered
+	t.Latency.N += o.Latency.N
+	for i, n := range o.Latency.Counts {
+		t.Latency.Counts[i] += n
+	}
+}
