--- a/internal/standin/cache_test.go
+++ b/internal/standin/cache_test.go
@@ -313,6 +313,26 @@
 	expect(t, "the report", w.take(), "$28\r\ninflight=0,queue=0,util=0.00\r\n")
 }
 
+func TestAnswersThatARouterDoesNotTakeAreBounded(t *testing.T) {
+	s := newStand(t, cacheOptions())
+	s.c.Warm([]string{"k"})
+	w := s.dial(t, s.addr)
+	w.reads = false
+	for i := range 50 {
+		w.send(t, words("C.GET", "k", fmt.Sprint(i), "c=call-lookup,t=a,d=1200,size=60000"))
+	}
+	s.run(t, 10*Second)
+	if got := len(s.c.conns[0].out); got == 0 || got > mostUnsent+mostCommand {
+		t.Errorf("%d bytes wait to be taken", got)
+	}
+	w.reads = true
+	w.Readable()
+	s.run(t, 10*Second)
+	if got := strings.Count(w.take(), "v:"); got != 50 {
+		t.Errorf("%d of 50 answers came", got)
+	}
+}
+
 func TestStoppedProcessResetsAndRefuses(t *testing.T) {
 	s := newStand(t, cacheOptions())
 	w := s.dial(t, s.addr)
--- a/internal/standin/cacheconn.go
+++ b/internal/standin/cacheconn.go
@@ -119,6 +119,7 @@
 		return
 	}
 	cc.goOnEndless()
+	cc.work()
 }
 
 // parseNext takes one whole command off what has come.
@@ -213,9 +214,12 @@
 	return true
 }
 
+// mostUnsent bounds the answers that a router does not take; the others wait for their turn.
+const mostUnsent = 256 << 10
+
 // writeNext writes the answer whose turn it is.
 func (cc *cacheConn) writeNext() bool {
-	if cc.begun == 0 || !cc.calls[0].ready || cc.c.faults.hung || cc.endless != 0 {
+	if cc.begun == 0 || !cc.calls[0].ready || cc.c.faults.hung || cc.endless != 0 || len(cc.out) >= mostUnsent {
 		return false
 	}
 	k := cc.calls[0]
--- a/internal/standin/discoveryconn.go
+++ b/internal/standin/discoveryconn.go
@@ -55,14 +55,19 @@
 
 // Writable writes on.
 func (c *discoveryConn) Writable() {
-	if !c.closed && c.flush() != nil {
+	if c.closed {
+		return
+	}
+	if c.flush() != nil {
 		c.drop()
+		return
 	}
+	c.next()
 }
 
-// next takes calls off what has come, until one has to wait.
+// next takes calls off what has come, until one has to wait, or the answer before was not taken yet.
 func (c *discoveryConn) next() {
-	for c.call == nil && !c.closed && len(c.in) > 0 {
+	for c.call == nil && !c.closed && len(c.in) > 0 && len(c.out) == 0 {
 		g, used, err := readGet(c.in)
 		switch {
 		case errors.Is(err, errMethod):
--- a/internal/standin/faults_test.go
+++ b/internal/standin/faults_test.go
@@ -145,7 +145,8 @@
 	s.c.ResetInside(1)
 	w.send(t, get("k", "i"))
 	s.run(t, Second)
-	if got, whole := w.take(), hit("k", "i", "hit"); w.end == nil || got == "" || got == whole || !strings.HasPrefix(whole, got) {
+	got, whole := w.take(), hit("k", "i", "hit")
+	if w.end == nil || got == "" || got == whole || !strings.HasPrefix(whole, got) {
 		t.Errorf("inside: got %q and the end %v", got, w.end)
 	}
 	s.notes.has(t, "replied i failed", 1)
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -37,7 +37,7 @@
 			HandshakeWork: 16 * Millisecond, HandshakeTime: Millisecond, IdleFor: 60 * Second,
 			Probes: true, ProbeWork: 2400,
 		},
-		Store: StoreOptions{Places: 8, Latency: 80 * Millisecond, CV: 0.6, Queue: 60, FallMultiple: 3,
+		Store: StoreOptions{Places: 4, Latency: 80 * Millisecond, CV: 0.6, Queue: 75, FallMultiple: 3,
 			FallFor: 3 * Second, DownLeast: 3 * Second, DownMost: 8 * Second},
 		Discovery: DiscoveryOptions{Delay: 1500 * Millisecond, CallCost: 2 * Millisecond, LineCost: 100,
 			Timeout: Second, AskEvery: 6 * Second},
