--- a/decide/decide.go
+++ b/decide/decide.go
@@ -34,6 +34,7 @@
 	retryBurst      = 10  // ... and in one burst
 	recently        = 48  // attempts over which the shares of late and of lost ones fade
 	unhurried       = .25 // share of a cache's answers that are late, where it is not crowded
+	coldGrowth      = 2   // attempts for each one served lately, at a cold cache with few warm ones to go by
 	lossy           = .08 // share of lost attempts from which they are sent again without limit
 )
 
@@ -54,6 +55,8 @@
 	uses              int                // attempts ever sent to it
 	lastSend, erredAt Time
 	sends             float64 // fading count of attempts, as of lastSend
+	serves            float64 // ... of those that it served, as of lastServe
+	lastServe         Time
 	answered, passed  Time    // when it last answered; when the latest answered in time was sent
 	late              float64 // fading share of its answers that came after the patience
 	erring            float64 // share of errors among its answers, as of erredAt; it fades with time, too
@@ -498,22 +501,34 @@
 	if r.now >= c.warmAt {
 		return true
 	}
-	if len(q.attempts) > 0 || r.spread(q.Key) > 1 || unit(mix(mix(q.Key)+1)) >= r.warmth(c) {
-		return false // in trouble retries are most of what is sent, and they all look for room
-	}
-	// Retries and hot keys can still add up: it gets no more than its part of what warm ones get.
-	sent, size := 0.0, 0.0
+	sent, size, whole := 0.0, 0.0, 0.0
 	for _, w := range r.ready {
-		if r.now >= w.warmAt {
+		if whole += w.Size; r.now >= w.warmAt {
 			sent, size = sent+r.recent(w), size+w.Size
 		}
 	}
-	return r.recent(c) < 1+r.warmth(c)*c.Size*sent/max(size, c.Size)
+	lack := max(0, 1-2*size/whole)
+	if part := unit(mix(mix(q.Key) + 1)); part >= lack &&
+		(len(q.attempts) > 0 || r.spread(q.Key) > 1 || part >= r.warmth(c)) {
+		return false // in trouble retries are most of what is sent, and they all look for room
+	}
+	// Retries and hot keys can still add up: it gets no more than its part of what warm ones get. The
+	// danger: after a power cut there are no warm ones, and next to nothing is sent at all. Then what it serves is
+	// the measure: work grows with that, and stays under the multiple that pushes it over.
+	return r.recent(c) < 1+max(r.warmth(c)*c.Size*sent/max(size, c.Size), lack*coldGrowth*r.servedBy(c))
 }
 
 // recent is the number of attempts sent to a cache lately, fading within TipTime.
 func (r *Router) recent(c *cache) float64 {
-	return c.sends * math.Exp(-float64(r.now-c.lastSend)/float64(max(r.set.TipTime, 1)))
+	return c.sends * r.fade(c.lastSend)
+}
+
+// servedBy is the same of what it has served.
+func (r *Router) servedBy(c *cache) float64 { return c.serves * r.fade(c.lastServe) }
+
+// fade is the weight of what was counted at a time.
+func (r *Router) fade(then Time) float64 {
+	return math.Exp(-float64(r.now-then) / float64(max(r.set.TipTime, 1)))
 }
 
 // warmth is the least share of its capacity that a cache can have by now.
@@ -917,6 +932,7 @@
 	}
 	if ev.Result == Served {
 		a.to.keeps[0][q.Key] = true
+		a.to.serves, a.to.lastServe = r.servedBy(a.to)+1, r.now
 	}
 	defer r.admit()
 	if ev.Last || q.done {
