--- a/decide/decide.go
+++ b/decide/decide.go
@@ -513,8 +513,8 @@
 		return false // in trouble retries are most of what is sent, and they all look for room
 	}
 	// Retries and hot keys can still add up: it gets no more than its part of what warm ones get. The
-	// danger: after a power cut there are no warm ones, and next to nothing is sent at all. Then what it serves is
-	// the measure: work grows with that, and stays under the multiple that pushes it over.
+	// danger: after a power cut there are no warm ones, and next to nothing is sent at all. Then what
+	// it serves is the measure: work grows with that, and stays under the multiple that pushes it over.
 	return r.recent(c) < 1+max(r.warmth(c)*c.Size*sent/max(size, c.Size), lack*coldGrowth*r.servedBy(c))
 }
 
