--- a/cmd/starlingwinch/main.go
+++ b/cmd/starlingwinch/main.go
@@ -1,65 +1,136 @@
 // Command starlingwinch routes clients' requests to a fleet of cache servers.
-// BALANCER_CONFIG names the file with its configuration.
+// Without arguments it serves as the file says that BALANCER_CONFIG names; `starlingwinch help` lists its commands.
 package main
 
 import (
-	"context"
+	"errors"
 	"fmt"
+	"log"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
-	"starlingwinch/internal/router"
+	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
+
+	"starlingwinch/internal/fault"
 )
 
-func main() {
-	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "starlingwinch:", err)
-		os.Exit(1)
-	}
-}
+// Exit codes.
+const (
+	exitFault = 1 // a file is wrong, or the router could not go on
+	exitUsage = 2 // the command line is wrong; nothing was done
+)
+
+// usageError is what is wrong with the command line.
+type usageError struct{ text string }
 
-func run() error {
+func (e usageError) Error() string { return e.text }
+
+func main() {
 	// From the first moment on: a SIGHUP that nobody takes would end the program.
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	cfg, err := load()
+	stderr := newOutlet(os.Stderr)
+	log.SetOutput(stderr)
+	err := root(hup).Execute()
+	code, patience := 0, briefly
 	if err != nil {
-		return err
+		code, patience = exitFault, 2*time.Second
+		if errors.As(err, new(usageError)) {
+			code = exitUsage
+		}
+		if text := err.Error(); text != "" {
+			fmt.Fprintln(stderr, text)
+		}
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	cfg.Limits.Apply()
-	srv, err := router.New(cfg)
-	if err != nil {
-		return err
+	stderr.flush(patience)
+	os.Exit(code)
+}
+
+// root is the command line: a command for each thing that the program does, in a file of its own.
+func root(hup <-chan os.Signal) *cobra.Command {
+	cmd := &cobra.Command{
+		Use:               "starlingwinch",
+		Short:             "Routes clients' requests to a fleet of cache servers",
+		Long:              "Routes clients' requests to a fleet of cache servers. Without a command it serves, as the file\nsays that BALANCER_CONFIG names.",
+		Args:              knownWords,
+		SilenceErrors:     true,
+		SilenceUsage:      true,
+		CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true},
+		RunE:              func(*cobra.Command, []string) error { return sources{}.run(hup) },
 	}
-	go func() {
-		for range hup {
-			next, err := load()
-			if err != nil {
-				srv.Log("SIGHUP: the old configuration stays: " + err.Error())
-				continue
-			}
-			srv.Reload(next)
+	cmd.SetFlagErrorFunc(flagError)
+	cmd.AddCommand(runCommand(hup), checkCommand(), versionCommand())
+	cmd.SetHelpCommand(helpCommand())
+	return cmd
+}
+
+// knownWords refuses a word that is no command. The danger: a slip in a command starts a router.
+func knownWords(cmd *cobra.Command, args []string) error {
+	if len(args) == 0 {
+		return nil
+	}
+	var known []string
+	for _, c := range cmd.Commands() {
+		known = append(known, c.Name())
+	}
+	if len(known) == 0 {
+		return usageError{fmt.Sprintf("%s: unknown word %s (it takes none)", cmd.CommandPath(), fault.Quote(args[0]))}
+	}
+	return usageError{fmt.Sprintf("%s: unknown command %s%s; see %s help", cmd.CommandPath(), fault.Quote(args[0]),
+		fault.Meant(args[0], known), cmd.Root().Name())}
+}
+
+// flagError words what is wrong with a flag.
+func flagError(cmd *cobra.Command, err error) error {
+	text := fault.Plain(err.Error())
+	var unknown *pflag.NotExistError
+	if errors.As(err, &unknown) {
+		name := "--" + unknown.GetSpecifiedName()
+		if unknown.GetSpecifiedShortnames() != "" {
+			name = "-" + unknown.GetSpecifiedName()
 		}
-	}()
-	return srv.Run(ctx)
+		text = "unknown flag " + fault.Quote(name) + meantFlag(cmd, name)
+	}
+	return usageError{fmt.Sprintf("%s: %s; see %s --help", cmd.CommandPath(), text, cmd.CommandPath())}
 }
 
-// load reads the configuration.
-func load() (*router.Config, error) {
-	path := os.Getenv("BALANCER_CONFIG")
-	if path == "" {
-		return nil, fmt.Errorf("BALANCER_CONFIG is not set")
+// meantFlag words the near flag of a command, or of one of its commands.
+func meantFlag(cmd *cobra.Command, name string) string {
+	var known []string
+	whole := map[string]string{} // the flag with the command that takes it
+	for _, c := range append([]*cobra.Command{cmd}, cmd.Commands()...) {
+		c.Flags().VisitAll(func(f *pflag.Flag) {
+			flag := "--" + f.Name
+			if whole[flag] != "" {
+				return
+			}
+			known, whole[flag] = append(known, flag), flag
+			if c != cmd {
+				whole[flag] = c.Name() + " " + flag
+			}
+		})
 	}
-	raw, err := os.ReadFile(path)
-	if err != nil {
-		return nil, fmt.Errorf("BALANCER_CONFIG: %w", err)
+	near := fault.Near(name, known)
+	if near == "" {
+		return ""
 	}
-	cfg, err := router.ParseConfig(raw)
-	if err != nil {
-		return nil, fmt.Errorf("configuration: %w", err)
+	return " (did you mean " + fault.Quote(whole[near]) + "?)"
+}
+
+func helpCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "help [COMMAND]",
+		Short: "Tell what the program or a command of it does",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			about, rest, err := cmd.Root().Find(args)
+			if err != nil || len(rest) > 0 {
+				return knownWords(cmd.Root(), args)
+			}
+			about.InitDefaultHelpFlag()
+			return about.Help()
+		},
 	}
-	return cfg, nil
 }
--- /dev/null
+++ b/cmd/starlingwinch/run.go
@@ -0,0 +1,175 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"starlingwinch/internal/fault"
+	"starlingwinch/internal/limits"
+	"starlingwinch/internal/opfile"
+	"starlingwinch/internal/router"
+	"starlingwinch/internal/settings"
+)
+
+// kinds are the operators' files that the program knows. A subsystem adds its own here.
+var kinds = opfile.Registry{limits.Kind}
+
+const (
+	configVariable = "BALANCER_CONFIG"
+	mostConfig     = 16 << 20 // bytes of the platform's file: its list of caches alone may have 8 MiB
+	mostWarnings   = 20       // lines of the log
+)
+
+// sources are the files that a router is started with.
+type sources struct {
+	config   string   // the platform's file; "" for the one that BALANCER_CONFIG names
+	operator []string // the operators' files
+}
+
+func runCommand(hup <-chan os.Signal) *cobra.Command {
+	var s sources
+	cmd := &cobra.Command{
+		Use:   "run [--config FILE] [--operator FILE]...",
+		Short: "Serve",
+		Long: "Serves until SIGTERM, which drains. SIGHUP reads the files again: a new address of discovery takes\n" +
+			"effect at once, all else waits for a restart.",
+		Args: knownWords,
+		RunE: func(*cobra.Command, []string) error { return s.run(hup) },
+	}
+	cmd.Flags().StringVar(&s.config, "config", "", "the platform's `FILE` (JSON); without it, the one that "+
+		configVariable+" names")
+	cmd.Flags().StringArrayVar(&s.operator, "operator", nil, "an operators' `FILE` (TOML), such as deploy/limits.toml; "+
+		"may stand several times")
+	return cmd
+}
+
+func (s sources) run(hup <-chan os.Signal) error {
+	cfg, warnings, err := s.load()
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	cfg.Limits.Apply()
+	srv, err := router.New(cfg)
+	if err != nil { // what was only a warning may name the cause in the file's own words
+		return errors.New(strings.Join(append(warnings, "starlingwinch: "+err.Error()), "\n"))
+	}
+	warn(srv, warnings)
+	go func() {
+		for range hup {
+			next, warnings, err := s.load()
+			if err != nil {
+				srv.Log("SIGHUP: the old configuration stays: " + strings.ReplaceAll(err.Error(), "\n", "; "))
+				continue
+			}
+			warn(srv, warnings)
+			srv.Reload(next)
+		}
+	}()
+	if err := srv.Run(ctx); err != nil {
+		return fmt.Errorf("starlingwinch: %w", err)
+	}
+	return nil
+}
+
+// warn logs what is wrong and does not keep the router from serving.
+func warn(srv *router.Server, warnings []string) {
+	for i, w := range warnings {
+		if i == mostWarnings {
+			srv.Log(fmt.Sprintf("warning: %d more; starlingwinch check names them", len(warnings)-i))
+			return
+		}
+		srv.Log("warning: " + w)
+	}
+}
+
+// load reads all files. The error names all that is wrong with any of them, a line each.
+func (s sources) load() (*router.Config, []string, error) {
+	var faults fault.List
+	cfg, warnings := s.platform(&faults)
+	var files []opfile.File
+	of := map[string]string{}
+	for _, path := range s.operator {
+		file, err := kinds.Load(path)
+		if err != nil {
+			collect(&faults, err)
+			continue
+		}
+		if first, taken := of[file.Kind]; taken {
+			faults.Add(fault.Fault{File: path, Field: "kind", Text: fmt.Sprintf("%s is also the kind of %s; "+
+				"one file of a kind is wanted", file.Kind, fault.Plain(first))})
+		}
+		of[file.Kind] = path
+		files = append(files, file)
+	}
+	if err := faults.Err(); err != nil {
+		return nil, nil, err
+	}
+	cfg.Bounds = opfile.Get[limits.Limits](files, limits.Kind)
+	return cfg, warnings, nil
+}
+
+// platform reads the platform's file. What the router can serve with is a warning, all else a fault.
+func (s sources) platform(faults *fault.List) (*router.Config, []string) {
+	path := s.config
+	if path == "" {
+		path = os.Getenv(configVariable)
+	}
+	if path == "" {
+		faults.Add(fault.Fault{Text: "starlingwinch: no configuration: " + configVariable +
+			" is not set, and there is no --config"})
+		return nil, nil
+	}
+	raw, err := readConfig(path)
+	if err != nil {
+		faults.Add(fault.Fault{Text: "starlingwinch: configuration: " + err.Error()})
+		return nil, nil
+	}
+	found := settings.Check(raw)
+	found.In(path)
+	cfg, err := router.ParseConfig(raw)
+	if err == nil {
+		return cfg, found.Lines()
+	}
+	if found.Empty() { // the check is to know all that the router refuses; better twice than never
+		found.Add(fault.Fault{File: path, Text: err.Error()})
+	}
+	faults.Join(found)
+	return nil, nil
+}
+
+// readConfig reads the platform's file, which may be a pipe.
+func readConfig(path string) ([]byte, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	raw, err := io.ReadAll(io.LimitReader(f, mostConfig+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(raw) > mostConfig {
+		return nil, fmt.Errorf("%s: too large (wanted at most %d bytes)", fault.Plain(path), mostConfig)
+	}
+	return raw, nil
+}
+
+// collect takes the faults of one file in, or the error that kept it from being read.
+func collect(faults *fault.List, err error) {
+	var found *fault.List
+	if errors.As(err, &found) {
+		faults.Join(*found)
+		return
+	}
+	faults.Add(fault.Fault{Text: "starlingwinch: " + err.Error()})
+}
--- /dev/null
+++ b/internal/opfile/units.go
@@ -0,0 +1,55 @@
+package opfile
+
+import (
+	"errors"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Size is a number of bytes, written as "64KiB".
+type Size int64
+
+var sizeUnits = []struct {
+	name  string
+	bytes int64
+}{{"GiB", 1 << 30}, {"MiB", 1 << 20}, {"KiB", 1 << 10}, {"B", 1}}
+
+func (s Size) String() string {
+	for _, u := range sizeUnits {
+		if int64(s)%u.bytes == 0 && (s != 0 || u.bytes == 1) {
+			return strconv.FormatInt(int64(s)/u.bytes, 10) + u.name
+		}
+	}
+	return ""
+}
+
+// ParseSize reads a size: digits and one of B, KiB, MiB, GiB. Units of 1000 are not taken, as half of those who
+// write them mean 1024.
+func ParseSize(text string) (Size, error) {
+	for _, u := range sizeUnits {
+		digits, ok := strings.CutSuffix(text, u.name)
+		if !ok {
+			continue
+		}
+		n, err := strconv.ParseUint(digits, 10, 63)
+		if err != nil || n > math.MaxInt64/uint64(u.bytes) {
+			break
+		}
+		return Size(int64(n) * u.bytes), nil
+	}
+	return 0, errors.New(`not a size (wanted digits and B, KiB, MiB or GiB, as "64KiB")`)
+}
+
+// Duration words a duration as short as it can be: "2.5s", "1m", "4ms".
+func Duration(d time.Duration) string {
+	s := d.String()
+	if strings.HasSuffix(s, "m0s") {
+		s = strings.TrimSuffix(s, "0s")
+	}
+	if strings.HasSuffix(s, "h0m") {
+		s = strings.TrimSuffix(s, "0m")
+	}
+	return s
+}
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -8,7 +8,8 @@
 	"strconv"
 
 	"starlingwinch/decide"
-	"starlingwinch/internal/wire"
+	"starlingwinch/internal/limits"
+	"starlingwinch/internal/settings"
 )
 
 // Config is what a router is told at its start.
@@ -20,7 +21,8 @@
 	Limits    Limits
 	Known     hostList // the caches as last known; may be old
 	Settings  decide.Settings
-	Transport wire.Transport
+	Transport settings.Transport
+	Bounds    limits.Limits // the operators'
 }
 
 // Limits are those of the router's machine.
@@ -55,7 +57,7 @@
 		return nil, fmt.Errorf("not JSON: %w", err)
 	}
 	c := &Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, Limits: in.Limits,
-		Known: hostList{index: noIndex}}
+		Known: hostList{index: noIndex}, Bounds: limits.Default()}
 	if _, err := netip.ParseAddrPort(c.Listen); err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
@@ -84,7 +86,7 @@
 			return nil, fmt.Errorf("known: %w", err)
 		}
 	}
-	if c.Settings, c.Transport, err = wire.ParseSettings(in.Settings); err != nil {
+	if c.Settings, c.Transport, err = settings.Parse(in.Settings); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	if c.Transport.DialTimeout <= 0 {
--- a/internal/wire/settings.go
+++ b/internal/settings/settings.go
@@ -1,4 +1,7 @@
-package wire
+// Package settings is what a router is told by its platform, read and checked. Parse is tolerant, as the platform may
+// send more than a router knows; Check is strict, and names all that is wrong at once. Neither reads a file or
+// starts anything.
+package settings
 
 import (
 	"encoding/json"
@@ -62,9 +65,9 @@
 	Keepalive   decide.Time // a cache closes a connection that has stood idle so long
 }
 
-// ParseSettings reads the settings of NewInstance. Those left out keep a value
+// Parse reads the settings of NewInstance. Those left out keep a value
 // that asks least of the fleet.
-func ParseSettings(raw json.RawMessage) (decide.Settings, Transport, error) {
+func Parse(raw json.RawMessage) (decide.Settings, Transport, error) {
 	var in info
 	if len(raw) == 0 {
 		return decide.Settings{}, Transport{}, errors.New("no settings")
@@ -93,3 +96,12 @@
 	return s, Transport{MaxOpen: in.Limits.MaxOpen, DialTimeout: in.Limits.DialTimeout,
 		Keepalive: in.Limits.Keepalive}, nil
 }
+
+// plain turns a decoder's error into words that don't name Go types.
+func plain(err error) error {
+	var t *json.UnmarshalTypeError
+	if errors.As(err, &t) {
+		return fmt.Errorf("wrong shape: %s where %q is read", t.Value, t.Field)
+	}
+	return fmt.Errorf("not JSON: %w", err)
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -12,6 +12,7 @@
 	"strconv"
 
 	"starlingwinch/decide"
+	"starlingwinch/internal/settings"
 )
 
 // Host runs the routers of one process. They share nothing but the process.
@@ -119,7 +120,7 @@
 	}
 	inst = *m.Inst
 	if name == "NewInstance" {
-		set, _, err := ParseSettings(m.Info)
+		set, _, err := settings.Parse(m.Info)
 		if err != nil {
 			return 0, nil, fmt.Errorf("%s: %w", name, err)
 		}
