--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -24,7 +24,6 @@
 	LingerTime   time.Duration `toml:"linger_time" min:"10ms" max:"10s" doc:"for a client to read why its connection is closed"`
 	Pipelined    int           `toml:"pipelined" min:"1" max:"4096" doc:"commands of one connection that may await their answers"`
 	ErrorsInARow int           `toml:"errors_in_a_row" min:"1" max:"1000" doc:"bad commands after which a connection is closed"`
-	Arguments    int           `toml:"arguments" min:"5" max:"64" doc:"arguments of a command"`
 }
 
 // Caches are the limits of the caches' side.
@@ -55,7 +54,6 @@
 			LingerTime:   time.Second,
 			Pipelined:    512,
 			ErrorsInARow: 16,
-			Arguments:    16,
 		},
 		Caches: Caches{
 			FleetConnections: 72,
--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -23,22 +23,15 @@
 )
 
 const (
-	keptBuffer   = 8 << 10                 // bytes of room that a connection keeps between commands
-	pipelined    = 512                     // commands of one connection that may await their answers
-	writeTimeout = 5 * time.Second         // for an answer to a client that does not read
-	lingerTime   = time.Second             // for a client to read why its connection is closed
-	acceptPause  = 10 * time.Millisecond   // before another try where no descriptor was free
-	lastArrivals = 500 * time.Millisecond  // new connections may still come so long after SIGTERM
-	commandGrace = 100 * time.Millisecond  // for the rest of a command that has begun when its connection is to close
-	drainSlack   = 650 * time.Millisecond  // beyond the longest deadline, for the drain after SIGTERM: SIGKILL may follow 50 ms later
-	idArg        = 2                       // place of the id in a command
-	metaArg      = 3                       // ... of the names and values
-	commandTime  = 2500 * time.Millisecond // for a command to come whole, and for the first one to begin
-	idleTime     = 10 * time.Second        // for the next command to begin
-	crowdedTime  = 2200 * time.Millisecond // ... where descriptors run short
-	firstWord    = 20_000                  // microseconds in which a client that means to ask has begun
-	underWay     = 32                      // commands of one connection on their way to the loop: it must not crowd the others out
-	mostErrors   = 16                      // bad commands after which a connection is closed
+	keptBuffer   = 8 << 10                // bytes of room that a connection keeps between commands
+	acceptPause  = 10 * time.Millisecond  // before another try where no descriptor was free
+	lastArrivals = 500 * time.Millisecond // new connections may still come so long after SIGTERM
+	commandGrace = 100 * time.Millisecond // for the rest of a command that has begun when its connection is to close
+	drainSlack   = 650 * time.Millisecond // beyond the longest deadline, for the drain after SIGTERM: SIGKILL may follow 50 ms later
+	idArg        = 2                      // place of the id in a command
+	metaArg      = 3                      // ... of the names and values
+	firstWord    = 20_000                 // microseconds in which a client that means to ask has begun
+	underWay     = 32                     // commands of one connection on their way to the loop: it must not crowd the others out
 )
 
 // command is a client's request as it came.
@@ -209,7 +202,7 @@
 			continue
 		}
 		s.room()
-		c := &client{srv: s, nc: nc.(*net.TCPConn), open: map[int64]*request{}, queue: make(chan *slot, pipelined),
+		c := &client{srv: s, nc: nc.(*net.TCPConn), open: map[int64]*request{}, queue: make(chan *slot, s.cfg.Bounds.Clients.Pipelined),
 			share: make(chan struct{}, underWay)}
 		c.lastUsed.Store(s.loop.clock())
 		s.mu.Lock()
@@ -369,17 +362,18 @@
 // receive reads more of a command, which began at the given time if it has begun. The danger: a
 // client that stops in a command, or says nothing at all, keeps its connection for good.
 func (c *client) receive(b []byte, begun bool, began time.Time) (int, error) {
+	bounds := &c.srv.cfg.Bounds.Clients
 	for {
-		limit := began.Add(commandTime)
+		limit := began.Add(bounds.CommandTime)
 		if !begun && c.asked.Load() {
-			limit = began.Add(idleTime)
+			limit = began.Add(bounds.IdleTime)
 			if c.srv.sockets.crowded() {
-				limit = began.Add(crowdedTime)
+				limit = began.Add(bounds.CrowdedTime)
 			}
 		}
 		pause := limit
 		if !begun { // look again now and then: it gets crowded, and nothing idles while answers are due
-			if next := time.Now().Add(crowdedTime / 4); next.Before(pause) {
+			if next := time.Now().Add(bounds.CrowdedTime / 4); next.Before(pause) {
 				pause = next
 			}
 		}
@@ -439,7 +433,7 @@
 func (c *client) reject(why string) bool {
 	c.say(redcon.AppendError(nil, "ERR "+why))
 	c.errors++
-	return c.errors < mostErrors
+	return c.errors < c.srv.cfg.Bounds.Clients.ErrorsInARow
 }
 
 // command carries out one command. It reports whether the connection goes on.
@@ -516,7 +510,7 @@
 			if b == nil {
 				gone = true
 			} else {
-				c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
+				c.nc.SetWriteDeadline(time.Now().Add(c.srv.cfg.Bounds.Clients.WriteTime))
 				_, err := c.nc.Write(b)
 				gone = err != nil
 			}
@@ -544,7 +538,7 @@
 	if !c.unread() || c.nc.CloseWrite() != nil {
 		return
 	}
-	c.nc.SetReadDeadline(time.Now().Add(lingerTime))
+	c.nc.SetReadDeadline(time.Now().Add(c.srv.cfg.Bounds.Clients.LingerTime))
 	buf := make([]byte, 4096)
 	for total := 0; total < 4*mostCommand; {
 		n, err := c.nc.Read(buf)
--- a/internal/router/discovery.go
+++ b/internal/router/discovery.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"starlingwinch/decide"
+	"starlingwinch/internal/limits"
 )
 
 // hostList is an answer of discovery, checked.
@@ -32,12 +33,9 @@
 }
 
 const (
-	noIndex      = -1               // version of a list that was never seen
-	watchWait    = 20 * time.Second // how long discovery may hold a watch open
-	watchSlack   = 2 * time.Second  // how much longer an answer may take
-	mostListSize = 8 << 20          // bytes of an answer
-	mostHeader   = 64 << 10         // ... of its header
-	mostName     = 256              // bytes of a cache's name
+	noIndex    = -1       // version of a list that was never seen
+	mostHeader = 64 << 10 // ... of its header
+	mostName   = 256      // bytes of a cache's name
 )
 
 var conditions = map[string]decide.Condition{"in_service": decide.Up, "terminating": decide.Draining,
@@ -97,18 +95,19 @@
 // discovery calls the discovery service. One watch runs at a time.
 type discovery struct {
 	url    string
+	bounds limits.Discovery
 	client *http.Client
 }
 
-func newDiscovery(addr string) *discovery {
-	return &discovery{url: "http://" + addr + "/discovery/hosts", client: &http.Client{
+func newDiscovery(addr string, bounds limits.Discovery) *discovery {
+	return &discovery{url: "http://" + addr + "/discovery/hosts", bounds: bounds, client: &http.Client{
 		Transport: &http.Transport{
 			MaxConnsPerHost:        1, // it counts against the router's descriptors
 			MaxIdleConnsPerHost:    1,
 			IdleConnTimeout:        90 * time.Second,
 			MaxResponseHeaderBytes: mostHeader,
 			// A machine that has vanished must not hold the call for as long as a watch may take.
-			DialContext: (&net.Dialer{Timeout: watchSlack}).DialContext,
+			DialContext: (&net.Dialer{Timeout: bounds.AnswerTime}).DialContext,
 		},
 		// A redirect would lead away from the address that was configured.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -129,10 +128,10 @@
 }
 
 func (d *discovery) call(ctx context.Context, after int64) (hostList, error) {
-	url, wait := d.url, watchSlack
+	url, wait := d.url, d.bounds.AnswerTime
 	if after != noIndex {
-		url = fmt.Sprintf("%s?after=%d&wait_ms=%d", d.url, after, watchWait.Milliseconds())
-		wait += watchWait
+		url = fmt.Sprintf("%s?after=%d&wait_ms=%d", d.url, after, d.bounds.WatchTime.Milliseconds())
+		wait += d.bounds.WatchTime
 	}
 	ctx, stop := context.WithTimeout(ctx, wait)
 	defer stop()
@@ -148,11 +147,11 @@
 	if resp.StatusCode != http.StatusOK {
 		return hostList{}, fmt.Errorf("discovery answered %s", resp.Status)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, mostListSize+1))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(d.bounds.ListSize)+1))
 	if err != nil {
 		return hostList{}, err
 	}
-	if len(body) > mostListSize {
+	if len(body) > int(d.bounds.ListSize) {
 		return hostList{}, errors.New("discovery's answer is too long")
 	}
 	h, err := parseHosts(body)
--- a/internal/router/discovery_test.go
+++ b/internal/router/discovery_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"starlingwinch/decide"
+	"starlingwinch/internal/limits"
 )
 
 // answers is a discovery that hands each call to the test.
@@ -101,7 +102,7 @@
 		told := make(chan hostList, 1)
 		failed := make(chan error, 1)
 		go func() {
-			failed <- newDiscovery(addr).watch(context.Background(), 5, func(h hostList) { told <- h })
+			failed <- newDiscovery(addr, limits.Default().Discovery).watch(context.Background(), 5, func(h hostList) { told <- h })
 		}()
 		receive(t, calls, "call").reply <- body
 		select {
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -77,7 +77,7 @@
 		longest = max(longest, c.Limit)
 	}
 	return &loop{cfg: cfg, longest: longest, module: m, sockets: s, events: make(chan func(), eventBacklog), lines: make(chan string, logBacklog), begun: make(chan struct{}), done: make(chan struct{}), base: time.Now(), requests: map[int64]*request{}, ids: map[string]struct{}{},
-		upstreams: map[string]*upstream{}, discovery: newDiscovery(cfg.Discovery), index: cfg.Known.index}, nil
+		upstreams: map[string]*upstream{}, discovery: newDiscovery(cfg.Discovery, cfg.Bounds.Discovery), index: cfg.Known.index}, nil
 }
 
 // clock is Unix time in microseconds. It runs on the monotonic clock from the
@@ -277,7 +277,7 @@
 
 func (l *loop) probe(cache string) {
 	if u := l.upstreams[cache]; u != nil {
-		u.start(&attempt{upstream: u, sent: l.now, stopAt: l.now + probeTimeout})
+		u.start(&attempt{upstream: u, sent: l.now, stopAt: l.now + l.cfg.Bounds.Caches.ProbeTime.Microseconds()})
 	}
 }
 
@@ -362,7 +362,7 @@
 // list at once, as its versions need not go on from those of the old one.
 func (l *loop) reload(cfg *Config) {
 	if cfg.Listen != l.cfg.Listen || cfg.Limits != l.cfg.Limits || !reflect.DeepEqual(cfg.Settings, l.cfg.Settings) ||
-		cfg.Transport != l.cfg.Transport {
+		cfg.Transport != l.cfg.Transport || cfg.Bounds != l.cfg.Bounds {
 		l.log("SIGHUP: new addresses for clients, limits and settings wait for a restart")
 	}
 	if cfg.Discovery == l.cfg.Discovery {
@@ -375,7 +375,7 @@
 		l.endWatch()
 		l.endWatch = nil
 	}
-	l.discovery, l.index = newDiscovery(cfg.Discovery), noIndex
+	l.discovery, l.index = newDiscovery(cfg.Discovery, l.cfg.Bounds.Discovery), noIndex
 	l.watch()
 }
 
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -14,15 +14,6 @@
 	"starlingwinch/decide"
 )
 
-const (
-	probeTimeout = 500_000 // microseconds that a cache has to answer a probe
-	fleetConns   = 72      // connections to a cache over all routers: it holds 90, and a full table slows it
-	leastConns   = 2       // ... and one router's part of them, at least
-	mostDials    = 4       // connections to one cache that come up at a time
-	restTime     = 4_000   // microseconds that a connection rests between an answer and the next request at least
-	fullRest     = 40_000  // ... and where there is a choice: a cache may close right after an answer, and that takes its way
-)
-
 // upstream is one cache server: its connections and the attempts that wait for one.
 type upstream struct {
 	l       *loop
@@ -36,11 +27,17 @@
 	dialing int
 	most    int
 	waiting []*attempt // in the order of their sending
+
+	rest     decide.Time // of a connection, between an answer and the next request at least
+	fullRest decide.Time // ... where there is a choice: a cache may close right after an answer, and that takes its way
 }
 
 func newUpstream(l *loop, name string) *upstream {
+	bounds := &l.cfg.Bounds.Caches
 	return &upstream{l: l, name: name, conns: map[*conn]struct{}{},
-		most: max(leastConns, fleetConns/max(1, l.cfg.Settings.Routers))}
+		most:     max(bounds.LeastConnections, bounds.FleetConnections/max(1, l.cfg.Settings.Routers)),
+		rest:     bounds.RestTime.Microseconds(),
+		fullRest: bounds.FullRestTime.Microseconds()}
 }
 
 // update takes over what the list says.
@@ -154,10 +151,10 @@
 func (u *upstream) rested() *conn {
 	for len(u.idle) > 0 {
 		// The one used last of those that are fully rested, so that others can idle out; else the first.
-		i := sort.Search(len(u.idle), func(i int) bool { return u.idle[i].idleSince > u.l.now-fullRest })
+		i := sort.Search(len(u.idle), func(i int) bool { return u.idle[i].idleSince > u.l.now-u.fullRest })
 		i = max(i-1, 0)
 		c := u.idle[i]
-		if c.idleSince > u.l.now-restTime {
+		if c.idleSince > u.l.now-u.rest {
 			break
 		}
 		u.idle = slices.Delete(u.idle, i, i+1)
@@ -168,7 +165,7 @@
 	}
 	if len(u.idle) > 0 && !u.resting {
 		u.resting = true
-		u.l.at(u.idle[0].idleSince+restTime, func() {
+		u.l.at(u.idle[0].idleSince+u.rest, func() {
 			u.resting = false
 			u.pump()
 		})
@@ -191,7 +188,7 @@
 // dial opens as many connections as there is need and room for. The danger: a
 // burst that dials one for each request fills the cache's table and takes its time.
 func (u *upstream) dial() {
-	for u.dialing < min(len(u.waiting)-len(u.idle), mostDials) && len(u.conns) < u.most && u.l.descriptor() {
+	for u.dialing < min(len(u.waiting)-len(u.idle), u.l.cfg.Bounds.Caches.DialsAtATime) && len(u.conns) < u.most && u.l.descriptor() {
 		c := &conn{upstream: u, addr: u.addr, turn: make(chan struct{}, 1)}
 		u.conns[c] = struct{}{}
 		u.dialing++
@@ -213,7 +210,7 @@
 		nc.Close()
 	default:
 		c.nc, c.raw = nc, raw
-		u.free(c, u.l.now-restTime) // nothing has been asked on it
+		u.free(c, u.l.now-u.rest) // nothing has been asked on it
 	}
 }
 
