--- /dev/null
+++ b/internal/fault/fault_test.go
@@ -0,0 +1,47 @@
+package fault
+
+import (
+	"strings"
+	"testing"
+)
+
+func TestNearFindsWhatWasMeant(t *testing.T) {
+	known := []string{"aim", "hardLimit", "maxAttempts", "run", "check"}
+	for word, want := range map[string]string{"amis": "aim", "Aim": "aim", "hard_limit": "hardLimit", "chekc": "check",
+		"rnu": "run", "max-attempt": "maxAttempts", "zzzzz": "", "": "", strings.Repeat("a", 1000): ""} {
+		if got := Near(word, known); got != want {
+			t.Errorf("%q: %q, want %q", word, got, want)
+		}
+	}
+}
+
+func TestPlaceCountsLinesAndCharacters(t *testing.T) {
+	raw := []byte("ab\nüx\n")
+	for offset, want := range map[int][2]int{-1: {1, 1}, 0: {1, 1}, 2: {1, 3}, 3: {2, 1}, 5: {2, 2}, 7: {3, 1}, 99: {3, 1}} {
+		if line, column := Place(raw, offset); line != want[0] || column != want[1] {
+			t.Errorf("offset %d: %d:%d, want %v", offset, line, column, want)
+		}
+	}
+}
+
+func TestNamesOfAFileForgeNoLines(t *testing.T) {
+	f := Fault{File: "a\nb", Field: Plain("x\ny"), Text: "bad " + Quote("\r\nz")}
+	if got := f.String(); strings.ContainsAny(got, "\r\n") {
+		t.Errorf("%q", got)
+	}
+	if got := Quote(strings.Repeat("x", 1000)); len(got) > 100 {
+		t.Errorf("%d bytes are shown of a long word", len(got))
+	}
+}
+
+func TestListIsBounded(t *testing.T) {
+	var l, all List
+	for range Most + 5 {
+		l.Add(Fault{Text: "x"})
+	}
+	all.Add(Fault{Text: "y"})
+	all.Join(l)
+	if lines := all.Lines(); len(lines) != Most+1 || lines[Most] != "and 6 more" {
+		t.Errorf("%d lines, the last %q", len(lines), lines[len(lines)-1])
+	}
+}
--- a/internal/opfile/decode.go
+++ b/internal/opfile/decode.go
@@ -69,7 +69,7 @@
 		case !isText:
 			wrong(`a size in quotes, as "64KiB"`)
 		case err != nil:
-			d.bad(at, "%s: %v", fault.Quote(text), err)
+			d.bad(at, "not a size (%s, wanted digits and B, KiB, MiB or GiB, as \"64KiB\")", fault.Quote(text))
 		default:
 			v.SetInt(int64(size))
 			d.within(at, float64(size), fault.Quote(text), tag, sizeBound)
--- a/internal/opfile/units.go
+++ b/internal/opfile/units.go
@@ -39,7 +39,7 @@
 		}
 		return Size(int64(n) * u.bytes), nil
 	}
-	return 0, errors.New(`not a size (wanted digits and B, KiB, MiB or GiB, as "64KiB")`)
+	return 0, errors.New("not a size")
 }
 
 // Duration words a duration as short as it can be: "2.5s", "1m", "4ms".
--- /dev/null
+++ b/internal/router/config_check_test.go
@@ -0,0 +1,92 @@
+package router
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"starlingwinch/decide"
+	"starlingwinch/internal/settings"
+)
+
+func soundFile(t testing.TB) string {
+	t.Helper()
+	raw, err := os.ReadFile("../settings/testdata/good.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(raw)
+}
+
+// FuzzWhatTheRouterRefusesTheCheckNames: a file that passes the check starts a router, so that nobody learns of
+// a fault at the start.
+func FuzzWhatTheRouterRefusesTheCheckNames(f *testing.F) {
+	good := soundFile(f)
+	f.Add(good)
+	for _, c := range [][2]string{{`"10.0.0.4:6379"`, `"10.0.0.4"`}, {`"cores":1`, `"cores":-1`}, {`"index":41`, `"index":-1`},
+		{`"keyTtl":1200000,`, ``}, {`"maxAttempts":3`, `"maxAttempts":0`}, {`"since_ms":17`, `"since_ms":-17`},
+		{`"dialTimeout":200000`, `"dialTimeout":9e99`}, {`"name":"c2"`, `"name":"c1"`}} {
+		f.Add(strings.Replace(good, c[0], c[1], 1))
+	}
+	f.Fuzz(func(t *testing.T, raw string) {
+		cfg, err := ParseConfig([]byte(raw))
+		if err == nil {
+			_, err = decide.New(cfg.Settings, cfg.Seed)
+		}
+		if faults := settings.Check([]byte(raw)); err != nil && faults.Empty() {
+			t.Errorf("the check passes what the router refuses with %q", err)
+		}
+	})
+}
+
+// TestKeyedClassWithoutTermsIsServedAndNotRepeated: the check complains of it, the router must get by.
+func TestKeyedClassWithoutTermsIsServedAndNotRepeated(t *testing.T) {
+	raw := strings.NewReplacer(`"dedupScope":"zone",`, ``, `"keyTtl":1200000,`, ``).Replace(soundFile(t))
+	faults := settings.Check([]byte(raw))
+	if len(faults.All()) != 2 {
+		t.Errorf("faults: %s", faults.Error())
+	}
+	cfg, err := ParseConfig([]byte(raw))
+	if err != nil {
+		t.Fatal(err)
+	}
+	m, err := decide.New(cfg.Settings, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := decide.Time(1_000_000)
+	known := cfg.Known
+	m.Handle(now, &decide.List{Kind: decide.ListFull, Entries: known.entries})
+	sends := 0
+	count := func(actions []decide.Action) {
+		for _, a := range actions {
+			if _, ok := a.(decide.Send); ok {
+				sends++
+			}
+		}
+	}
+	count(m.Handle(now, &decide.Request{ID: 1, Class: "add-contact", Key: 7, HasKey: true, Deadline: now + 1_200_000, Write: true}))
+	if sends != 1 {
+		t.Fatalf("%d sends for a new request", sends)
+	}
+	now += 1000
+	count(m.Handle(now, &decide.Outcome{ID: 1, Result: decide.ConnLost, Elapsed: 1000, Load: decide.Load{Busy: -1}}))
+	if sends != 1 {
+		t.Error("it was repeated though no cache is known to drop its repeat")
+	}
+}
+
+// TestFiguresThatWouldOverflowAreRefused: they turn negative, and every dial fails or every connection closes.
+func TestFiguresThatWouldOverflowAreRefused(t *testing.T) {
+	for _, c := range [][3]string{
+		{`"dialTimeout":200000`, `"dialTimeout":9223372036854775807`, "dialTimeout"},
+		{`"keepalive":60000000`, `"keepalive":9223372036854775807`, "keepalive"},
+		{`"memory_mb":192`, `"memory_mb":9223372036854775807`, "memory_mb"},
+		{`"cores":1`, `"cores":1e300`, "cores"},
+	} {
+		_, err := ParseConfig([]byte(strings.Replace(soundFile(t), c[0], c[1], 1)))
+		if err == nil || !strings.Contains(err.Error(), c[2]) {
+			t.Errorf("%s: error %v", c[1], err)
+		}
+	}
+}
--- a/internal/router/limits.go
+++ b/internal/router/limits.go
@@ -7,12 +7,14 @@
 	"runtime"
 	"runtime/debug"
 	"sync/atomic"
+
+	"starlingwinch/internal/settings"
 )
 
 const (
 	defaultSockets  = 1024
 	defaultMemoryMB = 192
-	leastSockets    = 64
+	leastSockets    = settings.LeastSockets
 	reserved        = 48 // descriptors for what is not counted: the log, the poller, discovery, a moment's overlap
 )
 
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -322,9 +322,6 @@
 	}
 }
 
-// LeastSockets is the least number of descriptors that a router can work with.
-const LeastSockets = 64
-
 func (c *checker) sockets(at string, v values) {
 	if n, _ := v.integer(""); n > 0 && n < LeastSockets {
 		c.bad(at, "out of range (%d, wanted at least %d descriptors, or 0 for the default)", n, LeastSockets)
@@ -388,6 +385,6 @@
 		c.bad(at+".dedupScope", "needed for a keyed class, and missing or wrong (wanted all, zone or cell)")
 	}
 	if ttl, ok := v.integer("keyTtl"); !ok || ttl == 0 {
-		c.bad(at+".keyTtl", "needed for a keyed class, and missing or wrong (wanted 10000 to %d µs)", int64(day))
+		c.bad(at+".keyTtl", "needed for a keyed class, and missing or wrong (wanted 10000 to %d µs)", int64(Day))
 	}
 }
--- a/internal/settings/check_test.go
+++ b/internal/settings/check_test.go
@@ -116,9 +116,9 @@
 func TestWhatIsNotJSONIsNamedWithItsPlace(t *testing.T) {
 	for raw, want := range map[string]string{
 		"{\"a\": 1,\n \"ü\" 2}": `2:6: not JSON: invalid character '2' after object key`,
-		"":                       `1:1: not JSON: unexpected end of JSON input`,
-		"{}\n{}":                 `2:1: not JSON: invalid character '{' after top-level value`,
-		"[]":                     `the file: wrong type (an array, wanted an object)`,
+		"":                      `1:1: not JSON: unexpected end of JSON input`,
+		"{}\n{}":                `2:1: not JSON: invalid character '{' after top-level value`,
+		"[]":                    `the file: wrong type (an array, wanted an object)`,
 	} {
 		faults := Check([]byte(raw))
 		faults.In("")
--- a/internal/settings/schema.go
+++ b/internal/settings/schema.go
@@ -31,15 +31,20 @@
 	whole  func(c *checker, at string, v values)
 }
 
+// Bounds of what a platform may say.
 const (
-	day     = 86_400_000_000 // microseconds
-	longest = 256            // bytes of a text
+	Day          = 86_400_000_000 // microseconds; no time is longer
+	MostCores    = 1024
+	MostMemoryMB = 1 << 20
+	LeastSockets = 64 // descriptors that a router can work with
+
+	longest = 256 // bytes of a text
 	lots    = 1e12
 )
 
 // span is a time that is 0 where it is left out.
 func span(name string, tiny int64) field {
-	return field{name: name, shape: integer, unit: "µs", hi: day, tiny: tiny}
+	return field{name: name, shape: integer, unit: "µs", hi: Day, tiny: tiny}
 }
 
 // need is a time that must be there.
@@ -84,8 +89,8 @@
 	must(field{name: "discovery", shape: address, port: true}),
 	checked(label("seed"), (*checker).seed),
 	under("limits",
-		figure("cores", 0, 1024),
-		field{name: "memory_mb", shape: integer, unit: "MiB", hi: 1 << 20},
+		figure("cores", 0, MostCores),
+		field{name: "memory_mb", shape: integer, unit: "MiB", hi: MostMemoryMB},
 		checked(field{name: "sockets", shape: integer, unit: "descriptors", hi: 1 << 24}, (*checker).sockets)),
 	field{name: "peer_listen", shape: address},
 	list("peers", 10_000, field{shape: address, port: true}),
