--- a/internal/policylimit/policylimit_test.go
+++ b/internal/policylimit/policylimit_test.go
@@ -14,7 +14,7 @@
 
 const (
 	mostLines = 1200 // non-blank, over all policy files, comments too
-	mostWidth = 110 // characters a line
+	mostWidth = 110  // characters a line
 )
 
 // violations returns what is wrong with the policy files, by name.
--- a/internal/router/list.go
+++ b/internal/router/list.go
@@ -239,7 +239,7 @@
 // list at once, as its versions need not go on from those of the old one.
 func (l *loop) reload(cfg *Config) {
 	if cfg.Listen != l.cfg.Listen || cfg.Limits != l.cfg.Limits || !reflect.DeepEqual(cfg.Settings, l.cfg.Settings) ||
-		cfg.Transport != l.cfg.Transport {
+		cfg.Transport != l.cfg.Transport || cfg.Bounds != l.cfg.Bounds {
 		l.log("SIGHUP: new addresses for clients, limits and settings wait for a restart")
 	}
 	if cfg.Discovery == l.cfg.Discovery {
@@ -252,6 +252,6 @@
 		l.endWatch()
 		l.endWatch = nil
 	}
-	l.discovery, l.index = newDiscovery(cfg.Discovery), noIndex
+	l.discovery, l.index = newDiscovery(cfg.Discovery, l.cfg.Bounds.Discovery), noIndex
 	l.watch()
 }
--- a/internal/router/list_test.go
+++ b/internal/router/list_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"starlingwinch/decide"
+	"starlingwinch/internal/limits"
 )
 
 // TestOneBadEntryLosesNoDrain. The danger: a list with one entry that can't be read is thrown away
@@ -108,7 +109,7 @@
 	ctx, stop := context.WithTimeout(context.Background(), span)
 	defer stop()
 	answers := 0
-	newDiscovery(srv.Listener.Addr().String()).watch(ctx, 5, func(hostList) { answers++ })
+	newDiscovery(srv.Listener.Addr().String(), limits.Default().Discovery).watch(ctx, 5, func(hostList) { answers++ })
 	most := int64(callBurst + span/callPause + 1)
 	if n := calls.Load(); n > most || answers < 2 {
 		t.Errorf("%d calls in %v, at most %d wanted; %d answers", n, span, most, answers)
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -93,7 +93,7 @@
 		begun: make(chan struct{}), done: make(chan struct{}), base: time.Now(),
 		wall:     func() decide.Time { return time.Now().UnixMicro() },
 		requests: map[int64]*request{}, ids: map[string]struct{}{}, upstreams: map[string]*upstream{},
-		discovery: newDiscovery(cfg.Discovery), index: cfg.Known.index}
+		discovery: newDiscovery(cfg.Discovery, cfg.Bounds.Discovery), index: cfg.Known.index}
 	l.books = books.New(m, l.breach)
 	l.module = l.books
 	return l, nil
@@ -361,7 +361,7 @@
 		l.backlog = append(l.backlog, &decide.Probed{Cache: cache, Result: decide.NotSent, Load: decide.Load{Busy: -1}})
 		return
 	}
-	u.start(&attempt{upstream: u, sent: l.now, stopAt: l.now + probeTimeout})
+	u.start(&attempt{upstream: u, sent: l.now, stopAt: l.now + l.cfg.Bounds.Caches.ProbeTime.Microseconds()})
 }
 
 // ended tells the module how an attempt went. The first answer that serves is
--- a/internal/router/trouble_test.go
+++ b/internal/router/trouble_test.go
@@ -71,10 +71,10 @@
 	r.do(func() {
 		u := r.l.upstreams["c1"]
 		c := u.idle[0]
-		if r.l.now = c.idleSince + restTime - 1; u.rested() != nil {
+		if r.l.now = c.idleSince + c.upstream.rest - 1; u.rested() != nil {
 			t.Error("it was given out while it rests")
 		}
-		if r.l.now = c.idleSince + restTime; u.rested() != c {
+		if r.l.now = c.idleSince + c.upstream.rest; u.rested() != c {
 			t.Error("it was not given out after its rest")
 		}
 		c.close()
--- a/internal/standin/fleet_test.go
+++ b/internal/standin/fleet_test.go
@@ -7,7 +7,7 @@
 
 	"starlingwinch/decide"
 	"starlingwinch/internal/machine"
-	"starlingwinch/internal/wire"
+	"starlingwinch/internal/settings"
 )
 
 // passThrough stands in for a router: each connection of a client gets one of its own to one cache,
@@ -155,7 +155,7 @@
 	if err := json.Unmarshal(DefaultRouterSettings().JSON(), &config); err != nil {
 		t.Fatal(err)
 	}
-	s, transport, err := wire.ParseSettings(config.Settings)
+	s, transport, err := settings.Parse(config.Settings)
 	if err != nil {
 		t.Fatal(err)
 	}
