--- /dev/null
+++ b/internal/machine/conn.go
@@ -0,0 +1,157 @@
+package machine
+
+import (
+	"fmt"
+	"io"
+	"net/netip"
+	"syscall"
+)
+
+// conn is a connection that is up.
+type conn struct {
+	m      *Real
+	fd     int // below 0 once it is closed
+	at     place
+	h      Handler
+	local  netip.AddrPort
+	remote netip.AddrPort
+
+	empty   bool // all that had come was read, and no event has come since
+	over    bool // the kernel has told of the end, or of an error: from here on there may be no more events
+	held    bool // a Write took less than it was given
+	broken  bool // an error was seen
+	noWrite bool // CloseWrite was called
+}
+
+// event implements watcher.
+func (c *conn) event(mask uint32) {
+	held := c.held // as it was before: what Readable writes gets an event of its own
+	if mask&(eventIn|eventEnd|eventOver) != 0 {
+		c.empty = false
+		c.over = c.over || mask&(eventEnd|eventOver) != 0
+		c.h.Readable()
+	}
+	if held && c.fd >= 0 && mask&(eventOut|eventOver) != 0 {
+		c.h.Writable()
+	}
+}
+
+// Read implements Conn.
+func (c *conn) Read(b []byte) (int, error) {
+	if c.fd < 0 {
+		return 0, ErrClosed
+	}
+	if len(b) == 0 {
+		return 0, nil
+	}
+	// A read that took less than there was room for has emptied the socket, and what comes later is an
+	// event: the call that would find nothing is saved (epoll(7), under "Possible pitfalls").
+	// The danger: the end may have come with the event that told of the bytes; then there is no other.
+	if c.empty && !c.over {
+		return 0, ErrWait
+	}
+	n, err := recv(c.fd, b, 0)
+	switch {
+	case err == syscall.EAGAIN:
+		c.empty = true
+		return 0, ErrWait
+	case err != nil:
+		return 0, c.breakOff(err)
+	case n == 0 && c.broken:
+		// The danger: the kernel tells an error once. Where a Write got it, the read after it finds an
+		// end that looks as if the other side had meant it.
+		return 0, ErrReset
+	case n == 0:
+		return 0, io.EOF
+	}
+	c.empty = n < len(b)
+	return n, nil
+}
+
+// Write implements Conn.
+func (c *conn) Write(b []byte) (int, error) {
+	switch {
+	case c.fd < 0 || c.noWrite:
+		return 0, ErrClosed
+	case c.broken:
+		return 0, ErrReset
+	}
+	c.held = false
+	sent := 0
+	// Up to EAGAIN: only after that the kernel owes an event.
+	for sent < len(b) {
+		n, err := send(c.fd, b[sent:])
+		if err == syscall.EAGAIN {
+			c.held = true
+			break
+		}
+		if err != nil {
+			return sent, c.breakOff(err)
+		}
+		sent += n
+	}
+	return sent, nil
+}
+
+// breakOff is what an error of the kernel means to the connection: that it is broken, whatever the cause.
+func (c *conn) breakOff(err error) error {
+	c.broken = true
+	if err == syscall.ECONNRESET || err == syscall.EPIPE {
+		return ErrReset
+	}
+	return fmt.Errorf("%w: %v", ErrReset, err)
+}
+
+// Quiet implements Conn.
+func (c *conn) Quiet() bool {
+	if c.fd < 0 || c.broken {
+		return false
+	}
+	var b [1]byte
+	_, err := recv(c.fd, b[:], syscall.MSG_PEEK)
+	return err == syscall.EAGAIN
+}
+
+// CloseWrite implements Conn.
+func (c *conn) CloseWrite() error {
+	if c.fd < 0 {
+		return ErrClosed
+	}
+	c.noWrite = true
+	if err := syscall.Shutdown(c.fd, syscall.SHUT_WR); err != nil {
+		return c.breakOff(err)
+	}
+	return nil
+}
+
+// Close implements Conn.
+func (c *conn) Close() {
+	if c.fd < 0 {
+		return
+	}
+	c.m.poll.leave(c.at)
+	c.m.conns--
+	c.shut()
+}
+
+// shut implements watcher. The kernel's interest ends with the descriptor, of which there is no copy.
+func (c *conn) shut() {
+	syscall.Close(c.fd)
+	c.fd = -1
+	c.h = nil
+}
+
+// Local and Remote implement Conn.
+func (c *conn) Local() string  { return c.local.String() }
+func (c *conn) Remote() string { return c.remote.String() }
+
+// begin gives the connection its handler. One without a handler would be open for ever.
+func (c *conn) begin(h Handler) {
+	if h == nil {
+		c.Close()
+		return
+	}
+	if c.fd >= 0 {
+		c.h = h
+	}
+}
--- /dev/null
+++ b/internal/machine/real.go
@@ -0,0 +1,235 @@
+package machine
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"io"
+	"os"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Options say what a real machine is to use. The zero value is good.
+type Options struct {
+	Log         io.Writer // os.Stderr where it is nil
+	Descriptors int       // how many connections may be open at once; 0 is as many as the system lets
+}
+
+// Real is the machine this process runs on: Linux, by its system calls (epoll(7), socket(7)).
+//
+// Its loop goes in turns: the events that the kernel has, then the functions posted before, then the
+// timers that are due, each kind bounded by what was there when its part of the turn began. Now is
+// read once before each call of a handler, function or timer and stands still while the call lasts.
+// Timers fire up to a millisecond late, which is the kernel's measure for a wait.
+//
+// Until Run is called, the goroutine that called New takes the loop's place.
+type Real struct {
+	start   time.Time
+	base    Time // Unix time at the start
+	now     Time
+	running bool
+
+	poll   *poller
+	timers timers
+	conns  int // open ones and those coming up
+	most   int // that may be; 0 is no bound
+
+	inbox   inbox
+	work    work
+	signals signals
+	log     *logger
+	roused  atomic.Bool // Work or Log has given a goroutine something to do
+	packet  []byte      // what datagrams are received into
+
+	mu    sync.Mutex
+	state state
+}
+
+type state uint8
+
+const (
+	ready state = iota
+	running
+	stopped
+)
+
+var _ Machine = (*Real)(nil)
+
+// New gives a machine whose loop does not run yet. Signals are taken from here on.
+func New(opts Options) (*Real, error) {
+	m := &Real{start: time.Now(), most: opts.Descriptors}
+	m.base = m.start.UnixMicro()
+	m.now = m.base
+	var err error
+	if m.poll, err = newPoller(); err != nil {
+		return nil, err
+	}
+	if err := m.inbox.open(m.poll); err != nil {
+		m.poll.shut()
+		return nil, err
+	}
+	w := opts.Log
+	if w == nil {
+		w = os.Stderr
+	}
+	m.log = newLogger(w)
+	m.work.post = m.Post
+	m.signals.begin(m.Post)
+	return m, nil
+}
+
+// Run runs the loop until Stop is called, and then closes all that is open and has the last lines of
+// the log written, for which it waits 100 ms at most. A machine runs once.
+func (m *Real) Run() {
+	if !m.enter(ready, running) {
+		return
+	}
+	m.running = true
+	for m.turn() {
+	}
+	m.enter(running, stopped)
+	m.shut()
+}
+
+// Stop has Run return soon. Any goroutine may call it, and more than once. Nothing is called from the turn's
+// end on, and what is posted is dropped; work that has begun goes on, but its end is told to nobody.
+func (m *Real) Stop() {
+	if m.enter(ready, stopped) {
+		m.shut()
+		return
+	}
+	m.inbox.stop()
+}
+
+func (m *Real) enter(from, to state) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.state != from {
+		return false
+	}
+	m.state = to
+	return true
+}
+
+// turn is one round of the loop; false says that it was the last.
+func (m *Real) turn() bool {
+	if m.idle() {
+		// The danger: with one processor, a goroutine that this turn has made runnable would wait until the
+		// scheduler notices that the loop waits. Asked for each time, it would cost more than it brings.
+		if m.roused.Load() {
+			m.roused.Store(false)
+			runtime.Gosched()
+		}
+		m.poll.wait(m.left())
+	} else {
+		m.poll.poll()
+	}
+	posted, goesOn := m.inbox.take()
+	if !goesOn {
+		return false
+	}
+
+	for i := 0; i < m.poll.n; i++ {
+		ev := &m.poll.events[i]
+		if w := m.poll.owner(ev); w != nil {
+			m.tick()
+			w.event(ev.Events)
+		}
+	}
+
+	for i, f := range posted {
+		posted[i] = nil
+		m.tick()
+		f()
+	}
+
+	m.tick()
+	// Timers set meanwhile are due at this moment at the earliest and come behind those that are due: At
+	// sees to that. A timer that sets itself anew thus neither holds the turn up nor others back.
+	now, set := m.now, m.timers.set
+	for t := m.timers.first(); t != nil && t.at <= now && t.nr < set; t = m.timers.first() {
+		t.take()()
+		m.tick()
+	}
+	return true
+}
+
+// idle reports whether the loop may wait; from then on a Post wakes it.
+func (m *Real) idle() bool {
+	if t := m.timers.first(); t != nil {
+		m.tick()
+		if t.at <= m.now {
+			return false
+		}
+	}
+	return m.inbox.rest()
+}
+
+// left is how long the loop may wait; below 0 is for ever.
+func (m *Real) left() Time {
+	if t := m.timers.first(); t != nil {
+		return t.at - m.now
+	}
+	return -1
+}
+
+func (m *Real) tick() { m.now = m.base + time.Since(m.start).Microseconds() }
+
+// shut gives everything back.
+func (m *Real) shut() {
+	m.signals.end()
+	m.work.end()
+	m.inbox.close()
+	m.poll.shut()
+	m.timers = timers{}
+	m.log.end()
+}
+
+// Now implements Machine.
+func (m *Real) Now() Time {
+	if !m.running {
+		m.tick()
+	}
+	return m.now
+}
+
+// Wall implements Machine.
+func (m *Real) Wall() Time { return time.Now().UnixMicro() }
+
+// Entropy implements Machine.
+func (m *Real) Entropy() uint64 {
+	var b [8]byte
+	rand.Read(b[:]) // never fails
+	return binary.NativeEndian.Uint64(b[:])
+}
+
+// At implements Machine.
+func (m *Real) At(t Time, f func()) Timer { return m.at(t, f) }
+
+func (m *Real) at(t Time, f func()) *timer { return m.timers.add(max(t, m.Now()), f) }
+
+// Post implements Machine.
+func (m *Real) Post(f func()) { m.inbox.put(f) }
+
+// Work implements Machine. Two of them run at a time; the others wait in the order in which they came.
+func (m *Real) Work(f, done func()) {
+	m.work.add(f, done)
+	m.roused.Store(true)
+}
+
+// Signals implements Machine.
+func (m *Real) Signals(f func(Signal)) { m.signals.to(f) }
+
+// Log implements Machine.
+func (m *Real) Log(line string) {
+	m.log.add(line)
+	m.roused.Store(true)
+}
+
+// room reports whether one more connection may be opened.
+func (m *Real) room() bool { return m.most == 0 || m.conns < m.most }
+
+var errNoIP = errors.New("not an IP address and a port")
--- /dev/null
+++ b/internal/machine/socket.go
@@ -0,0 +1,122 @@
+package machine
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"syscall"
+	"unsafe"
+)
+
+// parse reads an IP address and a port. An IPv4 address in IPv6 clothes is an IPv4 address.
+func parse(addr string) (netip.AddrPort, error) {
+	ap, err := netip.ParseAddrPort(addr)
+	if err != nil || ap.Addr().Zone() != "" {
+		return netip.AddrPort{}, fmt.Errorf("%q: %w", addr, errNoIP)
+	}
+	return plain(ap), nil
+}
+
+func plain(ap netip.AddrPort) netip.AddrPort { return netip.AddrPortFrom(ap.Addr().Unmap(), ap.Port()) }
+
+// socket opens a socket that never blocks and that no child process inherits, for peers like ap.
+func socket(ap netip.AddrPort, kind int) (int, error) {
+	family := syscall.AF_INET6
+	if ap.Addr().Is4() {
+		family = syscall.AF_INET
+	}
+	fd, err := syscall.Socket(family, kind|syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return -1, failure("socket", err)
+	}
+	return fd, nil
+}
+
+// bound opens a socket at an address. At the IPv6 address of all interfaces it takes IPv4 peers too.
+func bound(ap netip.AddrPort, kind int) (int, error) {
+	fd, err := socket(ap, kind)
+	if err != nil {
+		return -1, err
+	}
+	if ap.Addr().Is6() {
+		only := 1
+		if ap.Addr().IsUnspecified() {
+			only = 0
+		}
+		syscall.SetsockoptInt(fd, syscall.IPPROTO_IPV6, syscall.IPV6_V6ONLY, only)
+	}
+	if kind == syscall.SOCK_STREAM {
+		syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)
+	}
+	if err := syscall.Bind(fd, toSockaddr(ap)); err != nil {
+		syscall.Close(fd)
+		return -1, failure("bind", err)
+	}
+	return fd, nil
+}
+
+func toSockaddr(ap netip.AddrPort) syscall.Sockaddr {
+	if ap.Addr().Is4() {
+		return &syscall.SockaddrInet4{Port: int(ap.Port()), Addr: ap.Addr().As4()}
+	}
+	return &syscall.SockaddrInet6{Port: int(ap.Port()), Addr: ap.Addr().As16()}
+}
+
+// fromSockaddr is the zero AddrPort where sa is none of IP.
+func fromSockaddr(sa syscall.Sockaddr) netip.AddrPort {
+	switch sa := sa.(type) {
+	case *syscall.SockaddrInet4:
+		return netip.AddrPortFrom(netip.AddrFrom4(sa.Addr), uint16(sa.Port))
+	case *syscall.SockaddrInet6:
+		return plain(netip.AddrPortFrom(netip.AddrFrom16(sa.Addr), uint16(sa.Port)))
+	}
+	return netip.AddrPort{}
+}
+
+func localAddr(fd int) netip.AddrPort {
+	sa, err := syscall.Getsockname(fd)
+	if err != nil {
+		return netip.AddrPort{}
+	}
+	return fromSockaddr(sa)
+}
+
+// failure puts an error of the kernel into the words of the contract; others keep their text.
+func failure(call string, err error) error {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return ErrRefused
+	case errors.Is(err, syscall.ETIMEDOUT):
+		return ErrTimeout
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
+		return ErrReset
+	case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE):
+		return ErrDescriptors
+	}
+	return os.NewSyscallError(call, err)
+}
+
+// send and recv are the system calls on a connected socket, without a wait and without a SIGPIPE.
+func send(fd int, b []byte) (int, error) {
+	const flags = syscall.MSG_NOSIGNAL | syscall.MSG_DONTWAIT
+	return transfer(syscall.SYS_SENDTO, fd, b, flags)
+}
+
+func recv(fd int, b []byte, flags uintptr) (int, error) {
+	return transfer(syscall.SYS_RECVFROM, fd, b, flags|syscall.MSG_DONTWAIT)
+}
+
+func transfer(call uintptr, fd int, b []byte, flags uintptr) (int, error) {
+	for {
+		n, _, errno := syscall.Syscall6(call, uintptr(fd),
+			uintptr(unsafe.Pointer(unsafe.SliceData(b))), uintptr(len(b)), flags, 0, 0)
+		switch errno {
+		case 0:
+			return int(n), nil
+		case syscall.EINTR:
+		default:
+			return 0, errno
+		}
+	}
+}
