--- a/internal/machine/conn.go
+++ b/internal/machine/conn.go
@@ -109,6 +109,10 @@
 	}
 	var b [1]byte
 	_, err := recv(c.fd, b[:], syscall.MSG_PEEK)
+	if err != nil && err != syscall.EAGAIN {
+		// The danger: this look has taken the error off the socket, and the next read would find an end.
+		c.breakOff(err)
+	}
 	return err == syscall.EAGAIN
 }
 
--- a/internal/machine/log.go
+++ b/internal/machine/log.go
@@ -47,7 +47,7 @@
 	defer close(l.over)
 	for since := 0; ; since++ {
 		// What was dropped came after the lines that waited: so it is told behind them.
-		if len(l.lines) == 0 || since >= logLines {
+		if len(l.lines) == 0 || since > logLines {
 			l.tellDropped()
 			since = 0
 		}
--- /dev/null
+++ b/internal/machine/packet_test.go
@@ -0,0 +1,79 @@
+package machine
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+)
+
+func TestDatagramsComeWholeWithTheirSender(t *testing.T) {
+	r := newRig(t, Options{})
+	for _, at := range []string{"127.0.0.1:0", "[::1]:0"} {
+		type datagram struct{ from, text string }
+		got := make(chan datagram, 256)
+		var a, b PacketConn
+		r.do(func() {
+			var err error
+			a, err = r.ListenPacket(at, func(from string, p []byte) { got <- datagram{from, string(p)} })
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			b, err = r.ListenPacket(at, func(string, []byte) {})
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			for i := range 100 { // more than a turn takes
+				if err := b.Send(a.Addr(), fmt.Appendf(nil, "%d", i)); err != nil {
+					t.Error(err)
+				}
+			}
+			b.Send(a.Addr(), make([]byte, packetMost+1))
+			b.Send(a.Addr(), []byte(strings.Repeat("x", packetMost)))
+		})
+		for i := range 100 {
+			if d := await(t, "a datagram", got); d != (datagram{b.Addr(), fmt.Sprint(i)}) {
+				t.Fatalf("%v came as number %d", d, i)
+			}
+		}
+		if d := await(t, "the longest datagram", got); len(d.text) != packetMost {
+			t.Errorf("%d bytes came of the longest, or a longer one was taken in", len(d.text))
+		}
+		r.do(func() {
+			if err := b.Send("nowhere", nil); !errors.Is(err, errNoIP) {
+				t.Errorf("an address that is none gives %v", err)
+			}
+			b.Close()
+			b.Close()
+			if err := b.Send(a.Addr(), nil); err != ErrClosed {
+				t.Errorf("Send after Close gives %v", err)
+			}
+		})
+	}
+}
+
+func TestPacketConnClosedInItsCallIsNotToldOfTheNext(t *testing.T) {
+	r := newRig(t, Options{})
+	calls := 0
+	r.do(func() {
+		var p PacketConn
+		p, err := r.ListenPacket("127.0.0.1:0", func(string, []byte) {
+			calls++
+			p.Close()
+		})
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		p.Send(p.Addr(), []byte("one"))
+		p.Send(p.Addr(), []byte("two"))
+	})
+	r.pass()
+	r.do(func() {
+		if calls != 1 {
+			t.Errorf("%d calls came", calls)
+		}
+	})
+}
