--- /dev/null
+++ b/cmd/starlingwinch/commands_test.go
@@ -0,0 +1,258 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime/debug"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+)
+
+// binary is the program, built once.
+var binary = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "starlingwinch")
+	if err != nil {
+		return "", err
+	}
+	bin := filepath.Join(dir, "starlingwinch")
+	out, err := exec.Command("go", "build", "-o", bin, ".").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("build: %w\n%s", err, out)
+	}
+	return bin, nil
+})
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if bin, err := binary(); err == nil {
+		os.RemoveAll(filepath.Dir(bin))
+	}
+	os.Exit(code)
+}
+
+// command prepares a run of the program without the platform's variable.
+func command(t *testing.T, args ...string) *exec.Cmd {
+	t.Helper()
+	bin, err := binary()
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithTimeout(context.Background(), patience)
+	t.Cleanup(stop)
+	cmd := exec.CommandContext(ctx, bin, args...)
+	for _, v := range os.Environ() {
+		if !strings.HasPrefix(v, configVariable+"=") {
+			cmd.Env = append(cmd.Env, v)
+		}
+	}
+	return cmd
+}
+
+// outcome runs the program to its end.
+func outcome(t *testing.T, args ...string) (code int, stdout, stderr string) {
+	t.Helper()
+	cmd := command(t, args...)
+	var out, errs bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &out, &errs
+	err := cmd.Run()
+	var exit *exec.ExitError
+	if err != nil && !errors.As(err, &exit) {
+		t.Fatal(err)
+	}
+	return cmd.ProcessState.ExitCode(), out.String(), errs.String()
+}
+
+func file(t *testing.T, name, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestUnknownWordsAndFlagsNeverStart(t *testing.T) {
+	for _, c := range []struct{ args, want string }{
+		{"chek", `starlingwinch: unknown command "chek" (did you mean "check"?); see starlingwinch help`},
+		{"rn --config x", `starlingwinch: unknown flag "--config" (did you mean "run --config"?); see starlingwinch --help`},
+		{"run --confg x", `starlingwinch run: unknown flag "--confg" (did you mean "--config"?); see starlingwinch run --help`},
+		{"run --operator", `starlingwinch run: flag needs an argument: --operator; see starlingwinch run --help`},
+		{"run --config=", `starlingwinch run: --config: a FILE is wanted; see starlingwinch run --help`},
+		{"run config.json", `starlingwinch run: unknown word "config.json" (it takes none)`},
+		{"--config x", `starlingwinch: unknown flag "--config" (did you mean "run --config"?); see starlingwinch --help`},
+		{"-q", `starlingwinch: unknown flag "-q"; see starlingwinch --help`},
+		{"check", `starlingwinch check: a FILE is wanted; see starlingwinch check --help`},
+		{"help rnu", `starlingwinch: unknown command "rnu" (did you mean "run"?); see starlingwinch help`},
+		{"version now", `starlingwinch version: unknown word "now" (it takes none)`},
+	} {
+		code, stdout, stderr := outcome(t, strings.Fields(c.args)...)
+		if code != exitUsage || stdout != "" || stderr != c.want+"\n" {
+			t.Errorf("%s: exit code %d, %s%s want %s", c.args, code, stdout, stderr, c.want)
+		}
+	}
+}
+
+func TestHelpAndVersionAreToldOnStandardOutput(t *testing.T) {
+	for args, want := range map[string]string{"help": "check", "--help": "version", "help run": "--operator FILE",
+		"check --help": "FILE...", "version": "starlingwinch "} {
+		code, stdout, stderr := outcome(t, strings.Fields(args)...)
+		if code != 0 || !strings.Contains(stdout, want) || stderr != "" {
+			t.Errorf("%s: exit code %d\n%s%s", args, code, stdout, stderr)
+		}
+	}
+}
+
+func TestVersionTellsTheRevision(t *testing.T) {
+	info := &debug.BuildInfo{GoVersion: "go1.26", Main: debug.Module{Version: "v1.2.3"}, Settings: []debug.BuildSetting{
+		{Key: "vcs.revision", Value: "abc"}, {Key: "vcs.modified", Value: "true"}, {Key: "vcs.time", Value: "2026-01-02"}}}
+	if got := version(info); got != "starlingwinch v1.2.3, revision abc with changes of 2026-01-02, go1.26" {
+		t.Error(got)
+	}
+	if got := version(nil); got != "starlingwinch, unknown build" {
+		t.Error(got)
+	}
+}
+
+func TestCheckTellsFilesApartAndNamesAllFaults(t *testing.T) {
+	sound := fmt.Sprintf(config, "127.0.0.1:6379")
+	good, bare := file(t, "config.json", sound), file(t, "config", sound)
+	code, stdout, stderr := outcome(t, "check", good, bare, "../../deploy/limits.toml")
+	want := good + ": good (platform's file)\n" + bare + ": good (platform's file)\n" +
+		"../../deploy/limits.toml: good (operators' file, kind limits)\n"
+	if code != 0 || stdout != want || stderr != "" {
+		t.Errorf("exit code %d\n%s%s", code, stdout, stderr)
+	}
+	bad := file(t, "bad.json", strings.NewReplacer(`"aim":500000`, `"aim":500`, `"rules"`, `"rule"`).Replace(sound))
+	slip := file(t, "slip", "kind = \"limits\"\n[clients]\nidle_tim = \"3s\"\n")
+	code, stdout, stderr = outcome(t, "check", bad, good, slip, "none.toml", "-")
+	want = bad + ": settings.categories[0].aim: looks like milliseconds; microseconds are wanted (500, wanted at least 5000 µs)\n" +
+		bad + ": settings.rule: unknown field (did you mean \"rules\"?)\n" +
+		slip + ":3:1: clients.idle_tim: unknown key (did you mean \"idle_time\"?)\n" +
+		"starlingwinch: stat none.toml: no such file or directory\n" +
+		"starlingwinch: stat -: no such file or directory\n"
+	if code != exitFault || stdout != good+": good (platform's file)\n" || stderr != want {
+		t.Errorf("exit code %d\n%s%s\nwant\n%s", code, stdout, stderr, want)
+	}
+}
+
+func TestRunStartsWithOperatorsFiles(t *testing.T) {
+	path := file(t, "config.json", fmt.Sprintf(config, "127.0.0.1:0"))
+	mine := file(t, "mine.toml", "kind = \"limits\"\n[clients]\ncommand_time = \"100ms\"\n")
+	s := start(t, command(t, "run", "--config", path, "--operator", mine))
+	if err := os.WriteFile(mine, []byte("kind = \"limits\"\n[clients]\ncommand_time = \"1ms\"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s.hangUp(t)
+	if got := s.wait(t, "the old configuration stays: "); !strings.Contains(got, "clients.command_time: out of range") {
+		t.Errorf("logged %q", got)
+	}
+	if err := os.WriteFile(mine, []byte("kind = \"limits\"\n[clients]\ncommand_time = \"200ms\"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s.hangUp(t)
+	s.wait(t, "wait for a restart")
+	s.end(t)
+}
+
+func (s *started) hangUp(t *testing.T) {
+	t.Helper()
+	if err := s.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestAllFaultsOfAStartComeInOneBlock(t *testing.T) {
+	path := file(t, "config.json", fmt.Sprintf(config, "nowhere"))
+	slip := file(t, "slip.toml", "kind = \"limits\"\n[clients]\npipelined = 0\n")
+	twice := file(t, "twice.toml", "kind = \"limits\"\n")
+	code, _, stderr := outcome(t, "run", "--config", path, "--operator", slip, "--operator", twice, "--operator", twice)
+	want := path + `: listen: not an address ("nowhere", wanted IP:PORT)` + "\n" +
+		slip + ":3:1: clients.pipelined: out of range (0, wanted 1 to 4096)\n" +
+		twice + ": kind: limits is also the kind of " + twice + "; one file of a kind is wanted\n"
+	if code != exitFault || stderr != want {
+		t.Errorf("exit code %d\n%s\nwant\n%s", code, stderr, want)
+	}
+}
+
+func TestWhatThePlatformSendsTooMuchIsAWarning(t *testing.T) {
+	path := file(t, "config.json", strings.Replace(fmt.Sprintf(config, "127.0.0.1:0"), `"instances"`, `"newKey":1,"instances"`, 1))
+	cmd := command(t, "run", "--config", path)
+	stderr, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	s := &started{cmd: cmd, log: bufio.NewReader(stderr)}
+	if got := s.wait(t, "warning: "); got != path+": settings.newKey: unknown field" {
+		t.Errorf("warned %q", got)
+	}
+	s.end(t)
+}
+
+// TestUnreadStandardErrorDoesNotHoldTheProgram: the pipe is full, and nobody empties it.
+func TestUnreadStandardErrorDoesNotHoldTheProgram(t *testing.T) {
+	r, w, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	defer w.Close()
+	fill(t, w)
+	cmd := command(t, "run", "--config", "none.json")
+	cmd.Stderr = w
+	var exit *exec.ExitError
+	if err := cmd.Run(); !errors.As(err, &exit) || exit.ExitCode() != exitFault {
+		t.Errorf("ended with %v, want exit code 1", err)
+	}
+}
+
+// fill writes to a pipe until it is full.
+func fill(t *testing.T, w *os.File) {
+	t.Helper()
+	raw, err := w.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	chunk := make([]byte, 4096)
+	err = raw.Write(func(fd uintptr) bool {
+		for err == nil {
+			_, err = syscall.Write(int(fd), chunk)
+		}
+		return true
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestOutletDropsWhatNobodyReads and keeps the order of the rest.
+func TestOutletDropsWhatNobodyReads(t *testing.T) {
+	r, w := io.Pipe()
+	o := newOutlet(w)
+	for i := range 3 * outletBacklog {
+		fmt.Fprintln(o, i)
+	}
+	go func() {
+		o.flush(patience)
+		w.Close()
+	}()
+	text, err := io.ReadAll(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines := strings.Fields(string(text))
+	if len(lines) < outletBacklog || len(lines) > outletBacklog+1 || lines[0] != "0" || lines[5] != "5" {
+		t.Errorf("%d lines were kept, the first %q", len(lines), lines[:min(6, len(lines))])
+	}
+}
--- a/cmd/starlingwinch/run.go
+++ b/cmd/starlingwinch/run.go
@@ -42,7 +42,12 @@
 		Long: "Serves until SIGTERM, which drains. SIGHUP reads the files again: a new address of discovery takes\n" +
 			"effect at once, all else waits for a restart.",
 		Args: knownWords,
-		RunE: func(*cobra.Command, []string) error { return s.run(hup) },
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if cmd.Flags().Changed("config") && s.config == "" {
+				return usageError{cmd.CommandPath() + ": --config: a FILE is wanted; see " + cmd.CommandPath() + " --help"}
+			}
+			return s.run(hup)
+		},
 	}
 	cmd.Flags().StringVar(&s.config, "config", "", "the platform's `FILE` (JSON); without it, the one that "+
 		configVariable+" names")
--- /dev/null
+++ b/internal/limits/limits_test.go
@@ -0,0 +1,35 @@
+package limits
+
+import (
+	"strings"
+	"testing"
+
+	"starlingwinch/internal/opfile"
+)
+
+func TestLimitsThatBindOneAnotherAreChecked(t *testing.T) {
+	for text, want := range map[string]string{
+		"clients.idle_time = \"1s\"":        `clients.crowded_idle_time: above clients.idle_time (2.2s, wanted at most 1s)`,
+		"caches.fleet_connections = 1":      `caches.least_connections: above caches.fleet_connections (2, wanted at most 1)`,
+		"caches.rest_time = \"50ms\"":       `caches.full_rest_time: below caches.rest_time (40ms, wanted at least 50ms)`,
+		"clients.errors_in_a_row = 0":       `clients.errors_in_a_row: out of range (0, wanted 1 to 1000)`,
+		"discovery.list_size = \"128MiB\"":  `discovery.list_size: out of range ("128MiB", wanted 64KiB to 64MiB)`,
+		"discovery.watch_time = \"1m1s\"":   `discovery.watch_time: out of range ("1m1s", wanted 1s to 1m)`,
+		"caches.dials_at_a_time = 99999999": `caches.dials_at_a_time: out of range (99999999, wanted 1 to 1000)`,
+	} {
+		_, err := opfile.Registry{Kind}.Parse("f", []byte("kind = \"limits\"\n"+text))
+		if err == nil || !strings.HasSuffix(err.Error(), want) {
+			t.Errorf("%s: %v, want %s", text, err, want)
+		}
+	}
+}
+
+func TestFileOfItsKindAloneIsTheDefault(t *testing.T) {
+	file, err := opfile.Registry{Kind}.Parse("f", []byte(`kind = "limits"`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := opfile.Get[Limits]([]opfile.File{file}, Kind); got != Default() {
+		t.Errorf("%+v", got)
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -73,7 +73,7 @@
 		return decide.Settings{}, Transport{}, errors.New("no settings")
 	}
 	if err := json.Unmarshal(raw, &in); err != nil {
-		return decide.Settings{}, Transport{}, fmt.Errorf("settings: %w", plain(err))
+		return decide.Settings{}, Transport{}, fmt.Errorf("settings: %w", Plain(err))
 	}
 	s := decide.Settings{
 		Routers: in.Instances, MustWatch: in.Discovery == "subscribe", LiveSizes: in.Weights == "live",
@@ -97,8 +97,8 @@
 		Keepalive: in.Limits.Keepalive}, nil
 }
 
-// plain turns a decoder's error into words that don't name Go types.
-func plain(err error) error {
+// Plain turns a decoder's error into words that don't name Go types.
+func Plain(err error) error {
 	var t *json.UnmarshalTypeError
 	if errors.As(err, &t) {
 		return fmt.Errorf("wrong shape: %s where %q is read", t.Value, t.Field)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -70,7 +70,7 @@
 func (h *Host) batch(line []byte) ([]byte, error) {
 	var b batch
 	if err := json.Unmarshal(line, &b); err != nil {
-		return nil, plain(err)
+		return nil, settings.Plain(err)
 	}
 	if b.Now == nil || b.Batch == nil || b.Msgs == nil {
 		return nil, errors.New("a batch needs now, batch and msgs")
@@ -113,7 +113,7 @@
 	}
 	var m event
 	if err := json.Unmarshal(body, &m); err != nil {
-		return 0, nil, fmt.Errorf("%s: %w", name, plain(err))
+		return 0, nil, fmt.Errorf("%s: %w", name, settings.Plain(err))
 	}
 	if m.Inst == nil {
 		return 0, nil, fmt.Errorf("%s: i: no instance", name)
@@ -158,7 +158,7 @@
 func split(raw []byte) (string, json.RawMessage, error) {
 	var m map[string]json.RawMessage
 	if err := json.Unmarshal(raw, &m); err != nil {
-		return "", nil, plain(err)
+		return "", nil, settings.Plain(err)
 	}
 	if len(m) != 1 {
 		return "", nil, fmt.Errorf("want an object with one key, got %d", len(m))
@@ -175,15 +175,6 @@
 	panic("unreachable")
 }
 
-// plain turns a decoder's error into words that don't name Go types.
-func plain(err error) error {
-	var t *json.UnmarshalTypeError
-	if errors.As(err, &t) {
-		return fmt.Errorf("wrong shape: %s where %q is read", t.Value, t.Field)
-	}
-	return fmt.Errorf("not JSON: %w", err)
-}
-
 var known = map[string]bool{"NewInstance": true, "Exit": true, "DefineList": true, "Registry": true,
 	"WorkItem": true, "UnderWay": true, "AttemptEnd": true, "Left": true, "Fired": true, "Checked": true, "Datagram": true}
 
@@ -305,7 +296,7 @@
 		} `json:"hosts"`
 	}
 	if err := json.Unmarshal(body, &d); err != nil {
-		return fmt.Errorf("DefineList: %w", plain(err))
+		return fmt.Errorf("DefineList: %w", settings.Plain(err))
 	}
 	if d.Roster == nil {
 		return errors.New("DefineList: no rosterId")
