--- a/cmd/starlingwinch/commands_test.go
+++ b/cmd/starlingwinch/commands_test.go
@@ -134,7 +134,8 @@
 	bad := file(t, "bad.json", strings.NewReplacer(`"aim":500000`, `"aim":500`, `"rules"`, `"rule"`).Replace(sound))
 	slip := file(t, "slip", "kind = \"limits\"\n[clients]\nidle_tim = \"3s\"\n")
 	code, stdout, stderr = outcome(t, "check", bad, good, slip, "none.toml", "-")
-	want = bad + ": settings.categories[0].aim: looks like milliseconds; microseconds are wanted (500, wanted at least 5000 µs)\n" +
+	want = bad + ": settings.categories[0].aim: looks like milliseconds; microseconds are wanted " +
+		"(500, wanted at least 5000 µs)\n" +
 		bad + ": settings.rule: unknown field (did you mean \"rules\"?)\n" +
 		slip + ":3:1: clients.idle_tim: unknown key (did you mean \"idle_time\"?)\n" +
 		"starlingwinch: stat none.toml: no such file or directory\n" +
@@ -184,7 +185,8 @@
 }
 
 func TestWhatThePlatformSendsTooMuchIsAWarning(t *testing.T) {
-	path := file(t, "config.json", strings.Replace(fmt.Sprintf(config, "127.0.0.1:0"), `"instances"`, `"newKey":1,"instances"`, 1))
+	sound := fmt.Sprintf(config, "127.0.0.1:0")
+	path := file(t, "config.json", strings.Replace(sound, `"instances"`, `"newKey":1,"instances"`, 1))
 	cmd := command(t, "run", "--config", path)
 	stderr, err := cmd.StderrPipe()
 	if err != nil {
--- a/cmd/starlingwinch/main.go
+++ b/cmd/starlingwinch/main.go
@@ -54,7 +54,8 @@
 	cmd := &cobra.Command{
 		Use:               "starlingwinch",
 		Short:             "Routes clients' requests to a fleet of cache servers",
-		Long:              "Routes clients' requests to a fleet of cache servers. Without a command it serves, as the file\nsays that BALANCER_CONFIG names.",
+		Long:              "Routes clients' requests to a fleet of cache servers. Without a command it serves, as the file\n" +
+			"says that BALANCER_CONFIG names.",
 		Args:              knownWords,
 		SilenceErrors:     true,
 		SilenceUsage:      true,
--- a/internal/opfile/opfile.go
+++ b/internal/opfile/opfile.go
@@ -45,8 +45,8 @@
 //	words:"first,last"        the only values of a text
 //	doc:"..."                 what it is for
 //
-// A key may be a bool, an integer, a float, a time.Duration, a Size, a string, what unmarshals itself from text, a list of
-// these, a struct (a table), or a list of structs. check may be nil; it is called with values inside their ranges.
+// A key may be a bool, an integer, a float, a time.Duration, a Size, a string, what unmarshals itself from text, a
+// list of these, a struct (a table), or a list of structs. check may be nil; it is called with values inside their ranges.
 func Define[T any](name, doc string, defaults T, check func(v T, bad Bad)) Kind {
 	k := Kind{Name: name, Doc: doc, defaults: defaults}
 	if check != nil {
--- a/internal/opfile/opfile_test.go
+++ b/internal/opfile/opfile_test.go
@@ -115,8 +115,10 @@
 		{"kind = \"sample\"\npart = 5", `f:2:1: part: wrong type (the number 5, wanted a table)`},
 		{"kind = \"sample\"\n[part]\nlow = 3", `f:3:1: part.low: above part.high (3, wanted at most 2)`},
 		{"kind = \"sample\"\npart = { lwo = 3 }", `f:2:10: part.lwo: unknown key (did you mean "low"?)`},
-		{"kind = \"sample\"\n[[members]]\n[[members]]\nlow = -1", `f:4:1: members[1].low: out of range (-1, wanted at least 0)`},
-		{"kind = \"sample\"\nwait = 2020-01-01", `f:2:1: wait: wrong type (a date or time, wanted a duration in quotes, as "250ms")`},
+		{"kind = \"sample\"\n[[members]]\n[[members]]\nlow = -1",
+			`f:4:1: members[1].low: out of range (-1, wanted at least 0)`},
+		{"kind = \"sample\"\nwait = 2020-01-01",
+			`f:2:1: wait: wrong type (a date or time, wanted a duration in quotes, as "250ms")`},
 		{"kind = \"sample\"\n\"x\\ny\" = 1", `f:2:1: "x\ny": unknown key`},
 		{"kind = \"sample\"\non = true\non = true", `f:3:1: not TOML: key on is already defined`},
 		{"kind = \"sample\"\non =", `f:2:4: not TOML: expected value, not end of input`},
@@ -202,7 +204,11 @@
 		if (file.Value == nil) != (len(faults) > 0) {
 			t.Errorf("value %v with faults %v", file.Value, faults)
 		}
-		if v, ok := file.Value.(sample); ok && (v.Count < 1 || v.Count > 10 || !(v.Share >= 0 && v.Share <= 1) || v.Wait < 10*time.Millisecond) {
+		v, ok := file.Value.(sample)
+		if !ok {
+			return
+		}
+		if v.Count < 1 || v.Count > 10 || !(v.Share >= 0 && v.Share <= 1) || v.Wait < 10*time.Millisecond {
 			t.Errorf("out of range: %+v", v)
 		}
 	})
--- a/internal/router/config_check_test.go
+++ b/internal/router/config_check_test.go
@@ -65,7 +65,8 @@
 			}
 		}
 	}
-	count(m.Handle(now, &decide.Request{ID: 1, Class: "add-contact", Key: 7, HasKey: true, Deadline: now + 1_200_000, Write: true}))
+	request := &decide.Request{ID: 1, Class: "add-contact", Key: 7, HasKey: true, Deadline: now + 1_200_000, Write: true}
+	count(m.Handle(now, request))
 	if sends != 1 {
 		t.Fatalf("%d sends for a new request", sends)
 	}
