--- a/cmd/starlingwinch/main.go
+++ b/cmd/starlingwinch/main.go
@@ -52,9 +52,9 @@
 // root is the command line: a command for each thing that the program does, in a file of its own.
 func root(hup <-chan os.Signal) *cobra.Command {
 	cmd := &cobra.Command{
-		Use:               "starlingwinch",
-		Short:             "Routes clients' requests to a fleet of cache servers",
-		Long:              "Routes clients' requests to a fleet of cache servers. Without a command it serves, as the file\n" +
+		Use:   "starlingwinch",
+		Short: "Routes clients' requests to a fleet of cache servers",
+		Long: "Routes clients' requests to a fleet of cache servers. Without a command it serves, as the file\n" +
 			"says that BALANCER_CONFIG names.",
 		Args:              knownWords,
 		SilenceErrors:     true,
