--- /dev/null
+++ b/internal/sim/event.go
@@ -0,0 +1,230 @@
+package sim
+
+import "net/netip"
+
+// Kind tells what an event is.
+type Kind uint8
+
+const (
+	Script       Kind = iota // a script's turn (World.At)
+	TimerFired               // a timer of a process
+	Posted                   // a Post of a process
+	WorkDone                 // the end of a Work
+	Signalled                // a signal
+	SynCame                  // a dial reaches the other host
+	SynAckCame               // its acceptance is back
+	RefusalCame              // its refusal is back
+	DialEnds                 // a dial has its result: up, timed out or out of descriptors
+	OpenCame                 // a connection reaches its listener
+	BytesCame                // bytes reach the other side
+	EndCame                  // the end of one side's sending does
+	ResetCame                // a reset does
+	CreditCame               // room in the other side's window does
+	Accepting                // a listener takes connections from its queue
+	Notice                   // a handler is told of what has come before
+	Room                     // a handler is told that it can write on
+	DatagramCame             // a datagram reaches the other host
+	DatagramRead             // a process takes in one that has waited
+	Resumes                  // a stalled host goes on
+)
+
+var kindNames = [...]string{
+	"script", "timer", "post", "work done", "signal", "syn", "syn-ack", "refusal", "dial ends", "open", "bytes",
+	"end", "reset", "credit", "accepting", "notice", "room", "datagram", "datagram read", "resumes",
+}
+
+func (k Kind) String() string { return kindNames[k] }
+
+// event is something that happens at an instant. Which fields are used depends on the kind.
+type event struct {
+	at      Time
+	id      uint64 // new with each use of the struct
+	lane    uint64 // events of one lane keep their order
+	kind    Kind
+	stopped bool // taken back
+	late    bool // was held by a cut
+	forced  bool // ResetCame: also where the connection is forgotten
+
+	proc     *Process // the process that it is for; nil where the kernel or a script handles it
+	host     *Host
+	conn     *Conn // the end that it reaches
+	dial     *dialing
+	listener *listener
+	packets  *packetConn
+	fn       func()
+	err      error
+	n        int
+	heldAt   Time
+	link     *Link
+	to       netip.AddrPort
+	from     string
+	data     []byte
+}
+
+// wire reports whether the event is a part of a connection that travels over a link.
+func (ev *event) wire() bool { return ev.kind >= OpenCame && ev.kind <= CreditCame }
+
+// event takes one from the pool.
+func (w *World) event(k Kind) *event {
+	w.lastID++
+	if n := len(w.free); n > 0 {
+		ev := w.free[n-1]
+		w.free = w.free[:n-1]
+		ev.id, ev.kind = w.lastID, k
+		return ev
+	}
+	return &event{id: w.lastID, kind: k}
+}
+
+// release gives an event back to the pool; it holds nothing from then on.
+func (w *World) release(ev *event) {
+	data := ev.data
+	if cap(data) > 4096 || cap(data) > 0 && len(w.free) > 4096 {
+		data = nil // The danger: a pool that keeps the largest of everything that ever was.
+	}
+	*ev = event{data: data[:0]}
+	w.free = append(w.free, ev)
+}
+
+// ordBits of an order number are the event's place among all; those above are drawn where ties are shuffled.
+const ordBits = 40
+
+// schedule has the event carried out at t, or in a later turn of this instant where t has passed.
+func (w *World) schedule(ev *event, t Time, lane uint64) {
+	ev.at = max(t, w.now)
+	ev.lane = lane
+	w.lastOrd++
+	ord := w.lastOrd
+	if w.ShuffleTies {
+		draw := mix(mix(w.seed, uint64(ev.at)), lane)
+		ord = draw<<ordBits | ord&(1<<ordBits-1)
+	}
+	w.heap.push(entry{ev.at, ord, ev})
+}
+
+// timer takes an event back.
+type timer struct {
+	w  *World
+	ev *event
+	id uint64 // The danger: the event may have been carried out and serve another purpose by now.
+}
+
+// Stop is for the timers of processes and scripts.
+func (t *timer) Stop() {
+	if p := t.take(); p != nil && !p.dead {
+		p.timers--
+	}
+}
+
+// take takes the event back and tells whose it was.
+func (t *timer) take() *Process {
+	ev := t.ev
+	t.ev = nil
+	if ev == nil || ev.id != t.id {
+		return nil
+	}
+	p := ev.proc
+	t.w.stop(ev)
+	return p
+}
+
+// stop takes an event in the heap back. It is dropped there in its time, or when many are.
+func (w *World) stop(ev *event) {
+	ev.stopped = true
+	ev.id = 0
+	ev.fn, ev.proc, ev.dial, ev.conn = nil, nil, nil, nil
+	w.dead++
+	if w.dead > 1024 && w.dead > len(w.heap)/2 {
+		w.sweep()
+	}
+}
+
+// drop is for an event that was taken back and has come up.
+func (w *World) drop(ev *event) {
+	w.dead = max(0, w.dead-1)
+	w.release(ev)
+}
+
+// sweep clears the heap of events that were taken back. The danger: deadlines far off, each
+// taken back soon, would fill the heap.
+func (w *World) sweep() {
+	kept := w.heap[:0]
+	for _, e := range w.heap {
+		if e.ev.stopped {
+			w.release(e.ev)
+		} else {
+			kept = append(kept, e)
+		}
+	}
+	clear(w.heap[len(kept):])
+	w.heap = kept
+	for i := len(kept)/4 + 1; i >= 0; i-- {
+		w.heap.down(i)
+	}
+	w.dead = 0
+}
+
+// entry is an event's place in the heap, beside it for speed.
+type entry struct {
+	at  Time
+	ord uint64
+	ev  *event
+}
+
+func (e *entry) before(f *entry) bool {
+	return e.at < f.at || e.at == f.at && e.ord < f.ord
+}
+
+// eventHeap is a heap in which each entry has four children.
+type eventHeap []entry
+
+func (h *eventHeap) push(e entry) {
+	s := append(*h, e)
+	*h = s
+	i := len(s) - 1
+	for i > 0 {
+		up := (i - 1) / 4
+		if !e.before(&s[up]) {
+			break
+		}
+		s[i] = s[up]
+		i = up
+	}
+	s[i] = e
+}
+
+func (h *eventHeap) pop() {
+	s := *h
+	n := len(s) - 1
+	s[0] = s[n]
+	s[n] = entry{}
+	*h = s[:n]
+	h.down(0)
+}
+
+func (h *eventHeap) down(i int) {
+	s := *h
+	n := len(s)
+	if i >= n {
+		return
+	}
+	e := s[i]
+	for {
+		first := 4*i + 1
+		if first >= n {
+			break
+		}
+		least := first
+		for c := first + 1; c < min(first+4, n); c++ {
+			if s[c].before(&s[least]) {
+				least = c
+			}
+		}
+		if !s[least].before(&e) {
+			break
+		}
+		s[i] = s[least]
+		i = least
+	}
+	s[i] = e
+}
--- /dev/null
+++ b/internal/sim/link.go
@@ -0,0 +1,130 @@
+package sim
+
+import "math/rand/v2"
+
+// Link is the way from the hosts of one zone to those of another, in that direction. Its figures may be set
+// at any time and hold for what is sent from then on. Chances run from 0 to 1.
+type Link struct {
+	Latency Time
+	Jitter  Time    // up to this much longer
+	Factor  float64 // times the latency; 0 stands for 1
+	Extra   Time    // and this much
+	Split   float64 // chance that what was written arrives in two pieces
+
+	Loss   float64 // chance that a datagram is lost
+	Twice  float64 // comes twice
+	Late   float64 // comes up to LateBy later than others
+	LateBy Time
+
+	cut  bool
+	held []*event // what connections have sent into the cut, in order
+	rand *rand.Rand
+}
+
+// delay draws how long something takes.
+func (l *Link) delay() Time {
+	d := l.Latency
+	if l.Factor != 0 {
+		d = Time(float64(d) * l.Factor)
+	}
+	d += l.Extra
+	if l.Jitter > 0 {
+		d += l.rand.Int64N(l.Jitter + 1)
+	}
+	return d
+}
+
+// chance draws whether something of that likelihood happens.
+func (l *Link) chance(p float64) bool {
+	return p > 0 && l.rand.Float64() < p
+}
+
+// zone is where hosts are.
+type zone struct {
+	name  string
+	links map[string]*Link // to the other zones
+}
+
+func (w *World) zone(name string) *zone {
+	z := w.zones[name]
+	if z == nil {
+		z = &zone{name, map[string]*Link{}}
+		w.zones[name] = z
+	}
+	return z
+}
+
+// Link is the way from one zone to another.
+func (w *World) Link(from, to string) *Link {
+	z := w.zone(from)
+	l := z.links[to]
+	if l == nil {
+		l = new(Link)
+		*l = w.Far
+		if from == to {
+			*l = w.Near
+		}
+		l.rand = w.Rand("link " + from + " " + to)
+		z.links[to] = l
+	}
+	return l
+}
+
+// Slow makes the way from one zone to another longer: factor times the latency, and extra.
+// Slow(from, to, 1, 0) ends it.
+func (w *World) Slow(from, to string, factor float64, extra Time) {
+	l := w.Link(from, to)
+	l.Factor, l.Extra = factor, extra
+}
+
+// Cut breaks the way from one zone to another, in this direction alone: what connections send waits for the Heal,
+// new ones do not come up, and datagrams are lost.
+func (w *World) Cut(from, to string) { w.Link(from, to).cut = true }
+
+// Heal ends a Cut. What was held arrives in order, a latency later.
+func (w *World) Heal(from, to string) {
+	l := w.Link(from, to)
+	l.cut = false
+	held := l.held
+	l.held = nil
+	for _, ev := range held {
+		sender := ev.conn.peer
+		if w.SilentAfter > 0 && w.now-ev.heldAt > w.SilentAfter {
+			sender.forget(true)
+		}
+		sender.lateAt = max(sender.lateAt, w.now+l.delay())
+		w.schedule(ev, sender.lateAt, ev.lane)
+	}
+}
+
+// held reports whether a part of a connection is kept back, by a cut or behind a part that is.
+func (w *World) held(ev *event) bool {
+	sender := ev.conn.peer
+	if sender.last == ev {
+		sender.last = nil
+	}
+	l := sender.link
+	if l.cut {
+		if !ev.late {
+			ev.late = true
+			ev.heldAt = w.now
+			sender.late++
+		}
+		l.held = append(l.held, ev)
+		return true
+	}
+	if ev.late {
+		sender.late--
+		return false
+	}
+	if sender.late == 0 {
+		return false
+	}
+	// The danger: what was sent after the heal would overtake what the cut had held.
+	ev.late = true
+	ev.heldAt = w.now
+	sender.late++
+	sender.lateAt = max(sender.lateAt, w.now)
+	w.schedule(ev, sender.lateAt, ev.lane)
+	return true
+}
--- /dev/null
+++ b/internal/sim/world.go
@@ -0,0 +1,239 @@
+// Package sim is a virtual world to run the router and the stand-ins in: hosts with a clock, a
+// network and files, all behind package machine. Equal seeds give equal runs, to the byte; a run is
+// as long as its events take and no longer, for nothing ever waits.
+//
+// One goroutine runs everything, in the order of a heap of events by time and then by the number
+// under which they were scheduled. The package starts no goroutine, reads no clock and ranges over no
+// map. All chance comes from named streams of the seed, so that one more draw here changes
+// nothing there. Time that code takes to run is not modelled: a callback takes none (see Host.Stall).
+//
+// The models are FoundationDB's simulation (Zhou et al., SIGMOD 2021) and TigerBeetle's VOPR. TCP is
+// kept to what a process can see of RFC 9293: order, windows, half-open and half-closed
+// connections, resets and lost handshakes, and none of its segments' form.
+package sim
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+
+	"starlingwinch/internal/machine"
+)
+
+// Time is an instant or a span in microseconds.
+type Time = machine.Time
+
+// Spans.
+const (
+	Millisecond Time = 1000
+	Second      Time = 1000 * Millisecond
+)
+
+// Start is the instant at which every world begins, as Unix time.
+const Start Time = 1_750_000_000 * Second
+
+// World is the clock, the hosts and the links between them. It is not safe for use by more than one goroutine.
+type World struct {
+	// Near and Far are what links within a zone and between zones begin as; set them before the first Host.
+	Near, Far Link
+	// ShuffleTies has the seed decide the order of what happens at one instant, instead of the order
+	// in which it was scheduled. What a machine promises holds all the same: timers fire as they
+	// were set, posts run as they were posted, and a connection's bytes stay in order.
+	ShuffleTies bool
+	// SilentAfter is how long a connection's bytes may be held by a Cut until TCP has given up: beyond it, the
+	// connection stays silent after the Heal. 0 stands for never.
+	SilentAfter Time
+	// OnEvent is told of each event before it is carried out. It must change nothing.
+	OnEvent func(Event)
+
+	seed    uint64
+	now     Time
+	heap    eventHeap
+	dead    int // events in the heap that were taken back
+	free    []*event
+	lastID  uint64 // of events
+	lastOrd uint64
+	lanes   uint64
+	conns   uint64
+	steps   int64
+	trace   uint64
+	streams map[string]*rand.Rand
+	hosts   []*Host
+	byIP    map[netip.Addr]*Host
+	zones   map[string]*zone
+	busy    bool // an event is being carried out
+	working bool // the work of a Work is being done
+	acting  *Host
+}
+
+// New makes a world without hosts.
+func New(seed uint64) *World {
+	return &World{
+		Near:    Link{Latency: 250, Jitter: 50, Split: 0.05},
+		Far:     Link{Latency: 8 * Millisecond, Jitter: 400, Split: 0.05},
+		seed:    seed,
+		now:     Start,
+		trace:   seed,
+		streams: map[string]*rand.Rand{},
+		byIP:    map[netip.Addr]*Host{},
+		zones:   map[string]*zone{},
+	}
+}
+
+// Now is the instant that the world has come to.
+func (w *World) Now() Time { return w.now }
+
+// Steps is the number of events that were carried out.
+func (w *World) Steps() int64 { return w.steps }
+
+// TraceHash is a hash over all events so far, with their bytes: equal runs have equal ones.
+func (w *World) TraceHash() uint64 { return w.trace }
+
+// Acting is the host whose event is being carried out or was the last to be, nil where it was
+// a script's. It tells whose callback has panicked.
+func (w *World) Acting() *Host { return w.acting }
+
+// Hosts are all hosts in the order in which they were made.
+func (w *World) Hosts() []*Host { return w.hosts }
+
+// Rand is the stream of chance of that name. Streams do not depend on one another.
+func (w *World) Rand(name string) *rand.Rand {
+	r, ok := w.streams[name]
+	if !ok {
+		h := w.seed
+		for i := range len(name) {
+			h = mix(h, uint64(name[i]))
+		}
+		r = rand.New(rand.NewPCG(h, mix(h, w.seed)))
+		w.streams[name] = r
+	}
+	return r
+}
+
+// At has f called at t, outside of all hosts: this is how a script brings trouble about.
+func (w *World) At(t Time, f func()) machine.Timer {
+	ev := w.event(Script)
+	ev.fn = f
+	w.schedule(ev, t, 0)
+	return &timer{w: w, ev: ev, id: ev.id}
+}
+
+// Step carries the next event out and reports whether there was one.
+func (w *World) Step() bool {
+	for {
+		ev := w.next()
+		if ev == nil {
+			return false
+		}
+		w.heap.pop()
+		if ev.stopped {
+			w.drop(ev)
+			continue
+		}
+		w.now = ev.at
+		w.carryOut(ev)
+		return true
+	}
+}
+
+// Run carries out what happens up to and at the instant until, and stops the clock there.
+func (w *World) Run(until Time) {
+	w.RunUntil(until, func() bool { return false })
+}
+
+// RunUntil is Run that ends as soon as done is true, and reports whether that was so.
+func (w *World) RunUntil(until Time, done func() bool) bool {
+	for {
+		if done() {
+			return true
+		}
+		ev := w.next()
+		if ev == nil || ev.at > until {
+			w.now = max(w.now, until)
+			return false
+		}
+		w.Step()
+	}
+}
+
+// next is the event that is due first. Those that were taken back may come up too.
+func (w *World) next() *event {
+	if len(w.heap) == 0 {
+		return nil
+	}
+	return w.heap[0].ev
+}
+
+// carryOut runs one event. A panic of a callback goes through to the caller, who may go on with Step.
+func (w *World) carryOut(ev *event) {
+	if w.busy {
+		panic("sim: Step or Run was called from within a callback")
+	}
+	w.busy = true
+	defer w.idle()
+	if w.dispatch(ev) {
+		w.release(ev)
+	}
+}
+
+func (w *World) idle() { w.busy, w.working = false, false }
+
+// dispatch reports whether the event is done with; otherwise it waits somewhere for its time.
+func (w *World) dispatch(ev *event) bool {
+	p := ev.proc
+	if p != nil {
+		if p.dead {
+			return true
+		}
+		if p.host.stalled() {
+			return p.host.putOff(ev)
+		}
+	}
+	if ev.wire() {
+		if w.held(ev) {
+			return false
+		}
+	}
+	w.record(ev)
+	ev.id = 0 // it cannot be taken back any more
+	switch ev.kind {
+	case Script:
+		ev.fn()
+	case TimerFired:
+		p.timers--
+		ev.fn()
+	case Posted, WorkDone:
+		ev.fn()
+	case Signalled:
+		p.signals(machine.Signal(ev.n))
+	case SynCame:
+		ev.dial.synCame()
+	case SynAckCame:
+		ev.dial.synAckCame()
+	case RefusalCame:
+		ev.dial.refusalCame()
+	case DialEnds:
+		ev.dial.ends(ev.err)
+	case OpenCame:
+		ev.conn.openCame()
+	case BytesCame, EndCame, ResetCame, CreditCame:
+		ev.conn.arrived(ev)
+	case Accepting:
+		ev.listener.queued = false
+		ev.listener.take()
+	case Notice:
+		ev.conn.noticed = false
+		ev.conn.tellReadable()
+	case Room:
+		ev.conn.tellWritable()
+	case DatagramCame:
+		return w.datagramCame(ev)
+	case DatagramRead:
+		ev.packets.read(ev)
+	case Resumes:
+		ev.host.resume()
+	default:
+		panic(fmt.Sprintf("sim: event of unknown kind %d", ev.kind))
+	}
+	return true
+}
