--- a/internal/sim/conn.go
+++ b/internal/sim/conn.go
@@ -378,7 +378,7 @@
 }
 
 func (c *Conn) tellWritable() {
-	if !c.wantRoom || c.handler == nil || c.broken || c.sentEnd {
+	if !c.wantRoom || c.credit == 0 || c.handler == nil || c.broken || c.sentEnd {
 		return
 	}
 	c.wantRoom = false
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -120,20 +120,17 @@
 
 // Step carries the next event out and reports whether there was one.
 func (w *World) Step() bool {
-	for {
-		ev := w.next()
-		if ev == nil {
-			return false
-		}
-		w.heap.pop()
-		if ev.stopped {
-			w.drop(ev)
-			continue
-		}
-		w.now = ev.at
-		w.carryOut(ev)
-		return true
+	if w.busy {
+		panic("sim: Step or Run was called from within a callback")
 	}
+	ev := w.next()
+	if ev == nil {
+		return false
+	}
+	w.heap.pop()
+	w.now = ev.at
+	w.carryOut(ev)
+	return true
 }
 
 // Run carries out what happens up to and at the instant until, and stops the clock there.
@@ -156,19 +153,21 @@
 	}
 }
 
-// next is the event that is due first. Those that were taken back may come up too.
+// next is the event that is due first, nil for none. Those before it that were taken back are dropped.
 func (w *World) next() *event {
-	if len(w.heap) == 0 {
-		return nil
+	for len(w.heap) > 0 {
+		ev := w.heap[0].ev
+		if !ev.stopped {
+			return ev
+		}
+		w.heap.pop()
+		w.drop(ev)
 	}
-	return w.heap[0].ev
+	return nil
 }
 
 // carryOut runs one event. A panic of a callback goes through to the caller, who may go on with Step.
 func (w *World) carryOut(ev *event) {
-	if w.busy {
-		panic("sim: Step or Run was called from within a callback")
-	}
 	w.busy = true
 	defer w.idle()
 	if w.dispatch(ev) {
