--- a/internal/machine/machinetest/conns.go
+++ b/internal/machine/machinetest/conns.go
@@ -126,40 +126,50 @@
 	b.wait("the bytes", func() bool { return len(*in) == 1 && string((*in)[0].got) == "hello" })
 }
 
+// largeTransfer writes while nobody reads until a Write is short, and a megabyte at least.
 func largeTransfer(b *bench) {
+	const least, most = 1 << 20, 64 << 20
 	near, far := b.pair(false)
-	sent := make([]byte, 8<<20)
-	for i := range sent {
-		sent[i] = byte(i * 7 >> 3)
+	chunk := make([]byte, 0, 65521) // a prime, so that no buffer's size divides it
+	for i := range cap(chunk) {
+		chunk = append(chunk, byte(i*7>>3))
 	}
-	short, left := 0, sent
+	put, short := 0, 0
 	push := func() {
-		for len(left) > 0 {
+		for put < least || short == 0 {
+			left := chunk[put%len(chunk):]
 			n, err := near.conn.Write(left)
 			if err != nil {
 				b.Fatalf("Write: %v", err)
 			}
+			put += n
 			if n < len(left) {
 				short++
-				left = left[n:]
 				return
 			}
-			left = nil
+			if put > most {
+				b.Fatalf("%d bytes were taken though nobody reads", put)
+			}
+		}
+		if err := near.conn.CloseWrite(); err != nil {
+			b.Errorf("CloseWrite: %v", err)
 		}
-		near.conn.CloseWrite()
 	}
 	near.writable = push
 	b.call(push)
-	if short == 0 {
-		b.Fatal("a Write took all though nobody read")
-	}
 	b.call(func() {
 		far.reads = true
 		far.readAll()
 	})
 	b.wait("the end", func() bool { return far.err == io.EOF })
-	if !bytes.Equal(far.got, sent) {
-		b.Errorf("%d bytes came that are not the %d sent", len(far.got), len(sent))
+	if len(far.got) != put {
+		b.Fatalf("%d bytes came of %d", len(far.got), put)
+	}
+	for i := 0; i < put; i += len(chunk) {
+		part := far.got[i:min(i+len(chunk), put)]
+		if !bytes.Equal(part, chunk[:len(part)]) {
+			b.Fatalf("other bytes came after %d than were sent", i)
+		}
 	}
 }
 
--- a/internal/sim/packet.go
+++ b/internal/sim/packet.go
@@ -7,10 +7,9 @@
 	"starlingwinch/internal/machine"
 )
 
-// mostDatagram is the longest datagram that UDP over IPv4 carries, and mostWaiting how many wait for a process that hangs.
 const (
-	mostDatagram = 65507
-	mostWaiting  = 256
+	mostDatagram = 65507 // bytes that UDP over IPv4 carries
+	mostWaiting  = 256   // datagrams that wait for a process that hangs
 )
 
 // packetConn is a machine.PacketConn.
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -185,14 +185,13 @@
 			return true
 		}
 		if p.host.stalled() {
-			return p.host.putOff(ev)
-		}
-	}
-	if ev.wire() {
-		if w.held(ev) {
+			p.host.pile = append(p.host.pile, ev)
 			return false
 		}
 	}
+	if ev.wire() && w.held(ev) {
+		return false
+	}
 	w.record(ev)
 	ev.id = 0 // it cannot be taken back any more
 	switch ev.kind {
