--- a/decide/decide.go
+++ b/decide/decide.go
@@ -208,7 +208,7 @@
 		r.entry(e)
 	}
 	r.ready = r.ready[:0]
-	for id, c := range r.caches {
+	for id, c := range r.caches { // any order: ready is sorted
 		if ev.Kind != ListChanges && !seen[id] {
 			c.Condition = Removed
 		}
@@ -257,7 +257,7 @@
 // forget opens a new window of what the caches keep: a cache that warms up by
 // refilling keeps its keys for about as long as that takes.
 func (r *Router) forget() {
-	for _, c := range r.caches {
+	for _, c := range r.caches { // any order: each by itself
 		c.keeps = [2]map[uint64]bool{{}, c.keeps[0]}
 	}
 	r.at(r.now+max(r.set.ColdTime/4, r.window()), r.forget)
--- a/internal/books/overdue.go
+++ b/internal/books/overdue.go
@@ -18,7 +18,7 @@
 	b.now = now
 	clear(b.repairs)
 	var late []int64
-	for id, q := range b.requests {
+	for id, q := range b.requests { // any order: sorted below
 		if q.late(now) {
 			late = append(late, id)
 		}
--- a/internal/router/list.go
+++ b/internal/router/list.go
@@ -82,7 +82,7 @@
 		}
 	}
 	var left []string
-	for name := range r.caches {
+	for name := range r.caches { // any order: sorted below
 		if !named[name] {
 			left = append(left, name)
 		}
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -106,7 +106,7 @@
 
 // Serving reports whether a cache is known that takes work.
 func (r *Router) Serving() bool {
-	for _, h := range r.caches {
+	for _, h := range r.caches { // any order: one is enough
 		if h.entry.Condition == decide.Up {
 			return true
 		}
--- a/internal/rules/answers.go
+++ b/internal/rules/answers.go
@@ -63,7 +63,7 @@
 // madeFor finds the request, the first asked, that a cache made a value for.
 func (w *Watcher) madeFor(value string) *request {
 	var first *request
-	for _, r := range w.requests {
+	for _, r := range w.requests { // any order: the first one counts
 		if first != nil && first.order < r.order {
 			continue
 		}
--- a/internal/rules/watcher.go
+++ b/internal/rules/watcher.go
@@ -104,7 +104,7 @@
 		routers:  map[string]*router{},
 		caches:   map[string]*cache{},
 	}
-	for name, c := range set.Classes {
+	for name, c := range set.Classes { // any order: each by itself
 		w.classes[name] = &class{Class: c, tally: Tally{Class: name}}
 		w.keep = max(w.keep, c.Window, c.Deadline)
 	}
@@ -139,7 +139,7 @@
 func (w *Watcher) Counts() Counts {
 	c := w.counts
 	c.Held = len(w.requests)
-	for _, k := range w.classes {
+	for _, k := range w.classes { // any order: sorted below
 		c.Classes = append(c.Classes, k.tally)
 	}
 	slices.SortFunc(c.Classes, func(a, b Tally) int { return strings.Compare(a.Class, b.Class) })
--- a/internal/upstream/trouble.go
+++ b/internal/upstream/trouble.go
@@ -84,7 +84,7 @@
 	}
 	p.deadSaid = p.m.Now()
 	var parts []string
-	for word, n := range counts {
+	for word, n := range counts { // any order: sorted below
 		parts = append(parts, fmt.Sprintf("%d %s", n, word))
 	}
 	slices.Sort(parts)
