--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 
+	"starlingwinch/internal/httpc"
 	"starlingwinch/internal/limits"
 	"starlingwinch/internal/machine"
 )
@@ -31,8 +32,7 @@
 	after  int64
 	credit float64 // calls that may be made without a pause
 	last   Time    // as of then
-	call   *call   // that is out; nil while none is
-	conn   *conn   // kept between calls
+	client *httpc.Client
 	pause  machine.Timer
 	over   bool
 }
@@ -42,6 +42,7 @@
 // from within Follow. The next call follows an answer at once, as a pause would end the watch.
 func Follow(m machine.Machine, addr string, bounds limits.Discovery, after int64, told func(List), failed func(error)) *Watch {
 	w := &Watch{m: m, addr: addr, bounds: bounds, told: told, failed: failed, after: after, credit: callBurst, last: m.Now()}
+	w.client = httpc.New(m, addr, httpc.Options{DialTime: bounds.AnswerTime.Microseconds(), MostBody: int(bounds.ListSize)})
 	w.next()
 	return w
 }
@@ -55,12 +56,7 @@
 	if w.pause != nil {
 		w.pause.Stop()
 	}
-	if w.call != nil {
-		w.call.end()
-	}
-	if w.conn != nil {
-		w.conn.close()
-	}
+	w.client.Close()
 }
 
 // next makes the next call, or sets the time for it.
@@ -78,20 +74,22 @@
 		path = fmt.Sprintf("%s?after=%d&wait_ms=%d", path, w.after, w.bounds.WatchTime.Milliseconds())
 		wait += w.bounds.WatchTime.Microseconds()
 	}
-	w.get(path, wait)
+	w.client.Do(httpc.Request{Method: "GET", Path: path, Headers: accept}, wait, w.answered)
 }
 
+var accept = []httpc.Header{{Name: "Accept", Value: "application/json"}}
+
 // answered takes the outcome of a call.
-func (w *Watch) answered(status int, body []byte, err error) {
+func (w *Watch) answered(r *httpc.Response, err error) {
 	switch {
 	case err != nil:
-		w.fail(err)
-	case status == 503:
+		w.fail(fmt.Errorf("discovery at %s: %w", w.addr, err))
+	case r.Status == 503:
 		w.fail(ErrCrowded)
-	case status != 200: // a redirect too: it would lead away from the address that was configured
-		w.fail(fmt.Errorf("discovery answered with status %d", status))
+	case r.Status != 200: // a redirect too: it would lead away from the address that was configured
+		w.fail(fmt.Errorf("discovery at %s answered with status %d", w.addr, r.Status))
 	default:
-		w.parse(body)
+		w.parse(r.Body)
 	}
 }
 
