--- /dev/null
+++ b/internal/load/load.go
@@ -0,0 +1,349 @@
+// Package load measures routers: a cache that answers at once and costs next to nothing, and clients
+// that ask it through a router, in a closed loop (each asks again as soon as it is answered) or an open one (requests come
+// at a rate, whatever the answers). It runs on a machine, beside the processes that are measured.
+package load
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"math/bits"
+	"strconv"
+
+	"github.com/tidwall/redcon"
+
+	"starlingwinch/internal/machine"
+	"starlingwinch/internal/resp"
+)
+
+// Time is an instant or a span in microseconds.
+type Time = machine.Time
+
+const readSize = 64 << 10
+
+// Cache is a cache server that holds every key, and answers at once.
+type Cache struct {
+	ln     machine.Listener
+	answer []byte
+	// Served counts the commands that it has answered, Taken its connections.
+	Served, Taken int64
+}
+
+// NewCache listens on a free port of an address. Each value has so many bytes.
+func NewCache(m machine.Machine, addr string, value int) (*Cache, error) {
+	c := &Cache{}
+	c.answer = redcon.AppendBulkString(redcon.AppendBulk(redcon.AppendArray(nil, 3), make([]byte, value)), "hit")
+	c.answer = append(c.answer, "$-1\r\n"...)
+	var err error
+	c.ln, err = m.Listen(addr, func(nc machine.Conn) machine.Handler {
+		c.Taken++
+		return &cacheConn{cache: c, nc: nc, in: make([]byte, readSize)}
+	})
+	return c, err
+}
+
+// Addr is where it listens.
+func (c *Cache) Addr() string { return c.ln.Addr() }
+
+type cacheConn struct {
+	cache     *Cache
+	nc        machine.Conn
+	in        []byte
+	part, out []byte
+}
+
+// Readable answers what has come.
+func (c *cacheConn) Readable() {
+	for {
+		n, err := c.nc.Read(c.in)
+		if errors.Is(err, machine.ErrWait) {
+			break
+		}
+		if err != nil {
+			c.nc.Close()
+			return
+		}
+		c.part = append(c.part, c.in[:n]...)
+	}
+	used := 0
+	for used < len(c.part) {
+		args, n, err := resp.NextCommand(c.part[used:])
+		if err != nil {
+			c.nc.Close()
+			return
+		}
+		if n == 0 {
+			break
+		}
+		if used += n; len(args) == 1 {
+			c.out = append(c.out, "+PONG\r\n"...)
+			continue
+		}
+		c.out = append(c.out, c.cache.answer...)
+		c.cache.Served++
+	}
+	c.part = append(c.part[:0], c.part[used:]...)
+	c.Writable()
+}
+
+// Writable sends what is left of answers.
+func (c *cacheConn) Writable() {
+	n, err := c.nc.Write(c.out)
+	if err != nil {
+		c.nc.Close()
+		return
+	}
+	c.out = append(c.out[:0], c.out[n:]...)
+}
+
+// Histogram counts times in buckets that are 1/16 apart, from 1 us to over an hour.
+type Histogram struct {
+	counts [40 * 16]int64
+	n      int64
+	sum    Time
+}
+
+// Add counts one time.
+func (h *Histogram) Add(t Time) {
+	h.n++
+	h.sum += t
+	h.counts[bucket(t)]++
+}
+
+func bucket(t Time) int {
+	if t < 16 {
+		return int(max(t, 0))
+	}
+	e := bits.Len64(uint64(t)) - 5 // t >> e lies in [16, 32)
+	return min((e+1)*16+int(t>>e)-16, 40*16-1)
+}
+
+// N is how many times there are.
+func (h *Histogram) N() int64 { return h.n }
+
+// Mean is their mean.
+func (h *Histogram) Mean() float64 { return float64(h.sum) / math.Max(1, float64(h.n)) }
+
+// Quantile is the upper end of the bucket in which the share q of times is reached.
+func (h *Histogram) Quantile(q float64) Time {
+	left := int64(math.Ceil(q * float64(h.n)))
+	for i, n := range h.counts {
+		if left -= n; left <= 0 {
+			if i < 16 {
+				return Time(i)
+			}
+			return Time(i%16+17) << (i/16 - 1)
+		}
+	}
+	return 0
+}
+
+// Options say how clients ask.
+type Options struct {
+	Connections int
+	Rate        float64 // requests a second over all, in an open loop; 0 for a closed one
+	Pipeline    int     // requests that a connection has out at a time, in a closed loop; 0 for 1
+	Keys        int
+	HotShare    float64 // share of requests that name one key
+	Class       string
+	Wait        Time // that a request is given
+	Idle        int  // connections beside these that ask once and then never
+}
+
+// Clients ask one server, which may be a router or a plain proxy.
+type Clients struct {
+	m     machine.Machine
+	o     Options
+	conns []*clientConn
+	from  Time // answers before it are not counted
+	until Time
+	asked int64
+	next  int
+	rng   uint64
+
+	Latency Histogram
+	// Served, Refused and Failed count answers, Broken connections that ended.
+	Served, Refused, Failed, Broken int64
+	Up                              int
+}
+
+// NewClients connects clients to an address.
+func NewClients(m machine.Machine, addr string, o Options) *Clients {
+	c := &Clients{m: m, o: o, rng: 88172645463325252}
+	for i := range o.Connections + o.Idle {
+		k := &clientConn{clients: c, in: make([]byte, readSize), idle: i >= o.Connections}
+		c.conns = append(c.conns, k)
+		m.Dial(addr, 5_000_000, func(nc machine.Conn, err error) machine.Handler {
+			if err != nil {
+				c.Broken++
+				return nil
+			}
+			c.Up++
+			k.nc = nc
+			if k.idle {
+				k.in = make([]byte, 64)
+				k.nc.Write([]byte("PING\r\n"))
+			}
+			return k
+		})
+	}
+	return c
+}
+
+// Run has them ask for a span, after a time that is not counted, and then calls done.
+func (c *Clients) Run(warm, span Time, done func()) {
+	now := c.m.Now()
+	c.from, c.until = now+warm, now+warm+span
+	if c.o.Rate > 0 {
+		c.arrive(float64(now))
+	} else {
+		for _, k := range c.conns[:c.o.Connections] {
+			for range max(1, c.o.Pipeline) {
+				k.ask(now)
+			}
+		}
+	}
+	c.m.At(c.until, done)
+}
+
+// Close ends the connections.
+func (c *Clients) Close() {
+	for _, k := range c.conns {
+		if k.nc != nil {
+			k.nc.Close()
+		}
+	}
+}
+
+// arrive lets the next request of an open loop come. Its time counts from when it should have come.
+func (c *Clients) arrive(due float64) {
+	for due <= float64(c.m.Now()) {
+		c.conns[c.next%c.o.Connections].ask(Time(due))
+		c.next++
+		due += 1e6 / c.o.Rate
+	}
+	if Time(due) < c.until {
+		c.m.At(Time(due), func() { c.arrive(due) })
+	}
+}
+
+func (c *Clients) random() uint64 {
+	c.rng ^= c.rng << 13
+	c.rng ^= c.rng >> 7
+	c.rng ^= c.rng << 17
+	return c.rng
+}
+
+type clientConn struct {
+	clients *Clients
+	nc      machine.Conn
+	in      []byte
+	part    []byte
+	out     []byte
+	asked   []Time // of the requests that are out, in order
+	idle    bool
+	skip    int // bytes of a value that are still to come
+}
+
+func (k *clientConn) ask(since Time) {
+	c := k.clients
+	if k.nc == nil {
+		return
+	}
+	key := uint64(0)
+	if c.o.HotShare == 0 || float64(c.random()>>11)/(1<<53) >= c.o.HotShare {
+		key = 1 + c.random()%uint64(max(1, c.o.Keys))
+	}
+	c.asked++
+	b := append(k.out, "*4\r\n$5\r\nC.GET\r\n"...)
+	b = redcon.AppendBulkString(b, "key"+strconv.FormatUint(key, 10))
+	b = redcon.AppendBulkString(b, strconv.FormatInt(c.asked, 16))
+	k.out = redcon.AppendBulkString(b, fmt.Sprintf("c=%s,d=%d", c.o.Class, c.o.Wait/1000))
+	k.asked = append(k.asked, since)
+	k.Writable()
+}
+
+// Writable sends what is left of requests.
+func (k *clientConn) Writable() {
+	n, err := k.nc.Write(k.out)
+	if err != nil {
+		k.clients.Broken++
+		k.nc.Close()
+		return
+	}
+	k.out = append(k.out[:0], k.out[n:]...)
+}
+
+// Readable takes answers: a line, or a line and a value behind it.
+func (k *clientConn) Readable() {
+	c := k.clients
+	for {
+		n, err := k.nc.Read(k.in)
+		if errors.Is(err, machine.ErrWait) {
+			return
+		}
+		if err != nil {
+			c.Broken++
+			k.nc.Close()
+			return
+		}
+		if !k.idle {
+			k.take(k.in[:n])
+		}
+	}
+}
+
+func (k *clientConn) take(b []byte) {
+	for len(b) > 0 {
+		if k.skip > 0 {
+			n := min(k.skip, len(b))
+			b = b[n:]
+			if k.skip -= n; k.skip == 0 {
+				k.answered(&k.clients.Served)
+			}
+			continue
+		}
+		end := 0
+		for end < len(b) && b[end] != '\n' {
+			end++
+		}
+		if end == len(b) {
+			k.part = append(k.part, b...)
+			return
+		}
+		line := b[:end+1]
+		if len(k.part) > 0 {
+			k.part = append(k.part, line...)
+			line = k.part
+		}
+		b = b[end+1:]
+		switch {
+		case line[0] == '$':
+			size, _ := strconv.Atoi(string(line[1 : len(line)-2]))
+			k.skip = size + 2
+		case len(line) > 4 && string(line[:5]) == "-BUSY":
+			k.answered(&k.clients.Refused)
+		default:
+			k.answered(&k.clients.Failed)
+		}
+		k.part = k.part[:0]
+	}
+}
+
+func (k *clientConn) answered(count *int64) {
+	c := k.clients
+	now := c.m.Now()
+	if len(k.asked) == 0 {
+		c.Failed++
+		return
+	}
+	since := k.asked[0]
+	k.asked = append(k.asked[:0], k.asked[1:]...)
+	if now >= c.from && now < c.until {
+		*count++
+		c.Latency.Add(now - since)
+	}
+	if c.o.Rate == 0 && now < c.until {
+		k.ask(now)
+	}
+}
--- /dev/null
+++ b/internal/load/target.go
@@ -0,0 +1,207 @@
+package load
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"starlingwinch/internal/machine"
+	"starlingwinch/internal/standin"
+)
+
+// startTime is how long a process may take until it serves.
+const startTime = 20 * time.Second
+
+// Target is a process under load.
+type Target struct {
+	Addr string
+	cmd  *exec.Cmd
+	dir  string
+	log  []string
+}
+
+// Limits are those that a router is told of its machine.
+type Limits struct {
+	Cores    float64
+	MemoryMB int64
+	Sockets  int
+}
+
+// StartRouter starts a router program before caches that are listed for good, and waits until it serves. It ends
+// with ctx at the latest.
+func StartRouter(ctx context.Context, program string, limits Limits, caches []string) (*Target, error) {
+	dir, err := os.MkdirTemp("", "load")
+	if err != nil {
+		return nil, err
+	}
+	t := &Target{dir: dir}
+	path := filepath.Join(dir, "config.json")
+	if err := os.WriteFile(path, routerConfig(limits, caches), 0o600); err != nil {
+		t.Stop()
+		return nil, err
+	}
+	t.cmd = exec.CommandContext(ctx, program)
+	t.cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+path)
+	stderr, err := t.cmd.StderrPipe()
+	if err == nil {
+		err = t.cmd.Start()
+	}
+	if err != nil {
+		t.cmd = nil
+		t.Stop()
+		return nil, err
+	}
+	if t.Addr, err = t.serving(stderr); err != nil {
+		t.Stop()
+		return nil, err
+	}
+	return t, nil
+}
+
+// serving reads the log up to the address, and has the rest read off.
+func (t *Target) serving(log io.Reader) (string, error) {
+	addr := make(chan string, 1)
+	go func() {
+		defer close(addr)
+		lines := bufio.NewScanner(log)
+		for lines.Scan() {
+			if _, a, ok := strings.Cut(lines.Text(), "serving on "); ok {
+				addr <- strings.TrimSpace(a)
+				break
+			}
+		}
+		io.Copy(io.Discard, log)
+	}()
+	select {
+	case a, ok := <-addr:
+		if !ok {
+			return "", errors.New("the router ended before it served")
+		}
+		return a, nil
+	case <-time.After(startTime):
+		return "", errors.New("the router does not serve")
+	}
+}
+
+// Stop ends the process.
+func (t *Target) Stop() {
+	if t.cmd != nil {
+		t.cmd.Process.Signal(syscall.SIGTERM)
+		kill := time.AfterFunc(startTime, func() { t.cmd.Process.Kill() })
+		t.cmd.Wait()
+		kill.Stop()
+	}
+	os.RemoveAll(t.dir)
+}
+
+// Usage is what a process has used so far.
+type Usage struct {
+	CPU        time.Duration // user and system
+	ResidentMB float64
+}
+
+// Usage reads it from the system.
+func (t *Target) Usage() (u Usage, err error) {
+	pid := t.cmd.Process.Pid
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid))
+	if err != nil {
+		return u, err
+	}
+	for _, name := range threads {
+		raw, err := os.ReadFile(name)
+		if err != nil {
+			continue // the thread has ended
+		}
+		ns, err := strconv.ParseInt(strings.Fields(string(raw))[0], 10, 64)
+		if err != nil {
+			return u, err
+		}
+		u.CPU += time.Duration(ns)
+	}
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return u, err
+	}
+	for _, line := range strings.Split(string(status), "\n") {
+		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			kb, _ := strconv.ParseFloat(strings.Fields(rest)[0], 64)
+			u.ResidentMB = kb / 1024
+		}
+	}
+	return u, nil
+}
+
+// routerConfig is the platform's file for a router before these caches, warm and for good.
+func routerConfig(limits Limits, caches []string) []byte {
+	type object = map[string]any
+	s := standin.DefaultRouterSettings()
+	s.Name, s.Listen, s.Discovery, s.Seed, s.Routers = "load", "127.0.0.1:0", "127.0.0.1:1", "1", 1
+	s.Cores, s.MemoryMB, s.Sockets = limits.Cores, limits.MemoryMB, limits.Sockets
+	s.Probes = false
+	var config object
+	if err := json.Unmarshal(s.JSON(), &config); err != nil {
+		panic(err) // it is what the stand-ins wrote
+	}
+	var endpoints []object
+	for i, addr := range caches {
+		endpoints = append(endpoints, object{"name": fmt.Sprintf("c%04d", i), "address": addr, "zone": "a", "group": 1,
+			"status": "in_service", "weight": 1, "since_ms": 0})
+	}
+	config["known"] = object{"index": 1, "snapshot": true, "endpoints": endpoints}
+	raw, err := json.Marshal(config)
+	if err != nil {
+		panic(err) // it holds plain figures and names
+	}
+	return raw
+}
+
+// Result is what one run measured.
+type Result struct {
+	Requests        int64
+	PerSecond       float64
+	CPU             float64 // microseconds of the target for each request
+	P50, P99        Time
+	ResidentMB      float64
+	Refused, Failed int64
+}
+
+// Against puts a target under load for a span, and measures it.
+func Against(t *Target, o Options, warm, span Time) (Result, error) {
+	m, err := machine.New(machine.Options{Log: io.Discard})
+	if err != nil {
+		return Result{}, err
+	}
+	var before, after Usage
+	var berr, aerr error
+	c := NewClients(m, t.Addr, o)
+	connected := m.Now() + 200_000
+	m.At(connected, func() {
+		m.At(m.Now()+warm, func() { before, berr = t.Usage() })
+		c.Run(warm, span, func() {
+			after, aerr = t.Usage()
+			c.Close()
+			m.Stop()
+		})
+	})
+	m.Run()
+	if err := errors.Join(berr, aerr); err != nil {
+		return Result{}, err
+	}
+	n := c.Served + c.Refused + c.Failed
+	if n == 0 {
+		return Result{}, fmt.Errorf("no request of %d was answered, %d connections broke", c.asked, c.Broken)
+	}
+	return Result{Requests: n, PerSecond: float64(n) * 1e6 / float64(span),
+		CPU: float64((after.CPU - before.CPU).Microseconds()) / float64(n), P50: c.Latency.Quantile(.5),
+		P99: c.Latency.Quantile(.99), ResidentMB: after.ResidentMB, Refused: c.Refused, Failed: c.Failed}, nil
+}
