--- a/internal/machine/conn_test.go
+++ b/internal/machine/conn_test.go
@@ -90,7 +90,40 @@
 	all.Wait()
 }
 
+func TestWriteThatTookLessIsToldWhenItCanGoOn(t *testing.T) {
+	r := newRig(t, Options{})
+	rest := make([]byte, 16<<20) // more than all buffers between hold
+	rand.New(rand.NewSource(1)).Read(rest)
+	want := bytes.Clone(rest)
+	h := &hooks{}
+	c, other := r.pair(h) // the other side sends nothing, so that Readable is no help
+	h.writable = func() {
+		n, err := c.Write(rest)
+		if err != nil {
+			t.Error(err)
+		}
+		if rest = rest[n:]; len(rest) == 0 {
+			c.Close()
+		}
+	}
+	r.do(func() {
+		h.writable()
+		if len(rest) == 0 {
+			t.Error("the machine took all at once: the test shows nothing")
+		}
+	})
+	if got, err := io.ReadAll(other); err != nil || !bytes.Equal(got, want) {
+		t.Errorf("%d of %d bytes came, or others: %v", len(got), len(want), err)
+	}
+}
+
 func TestTwoMachinesConnectionsKnowTheirAddressesAndTheEndOfSending(t *testing.T) {
+	for _, at := range loopbacks() {
+		t.Run(at, func(t *testing.T) { halfClose(t, at) })
+	}
+}
+
+func halfClose(t *testing.T, at string) {
 	a, b := newRig(t, Options{}), newRig(t, Options{})
 	type seen struct {
 		local, remote string
@@ -99,7 +132,7 @@
 	ends := make(chan seen, 2)
 	var addr string
 	b.do(func() {
-		l, err := b.Listen("[::1]:0", func(c Conn) Handler {
+		l, err := b.Listen(at, func(c Conn) Handler {
 			var got []byte
 			return &hooks{readable: func() {
 				more, err := drain(c)
--- a/internal/machine/dial_test.go
+++ b/internal/machine/dial_test.go
@@ -4,7 +4,9 @@
 	"errors"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 )
 
 // dial dials and returns how it went.
@@ -130,27 +132,38 @@
 	defer l.Close()
 	go func() {
 		if c, err := l.Accept(); err == nil {
-			c.Write([]byte("hello"))
-			c.Close()
+			c.Write([]byte("hello")) // and no more: nothing else may rouse the loop
 		}
 	}()
 	got := make(chan string, 1)
 	r.do(func() {
-		r.Dial(l.Addr().String(), 5_000_000, func(c Conn, err error) Handler {
+		d := r.Dial(l.Addr().String(), 5_000_000, func(c Conn, err error) Handler {
 			if err != nil {
 				t.Error(err)
 				return nil
 			}
-			unquiet(t, c)
 			var all []byte
 			return &hooks{readable: func() {
 				more, err := drain(c)
-				if all = append(all, more...); err != ErrWait {
+				if err != ErrWait {
+					t.Error(err)
+				}
+				if all = append(all, more...); len(all) == 5 {
 					got <- string(all)
-					c.Close()
 				}
 			}}
 		})
+		// All must be there before the loop hears of the connection.
+		for end := time.Now().Add(patience); ; {
+			var b [8]byte
+			if n, _ := recv(d.(*dialing).fd, b[:], syscall.MSG_PEEK); n == 5 {
+				return
+			}
+			if time.Now().After(end) {
+				t.Error("nothing came to be read")
+				return
+			}
+		}
 	})
 	if s := await(t, "the bytes", got); s != "hello" {
 		t.Errorf("%q came", s)
@@ -168,6 +181,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	r.do(func() {
+		if r.timers.first() != nil {
+			t.Error("the time limit of a dial that had succeeded is left")
+		}
+	})
 	if _, err := r.dial(l.Addr().String(), 5_000_000); !errors.Is(err, ErrDescriptors) {
 		t.Errorf("the second dial gives %v", err)
 	}
@@ -176,3 +194,35 @@
 		t.Errorf("the dial after a Close gives %v", err)
 	}
 }
+
+func TestSocketThatConnectedToItselfCountsAsRefused(t *testing.T) {
+	r := newRig(t, Options{})
+	out := make(chan error, 1)
+	r.do(func() {
+		fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+			t.Error(err)
+		}
+		self := localAddr(fd)
+		if err := syscall.Connect(fd, toSockaddr(self)); err != nil {
+			t.Error(err)
+		}
+		d := &dialing{m: r.Real, addr: self.String(), remote: self, fd: fd}
+		d.limit = r.at(r.Now()+5_000_000, func() { d.fail(ErrTimeout) })
+		d.done = func(c Conn, err error) Handler {
+			out <- err
+			return nil
+		}
+		r.conns++
+		if d.at, err = r.poll.add(fd, onEdges, d); err != nil {
+			t.Error(err)
+		}
+	})
+	if err := await(t, "the outcome", out); !errors.Is(err, ErrRefused) {
+		t.Errorf("it gives %v", err)
+	}
+}
--- a/internal/machine/harness_test.go
+++ b/internal/machine/harness_test.go
@@ -201,3 +201,13 @@
 	l.Close()
 	return l.Addr().String()
 }
+
+// loopbacks is a free port of each family that this machine has.
+func loopbacks() []string {
+	all := []string{"127.0.0.1:0"}
+	if l, err := net.Listen("tcp", "[::1]:0"); err == nil {
+		l.Close()
+		all = append(all, "[::1]:0")
+	}
+	return all
+}
--- a/internal/machine/listener_test.go
+++ b/internal/machine/listener_test.go
@@ -126,6 +126,49 @@
 	await(t, "the third", in)
 }
 
+func TestListenerPausedWhileItWaitsForDescriptorsStaysPaused(t *testing.T) {
+	r := newRig(t, Options{Descriptors: 1})
+	in := make(chan Conn, 8)
+	paused := make(chan struct{})
+	addr, l := r.listen(func(c Conn) Handler {
+		in <- c
+		return &hooks{}
+	})
+	r.do(l.Pause)
+	r.connect(addr)
+	r.connect(addr)
+	r.do(l.Resume)
+	first := await(t, "the first", in)
+	r.do(func() {
+		var look func()
+		look = func() {
+			if l.(*listener).waiting == nil {
+				r.At(r.Now()+100, look)
+				return
+			}
+			l.Pause()
+			first.Close()
+			r.At(l.(*listener).waiting.at, func() { close(paused) }) // set later, told later
+		}
+		look()
+	})
+	await(t, "the end of the wait", paused)
+	r.do(func() {
+		r.poll.poll()
+		for i := range r.poll.n {
+			if r.poll.owner(&r.poll.events[i]) == l.(watcher) {
+				t.Error("the kernel reports to a paused listener")
+			}
+		}
+		r.poll.n = 0
+		if len(in) != 0 {
+			t.Error("a paused listener took a connection in")
+		}
+		l.Resume()
+	})
+	await(t, "the second", in)
+}
+
 func TestProcessOutOfDescriptorsNeitherEndsNorSpinsAndTakesInLater(t *testing.T) {
 	r := newRig(t, Options{})
 	in := make(chan Conn, 8)
--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -10,6 +10,9 @@
 //
 // Order is the machine's: what happens at one instant is told in the order in which it came
 // about, and timers that are due at one instant fire in the order in which they were set.
+//
+// Errors may come wrapped, with the address or the kernel's words: compare them by errors.Is. ErrWait,
+// ErrClosed and io.EOF come bare.
 package machine
 
 import "errors"
@@ -46,14 +49,14 @@
 
 // Machine is one machine as a process sees it.
 type Machine interface {
-	// Now is the time on a clock that never steps.
+	// Now is the time on a clock that never steps. It stands still while a call of the machine lasts.
 	Now() Time
 	// Wall is Unix time as the machine's clock has it at the moment: it may be wrong, and step.
 	Wall() Time
 	// Entropy is a number that nobody can guess; on a virtual machine the seed decides it.
 	Entropy() uint64
 
-	// At has f called at t or, where t has passed, in a later turn of the loop.
+	// At has f called at t, or up to a millisecond later; where t has passed, in a later turn of the loop.
 	At(t Time, f func()) Timer
 	// Post has f called in a later turn of the loop. Any goroutine may call it.
 	Post(f func())
@@ -62,15 +65,18 @@
 	Work(f, done func())
 
 	// Listen has accept called with each connection that comes in at the address, which is an IP
-	// address and a port (0 for any free one). accept names the connection's handler.
+	// address and a port (0 for any free one). accept names the connection's handler; one that gets
+	// none (nil) is closed.
 	Listen(addr string, accept func(Conn) Handler) (Listener, error)
 	// Dial opens a connection. done is called once: with a connection that is up, whose handler it
-	// names, or with the reason why none came up within the timeout. Until then the Dialing can be given up.
+	// names (nil closes it), or with the reason why none came up within the timeout. Until then the
+	// Dialing can be given up.
 	Dial(addr string, timeout Time, done func(Conn, error) Handler) Dialing
 	// ListenPacket has got called with each datagram that comes to the address. got must not keep b.
 	ListenPacket(addr string, got func(from string, b []byte)) (PacketConn, error)
 
-	// ReadFile is a file's content. One that is longer than most bytes is an error.
+	// ReadFile is a regular file's content; one that is longer than most bytes is an error. It takes as
+	// long as the disk does.
 	ReadFile(name string, most int64) ([]byte, error)
 	// Signals has f called at each signal. Until then they are kept.
 	Signals(f func(Signal))
@@ -87,10 +93,11 @@
 
 // Handler is told of a connection. No call comes after the connection's Close.
 type Handler interface {
-	// Readable says that something has come since the last call: bytes, the end, or an error. It is
-	// not said again for what was left unread: read up to ErrWait, or come back by yourself.
+	// Readable says that something has come since the last call: bytes, the end, or an error. It need
+	// not be said again for what was left unread: read up to ErrWait, or come back by yourself. It
+	// may be said in vain.
 	Readable()
-	// Writable says that a Write that took less than it was given can go on.
+	// Writable says that a Write that took less than it was given can go on. It may be said in vain.
 	Writable()
 }
 
@@ -100,7 +107,8 @@
 	// ErrReset where the connection broke.
 	Read(b []byte) (int, error)
 	// Write sends as much of b as the machine takes at once; n < len(b) with a nil error says that
-	// it takes no more for now. An error says that nothing more can be sent, ever.
+	// it takes no more for now. An error says that nothing more can be sent, ever; what had come before
+	// may still be there to be read.
 	Write(b []byte) (n int, err error)
 	// Quiet reports whether the connection is open and nothing waits in it to be read: neither
 	// bytes nor the end. It takes nothing out.
@@ -135,7 +143,8 @@
 // PacketConn sends datagrams, and takes them in. They get lost, late, twice or out of order.
 type PacketConn interface {
 	Addr() string
-	// Send sends one. That it was sent says nothing of its arrival.
+	// Send sends one, or gives ErrWait where the machine takes none for now; nobody tells when it
+	// does again. That it was sent says nothing of its arrival.
 	Send(to string, b []byte) error
 	Close()
 }
--- a/internal/machine/packet_test.go
+++ b/internal/machine/packet_test.go
@@ -9,7 +9,7 @@
 
 func TestDatagramsComeWholeWithTheirSender(t *testing.T) {
 	r := newRig(t, Options{})
-	for _, at := range []string{"127.0.0.1:0", "[::1]:0"} {
+	for _, at := range loopbacks() {
 		type datagram struct{ from, text string }
 		got := make(chan datagram, 256)
 		var a, b PacketConn
@@ -77,3 +77,38 @@
 		}
 	})
 }
+
+func TestAddressOfAllInterfacesTakesBothFamilies(t *testing.T) {
+	if len(loopbacks()) < 2 {
+		t.Skip("this machine has no IPv6")
+	}
+	r := newRig(t, Options{})
+	from := make(chan string, 2)
+	in := make(chan string, 2)
+	var four PacketConn
+	r.do(func() {
+		all, err := r.ListenPacket("[::]:0", func(f string, b []byte) { from <- f })
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		four, err = r.ListenPacket("127.0.0.1:0", func(f string, b []byte) { in <- string(b) })
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		_, port, _ := strings.Cut(all.Addr(), "[::]:")
+		if err := four.Send("127.0.0.1:"+port, []byte("x")); err != nil {
+			t.Error(err)
+		}
+		if err := all.Send(four.Addr(), []byte("y")); err != nil {
+			t.Error(err)
+		}
+	})
+	if f := await(t, "a datagram over IPv4", from); f != four.Addr() {
+		t.Errorf("it came from %s, not %s", f, four.Addr())
+	}
+	if s := await(t, "one back over IPv4", in); s != "y" {
+		t.Errorf("%q came", s)
+	}
+}
