--- a/internal/machine/conn.go
+++ b/internal/machine/conn.go
@@ -109,11 +109,17 @@
 	}
 	var b [1]byte
 	_, err := recv(c.fd, b[:], syscall.MSG_PEEK)
-	if err != nil && err != syscall.EAGAIN {
+	if err == syscall.EAGAIN {
+		return true
+	}
+	// The danger: what was seen here may have come after the last event that was told. A Read that still
+	// held the connection for empty would contradict this answer.
+	c.empty = false
+	if err != nil {
 		// The danger: this look has taken the error off the socket, and the next read would find an end.
 		c.breakOff(err)
 	}
-	return err == syscall.EAGAIN
+	return false
 }
 
 // CloseWrite implements Conn.
--- /dev/null
+++ b/internal/machine/contract_test.go
@@ -0,0 +1,60 @@
+package machine_test
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+
+	"starlingwinch/internal/machine"
+	"starlingwinch/internal/machine/machinetest"
+)
+
+func TestRealMachineKeepsTheContract(t *testing.T) {
+	nowhere := machine.FullAddress(t)
+	machinetest.Run(t, func(t *testing.T) machinetest.Rig {
+		m, err := machine.New(machine.Options{Log: io.Discard})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(m.Stop)
+		return machinetest.Rig{
+			A:        m,
+			B:        m,
+			IPA:      "127.0.0.1",
+			IPB:      "127.0.0.1",
+			RunUntil: func(until func() bool) bool { return runUntil(m, until) },
+			PutFile: func(content []byte) string {
+				name := filepath.Join(t.TempDir(), "file")
+				if err := os.WriteFile(name, content, 0o600); err != nil {
+					t.Fatal(err)
+				}
+				return name
+			},
+			Signal: func(s machine.Signal) {
+				sig := syscall.SIGTERM
+				if s == machine.HangUp {
+					sig = syscall.SIGHUP
+				}
+				if err := syscall.Kill(syscall.Getpid(), sig); err != nil {
+					t.Fatal(err)
+				}
+			},
+			Nowhere: nowhere,
+		}
+	})
+}
+
+// runUntil makes turns until the condition holds, for 20 s at most.
+func runUntil(m *machine.Real, until func() bool) bool {
+	late := false
+	limit := m.At(m.Now()+20_000_000, func() { late = true })
+	defer limit.Stop()
+	for !until() {
+		if late || !m.Turn() {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/machine/poller.go
+++ b/internal/machine/poller.go
@@ -129,8 +129,9 @@
 // ever.
 //
 // It waits in the system call. With the epoll descriptor in the runtime's own poller the loop would
-// wait as a parked goroutine; that took a third more processor time a round trip. The scheduler takes
-// the processor away from a call that lasts, but only after up to 10 ms: see Real.turn.
+// wait as a parked goroutine; with one busy connection that took 14 µs of processor time a round trip
+// instead of 11, and with 64 the same or more. The scheduler takes the processor away from a call
+// that lasts, but only after up to 10 ms: see Real.turn.
 func (p *poller) wait(most Time) {
 	if p.poll(); p.n > 0 {
 		return
