--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -151,8 +151,8 @@
 // Left is what the router holds, by what it is. All but connections is 0 once nothing is asked.
 func (r *Router) Left() map[string]int {
 	return map[string]int{"requests": len(r.requests), "ids": len(r.ids), "open": r.open, "attempts": r.pool.Attempts(),
-		"clients": r.front.Clients(), "bytes": int(r.front.Held()), "events": len(r.backlog),
-		"connections": r.pool.Conns(), "breaches": r.books.Breaches()}
+		"bytes": int(r.front.Held()), "events": len(r.backlog), "lists": len(r.lists), "breaches": r.books.Breaches(),
+		"connections": r.pool.Conns() + r.front.Clients()}
 }
 
 // breach logs what broke the contract between the loop and the module, with what led to it.
