--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -58,7 +58,7 @@
 			c.linger()
 			return
 		}
-		if c.last || c.retired && len(c.queue) > 0 && f.m.Now() > c.retireAt+lastReads {
+		if c.last {
 			return // it is closed behind the answers that are due
 		}
 		if len(c.queue) >= f.o.Bounds.Pipelined {
@@ -254,7 +254,9 @@
 		return c.reject(err.Error())
 	}
 	c.errors, c.asked = 0, true
-	if !f.memory.take(int64(len(raw))) {
+	// The danger: a client that always has a request out keeps its connection open to the end of the
+	// drain, and what it has out then is lost. Refused, it comes to a moment between requests.
+	if c.retired && f.m.Now() > c.retireAt+lastReads || !f.memory.take(int64(len(raw))) {
 		c.say([]byte(BusyReply))
 		return true
 	}
@@ -386,10 +388,10 @@
 	case c.last:
 		c.goodbye()
 	case c.retired && len(c.part) == 0:
-		if c.nc.Quiet() || c.front.m.Now() > c.retireAt+lastReads {
+		if c.nc.Quiet() {
 			c.close()
 		} else {
-			c.readOn()
+			c.readOn() // it has sent more meanwhile
 		}
 	case c.state == busy && len(c.part) == 0:
 		c.enter(idle)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -22,7 +22,7 @@
 	acceptPause  = 10_000  // before another look for room where no descriptor was free
 	commandGrace = 100_000 // for the rest of a command that has begun when its connection is to close
 	firstWord    = 20_000  // in which a client that means to ask has begun
-	lastReads    = 500_000 // a connection that is to close is read for so long, while answers are due
+	lastReads    = 500_000 // requests on a connection that is to close are taken for so long, then refused
 	turnsShare   = 32      // commands of one connection in one turn: it must not crowd the others out
 	readSize     = 16 << 10
 	lingerSize   = 4 * resp.MostCommand // bytes that are read off a connection that is closed for its errors
