--- a/internal/machine/conn.go
+++ b/internal/machine/conn.go
@@ -113,7 +113,12 @@
 		// The danger: this look has taken the error off the socket, and the next read would find an end.
 		c.breakOff(err)
 	}
-	return err == syscall.EAGAIN
+	if err == syscall.EAGAIN {
+		return true
+	}
+	// The danger: what was seen here has come ahead of its event, and a Read would say that there is nothing.
+	c.empty = false
+	return false
 }
 
 // CloseWrite implements Conn.
