--- /dev/null
+++ b/internal/routertest/cache.go
@@ -0,0 +1,158 @@
+package routertest
+
+import (
+	"errors"
+	"io"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/tidwall/redcon"
+)
+
+// Served is an answer that serves.
+const Served = "*3\r\n$5\r\nvalue\r\n$3\r\nhit\r\n$-1\r\n"
+
+// Cache is a cache server on loopback. Each command that comes whole is handed to the test.
+type Cache struct {
+	Commands chan Command
+	Ended    chan struct{} // one for each connection that the router has ended
+
+	ln net.Listener
+}
+
+// Command is one command that has come.
+type Command struct {
+	Args []string
+	Conn net.Conn
+}
+
+// Reply answers a command.
+func (c Command) Reply(t testing.TB, wire string) {
+	t.Helper()
+	if _, err := io.WriteString(c.Conn, wire); err != nil {
+		t.Errorf("the cache could not answer: %v", err)
+	}
+}
+
+// NewCache starts a cache.
+func NewCache(t testing.TB) *Cache {
+	t.Helper()
+	c := &Cache{Commands: make(chan Command, 1000), Ended: make(chan struct{}, 1000)}
+	c.ln = listen(t, func(nc net.Conn) { go c.serve(nc) })
+	return c
+}
+
+// Addr is where it listens.
+func (c *Cache) Addr() string { return c.ln.Addr().String() }
+
+func (c *Cache) serve(nc net.Conn) {
+	r := redcon.NewReader(nc)
+	for {
+		cmd, err := r.ReadCommand()
+		if err != nil {
+			c.Ended <- struct{}{}
+			return
+		}
+		var args []string
+		for _, a := range cmd.Args {
+			args = append(args, string(a))
+		}
+		c.Commands <- Command{args, nc}
+	}
+}
+
+// Answering has the cache serve the requests that the test names, and tells of all others.
+func (c *Cache) Answering(t testing.TB, serves func(id string) bool, others chan<- string) {
+	over := make(chan struct{})
+	t.Cleanup(func() { close(over) })
+	go func() {
+		for {
+			select {
+			case cmd := <-c.Commands:
+				if serves(cmd.Args[2]) {
+					io.WriteString(cmd.Conn, Served)
+				} else {
+					others <- cmd.Args[2]
+				}
+			case <-over:
+				return
+			}
+		}
+	}()
+}
+
+// listen takes connections in, until the test is over.
+func listen(t testing.TB, accept func(net.Conn)) net.Listener {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { nc.Close() })
+			accept(nc)
+		}
+	}()
+	return ln
+}
+
+// DeafCache takes connections, hands them to the test and reads nothing.
+func DeafCache(t testing.TB) (addr string, conns <-chan net.Conn) {
+	t.Helper()
+	in := make(chan net.Conn, 100)
+	ln := listen(t, func(nc net.Conn) { in <- nc })
+	return ln.Addr().String(), in
+}
+
+// Refusing is an address at which nobody listens.
+func Refusing(t testing.TB) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln.Close()
+	return ln.Addr().String()
+}
+
+// Unreachable is an address at which connections never come up: its queue is full.
+func Unreachable(t testing.TB) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	sa, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := (&net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: sa.(*syscall.SockaddrInet4).Port}).String()
+	for range 20 {
+		nc, err := net.DialTimeout("tcp", addr, 300*time.Millisecond)
+		var ne net.Error
+		if errors.As(err, &ne) && ne.Timeout() {
+			return addr
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { nc.Close() })
+	}
+	t.Fatal("the queue does not fill")
+	return ""
+}
--- /dev/null
+++ b/internal/routertest/discovery.go
@@ -0,0 +1,67 @@
+package routertest
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"testing"
+)
+
+// Call is one call of discovery.
+type Call struct {
+	Query   string
+	Reply   chan string   // takes a body, or "" for 503
+	Written chan struct{} // closed when the answer is on its way, whole
+}
+
+// Discovery is a discovery that hands each call to the test.
+func Discovery(t testing.TB) (addr string, calls <-chan Call) {
+	t.Helper()
+	handed := make(chan Call)
+	over := make(chan struct{})
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := Call{r.URL.String(), make(chan string, 1), make(chan struct{})}
+		select {
+		case handed <- c:
+		case <-over:
+			return
+		}
+		select {
+		case body := <-c.Reply:
+			w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+			if body == "" {
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+			fmt.Fprint(w, body)
+			w.(http.Flusher).Flush()
+			close(c.Written)
+		case <-over:
+		case <-r.Context().Done():
+		}
+	}))
+	t.Cleanup(func() {
+		close(over)
+		srv.CloseClientConnections()
+		srv.Close()
+	})
+	return srv.Listener.Addr().String(), handed
+}
+
+// SilentDiscovery holds every watch until the test is over.
+func SilentDiscovery(t testing.TB) string {
+	t.Helper()
+	over := make(chan struct{})
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-over:
+		case <-r.Context().Done():
+		}
+	}))
+	t.Cleanup(func() {
+		close(over)
+		srv.CloseClientConnections()
+		srv.Close()
+	})
+	return srv.Listener.Addr().String()
+}
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -65,9 +65,20 @@
 		return
 	}
 	u := a.cache
+	a.lose()
+	if a.Work != nil {
+		u.out--
+	}
+	u.seen(result, u.pool.m.Now()-a.Sent)
+	u.pool.owner.Ended(a, result, rep)
+	u.drop()
+}
+
+// lose takes the attempt off its cache, so that nothing comes of it any more.
+func (a *Attempt) lose() {
 	if a.state == waiting {
-		if i := slices.Index(u.waiting, a); i >= 0 {
-			u.waiting = slices.Delete(u.waiting, i, i+1)
+		if i := slices.Index(a.cache.waiting, a); i >= 0 {
+			a.cache.waiting = slices.Delete(a.cache.waiting, i, i+1)
 		}
 	}
 	a.state = over
@@ -80,12 +91,6 @@
 	if a.conn != nil {
 		a.conn.attempt, a.conn = nil, nil
 	}
-	if a.Work != nil {
-		u.out--
-	}
-	u.seen(result, u.pool.m.Now()-a.Sent)
-	u.pool.owner.Ended(a, result, rep)
-	u.drop()
 }
 
 // encode appends what goes over the wire.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -149,11 +149,17 @@
 	}
 }
 
-// Close ends all connections. Attempts that are out get no outcome.
+// Close ends all connections. Attempts that are out get no outcome, and nothing is dialled any more.
 func (p *Pool) Close() {
 	for _, u := range slices.Clone(p.order) {
+		u.up = false
+		for len(u.waiting) > 0 {
+			u.waiting[0].lose()
+		}
 		for _, c := range slices.Clone(u.conns) {
-			c.attempt = nil
+			if c.attempt != nil {
+				c.attempt.lose()
+			}
 			c.close()
 		}
 	}
