--- a/internal/router/books_test.go
+++ b/internal/router/books_test.go
@@ -5,33 +5,63 @@
 	"testing"
 
 	"starlingwinch/decide"
+	"starlingwinch/internal/books"
+	"starlingwinch/internal/routertest"
 )
 
+// forgetful is a module whose sends the loop loses: they never reach it.
+type forgetful struct {
+	books.Module
+	lost chan decide.Send
+}
+
+func (f forgetful) Handle(now decide.Time, ev decide.Event) []decide.Action {
+	var kept []decide.Action
+	for _, a := range f.Module.Handle(now, ev) {
+		if s, ok := a.(decide.Send); ok {
+			f.lost <- s
+			continue
+		}
+		kept = append(kept, a)
+	}
+	return kept
+}
+
 // TestBooksMakeUpForALostOutcome: whatever the loop loses, the request is answered and its cache's
 // place is given back.
 func TestBooksMakeUpForALostOutcome(t *testing.T) {
-	lines := logged(t)
+	lines := make(routertest.Lines, 1000)
 	cache := newFakeCache(t)
-	r := newRig(t, cache.addr(), nil)
-	q := r.request(nil)
-	r.do(func() {
-		r.l.books.Handle(r.l.now, &decide.List{Kind: decide.ListFull, Entries: []decide.Entry{{ID: "c1", Size: 1}}})
-		r.l.module = r.l.books
-		acts := r.l.books.Handle(r.l.now, &decide.Request{ID: q.id, Class: "read", Key: 1, HasKey: true,
-			Deadline: r.l.now + 1000})
-		if len(acts) == 0 {
-			t.Error("the module did not send it")
-		} // and the loop forgets to carry that out
-		r.l.now += 10_000_000
-		r.l.balance()
-		r.l.tell()
-		if open := r.l.books.Open(); open != 0 {
-			t.Errorf("%d requests are open", open)
+	lost := make(chan decide.Send, 100)
+	s := &running{Loop: routertest.NewLoop(t, lines)}
+	cfg := testConfig(t, routertest.SilentDiscovery(t), nil, host("c1", cache.Addr(), "in_service"))
+	s.Do(func() {
+		var err error
+		if s.r, err = Start(s.Loop, cfg); err != nil {
+			t.Error(err)
+			return
 		}
+		// The loop loses what the books have let pass.
+		s.r.module = forgetful{s.r.module, lost}
+		s.addr = s.r.Addr()
 	})
-	if got := string(receive(t, q.slot.wire, "answer")); !strings.HasPrefix(got, "-") {
-		t.Errorf("answered %q", got)
+	if t.Failed() {
+		t.FailNow()
 	}
-	for !strings.Contains(receive(t, lines, "line of the books"), "books: outcome-missing") {
+	t.Cleanup(func() { s.Do(s.r.Close) })
+	c := dial(t, s.addr)
+	c.Send(words("C.GET", "k1", "r1", "c=read,d=100"))
+	receive(t, lost, "send of the module")
+	if got := c.Line(); !strings.HasPrefix(got, "-") {
+		t.Errorf("answered %q", got)
 	}
+	lines.Want(t, "books: outcome-missing")
+	s.Until("the end of the request", func() bool {
+		return s.r.books.Open() == 0 && len(s.r.requests) == 0
+	})
+	s.Do(func() {
+		if n := s.r.Left()["breaches"]; n == 0 {
+			t.Error("the loss is not counted")
+		}
+	})
 }
--- a/internal/router/burst_test.go
+++ b/internal/router/burst_test.go
@@ -6,28 +6,9 @@
 	"testing"
 
 	"starlingwinch/decide"
+	"starlingwinch/internal/routertest"
 )
 
-// answering has a cache serve the requests that the test names; it tells of all others.
-func (c *fakeCache) answering(t *testing.T, serves func(id string) bool, others chan<- string) {
-	over := make(chan struct{})
-	t.Cleanup(func() { close(over) })
-	go func() {
-		for {
-			select {
-			case cmd := <-c.commands:
-				if serves(cmd.args[2]) {
-					fmt.Fprint(cmd.conn, served)
-				} else {
-					others <- cmd.args[2]
-				}
-			case <-over:
-				return
-			}
-		}
-	}()
-}
-
 // TestClientsThatPipelineAndCloseLeaveNothingBehind. The danger: the requests of a client that has
 // gone are forgotten one by one, while the module sends a held one on that is forgotten already. It
 // gets no outcome, its cache's place is taken for good, and in the end nothing is served.
@@ -36,42 +17,30 @@
 	out := make(chan string, 60*40)
 	for i := range 3 {
 		cache := newFakeCache(t)
-		cache.answering(t, func(id string) bool { return strings.HasPrefix(id, "one") }, out)
-		lines = append(lines, host(fmt.Sprint("c", i), cache.addr(), "in_service"))
+		cache.Answering(t, func(id string) bool { return strings.HasPrefix(id, "one") }, out)
+		lines = append(lines, host(fmt.Sprint("c", i), cache.Addr(), "in_service"))
 	}
-	r := start(t, testConfig(t, silentDiscovery(t), nil, lines...))
+	r := start(t, testConfig(t, routertest.SilentDiscovery(t), nil, lines...), nil, nil)
 	for burst := range 60 {
 		c := dial(t, r.addr)
 		wire := ""
 		for i := range 40 {
 			wire += words("C.GET", fmt.Sprint("key", i), fmt.Sprint("b", burst, "-", i), "c=read,d=20000")
 		}
-		c.send(wire)
+		c.Send(wire)
 		for id := ""; !strings.HasPrefix(id, fmt.Sprint("b", burst, "-")); { // the burst has been read, and some of it is out
 			id = receive(t, out, "request at a cache")
 		}
-		c.nc.Close()
+		c.Close()
 		// A read for each burst, on a key that has been asked for.
 		one := dial(t, r.addr)
-		one.send(words("C.GET", fmt.Sprint("key", burst%40), fmt.Sprint("one", burst), "c=read,d=5000"))
-		if got := one.line(); got != "value" {
+		one.Send(words("C.GET", fmt.Sprint("key", burst%40), fmt.Sprint("one", burst), "c=read,d=5000"))
+		if got := one.Line(); got != "value" {
 			t.Fatalf("after burst %d: %q", burst, got)
 		}
-		one.nc.Close()
-	}
-	type left struct{ requests, ids, out int }
-	turn := make(chan left, 1)
-	r.srv.loop.post(func() {
-		l := r.srv.loop
-		out := 0
-		for _, q := range l.requests {
-			out += q.out
-		}
-		turn <- left{len(l.requests), len(l.ids), out}
-	})
-	if got := receive(t, turn, "turn of the loop"); got != (left{}) {
-		t.Errorf("left behind: %+v", got)
+		one.Close()
 	}
+	r.idle()
 }
 
 // sender is a module that sends a request when it hears of another one's end.
@@ -101,30 +70,32 @@
 // TestSendOfARequestThatIsOverHasAnOutcome: whatever the module sends, it is told how it ended.
 func TestSendOfARequestThatIsOverHasAnOutcome(t *testing.T) {
 	cache := newFakeCache(t)
-	r := newRig(t, cache.addr(), nil)
-	first, second := r.request(nil), r.request(nil)
-	r.send(first, long)
-	receive(t, cache.commands, "command")
-	r.do(func() {
-		s := &sender{}
-		s.then = func(ev decide.Event) []decide.Action {
-			d, ok := ev.(*decide.Departed)
-			if !ok || len(s.told) > 1 {
-				return nil
-			}
-			return []decide.Action{decide.Send{ID: first.id + second.id - d.ID, Cache: "c1"}}
+	r := newRig(t, cache.Addr(), nil)
+	// One client asks for both, and goes.
+	c := dial(t, r.addr)
+	c.Send(get("r1") + get("r2"))
+	first, second := receive(t, r.requests, "request").ID, receive(t, r.requests, "request").ID
+	r.perform(decide.Send{ID: first, Cache: "c1"})
+	receive(t, cache.Commands, "command")
+	s := &sender{}
+	s.then = func(ev decide.Event) []decide.Action {
+		d, ok := ev.(*decide.Departed)
+		if !ok || len(s.told) > 1 {
+			return nil
 		}
-		r.l.module = s
-		// One client had asked for both, and has gone.
-		r.l.depart(&client{open: map[int64]*request{first.id: first, second.id: second}})
-		r.l.tell()
-		if got := append(s.outcomes(first.id), s.outcomes(second.id)...); len(got) != 1 || got[0] != decide.NotSent {
+		return []decide.Action{decide.Send{ID: first + second - d.ID, Cache: "c1"}}
+	}
+	r.Do(func() { r.r.module = s })
+	c.Close()
+	r.Until("an outcome", func() bool { return len(s.outcomes(first))+len(s.outcomes(second)) > 0 })
+	r.Do(func() {
+		if got := append(s.outcomes(first), s.outcomes(second)...); len(got) != 1 || got[0] != decide.NotSent {
 			t.Errorf("outcomes of the late attempt: %v", got)
 		}
-		r.l.perform(decide.Cancel{ID: first.id}) // the one that was out
-		r.l.tell()
-		if len(r.l.requests) != 0 {
-			t.Errorf("%d requests are left", len(r.l.requests))
+		r.r.perform(decide.Cancel{ID: first}) // the one that was out
+		r.r.Settle()
+		if len(r.r.requests) != 0 {
+			t.Errorf("%d requests are left", len(r.r.requests))
 		}
 	})
 }
@@ -132,20 +103,14 @@
 // TestDrainIsToldBeforeWhatItEnds. The danger: of an attempt that was not sent as its cache drains,
 // the module hears first, and sends it there once more.
 func TestDrainIsToldBeforeWhatItEnds(t *testing.T) {
-	addr := unreachable(t)
+	addr := routertest.Unreachable(t)
 	r := newRig(t, addr, nil)
-	q := r.request(nil)
-	r.send(q, long)
-	r.do(func() {
-		s := &sender{}
-		r.l.module = s
-		h, err := parseHosts([]byte(hosts(2, false, host("c1", addr, "terminating"))))
-		if err != nil {
-			t.Error(err)
-			return
-		}
-		r.l.learn(h, decide.ListChanges)
-		r.l.tell()
+	q := r.request()
+	r.send(q)
+	s := &sender{}
+	r.Do(func() { r.r.module = s })
+	r.list(2, false, host("c1", addr, "terminating"))
+	r.Do(func() {
 		if len(s.told) != 2 {
 			t.Errorf("told %d events", len(s.told))
 			return
@@ -153,17 +118,20 @@
 		if _, ok := s.told[0].(*decide.List); !ok {
 			t.Errorf("told %T first", s.told[0])
 		}
+		if got := s.outcomes(q.id); len(got) != 1 || got[0] != decide.NotSent {
+			t.Errorf("outcomes %v", got)
+		}
 	})
 }
 
 // TestProbeOfACacheThatIsGoneHasAnOutcome, as every probe has.
 func TestProbeOfACacheThatIsGoneHasAnOutcome(t *testing.T) {
-	r := newRig(t, newFakeCache(t).addr(), nil)
-	r.do(func() {
+	r := newRig(t, newFakeCache(t).Addr(), nil)
+	r.Do(func() {
 		s := &sender{}
-		r.l.module = s
-		r.l.perform(decide.Probe{Cache: "never listed"})
-		r.l.tell()
+		r.r.module = s
+		r.r.perform(decide.Probe{Cache: "never listed"})
+		r.r.Settle()
 		if len(s.told) != 1 {
 			t.Errorf("told %d events", len(s.told))
 			return
@@ -173,3 +141,41 @@
 		}
 	})
 }
+
+// TestChurnLeavesNothing: caches come under new ids, at the address of one that has gone, and nothing of
+// the old ones or of their requests stays.
+func TestChurnLeavesNothing(t *testing.T) {
+	cache := newFakeCache(t)
+	r := newRig(t, cache.Addr(), nil)
+	var last asked
+	var open routertest.Command
+	for i := range 50 {
+		name := fmt.Sprint("s", i)
+		r.list(2*i+2, false, host(name, cache.Addr(), "in_service"))
+		q := r.request()
+		r.perform(decide.Send{ID: q.id, Cache: name})
+		cmd := receive(t, cache.Commands, "command")
+		if i == 49 { // one is still out as its cache goes
+			last, open = q, cmd
+		} else {
+			cmd.Reply(t, served)
+			r.want(decide.Served)
+		}
+		r.list(2*i+3, false, host(name, cache.Addr(), "terminated"))
+	}
+	r.Do(func() {
+		if len(r.r.caches) != 1 || r.r.pool.InFlight("s49") != 1 { // c1, and the attempt that is out elsewhere
+			t.Errorf("%d caches are kept, %d attempts are out", len(r.r.caches), r.r.pool.InFlight("s49"))
+		}
+	})
+	r.perform(decide.Send{ID: last.id, Cache: "s3"})
+	r.want(decide.NotSent) // a cache that is gone gets nothing, and the module hears of it
+	open.Reply(t, served)
+	r.want(decide.Served)
+	r.idle()
+	r.Do(func() {
+		if n := r.r.pool.Conns(); n != 0 {
+			t.Errorf("%d connections to caches that are gone", n)
+		}
+	})
+}
--- a/internal/router/client_test.go
+++ b/internal/router/client_test.go
@@ -2,104 +2,102 @@
 
 import (
 	"fmt"
-	"log"
-	"net"
+	"strconv"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
 	"starlingwinch/decide"
+	"starlingwinch/internal/front"
+	"starlingwinch/internal/limits"
+	"starlingwinch/internal/resp"
+	"starlingwinch/internal/routertest"
+	"starlingwinch/internal/upstream"
 )
 
 func TestServed(t *testing.T) {
 	cache := newFakeCache(t)
-	r := start(t, testConfig(t, silentDiscovery(t), nil, host("c1", cache.addr(), "in_service")))
+	r := start(t, testConfig(t, routertest.SilentDiscovery(t), nil, host("c1", cache.Addr(), "in_service")), nil, nil)
 	c := dial(t, r.addr)
-	c.send(words("PING"))
-	c.want("+PONG")
-	c.send(get("r1"))
-	cmd := receive(t, cache.commands, "command")
-	if cmd.args[0] != "C.GET" || cmd.args[1] != "k1" || cmd.args[2] != "r1" {
-		t.Errorf("the cache was sent %q", cmd.args)
+	c.Send(words("PING"))
+	c.Want("+PONG")
+	c.Send(get("r1"))
+	cmd := receive(t, cache.Commands, "command")
+	if cmd.Args[0] != "C.GET" || cmd.Args[1] != "k1" || cmd.Args[2] != "r1" {
+		t.Errorf("the cache was sent %q", cmd.Args)
 	}
-	cmd.reply(t, served)
-	c.want("value")
+	cmd.Reply(t, served)
+	c.Want("value")
+	r.idle()
 }
 
 // TestAnswersInCommandOrder: a quick answer waits for those before it on its connection, and
 // only there.
 func TestAnswersInCommandOrder(t *testing.T) {
 	cache := newFakeCache(t)
-	r := start(t, testConfig(t, silentDiscovery(t), nil, host("c1", cache.addr(), "in_service")))
+	r := start(t, testConfig(t, routertest.SilentDiscovery(t), nil, host("c1", cache.Addr(), "in_service")), nil, nil)
 	c := dial(t, r.addr)
-	c.send(get("r1") + get("r2") + words("PING"))
-	first, second := receive(t, cache.commands, "command"), receive(t, cache.commands, "command")
-	if first.args[2] != "r1" {
+	c.Send(get("r1") + get("r2") + words("PING"))
+	first, second := receive(t, cache.Commands, "command"), receive(t, cache.Commands, "command")
+	if first.Args[2] != "r1" {
 		first, second = second, first
 	}
-	second.reply(t, "*3\r\n$3\r\ntwo\r\n$-1\r\n$-1\r\n")
+	second.Reply(t, "*3\r\n$3\r\ntwo\r\n$-1\r\n$-1\r\n")
 	other := dial(t, r.addr)
-	other.send(get("r3"))
-	receive(t, cache.commands, "command").reply(t, served)
-	other.want("value")
-	first.reply(t, "*3\r\n$3\r\none\r\n$-1\r\n$-1\r\n")
-	c.want("one")
-	c.want("two")
-	c.want("+PONG")
+	other.Send(get("r3"))
+	receive(t, cache.Commands, "command").Reply(t, served)
+	other.Want("value")
+	first.Reply(t, "*3\r\n$3\r\none\r\n$-1\r\n$-1\r\n")
+	c.Want("one")
+	c.Want("two")
+	c.Want("+PONG")
+	r.idle()
 }
 
 // TestManyPipelinedCommandsAreTakenAtOnce. The danger: a command left unread behind others that
 // are slow is taken long after its client began to wait, and is answered too late.
 func TestManyPipelinedCommandsAreTakenAtOnce(t *testing.T) {
-	srv, err := New(testConfig(t, silentDiscovery(t), nil))
-	if err != nil {
-		t.Fatal(err)
-	}
-	srv.loop.module = &script{} // answers nothing
-	r := startServer(t, srv)
+	r := newRig(t, "127.0.0.1:1", nil) // answers nothing
 	c := dial(t, r.addr)
-	for i := range pipelined / 2 {
-		c.send(get(fmt.Sprint("r", i)))
-	}
-	for taken := 0; taken < pipelined/2; {
-		turn := make(chan int, 1)
-		r.srv.loop.post(func() { turn <- r.srv.loop.open })
-		taken = receive(t, turn, "turn of the loop")
+	most := limits.Default().Clients.Pipelined / 2
+	for i := range most {
+		c.Send(get(fmt.Sprint("r", i)))
 	}
+	r.Until("all commands taken", func() bool { return r.r.open == most })
 }
 
 // TestClientGone: nobody waits for the answer any more, so the attempt is stopped.
 func TestClientGone(t *testing.T) {
 	cache := newFakeCache(t)
-	r := start(t, testConfig(t, silentDiscovery(t), nil, host("c1", cache.addr(), "in_service")))
+	r := start(t, testConfig(t, routertest.SilentDiscovery(t), nil, host("c1", cache.Addr(), "in_service")), nil, nil)
 	c := dial(t, r.addr)
-	c.send(get("r1"))
-	receive(t, cache.commands, "command")
-	c.nc.Close()
-	receive(t, cache.ended, "end of the attempt's connection")
+	c.Send(get("r1"))
+	receive(t, cache.Commands, "command")
+	c.Close()
+	receive(t, cache.Ended, "end of the attempt's connection")
+	r.idle()
 }
 
 // TestSlowReaderHoldsUpNobody: one client reads nothing of many large answers.
 func TestSlowReaderHoldsUpNobody(t *testing.T) {
 	cache := newFakeCache(t)
-	r := start(t, testConfig(t, silentDiscovery(t), func(in map[string]any) {
+	r := start(t, testConfig(t, routertest.SilentDiscovery(t), func(in map[string]any) {
 		in["limits"].(map[string]any)["memory_mb"] = 4
-	}, host("c1", cache.addr(), "in_service")))
+	}, host("c1", cache.Addr(), "in_service")), nil, nil)
 	over := make(chan struct{})
 	defer close(over)
-	large := "*3\r\n$65536\r\n" + strings.Repeat("v", mostValue) + "\r\n$-1\r\n$-1\r\n"
+	large := "*3\r\n$65536\r\n" + strings.Repeat("v", resp.MostValue) + "\r\n$-1\r\n$-1\r\n"
 	var large64 atomic.Int64
 	go func() {
 		for {
 			select {
-			case cmd := <-cache.commands:
-				if strings.HasPrefix(cmd.args[2], "slow") {
+			case cmd := <-cache.Commands:
+				if strings.HasPrefix(cmd.Args[2], "slow") {
 					large64.Add(1)
-					cmd.conn.Write([]byte(large))
+					cmd.Conn.Write([]byte(large))
 				} else {
-					cmd.conn.Write([]byte(served))
+					cmd.Conn.Write([]byte(served))
 				}
 			case <-over:
 				return
@@ -107,14 +105,14 @@
 		}
 	}()
 	slow := dial(t, r.addr)
-	slow.nc.SetReadBuffer(4096)
+	slow.SetReadBuffer(4096)
 	for i := range 64 {
-		slow.send(get(fmt.Sprint("slow", i)))
+		slow.Send(get(fmt.Sprint("slow", i)))
 	}
 	other := dial(t, r.addr)
 	for range 50 {
-		other.send(get("quick"))
-		if got := other.line(); got != "value" && !strings.HasPrefix(got, "-") {
+		other.Send(get("quick"))
+		if got := other.Line(); got != "value" && !strings.HasPrefix(got, "-") {
 			t.Fatalf("answer %q", got)
 		}
 	}
@@ -124,83 +122,21 @@
 }
 
 func TestPingBeforeAnyCacheIsKnown(t *testing.T) {
-	r := start(t, testConfig(t, silentDiscovery(t), nil))
+	r := start(t, testConfig(t, routertest.SilentDiscovery(t), nil), nil, nil)
 	c := dial(t, r.addr)
-	c.send(words("PING"))
-	if got := c.line(); !strings.HasPrefix(got, "-LOADING") {
+	c.Send(words("PING"))
+	if got := c.Line(); !strings.HasPrefix(got, "-LOADING") {
 		t.Errorf("answer %q", got)
 	}
-	c.send(get("r1")) // no cache: the module refuses
-	if got := c.line(); !strings.HasPrefix(got, "-BUSY") {
+	c.Send(get("r1")) // no cache: the module refuses
+	if got := c.Line(); !strings.HasPrefix(got, "-BUSY") {
 		t.Errorf("answer %q", got)
 	}
 }
 
-// TestMalformedCommands: what is wrong is answered and never sent on; where the bytes can't be
-// told apart any more, the connection ends.
-func TestMalformedCommands(t *testing.T) {
-	cache := newFakeCache(t)
-	r := start(t, testConfig(t, silentDiscovery(t), nil, host("c1", cache.addr(), "in_service")))
-	for _, c := range []struct {
-		wire string
-		ends bool
-	}{
-		{words("FLUSHALL"), false},
-		{words("C.GET"), false},
-		{words("C.GET", "k", "id"), false},
-		{words("C.GET", "k", "id", "c=read"), false},
-		{words("C.GET", "k", "id", "d=10"), false},
-		{words("C.GET", "k", "id", "c=read,d=x"), false},
-		{words("C.GET", "k", "id", "c=read,d=-1"), false},
-		{words("C.GET", "k", "id", "c=read,d=1,d=2"), false},
-		{words("C.GET", "", "id", "c=read,d=10"), false},
-		{words("C.GET", "k", "id", "c=read,d=10", "value"), false},
-		{words("C.SET", "k", "id", "c=put,d=10"), false},
-		{words("C.GET", "k", "id", "c=none,d=10"), false},
-		{words("C.GET", "k", "id", "c=put,d=10"), false},
-		{words("C.SET", "k", "id", "c=read,d=10", "value"), false},
-		{words("C.GET", "k", "id", "c=read,c=read,d=10"), false},
-		{words("C.GET", "k", "id", "c=read,d=+10"), false},
-		{words("C.GET", "k", "", "c=read,d=10"), false},
-		{"C.GET k id c=read,d=10\r\n", false},
-		{words("C.GET", strings.Repeat("k", mostWord+1), "id", "c=read,d=10"), true},
-		{"*+1\r\n$4\r\nPING\r\n", true},
-		{"*-1\r\n", true},
-		{"* 1\r\n", true},
-		{"*1\r\n$04\r\nPING\r\n", true},
-		{"*5\r\n$5\r\nC.SET\r\n$1\r\nk\r\n$1\r\ni\r\n$9\r\nc=put,d=9\r\n$60000000\r\n", true},
-		{strings.Repeat("x", mostWord+1), true},
-		{"\x00\xff\x01", true},
-		{"FLUSHALL\r\n", false},
-		{"*1\r\n$-2\r\n", true},
-		{"*1\r\n$9223372036854775807\r\n", true},
-		{"*x\r\n", true},
-		{"*1\r\n!3\r\n", true},
-		{"$4 PING\r\n", true},
-		{"*2\r\n$5\r\nC.GETXX", true},
-		{"*5\r\n$5\r\nC.SET\r\n$70000\r\n" + strings.Repeat("x", 2*mostCommand), true},
-	} {
-		cl := dial(t, r.addr)
-		cl.send(c.wire)
-		if got := cl.line(); !strings.HasPrefix(got, "-ERR ") {
-			t.Errorf("%.60q: answer %q", c.wire, got)
-		}
-		if c.ends {
-			cl.wantClosed()
-		} else {
-			cl.send(words("PING"))
-			cl.want("+PONG")
-		}
-	}
-	select {
-	case cmd := <-cache.commands:
-		t.Errorf("the cache was sent %q", cmd.args)
-	default:
-	}
-}
-
 func TestBusyRoundsUp(t *testing.T) {
-	for wait, want := range map[decide.Time]string{0: "-BUSY\r\n", 1: "-BUSY 1\r\n", 1000: "-BUSY 1\r\n", 1001: "-BUSY 2\r\n", 600_000: "-BUSY 600\r\n"} {
+	for wait, want := range map[decide.Time]string{0: "-BUSY\r\n", 1: "-BUSY 1\r\n", 1000: "-BUSY 1\r\n",
+		1001: "-BUSY 2\r\n", 600_000: "-BUSY 600\r\n"} {
 		if got := string(appendBusy(nil, wait)); got != want {
 			t.Errorf("%d: %q, want %q", wait, got, want)
 		}
@@ -210,174 +146,204 @@
 // TestMostOpen: what is over the settings' bound is refused before it reaches the module.
 func TestMostOpen(t *testing.T) {
 	cache := newFakeCache(t)
-	r := start(t, testConfig(t, silentDiscovery(t), func(in map[string]any) {
+	r := start(t, testConfig(t, routertest.SilentDiscovery(t), func(in map[string]any) {
 		in["settings"].(map[string]any)["limits"].(map[string]any)["maxOpen"] = 1
-	}, host("c1", cache.addr(), "in_service")))
+	}, host("c1", cache.Addr(), "in_service")), nil, nil)
 	c := dial(t, r.addr)
-	c.send(get("r1"))
-	cmd := receive(t, cache.commands, "command")
+	c.Send(get("r1"))
+	cmd := receive(t, cache.Commands, "command")
 	other := dial(t, r.addr)
-	other.send(get("r2"))
-	other.want("-BUSY")
-	cmd.reply(t, served)
-	c.want("value")
+	other.Send(get("r2"))
+	other.Want("-BUSY")
+	cmd.Reply(t, served)
+	c.Want("value")
 }
 
-// TestDrainWithWorkInHand: after SIGTERM, connections and requests are still taken, all that was
-// taken is answered, and then the router ends.
-func TestDrainWithWorkInHand(t *testing.T) {
+// TestIdOfAnOpenRequest is turned away, until every attempt of that request is over.
+func TestIdOfAnOpenRequest(t *testing.T) {
 	cache := newFakeCache(t)
-	srv, err := New(testConfig(t, silentDiscovery(t), nil, host("c1", cache.addr(), "in_service")))
-	if err != nil {
-		t.Fatal(err)
-	}
-	srv.arrivals = 5 * time.Second // a slow machine must not miss it
-	r := startServer(t, srv)
-	idle, busy := dial(t, r.addr), dial(t, r.addr)
-	idle.send(words("PING"))
-	idle.want("+PONG")
-	busy.send(get("r1"))
-	first := receive(t, cache.commands, "command")
-	r.stop()
-	late := dial(t, r.addr)
-	late.send(get("r2"))
-	second := receive(t, cache.commands, "command")
-	idle.wantClosed()
-	first.reply(t, served)
-	second.reply(t, served)
-	busy.want("value")
-	busy.wantClosed()
-	late.want("value")
-	late.wantClosed()
-	if err := receive(t, r.ended, "end of the router"); err != nil {
-		t.Error(err)
+	r := newRig(t, cache.Addr(), nil)
+	q := r.ask(get("one"))
+	r.send(q)
+	cmd := receive(t, cache.Commands, "command")
+	turnedAway := func(when string) {
+		t.Helper()
+		again := dial(t, r.addr)
+		again.Send(get("one"))
+		if got := again.Line(); !strings.HasPrefix(got, "-ERR ") {
+			t.Errorf("%s: %q", when, got)
+		}
 	}
+	turnedAway("while it is open")
+	r.perform(decide.Refuse{ID: q.id})
+	q.client.Want("-BUSY")
+	turnedAway("while an attempt is out")
+	cmd.Reply(t, served)
+	r.want(decide.Served)
+	r.ask(get("one")) // after its end
 }
 
-// TestDrainEndsInTime: what can't be answered holds the router up no longer than the longest
-// deadline allows, and so does a command that never becomes whole.
-func TestDrainEndsInTime(t *testing.T) {
-	srv, err := New(testConfig(t, silentDiscovery(t), nil))
-	if err != nil {
-		t.Fatal(err)
-	}
-	srv.loop.module = &script{} // answers nothing
-	srv.loop.longest = 1000
-	r := startServer(t, srv)
-	stuck, half := dial(t, r.addr), dial(t, r.addr)
-	stuck.send(words("PING") + get("r1"))
-	stuck.line() // not ready: no cache is known
-	half.send(words("PING") + "*4\r\n$5\r\nC.G")
-	half.line()
-	r.stop()
-	if err := receive(t, r.ended, "end of the router"); err != nil {
-		t.Error(err)
+// TestFirstServingAnswerIsTheFinalOne, and no other one is.
+func TestFirstServingAnswerIsTheFinalOne(t *testing.T) {
+	for wire, want := range map[string]decide.Result{served: decide.Served, "-ERR failed\r\n": decide.Errored,
+		"-BUSY\r\n": decide.Rejected} {
+		cache := newFakeCache(t)
+		r := newRig(t, cache.Addr(), nil)
+		q := r.request()
+		r.send(q)
+		receive(t, cache.Commands, "command").Reply(t, wire)
+		o := r.want(want)
+		if o.ID != q.id || o.Attempt != 0 || o.Last != (want == decide.Served) || o.Miss {
+			t.Errorf("%q: told %+v", wire, o)
+		}
+		if o.Last {
+			q.client.Want("value")
+		}
 	}
 }
 
-// TestIdleClientsMakeRoom: clients that hold connections without using them don't shut out others.
-func TestIdleClientsMakeRoom(t *testing.T) {
+// TestWhatGoesOn: everything but d goes on as it came.
+func TestWhatGoesOn(t *testing.T) {
 	cache := newFakeCache(t)
-	r := start(t, testConfig(t, silentDiscovery(t), func(in map[string]any) {
-		in["limits"].(map[string]any)["sockets"] = leastSockets
-	}, host("c1", cache.addr(), "in_service")))
-	busy := dial(t, r.addr)
-	busy.send(get("r1"))
-	cmd := receive(t, cache.commands, "command")
-	var all []*testClient
-	for range 4 * int(r.srv.sockets.mostClients) {
-		c := dial(t, r.addr)
-		c.send(words("PING"))
-		c.want("+PONG")
-		all = append(all, c)
+	r := newRig(t, cache.Addr(), nil)
+	q := r.ask(words("C.SET", "key", "id", "c=put,t=acme,d=20000,k=5c0f,size=12", "\x00\r\nVALUE"))
+	r.Do(func() {
+		r.r.perform(decide.Send{ID: q.id, Cache: "c1", StopAt: r.Now() + 10_000_000})
+	})
+	got := receive(t, cache.Commands, "command").Args
+	if got[0] != "C.SET" || got[1] != "key" || got[2] != "id" || got[4] != "\x00\r\nVALUE" {
+		t.Errorf("the cache was sent %q", got)
 	}
-	all[0].wantClosed()
-	cmd.reply(t, served) // one with work in hand is left alone
-	busy.want("value")
-}
-
-// exhausted is a listener that has no descriptors for a while.
-type exhausted struct {
-	net.Listener
-	left atomic.Int64
-}
-
-func (e *exhausted) Accept() (net.Conn, error) {
-	if e.left.Add(-1) >= 0 {
-		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	meta := strings.Split(got[3], ",")
+	d, err := strconv.Atoi(strings.TrimPrefix(meta[2], "d="))
+	meta[2] = "d"
+	if strings.Join(meta, ",") != "c=put,t=acme,d,k=5c0f,size=12" || err != nil || d < 1 || d > 10_000 {
+		t.Errorf("names and values %q", got[3])
 	}
-	return e.Listener.Accept()
 }
 
-// TestOutOfDescriptors: EMFILE does not end the accept loop.
-func TestOutOfDescriptors(t *testing.T) {
-	cache := newFakeCache(t)
-	srv, err := New(testConfig(t, silentDiscovery(t), nil, host("c1", cache.addr(), "in_service")))
-	if err != nil {
+// TestFinalAnswerStopsAHalfWrittenAttempt: no more of it goes out, and it never ran.
+func TestFinalAnswerStopsAHalfWrittenAttempt(t *testing.T) {
+	addr, conns := routertest.DeafCache(t)
+	r := newRig(t, addr, nil)
+	q := r.request()
+	// The command on the wire is made huge: no socket takes it at once.
+	r.Do(func() {
+		request := r.r.requests[q.id]
+		s := &sending{request: request}
+		s.Attempt = upstream.Attempt{Work: hugeWork{s}, Sent: r.Now(), StopAt: request.deadline}
+		request.attempts = append(request.attempts, s)
+		request.out++
+		r.r.pool.Start("c1", &s.Attempt)
+	})
+	if _, err := receive(t, conns, "connection").Read(make([]byte, 1)); err != nil {
 		t.Fatal(err)
 	}
-	ln := &exhausted{Listener: srv.ln}
-	ln.left.Store(3)
-	srv.ln = ln
-	r := startServer(t, srv)
-	c := dial(t, r.addr)
-	c.send(words("PING"))
-	c.want("+PONG")
-	if left := ln.left.Load(); left > 0 {
-		t.Errorf("%d failures to come", left)
-	}
-}
-
-// TestUpstreamDescriptors: where the caches' descriptors are used up, an attempt waits for one,
-// and an idle connection to another cache makes room.
-func TestUpstreamDescriptors(t *testing.T) {
-	cache, other := newFakeCache(t), newFakeCache(t)
-	r := newRig(t, cache.addr(), nil)
-	r.do(func() {
-		r.l.sockets.mostUpstreams = 1
-		h, err := parseHosts([]byte(hosts(2, false, host("c2", other.addr(), "in_service"))))
-		if err != nil {
-			t.Error(err)
+	r.Do(func() {
+		s := r.r.requests[q.id].attempts[0]
+		if !s.Unwritten() {
+			t.Error("it passes for written")
 		}
-		r.l.learn(h, h.kind())
-	})
-	r.send(r.request(nil), long)
-	cmd := receive(t, cache.commands, "command")
-	q := r.request(nil)
-	r.do(func() { r.l.perform(decide.Send{ID: q.id, Cache: "c2", StopAt: q.deadline}) })
-	r.do(func() {
-		if r.l.conns != 1 || !r.l.starved {
-			t.Errorf("%d connections, starved %v", r.l.conns, r.l.starved)
+		r.r.perform(decide.Refuse{ID: q.id})
+		if !s.Over() {
+			t.Error("it goes on")
 		}
 	})
-	cmd.conn.Close()
-	r.want(decide.ConnLost)
-	receive(t, other.commands, "command").reply(t, served)
-	r.want(decide.Served)
-	r.send(r.request(nil), long) // the other cache's connection is idle now
-	receive(t, cache.commands, "command").reply(t, served)
-	r.want(decide.Served)
-	receive(t, other.ended, "end of the idle connection")
+	q.client.Want(strings.TrimSuffix(front.BusyReply, "\r\n"))
 }
 
-// stuckWriter takes nothing until it is released.
-type stuckWriter struct{ release chan struct{} }
+// hugeWork is a sending whose command no socket takes at once.
+type hugeWork struct{ *sending }
 
-func (w stuckWriter) Write(b []byte) (int, error) {
-	<-w.release
-	return len(b), nil
+func (w hugeWork) Encode(b []byte, _ Time) []byte { return append(b, make([]byte, 64<<20)...) }
+
+// TestWaitingAttemptIsNotSentWhenItsRequestIsOver holds the last look before the first byte.
+func TestWaitingAttemptIsNotSentWhenItsRequestIsOver(t *testing.T) {
+	for name, end := range map[string]func(*rig, asked){
+		"refused":   func(r *rig, q asked) { r.perform(decide.Refuse{ID: q.id}) },
+		"failed":    func(r *rig, q asked) { r.perform(decide.Fail{ID: q.id}) },
+		"cancelled": func(r *rig, q asked) { r.perform(decide.Cancel{ID: q.id, Attempt: 0}) },
+		"departed":  func(r *rig, q asked) { q.client.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			cache := newFakeCache(t)
+			r := newRig(t, cache.Addr(), func(c *Config) { c.Settings.Routers = 1000 })
+			var busy []routertest.Command
+			for range limits.Default().Caches.LeastConnections {
+				r.send(r.request())
+				busy = append(busy, receive(t, cache.Commands, "command"))
+			}
+			q := r.request()
+			r.send(q)
+			end(r, q)
+			r.want(decide.NotSent)
+			for _, cmd := range busy {
+				cmd.Reply(t, served)
+				r.want(decide.Served)
+			}
+			r.send(r.ask(get("last")))
+			if got := receive(t, cache.Commands, "command"); got.Args[2] != "last" {
+				t.Errorf("the cache was sent %q", got.Args)
+			}
+		})
+	}
 }
 
-// TestLogThatNobodyReads does not hold the loop up.
-func TestLogThatNobodyReads(t *testing.T) {
+// TestClaimedPatienceIsBounded by what the settings say of any client.
+func TestClaimedPatienceIsBounded(t *testing.T) {
 	r := newRig(t, "127.0.0.1:1", nil)
-	stuck := stuckWriter{make(chan struct{})}
-	defer log.SetOutput(log.Writer())
-	defer close(stuck.release)
-	log.SetOutput(stuck)
-	r.do(func() {
-		for range 4 * logBacklog {
-			r.l.perform(decide.Log{Text: "line"})
+	q := r.ask(words("C.GET", "k", "id", "c=read,d=2000000000"))
+	r.Do(func() {
+		if d := r.r.requests[q.id].deadline; d > r.Now()+20_000_000 {
+			t.Errorf("deadline %d at %d", d, r.Now())
 		}
 	})
 }
+
+// TestIdleClientsMakeRoom: clients that hold connections without using them don't shut out others.
+func TestIdleClientsMakeRoom(t *testing.T) {
+	cache := newFakeCache(t)
+	cfg := testConfig(t, routertest.SilentDiscovery(t), func(in map[string]any) {
+		in["limits"].(map[string]any)["sockets"] = leastSockets
+	}, host("c1", cache.Addr(), "in_service"))
+	r := start(t, cfg, nil, nil)
+	busy := dial(t, r.addr)
+	busy.Send(get("r1"))
+	cmd := receive(t, cache.Commands, "command")
+	most, _ := cfg.Limits.shares()
+	var all []*routertest.Client
+	for range 4 * most {
+		c := dial(t, r.addr)
+		c.Send(words("PING"))
+		c.Want("+PONG")
+		all = append(all, c)
+	}
+	all[0].WantClosed()
+	cmd.Reply(t, served) // one with work in hand is left alone
+	busy.Want("value")
+}
+
+// TestOperatorsLimitsAreKept on both sides: what the file says holds, not what is compiled in.
+func TestOperatorsLimitsAreKept(t *testing.T) {
+	cfg := testConfig(t, routertest.SilentDiscovery(t), nil)
+	cfg.Bounds.Clients.ErrorsInARow = 2
+	cfg.Bounds.Clients.CommandTime = 100 * time.Millisecond
+	r := start(t, cfg, nil, nil)
+	flood := dial(t, r.addr)
+	flood.Send(strings.Repeat("NOTHING\r\n", 3))
+	for range 2 {
+		if got := flood.Line(); !strings.HasPrefix(got, "-ERR ") {
+			t.Errorf("answer %q", got)
+		}
+	}
+	flood.WantClosed()
+	halting := dial(t, r.addr)
+	began := time.Now()
+	halting.Send("*1\r\n")
+	if got := halting.Line(); !strings.Contains(got, "does not go on") {
+		t.Errorf("answer %q", got)
+	}
+	if took := time.Since(began); took >= limits.Default().Clients.CommandTime {
+		t.Errorf("a command that stops was waited for %s", took)
+	}
+}
--- a/internal/router/config_check_test.go
+++ b/internal/router/config_check_test.go
@@ -56,7 +56,7 @@
 	}
 	now := decide.Time(1_000_000)
 	known := cfg.Known
-	m.Handle(now, &decide.List{Kind: decide.ListFull, Entries: known.entries})
+	m.Handle(now, &decide.List{Kind: decide.ListFull, Entries: known.Entries})
 	sends := 0
 	count := func(actions []decide.Action) {
 		for _, a := range actions {
--- a/internal/router/config_test.go
+++ b/internal/router/config_test.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"testing"
+
+	"starlingwinch/internal/discovery"
 )
 
 func TestConfigNamesTheBadField(t *testing.T) {
@@ -12,7 +14,7 @@
 		t.Fatal(err)
 	}
 	if cfg.Seed != 0x8c1f30d27a5be964 || cfg.Limits.Sockets != defaultSockets || cfg.Transport.DialTimeout != 20_000_000 ||
-		cfg.Settings.Routers != 1 || cfg.Known.index != noIndex {
+		cfg.Settings.Routers != 1 || cfg.Known.Index != discovery.NoIndex {
 		t.Errorf("got %+v", cfg)
 	}
 	for _, c := range []struct{ old, new, field string }{
--- a/internal/router/discovery_test.go
+++ b/internal/router/discovery_test.go
@@ -1,137 +1,101 @@
 package router
 
 import (
-	"context"
-	"fmt"
-	"net/http"
-	"net/http/httptest"
 	"strings"
 	"testing"
-	"time"
 
 	"starlingwinch/decide"
-	"starlingwinch/internal/limits"
+	"starlingwinch/internal/discovery"
+	"starlingwinch/internal/routertest"
 )
 
-// answers is a discovery that hands each call to the test.
-type call struct {
-	query string
-	reply chan string // a body, or empty for 503
-}
-
-func newFakeDiscovery(t *testing.T) (addr string, calls chan call) {
-	t.Helper()
-	calls = make(chan call)
-	over := make(chan struct{})
-	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		c := call{r.URL.String(), make(chan string, 1)}
-		select {
-		case calls <- c:
-		case <-over:
-			return
-		}
-		select {
-		case body := <-c.reply:
-			if body == "" {
-				w.WriteHeader(http.StatusServiceUnavailable)
-			}
-			fmt.Fprint(w, body)
-		case <-over:
-		case <-r.Context().Done():
-		}
-	}))
-	t.Cleanup(func() {
-		close(over)
-		srv.CloseClientConnections()
-		srv.Close()
-	})
-	return srv.Listener.Addr().String(), calls
+// askEvery is the pace of the module's own calls, in a configuration.
+func askEvery(every decide.Time) func(map[string]any) {
+	return func(in map[string]any) {
+		in["settings"].(map[string]any)["rules"].(map[string]any)["askEvery"] = every
+	}
 }
 
 // TestWatchGoesOn: each answer is followed by a call for what comes after it, and
 // what it tells takes effect.
 func TestWatchGoesOn(t *testing.T) {
 	cache := newFakeCache(t)
-	addr, calls := newFakeDiscovery(t)
-	r := start(t, testConfig(t, addr, nil))
+	addr, calls := routertest.Discovery(t)
+	r := start(t, testConfig(t, addr, nil), nil, nil)
 	first := receive(t, calls, "call")
-	if want := "/discovery/hosts?after=1&wait_ms=20000"; first.query != want {
-		t.Errorf("call %s, want %s", first.query, want)
+	if want := "/discovery/hosts?after=1&wait_ms=20000"; first.Query != want {
+		t.Errorf("call %s, want %s", first.Query, want)
 	}
-	first.reply <- hosts(7, false, host("c1", cache.addr(), "in_service"))
+	first.Reply <- hosts(7, false, host("c1", cache.Addr(), "in_service"))
 	second := receive(t, calls, "call")
-	if want := "/discovery/hosts?after=7&wait_ms=20000"; second.query != want {
-		t.Errorf("call %s, want %s", second.query, want)
+	if want := "/discovery/hosts?after=7&wait_ms=20000"; second.Query != want {
+		t.Errorf("call %s, want %s", second.Query, want)
 	}
 	c := dial(t, r.addr)
-	c.send(get("r1"))
-	receive(t, cache.commands, "command").reply(t, served)
-	c.want("value")
-	second.reply <- hosts(9, true) // a whole list without the cache: it is gone
+	c.Send(get("r1"))
+	receive(t, cache.Commands, "command").Reply(t, served)
+	c.Want("value")
+	second.Reply <- hosts(9, true) // a whole list without the cache: it is gone
 	receive(t, calls, "call")
-	receive(t, cache.ended, "end of the idle connection")
-	c.send(get("r2"))
-	if got := c.line(); !strings.HasPrefix(got, "-BUSY") {
+	receive(t, cache.Ended, "end of the idle connection")
+	c.Send(get("r2"))
+	if got := c.Line(); !strings.HasPrefix(got, "-BUSY") {
 		t.Errorf("answer %q", got)
 	}
 }
 
 // TestWatchWithoutAKnownList asks for the whole list first.
 func TestWatchWithoutAKnownList(t *testing.T) {
-	addr, calls := newFakeDiscovery(t)
-	start(t, testConfig(t, addr, func(in map[string]any) { delete(in, "known") }))
-	if c := receive(t, calls, "call"); c.query != "/discovery/hosts" {
-		t.Errorf("call %s", c.query)
-	}
-}
-
-// TestBadAnswersAreFailedCalls: the module hears of each as of a call that failed.
-func TestBadAnswersAreFailedCalls(t *testing.T) {
-	for _, body := range []string{"", "not JSON", "{}", `{"index":5}`, `{"index":-5,"snapshot":true,"endpoints":[]}`,
-		hosts(3, false), // older than what is known
-		hosts(9, true, host("", "127.0.0.1:1", "in_service")), // nothing in it can be used
-	} {
-		addr, calls := newFakeDiscovery(t)
-		told := make(chan hostList, 1)
-		failed := make(chan error, 1)
-		go func() {
-			failed <- newDiscovery(addr, limits.Default().Discovery).watch(context.Background(), 5, func(h hostList) { told <- h })
-		}()
-		receive(t, calls, "call").reply <- body
-		select {
-		case err := <-failed:
-			if err == nil {
-				t.Errorf("%q: no error", body)
-			}
-		case h := <-told:
-			t.Errorf("%q was taken: %+v", body, h)
-		}
+	addr, calls := routertest.Discovery(t)
+	start(t, testConfig(t, addr, func(in map[string]any) { delete(in, "known") }), nil, nil)
+	if c := receive(t, calls, "call"); c.Query != "/discovery/hosts" {
+		t.Errorf("call %s", c.Query)
 	}
 }
 
 // TestFailedWatchIsAskedForAgain at the module's own pace.
 func TestFailedWatchIsAskedForAgain(t *testing.T) {
-	addr, calls := newFakeDiscovery(t)
-	start(t, testConfig(t, addr, func(in map[string]any) {
-		in["settings"].(map[string]any)["rules"].(map[string]any)["askEvery"] = 1_000_000
-	}))
-	receive(t, calls, "call").reply <- ""
-	if c := receive(t, calls, "second call"); !strings.Contains(c.query, "after=1&") {
-		t.Errorf("call %s", c.query)
+	addr, calls := routertest.Discovery(t)
+	start(t, testConfig(t, addr, askEvery(1_000_000)), nil, nil)
+	receive(t, calls, "call").Reply <- ""
+	if c := receive(t, calls, "second call"); !strings.Contains(c.Query, "after=1&") {
+		t.Errorf("call %s", c.Query)
 	}
 }
 
-func TestParseHosts(t *testing.T) {
-	h, err := parseHosts([]byte(`{"index":43,"snapshot":false,"endpoints":[
-		{"name":"s1","address":"127.0.0.1:6379","zone":"z","group":3,"status":"terminating","weight":2.5,"since_ms":17},
-		{"name":"s2","address":"","zone":"z","group":3,"status":"terminated"}]}`))
-	if err != nil {
-		t.Fatal(err)
+// TestDiscoveryThatStartsAnewIsAskedForTheWholeList. The danger: its versions begin again at a low
+// one, and the changes after the old one never come.
+func TestDiscoveryThatStartsAnewIsAskedForTheWholeList(t *testing.T) {
+	cache := newFakeCache(t)
+	addr, calls := routertest.Discovery(t)
+	r := start(t, testConfig(t, addr, askEvery(1_000_000)), nil, nil)
+	receive(t, calls, "call").Reply <- hosts(41, false, host("c1", cache.Addr(), "in_service"))
+	receive(t, calls, "watch").Reply <- hosts(3, false)
+	again := receive(t, calls, "call after the answer that does not follow")
+	if again.Query != "/discovery/hosts" {
+		t.Errorf("call %s, want the whole list", again.Query)
+	}
+	again.Reply <- hosts(3, true, host("c1", cache.Addr(), "terminating"))
+	if c := receive(t, calls, "watch"); !strings.Contains(c.Query, "after=3&") {
+		t.Errorf("call %s", c.Query)
+	}
+	r.Until("the drain", func() bool { return !r.r.Serving() })
+	c := dial(t, r.addr)
+	c.Send(get("r1"))
+	if got := c.Line(); !strings.HasPrefix(got, "-BUSY") {
+		t.Errorf("after the drain: %q", got)
 	}
-	want := []decide.Entry{{ID: "s1", Zone: "z", Cell: 3, Size: 2.5, Start: 17000, Condition: decide.Draining},
-		{ID: "s2", Zone: "z", Cell: 3, Size: 1, Condition: decide.Removed}}
-	if h.index != 43 || h.kind() != decide.ListChanges || len(h.entries) != 2 || h.entries[0] != want[0] || h.entries[1] != want[1] {
-		t.Errorf("got %+v", h)
+}
+
+// TestPushedListsAreAskedForToo: the agent that has them says nothing by itself. A mode that nobody knows is no
+// reason never to ask.
+func TestPushedListsAreAskedForToo(t *testing.T) {
+	for _, mode := range []string{"automatic", "subscrbe", ""} {
+		addr, calls := routertest.Discovery(t)
+		start(t, testConfig(t, addr, func(in map[string]any) {
+			in["settings"].(map[string]any)["discovery"] = mode
+		}), nil, nil)
+		receive(t, calls, "call in mode "+mode)
 	}
 }
 
@@ -145,49 +109,47 @@
 // TestReloadAsksTheNewDiscoveryForAll, more than once, and lets go of the old one.
 func TestReloadAsksTheNewDiscoveryForAll(t *testing.T) {
 	first, second := newFakeCache(t), newFakeCache(t)
-	oldAddr, oldCalls := newFakeDiscovery(t)
-	newAddr, newCalls := newFakeDiscovery(t)
-	cfg := testConfig(t, oldAddr, nil, host("c1", first.addr(), "in_service"))
-	r := start(t, cfg)
+	oldAddr, oldCalls := routertest.Discovery(t)
+	newAddr, newCalls := routertest.Discovery(t)
+	cfg := testConfig(t, oldAddr, nil, host("c1", first.Addr(), "in_service"))
+	back := *cfg
+	r := start(t, cfg, nil, nil)
 	receive(t, oldCalls, "call")
-	r.srv.Reload(moved(cfg, newAddr))
+	r.Do(func() { r.r.Reload(moved(cfg, newAddr)) })
 	c := receive(t, newCalls, "call to the new discovery")
-	if c.query != "/discovery/hosts" {
-		t.Errorf("call %s, want the whole list", c.query)
+	if c.Query != "/discovery/hosts" {
+		t.Errorf("call %s, want the whole list", c.Query)
 	}
-	c.reply <- hosts(0, true, host("c2", second.addr(), "in_service")) // its versions are its own
-	if c := receive(t, newCalls, "watch"); c.query != "/discovery/hosts?after=0&wait_ms=20000" {
-		t.Errorf("call %s", c.query)
+	c.Reply <- hosts(0, true, host("c2", second.Addr(), "in_service")) // its versions are its own
+	if c := receive(t, newCalls, "watch"); c.Query != "/discovery/hosts?after=0&wait_ms=20000" {
+		t.Errorf("call %s", c.Query)
 	}
 	cl := dial(t, r.addr)
-	cl.send(get("r1"))
-	receive(t, second.commands, "command").reply(t, served)
-	cl.want("value")
-	r.srv.Reload(moved(cfg, oldAddr))
-	if c := receive(t, oldCalls, "call after the second SIGHUP"); c.query != "/discovery/hosts" {
-		t.Errorf("call %s, want the whole list", c.query)
+	cl.Send(get("r1"))
+	receive(t, second.Commands, "command").Reply(t, served)
+	cl.Want("value")
+	r.Do(func() { r.r.Reload(&back) })
+	if c := receive(t, oldCalls, "call after the second SIGHUP"); c.Query != "/discovery/hosts" {
+		t.Errorf("call %s, want the whole list", c.Query)
 	}
 }
 
 // TestLateAnswerOfTheOldDiscovery is not heard: here it is on its way to the loop as discovery moves.
 func TestLateAnswerOfTheOldDiscovery(t *testing.T) {
 	cache := newFakeCache(t)
-	oldAddr, oldCalls := newFakeDiscovery(t)
-	newAddr, newCalls := newFakeDiscovery(t)
-	r := newRig(t, cache.addr(), func(c *Config) { c.Discovery = oldAddr })
-	r.do(func() { r.l.watch() })
+	oldAddr, oldCalls := routertest.Discovery(t)
+	newAddr, newCalls := routertest.Discovery(t)
+	r := newRig(t, cache.Addr(), func(c *Config) { c.Discovery = oldAddr })
 	late := receive(t, oldCalls, "call")
-	r.do(func() {
-		late.reply <- hosts(50, true)
-		for deadline := time.Now().Add(patience); len(r.l.events) == 0 && time.Now().Before(deadline); {
-			time.Sleep(time.Millisecond)
-		}
-		r.l.reload(moved(r.l.cfg, newAddr))
+	r.Do(func() {
+		late.Reply <- hosts(50, true)
+		receive(t, late.Written, "end of the answer") // this machine has all of it; the loop has not read it
+		r.r.Reload(moved(r.r.cfg, newAddr))
 	})
 	receive(t, newCalls, "call to the new discovery")
-	r.do(func() {
-		if r.l.index != noIndex || !r.l.upstreams["c1"].up {
-			t.Errorf("version %d, c1 up %v: the old list was taken", r.l.index, r.l.upstreams["c1"].up)
+	r.Do(func() {
+		if r.r.index != discovery.NoIndex || !r.up("c1") {
+			t.Errorf("version %d, c1 up %v: the old list was taken", r.r.index, r.up("c1"))
 		}
 	})
 }
--- /dev/null
+++ b/internal/router/drain_test.go
@@ -0,0 +1,69 @@
+package router
+
+import (
+	"testing"
+
+	"starlingwinch/decide"
+	"starlingwinch/internal/routertest"
+)
+
+// TestDrainWithWorkInHand: after SIGTERM, connections and requests are still taken, all that was
+// taken is answered, and then the router ends.
+func TestDrainWithWorkInHand(t *testing.T) {
+	cache := newFakeCache(t)
+	r := start(t, testConfig(t, routertest.SilentDiscovery(t), nil, host("c1", cache.Addr(), "in_service")), nil,
+		func(r *Router) { r.arrivals = 5_000_000 }) // a slow machine must not miss it
+	idle, busy := dial(t, r.addr), dial(t, r.addr)
+	idle.Send(words("PING"))
+	idle.Want("+PONG")
+	busy.Send(get("r1"))
+	first := receive(t, cache.Commands, "command")
+	r.drain()
+	late := dial(t, r.addr)
+	late.Send(get("r2"))
+	second := receive(t, cache.Commands, "command")
+	idle.WantClosed()
+	first.Reply(t, served)
+	second.Reply(t, served)
+	busy.Want("value")
+	busy.WantClosed()
+	late.Want("value")
+	late.WantClosed()
+	receive(t, r.ended, "end of the router")
+}
+
+// TestDrainEndsInTime: what can't be answered holds the router up no longer than the longest
+// deadline allows, and so does a command that never becomes whole.
+func TestDrainEndsInTime(t *testing.T) {
+	r := start(t, testConfig(t, routertest.SilentDiscovery(t), nil), nil, func(r *Router) {
+		r.module = newScript() // answers nothing
+		r.sweeping.Stop()
+		r.longest = 1000
+	})
+	stuck, half := dial(t, r.addr), dial(t, r.addr)
+	stuck.Send(words("PING") + get("r1"))
+	stuck.Line() // not ready: no cache is known
+	half.Send(words("PING") + "*4\r\n$5\r\nC.G")
+	half.Line()
+	r.drain()
+	receive(t, r.ended, "end of the router")
+}
+
+// TestDrainEndsThoughNobodyReadsTheLog.
+func TestDrainEndsThoughNobodyReadsTheLog(t *testing.T) {
+	r := start(t, testConfig(t, routertest.SilentDiscovery(t), nil), routertest.NewStuck(t),
+		func(r *Router) { r.arrivals = 0 })
+	dial(t, r.addr).Close()
+	r.drain()
+	receive(t, r.ended, "end of the router")
+}
+
+// TestLogThatNobodyReads does not hold the loop up.
+func TestLogThatNobodyReads(t *testing.T) {
+	r := newLoggedRig(t, "127.0.0.1:1", nil, routertest.NewStuck(t))
+	r.Do(func() {
+		for range 4096 { // more than any log keeps
+			r.r.perform(decide.Log{Text: "line"})
+		}
+	})
+}
--- a/internal/router/harness_test.go
+++ b/internal/router/harness_test.go
@@ -1,26 +1,18 @@
 package router
 
 import (
-	"bufio"
-	"context"
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
-	"net/http"
-	"net/http/httptest"
-	"strings"
 	"testing"
 	"time"
 
-	"github.com/tidwall/redcon"
-
 	"starlingwinch/decide"
+	"starlingwinch/internal/discovery"
+	"starlingwinch/internal/routertest"
 )
 
-// patience is how long a test waits for an event that has to come. It is generous:
-// only a failing test ever waits so long.
-const patience = 30 * time.Second
+const long = 20 * time.Second
 
 const testSettings = `{"instances":1,"discovery":"subscribe","weights":"none",
  "categories":[{"name":"read","effect":"read_like","dedupScope":"all","aim":5000000,"hardLimit":20000000,"keyTtl":5000000,"worth":1,"lateWorth":0.5},
@@ -29,100 +21,21 @@
  "rules":{"askEvery":600000000,"cold":23000000,"drainGrace":1000000,"fall":3000000,"startCapacity":0.16},
  "penalties":{"probe":0.01,"connection":0.03,"handshake":0.03}}`
 
-func receive[T any](t *testing.T, c <-chan T, what string) T {
-	t.Helper()
-	select {
-	case v := <-c:
-		return v
-	case <-time.After(patience):
-		t.Fatalf("no %s came", what)
-		panic("unreachable")
-	}
-}
-
-// fakeCache is a cache server on loopback. Each command that comes whole is handed to the test.
-type fakeCache struct {
-	ln       net.Listener
-	commands chan fakeCommand
-	ended    chan struct{} // one for each connection that the router has ended
-}
-
-type fakeCommand struct {
-	args []string
-	conn net.Conn
-}
-
-func (c fakeCommand) reply(t *testing.T, wire string) {
-	t.Helper()
-	if _, err := io.WriteString(c.conn, wire); err != nil {
-		t.Errorf("the cache could not answer: %v", err)
-	}
-}
-
-const served = "*3\r\n$5\r\nvalue\r\n$3\r\nhit\r\n$-1\r\n"
-
-func newFakeCache(t *testing.T) *fakeCache {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	c := &fakeCache{ln: ln, commands: make(chan fakeCommand, 1000), ended: make(chan struct{}, 1000)}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			nc, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			t.Cleanup(func() { nc.Close() })
-			go func() {
-				r := redcon.NewReader(nc)
-				for {
-					cmd, err := r.ReadCommand()
-					if err != nil {
-						c.ended <- struct{}{}
-						return
-					}
-					var args []string
-					for _, a := range cmd.Args {
-						args = append(args, string(a))
-					}
-					c.commands <- fakeCommand{args, nc}
-				}
-			}()
-		}
-	}()
-	return c
-}
-
-func (c *fakeCache) addr() string { return c.ln.Addr().String() }
-
-// host is a line of discovery's list.
-func host(name, addr, status string) string {
-	return fmt.Sprintf(`{"name":%q,"address":%q,"zone":"a","group":1,"status":%q,"weight":1,"since_ms":0}`, name, addr, status)
-}
+// Short names for what nearly every test uses.
+var (
+	host         = routertest.Host
+	hosts        = routertest.Hosts
+	words        = routertest.Words
+	get          = routertest.Get
+	newFakeCache = routertest.NewCache
+	dial         = routertest.Dial
+)
 
-func hosts(index int, full bool, lines ...string) string {
-	return fmt.Sprintf(`{"index":%d,"snapshot":%t,"endpoints":[%s]}`, index, full, strings.Join(lines, ","))
-}
+const served = routertest.Served
 
-// silentDiscovery holds every watch until the test is over.
-func silentDiscovery(t *testing.T) string {
+func receive[T any](t testing.TB, c <-chan T, what string) T {
 	t.Helper()
-	over := make(chan struct{})
-	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		select {
-		case <-over:
-		case <-r.Context().Done():
-		}
-	}))
-	t.Cleanup(func() {
-		close(over)
-		srv.CloseClientConnections()
-		srv.Close()
-	})
-	return srv.Listener.Addr().String()
+	return routertest.Receive(t, c, what)
 }
 
 func testConfig(t *testing.T, discovery string, edit func(map[string]any), lines ...string) *Config {
@@ -148,191 +61,145 @@
 	return cfg
 }
 
-// running is a router that serves on loopback.
+// running is a router that serves on a running machine.
 type running struct {
+	*routertest.Loop
+	r     *Router
 	addr  string
-	srv   *Server
-	stop  context.CancelFunc // as SIGTERM does
-	ended chan error
+	ended chan struct{} // closed at the end of a drain
 }
 
-func startServer(t *testing.T, srv *Server) *running {
+// start starts a router. edit, which may be nil, changes it in the turn of its start; log may be nil.
+func start(t *testing.T, cfg *Config, log io.Writer, edit func(*Router)) *running {
 	t.Helper()
-	ctx, stop := context.WithCancel(context.Background())
-	r := &running{addr: srv.ln.Addr().String(), srv: srv, stop: stop, ended: make(chan error, 1)}
-	finished := make(chan struct{})
-	go func() {
-		r.ended <- srv.Run(ctx)
-		close(finished)
-	}()
-	t.Cleanup(func() {
-		stop()
-		receive(t, finished, "end of the router")
-		if n := srv.loop.books.Breaches(); n > 0 {
-			t.Errorf("the books have %d breaches", n)
+	s := &running{Loop: routertest.NewLoop(t, log), ended: make(chan struct{})}
+	s.Do(func() {
+		var err error
+		if s.r, err = Start(s.Loop, cfg); err != nil {
+			t.Errorf("start: %v", err)
+			return
+		}
+		s.addr = s.r.Addr()
+		if edit != nil {
+			edit(s.r)
 		}
 	})
-	return r
-}
-
-func start(t *testing.T, cfg *Config) *running {
-	t.Helper()
-	srv, err := New(cfg)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return startServer(t, srv)
-}
-
-// testClient is a client's connection.
-type testClient struct {
-	t  *testing.T
-	nc *net.TCPConn
-	r  *bufio.Reader
-}
-
-func dial(t *testing.T, addr string) *testClient {
-	t.Helper()
-	nc, err := net.Dial("tcp", addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { nc.Close() })
-	nc.SetDeadline(time.Now().Add(patience))
-	return &testClient{t, nc.(*net.TCPConn), bufio.NewReader(nc)}
-}
-
-func (c *testClient) send(wire string) {
-	c.t.Helper()
-	if _, err := io.WriteString(c.nc, wire); err != nil {
-		c.t.Fatalf("sending: %v", err)
-	}
-}
-
-func words(args ...string) string {
-	b := redcon.AppendArray(nil, len(args))
-	for _, a := range args {
-		b = redcon.AppendBulkString(b, a)
-	}
-	return string(b)
-}
-
-func get(id string) string { return words("C.GET", "k1", id, "c=read,d=20000") }
-
-// line reads a line of an answer; a bulk string comes as its content.
-func (c *testClient) line() string {
-	c.t.Helper()
-	s, err := c.r.ReadString('\n')
-	if err != nil {
-		c.t.Fatalf("no answer: %v", err)
-	}
-	if s = strings.TrimSuffix(s, "\r\n"); strings.HasPrefix(s, "$") {
-		return c.line()
+	if s.r == nil {
+		t.FailNow()
 	}
+	t.Cleanup(func() {
+		s.Do(func() {
+			s.r.Close()
+			left := s.r.Left()
+			if n := left["breaches"]; n > 0 {
+				t.Errorf("the books have %d breaches", n)
+			}
+			if left["bytes"] != 0 || left["clients"] != 0 || left["connections"] != 0 {
+				t.Errorf("a closed router holds %v", left)
+			}
+		})
+	})
 	return s
 }
 
-func (c *testClient) want(answer string) {
-	c.t.Helper()
-	if got := c.line(); got != answer {
-		c.t.Fatalf("answer %q, want %q", got, answer)
-	}
-}
+// drain begins what SIGTERM begins.
+func (s *running) drain() { s.Do(func() { s.r.Drain(func() { close(s.ended) }) }) }
 
-func (c *testClient) wantClosed() {
-	c.t.Helper()
-	if b, err := c.r.ReadByte(); err == nil {
-		c.t.Fatalf("got %q, want the end of the connection", b)
-	}
+// idle waits until nothing is asked, and checks that nothing is held.
+func (s *running) idle() {
+	s.Until("an idle router", func() bool {
+		left := s.r.Left()
+		return left["requests"]+left["ids"]+left["open"]+left["attempts"]+left["bytes"]+left["events"] == 0
+	})
 }
 
 // script stands in for the module: it records what it is told, and tests give
 // the actions themselves.
-type script struct{ outcomes chan *decide.Outcome }
+type script struct {
+	outcomes chan *decide.Outcome
+	requests chan *decide.Request
+}
+
+func newScript() *script {
+	return &script{make(chan *decide.Outcome, 1000), make(chan *decide.Request, 1000)}
+}
 
 func (s *script) Handle(_ decide.Time, ev decide.Event) []decide.Action {
-	if o, ok := ev.(*decide.Outcome); ok {
-		copied := *o
+	switch ev := ev.(type) {
+	case *decide.Outcome:
+		copied := *ev
 		s.outcomes <- &copied
+	case *decide.Request:
+		copied := *ev
+		s.requests <- &copied
 	}
 	return nil
 }
 
-// rig is a loop without a module, with one cache "c1".
+// rig is a router without a module, with one cache "c1".
 type rig struct {
-	t        *testing.T
-	l        *loop
-	outcomes chan *decide.Outcome
-	asked    int // requests so far
+	*running
+	*script
+	t     *testing.T
+	asked int // requests so far
 }
 
 func newRig(t *testing.T, addr string, edit func(*Config)) *rig {
+	t.Helper()
+	return newLoggedRig(t, addr, edit, nil)
+}
+
+func newLoggedRig(t *testing.T, addr string, edit func(*Config), log io.Writer) *rig {
 	t.Helper()
 	cfg := testConfig(t, "127.0.0.1:1", nil, host("c1", addr, "in_service"))
 	if edit != nil {
 		edit(cfg)
 	}
-	l, err := newLoop(cfg, newSockets(cfg.Limits))
-	if err != nil {
-		t.Fatal(err)
-	}
-	s := &script{outcomes: make(chan *decide.Outcome, 1000)}
-	l.module = s
-	ctx, stop := context.WithCancel(context.Background())
-	go l.run(ctx)
-	t.Cleanup(func() {
-		stop()
-		receive(t, l.done, "end of the loop")
+	r := &rig{script: newScript(), t: t}
+	r.running = start(t, cfg, log, func(router *Router) {
+		router.module = r.script
+		router.sweeping.Stop() // its look at the books, which hear of nothing here
 	})
-	return &rig{t: t, l: l, outcomes: s.outcomes}
+	return r
 }
 
-// do runs f in the loop and waits for it.
-func (r *rig) do(f func()) {
-	r.t.Helper()
-	ran := make(chan struct{})
-	r.l.post(func() {
-		f()
-		close(ran)
-	})
-	receive(r.t, ran, "turn of the loop")
+// asked is a request as its client and the module see it.
+type asked struct {
+	id     int64
+	client *routertest.Client
 }
 
-// request puts a request into the loop and returns it.
-func (r *rig) request(value []byte) *request {
+// request puts a request in, on a connection of its own.
+func (r *rig) request() asked {
 	r.t.Helper()
 	r.asked++
-	args := [][]byte{[]byte("C.GET"), []byte("k1"), []byte(fmt.Sprint("r", r.asked)), []byte("c=read,d=20000")}
-	if value != nil {
-		args[0], args[3] = []byte("C.SET"), []byte("c=put,d=20000,k=5c0f")
-		args = append(args, value)
-	}
-	cmd, err := parseCommand(args, len(value)+100, r.l.cfg.Settings.Classes)
-	if err != nil {
-		r.t.Fatal(err)
-	}
-	return r.take(cmd)
+	return r.ask(get(fmt.Sprint("r", r.asked)))
 }
 
-func (r *rig) take(cmd command) *request {
+func (r *rig) ask(wire string) asked {
 	r.t.Helper()
-	var q *request
-	r.do(func() {
-		c := &client{open: map[int64]*request{}}
-		r.l.accept(c, newSlot(newMemory(192)), cmd, r.l.now)
-		q = r.l.requests[r.l.lastID]
-	})
-	return q
+	c := dial(r.t, r.addr)
+	c.Send(wire)
+	return asked{receive(r.t, r.requests, "request at the module").ID, c}
 }
 
-// send starts an attempt that is given up after the given time.
-func (r *rig) send(q *request, wait time.Duration) {
+// perform has the router carry actions out, in one turn.
+func (r *rig) perform(actions ...decide.Action) {
 	r.t.Helper()
-	r.do(func() {
-		r.l.perform(decide.Send{ID: q.id, Cache: "c1", StopAt: r.l.now + wait.Microseconds()})
+	r.Do(func() {
+		for _, a := range actions {
+			r.r.perform(a)
+		}
+		r.r.Settle()
 	})
 }
 
+// send starts an attempt that is given up at the request's deadline.
+func (r *rig) send(q asked) {
+	r.t.Helper()
+	r.perform(decide.Send{ID: q.id, Cache: "c1"})
+}
+
 func (r *rig) want(result decide.Result) *decide.Outcome {
 	r.t.Helper()
 	o := receive(r.t, r.outcomes, "outcome")
@@ -341,3 +208,26 @@
 	}
 	return o
 }
+
+// parse reads a list.
+func parse(t *testing.T, raw string) discovery.List {
+	t.Helper()
+	h, err := discovery.Parse([]byte(raw))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return h
+}
+
+// list has the router learn a list.
+func (r *rig) list(index int, full bool, lines ...string) {
+	r.t.Helper()
+	h := parse(r.t, hosts(index, full, lines...))
+	r.Do(func() { r.r.listed(h) })
+}
+
+// up reports whether a cache is known and takes work, by the list.
+func (r *rig) up(name string) bool {
+	h := r.r.caches[name]
+	return h != nil && h.entry.Condition == decide.Up
+}
