--- a/internal/discovery/http.go
+++ b/internal/discovery/http.go
@@ -154,7 +154,9 @@
 		k.fail(errors.New("discovery's answer is too long"))
 		return true
 	}
-	resp, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(k.came)), nil)
+	whole := bytes.NewReader(k.came)
+	came := bufio.NewReader(whole)
+	resp, err := http.ReadResponse(came, nil)
 	if err != nil {
 		k.fail(fmt.Errorf("discovery: %w", err))
 		return true
@@ -183,16 +185,18 @@
 	case len(body) > most:
 		k.fail(errors.New("discovery's answer is too long"))
 	default:
-		k.done(resp, body, ended)
+		// The danger: what stands behind an answer is taken for the answer to the next call.
+		behind := came.Buffered() + whole.Len()
+		k.done(resp, body, ended || behind > 0)
 	}
 	return true
 }
 
-// done ends a call that was answered.
-func (k *call) done(resp *http.Response, body []byte, ended bool) {
+// done ends a call that was answered. last says that the connection is of no further use.
+func (k *call) done(resp *http.Response, body []byte, last bool) {
 	c := k.conn
 	k.end()
-	if c.used = true; ended || resp.Close || strings.EqualFold(resp.Header.Get("Connection"), "close") {
+	if c.used = true; last || resp.Close || strings.EqualFold(resp.Header.Get("Connection"), "close") {
 		c.close()
 	}
 	k.w.answered(resp.StatusCode, body, nil)
