--- a/internal/httpc/call.go
+++ b/internal/httpc/call.go
@@ -146,7 +146,9 @@
 	if k.head {
 		asked = &http.Request{Method: http.MethodHead}
 	}
-	resp, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(k.came)), asked)
+	whole := bytes.NewReader(k.came)
+	came := bufio.NewReader(whole)
+	resp, err := http.ReadResponse(came, asked)
 	if err != nil {
 		k.fail(err)
 		return true
@@ -178,7 +180,9 @@
 	case len(body) > most:
 		k.fail(ErrTooLong)
 	default:
-		k.answered(resp, body, ended)
+		// The danger: what stands behind an answer is taken for the answer to the next call.
+		behind := came.Buffered() + whole.Len()
+		k.answered(resp, body, ended || behind > 0)
 	}
 	return true
 }
@@ -192,11 +196,11 @@
 	return k.read(ended)
 }
 
-// answered ends a call whose answer came whole.
-func (k *call) answered(resp *http.Response, body []byte, ended bool) {
+// answered ends a call whose answer came whole. last says that the connection is of no further use.
+func (k *call) answered(resp *http.Response, body []byte, last bool) {
 	n := k.conn
 	k.end()
-	if n.used = true; ended || resp.Close || len(k.unsent) > 0 {
+	if n.used = true; last || resp.Close || len(k.unsent) > 0 {
 		n.close()
 	}
 	k.done(&Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil)
--- a/internal/httpc/client.go
+++ b/internal/httpc/client.go
@@ -136,3 +136,6 @@
 	}
 	return append(append(b, "\r\n"...), r.Body...)
 }
+
+// Connected reports whether a connection is kept, or coming up.
+func (c *Client) Connected() bool { return c.conn != nil }
