--- a/internal/membership/api.go
+++ b/internal/membership/api.go
@@ -9,8 +9,9 @@
 //   - Good news after flapping is held down for a span that grows with each flap and decays while it is
 //     quiet (after RFC 2439), so that a cache that flaps does not move keys to and fro.
 //   - A source that can't be reached takes nothing away; how old its word is can be seen.
-//   - A source whose list loses most of its caches at once is asked again, elsewhere where it has
-//     another server, and obeyed when that confirms it or the grace is over.
+//   - A source whose whole list leaves out most of its caches at once is asked again, elsewhere where it has
+//     another server, and obeyed when that confirms it, or when nothing comes of it within the grace. Only
+//     absence is held back so, never bad news in so many words; a Lost confirms nothing.
 //   - Where sources disagree, the one that stands first in the operators' order says where a cache is and
 //     what it is like; any one's bad news keeps new work away from it.
 package membership
@@ -25,7 +26,7 @@
 	Entry  decide.Entry // Condition Removed says in so many words that it is gone
 	Addr   string       // an IP address and a port; may be empty for bad news, and the last one stays
 	Reason string       // the source's own word for it, for the log: "OUT_OF_SERVICE", "lease expired"
-	Seen   Time         // when the source itself last heard of the cache; 0 where it does not say
+	Seen   Time         // when the source itself last heard of the cache, by the clock of the events; 0 where it does not say
 }
 
 // Event is anything the module is told: *Heard, *Lost or *Tick.
@@ -33,7 +34,7 @@
 
 // Heard brings a source's list. Full: it names every cache that the source knows, and one that it leaves
 // out has departed. Else it holds the changed ones. Stale: it is the last known one, and may be old.
-// Repeat: the source was asked again after a Confirm. Unread names caches that stand in the list by an
+// Repeat: the source was asked again after a Confirm, and this is its whole list. Unread names caches that stand in the list by an
 // entry that can't be used: they stay as they are.
 type Heard struct {
 	Source string
@@ -58,7 +59,8 @@
 type Action interface{ action() }
 
 // Publish hands on entries of the merged list that have changed, with their addresses in the same order; bad news
-// first. Kind is decide.ListStale for the first one, from old lists, and decide.ListChanges else.
+// first. Entry.Start is as a source gave it. Kind is decide.ListStale for the first one where it is from an old
+// list, and decide.ListChanges else. The first one comes with the first list, also where nothing stands in it.
 type Publish struct {
 	Kind    decide.ListKind
 	Entries []decide.Entry
--- /dev/null
+++ b/internal/membership/merge_test.go
@@ -0,0 +1,202 @@
+package membership
+
+import (
+	"strings"
+	"testing"
+
+	"starlingwinch/decide"
+)
+
+var (
+	platform = SourceOptions{Name: "platform"}
+	eureka   = SourceOptions{Name: "eureka", Damped: true, Checked: true}
+	fixed    = SourceOptions{Name: "file"}
+)
+
+// TestSourcesThatDisagreeHaveAnOrder: what is handed on of a cache of which two sources know, by the words of the
+// first and of the second one.
+func TestSourcesThatDisagreeHaveAnOrder(t *testing.T) {
+	for _, c := range []struct{ first, second, want string }{
+		{"c1", "c1", "up"}, {"c1", "c1-", "drains"}, {"c1", "c1x", "drains"}, {"c1", "", "up"},
+		{"c1-", "c1", "drains"}, {"c1-", "c1-", "drains"}, {"c1-", "c1x", "drains"}, {"c1-", "", "drains"},
+		{"c1x", "c1", "gone"}, {"c1x", "c1-", "gone"}, {"c1x", "c1x", "gone"}, {"c1x", "", "gone"},
+		{"", "c1", "up"}, {"", "c1-", "drains"}, {"", "c1x", "gone"},
+	} {
+		for _, turned := range []bool{false, true} { // whoever speaks first
+			r := newRig(t, platform, eureka)
+			say := func(source, word string) {
+				if word != "" {
+					r.changes(source, word)
+				}
+			}
+			if turned {
+				say("eureka", c.second)
+				say("platform", c.first)
+			} else {
+				say("platform", c.first)
+				say("eureka", c.second)
+			}
+			if got := r.state("c1"); got != c.want {
+				t.Errorf("first %q, second %q, turned %v: %s, want %s", c.first, c.second, turned, got, c.want)
+			}
+		}
+	}
+}
+
+func TestCacheThatASourceLeavesOutStaysAwayUntilItNamesItAgain(t *testing.T) {
+	r := newRig(t, platform, fixed)
+	r.full("platform", "c1", "c2")
+	r.full("file", "c1", "c2")
+	r.full("file", "c2")
+	r.want("c1", "drains")
+	r.full("platform", "c1", "c2")
+	r.want("c1", "drains")
+	r.full("platform", "c2")
+	r.want("c1", "gone")
+	r.full("platform", "c1", "c2")
+	r.want("c1", "drains") // the file has not named it since
+	r.full("file", "c1", "c2")
+	r.want("c1", "up")
+}
+
+func TestFirstSourceSaysWhatACacheIsLike(t *testing.T) {
+	r := newRig(t, fixed, eureka)
+	r.tell(&Heard{Source: "eureka", Claims: []Claim{{Addr: "10.0.0.2:2",
+		Entry: decide.Entry{ID: "c1", Zone: "b", Cell: 2, Size: 2, Start: 77}}}})
+	if e := r.list["c1"]; e.Zone != "b" || r.addrs["c1"] != "10.0.0.2:2" {
+		t.Errorf("%+v at %s", e, r.addrs["c1"])
+	}
+	r.tell(&Heard{Source: "file", Claims: []Claim{{Addr: "10.0.0.1:1", Entry: decide.Entry{ID: "c1", Zone: "a", Cell: 1, Size: 1}}}})
+	want := decide.Entry{ID: "c1", Zone: "a", Cell: 1, Size: 1, Start: 77} // the file knows no start
+	if r.list["c1"] != want || r.addrs["c1"] != "10.0.0.1:1" {
+		t.Errorf("%+v at %s, want %+v", r.list["c1"], r.addrs["c1"], want)
+	}
+}
+
+// TestAddressHandedOnIsToldInOnePublishBadNewsFirst: a cache drains, and a new one has its address within one poll.
+func TestAddressHandedOnIsToldInOnePublishBadNewsFirst(t *testing.T) {
+	r := newRig(t, platform)
+	r.full("platform", "c1", "c2")
+	next := claims("c1-", "c2", "c3")
+	next[2].Addr, next[0].Addr = next[0].Addr, ""
+	r.tell(&Heard{Source: "platform", Full: true, Claims: next})
+	p := r.actions[0].(Publish)
+	if len(p.Entries) != 2 || p.Entries[0].ID != "c1" || p.Entries[1].ID != "c3" || p.Addrs[0] != p.Addrs[1] {
+		t.Errorf("published %+v at %q", p.Entries, p.Addrs)
+	}
+}
+
+func TestNewStartIsPassedOnAtOnce(t *testing.T) {
+	r := newRig(t, eureka)
+	r.full("eureka", "c1", "c2")
+	again := claims("c1", "c2")
+	again[0].Entry.Start = 9
+	r.tell(&Heard{Source: "eureka", Full: true, Claims: again})
+	if e := r.list["c1"]; e.Start != 9 || e.Condition != decide.Up {
+		t.Errorf("%+v", e)
+	}
+	if len(r.actions[0].(Publish).Entries) != 1 {
+		t.Errorf("published %+v", r.actions)
+	}
+}
+
+func TestSourceThatIsLostTakesNothingAwayAndItsAgeShows(t *testing.T) {
+	r := newRig(t, platform, eureka)
+	r.full("eureka", names(1, 9)...)
+	r.after(5 * second).lost("eureka")
+	r.after(20 * second).lost("eureka")
+	r.wantAll(names(1, 9), "up")
+	s := r.Sources(r.at)[1]
+	if s.Age != 25*second || s.LostFor != 20*second || s.Caches != 9 || s.Why == "" {
+		t.Errorf("%+v", s)
+	}
+	if w := r.rowOf("c1").Words[0]; w.Age != 25*second || w.SeenAge != -1 {
+		t.Errorf("%+v", w)
+	}
+	if never := r.Sources(r.at)[0]; never.Age != -1 || never.LostFor != -1 {
+		t.Errorf("%+v", never)
+	}
+	r.full("eureka", names(1, 9)...)
+	if s := r.Sources(r.at)[1]; s.Age != 0 || s.LostFor != -1 || s.Why != "" {
+		t.Errorf("%+v", s)
+	}
+}
+
+func TestOldListComesFirstAndRemovesNothing(t *testing.T) {
+	r := newRig(t, platform, eureka)
+	r.tell(&Heard{Source: "platform", Full: true, Stale: true, Claims: claims("c1", "c2")})
+	if p := r.actions[0].(Publish); p.Kind != decide.ListStale || len(p.Entries) != 2 {
+		t.Errorf("%+v", p)
+	}
+	if !strings.Contains(r.rowOf("c1").Reason, "old list") {
+		t.Errorf("%+v", r.rowOf("c1"))
+	}
+	r.tell(&Heard{Source: "eureka", Full: true, Stale: true, Claims: claims("c3")})
+	if p := r.actions[0].(Publish); p.Kind != decide.ListChanges {
+		t.Errorf("%+v", p) // a second one of the kind would take the first one's caches away
+	}
+	r.full("platform", "c1")
+	r.want("c2", "gone")
+	r.tell(&Heard{Source: "platform", Full: true, Stale: true, Claims: claims("c2")})
+	r.want("c1", "up")
+	r.want("c2", "gone")
+}
+
+func TestFirstListIsPublishedThoughItIsEmpty(t *testing.T) {
+	r := newRig(t, platform)
+	r.full("platform")
+	if p, is := r.actions[0].(Publish); !is || p.Kind != decide.ListChanges {
+		t.Errorf("%+v", r.actions)
+	}
+	if r.full("platform"); len(r.actions) != 0 {
+		t.Errorf("the second one: %+v", r.actions)
+	}
+}
+
+func TestCacheThatStandsTwiceInAListHasTheWorseNews(t *testing.T) {
+	r := newRig(t, platform)
+	r.full("platform", "c1", "c1-", "c2-", "c2", "c3")
+	r.want("c1", "drains")
+	r.want("c2", "drains")
+	r.want("c3", "up")
+}
+
+func TestEntryThatCannotBeReadStaysAsItIs(t *testing.T) {
+	r := newRig(t, platform)
+	r.full("platform", "c1", "c2", "c3")
+	r.tell(&Heard{Source: "platform", Full: true, Claims: claims("c3"), Unread: []string{"c1", "c9"}})
+	r.want("c1", "up")
+	r.want("c2", "gone")
+	r.want("c9", "gone")
+}
+
+func TestOptionsAreCheckedByName(t *testing.T) {
+	good := func() Options {
+		return Options{Sources: []SourceOptions{platform, eureka}, Damping: DefaultDamping(), Loss: DefaultLoss()}
+	}
+	for name, spoil := range map[string]func(*Options){
+		"Sources is empty":  func(o *Options) { o.Sources = nil },
+		"Sources[1].Name":   func(o *Options) { o.Sources[1].Name = "platform" },
+		"Caches":            func(o *Options) { o.Caches = -1 },
+		"Damping.Penalty":   func(o *Options) { o.Damping.Penalty = 0 },
+		"Damping.Suppress":  func(o *Options) { o.Damping.Suppress = o.Damping.Reuse - 1 },
+		"Damping.HalfLife":  func(o *Options) { o.Damping.HalfLife = 0 },
+		"Damping.Longest":   func(o *Options) { o.Damping.Longest = o.Damping.HalfLife },
+		"Loss.Share":        func(o *Options) { o.Loss.Share = 1.5 },
+		"Loss.Within":       func(o *Options) { o.Loss.Within = 0 },
+		"Loss.Least":        func(o *Options) { o.Loss.Least = 0 },
+		"more than 16":      func(o *Options) { o.Sources = make([]SourceOptions, 17) },
+		"Sources[0].Name":   func(o *Options) { o.Sources[0].Name = "" },
+		"Gone is -1":        func(o *Options) { o.Gone = -1 },
+		"Damping.Reuse is ": func(o *Options) { o.Damping.Reuse = 0 },
+	} {
+		o := good()
+		spoil(&o)
+		if _, err := New(o); err == nil || !strings.Contains(err.Error(), name) {
+			t.Errorf("want a word on %s, got %v", name, err)
+		}
+	}
+	if _, err := New(Options{Sources: []SourceOptions{platform}}); err != nil {
+		t.Errorf("the platform alone needs no more: %v", err)
+	}
+}
