--- /dev/null
+++ b/internal/membership/bench_test.go
@@ -0,0 +1,68 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+
+	"starlingwinch/decide"
+)
+
+func benchMembers(b *testing.B, n int) (*Members, []Claim) {
+	b.Helper()
+	m, err := New(Options{Sources: []SourceOptions{platform, eureka}, Damping: DefaultDamping(), Loss: DefaultLoss()})
+	if err != nil {
+		b.Fatal(err)
+	}
+	all := claims(names(1, n)...)
+	for _, source := range []string{"platform", "eureka"} {
+		m.Handle(1, &Heard{Source: source, Full: true, Claims: all})
+	}
+	return m, all
+}
+
+// BenchmarkChange: one cache drains and comes back, told by the second of two sources.
+func BenchmarkChange(b *testing.B) {
+	for _, n := range []int{14, 200, 2000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			m, all := benchMembers(b, n)
+			drains := all[0]
+			drains.Entry.Condition = decide.Draining
+			evs := []*Heard{{Source: "eureka", Claims: []Claim{drains}}, {Source: "eureka", Claims: all[:1]}}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				m.Handle(Time(i)*100*second, evs[i%2])
+			}
+		})
+	}
+}
+
+// BenchmarkFull: a whole list in which nothing has changed.
+func BenchmarkFull(b *testing.B) {
+	for _, n := range []int{14, 200, 2000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			m, all := benchMembers(b, n)
+			ev := &Heard{Source: "eureka", Full: true, Claims: all}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				m.Handle(Time(i)*second, ev)
+			}
+		})
+	}
+}
+
+// BenchmarkFullNew: the first whole list, in which all caches are new.
+func BenchmarkFullNew(b *testing.B) {
+	for _, n := range []int{14, 200, 2000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			all := claims(names(1, n)...)
+			b.ReportAllocs()
+			for b.Loop() {
+				m, err := New(Options{Sources: []SourceOptions{platform}})
+				if err != nil {
+					b.Fatal(err)
+				}
+				m.Handle(1, &Heard{Source: "platform", Full: true, Claims: all})
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/membership/damping_test.go
@@ -0,0 +1,124 @@
+package membership
+
+import (
+	"testing"
+)
+
+// flapOnce takes c1 away and brings it back.
+func (r *rig) flapOnce(source string, between Time) {
+	r.Helper()
+	r.changes(source, "c1-")
+	r.want("c1", "drains")
+	r.after(between)
+	r.changes(source, "c1")
+}
+
+func TestCacheThatIsRestartedOnceIsNotHeldDown(t *testing.T) {
+	r := newRig(t, eureka)
+	r.full("eureka", "c1", "c2")
+	r.flapOnce("eureka", second)
+	r.want("c1", "up")
+}
+
+func TestHoldDownGrowsWithEachFlapAndNeverPastLongest(t *testing.T) {
+	r := newRig(t, eureka)
+	r.full("eureka", "c1", "c2")
+	last := Time(0)
+	for flap := 1; flap <= 100; flap++ {
+		r.flapOnce("eureka", 0)
+		row := r.rowOf("c1")
+		held := max(0, row.HeldUntil-r.at)
+		switch {
+		case flap < 3 && held != 0:
+			t.Errorf("flap %d: held for %d", flap, held)
+		case flap >= 3 && (held < last || held == last && held < DefaultDamping().Longest):
+			t.Errorf("flap %d: held for %d, %d before", flap, held, last)
+		case held > DefaultDamping().Longest:
+			t.Errorf("flap %d: held for %d", flap, held)
+		case flap >= 3:
+			r.want("c1", "drains")
+		}
+		last = held
+	}
+	if last != DefaultDamping().Longest {
+		t.Errorf("held for %d in the end", last)
+	}
+	r.after(last-1).want("c1", "drains")
+	r.after(1).want("c1", "up")
+}
+
+func TestFlapsAreForgottenWhenItIsQuiet(t *testing.T) {
+	r := newRig(t, eureka)
+	r.full("eureka", "c1", "c2")
+	for range 3 {
+		r.flapOnce("eureka", 0)
+	}
+	r.after(DefaultDamping().Longest).want("c1", "up")
+	r.flapOnce("eureka", 0)
+	r.want("c1", "up")
+	if row := r.rowOf("c1"); row.Flaps != 1 || row.Penalty > 1.1*DefaultDamping().Penalty {
+		t.Errorf("%+v", row)
+	}
+}
+
+// TestCacheThatFlapsTwiceASecondMovesKeysTwiceOnly, where it would move them 40 times. Its bad news passes each time.
+func TestCacheThatFlapsTwiceASecondMovesKeysTwiceOnly(t *testing.T) {
+	ups := map[bool]int{}
+	for _, damped := range []bool{false, true} {
+		source := eureka
+		source.Damped = damped
+		r := newRig(t, source)
+		r.full("eureka", "c1", "c2")
+		before := r.ups["c1"]
+		for range 40 {
+			r.flapOnce("eureka", second/4)
+			r.after(second / 4)
+		}
+		ups[damped] = r.ups["c1"] - before
+		r.after(DefaultDamping().Longest).want("c1", "up")
+	}
+	if ups[false] != 40 || ups[true] != 2 {
+		t.Errorf("taken back %d times without damping and %d times with it, want 40 and 2", ups[false], ups[true])
+	}
+}
+
+func TestHeldDownCacheSaysWhyAndForHowLong(t *testing.T) {
+	r := newRig(t, eureka)
+	r.full("eureka", "c1", "c2")
+	for range 4 {
+		r.flapOnce("eureka", 0)
+	}
+	if got, want := r.rowOf("c1").Reason, "held down for 20.0 s more after 4 flaps"; got != want {
+		t.Errorf("%q, want %q", got, want)
+	}
+}
+
+// TestNewProcessKeepsTheFlapsOfItsName, and while it is held down its bad news passes.
+func TestNewProcessKeepsTheFlapsOfItsName(t *testing.T) {
+	r := newRig(t, eureka)
+	for start := Time(1); start <= 4; start++ {
+		next := claims("c1", "c2")
+		next[0].Entry.Start = start
+		r.tell(&Heard{Source: "eureka", Full: true, Claims: next})
+		if start < 4 {
+			r.want("c1", "up")
+			r.full("eureka", "c2")
+			r.want("c1", "gone")
+		}
+	}
+	r.want("c1", "gone") // nothing is told of it while it is held down
+	r.after(20*second).want("c1", "up")
+	if e := r.list["c1"]; e.Start != 4 {
+		t.Errorf("%+v", e)
+	}
+}
+
+func TestSourceThatIsNotDampedHoldsNothingDown(t *testing.T) {
+	r := newRig(t, platform, eureka)
+	r.full("platform", "c1", "c2")
+	r.full("eureka", "c1", "c2")
+	for range 20 {
+		r.flapOnce("platform", second/10)
+		r.want("c1", "up")
+	}
+}
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -186,7 +186,7 @@
 		next.Entry = w.Entry // no more need be said of it than its name
 		next.Entry.ID, next.Entry.Condition = claim.Entry.ID, decide.Removed
 	}
-	if next.Addr == "" {
+	if next.Addr == "" && w.known && w.Entry.Condition != decide.Removed {
 		next.Addr = w.Addr
 	}
 	m.count(i, c, next.Entry.Condition)
