--- a/internal/membership/api.go
+++ b/internal/membership/api.go
@@ -26,7 +26,7 @@
 	Entry  decide.Entry // Condition Removed says in so many words that it is gone
 	Addr   string       // an IP address and a port; may be empty for bad news, and the last one stays
 	Reason string       // the source's own word for it, for the log: "OUT_OF_SERVICE", "lease expired"
-	Seen   Time         // when the source itself last heard of the cache, by the clock of the events; 0 where it does not say
+	Seen   Time         // when the source itself last heard of it, on the events' clock; 0 where it does not say
 }
 
 // Event is anything the module is told: *Heard, *Lost or *Tick.
@@ -34,8 +34,8 @@
 
 // Heard brings a source's list. Full: it names every cache that the source knows, and one that it leaves
 // out has departed. Else it holds the changed ones. Stale: it is the last known one, and may be old.
-// Repeat: the source was asked again after a Confirm, and this is its whole list. Unread names caches that stand in the list by an
-// entry that can't be used: they stay as they are.
+// Repeat: the source was asked again after a Confirm, and this is its whole list. Unread names caches
+// that stand in the list by an entry that can't be used: they stay as they are.
 type Heard struct {
 	Source string
 	Full   bool
--- a/internal/membership/damping_test.go
+++ b/internal/membership/damping_test.go
@@ -122,3 +122,42 @@
 		r.want("c1", "up")
 	}
 }
+
+// TestCacheThatFlapsWhileHeldIsHeldLonger, though its figure has come down below Suppress (RFC 2439, 4.8.3).
+func TestCacheThatFlapsWhileHeldIsHeldLonger(t *testing.T) {
+	r := newRigOf(t, Options{Sources: []SourceOptions{eureka}, Loss: DefaultLoss(),
+		Damping: Damping{Penalty: 500, Suppress: 2000, Reuse: 250, HalfLife: 10 * second, Longest: 60 * second}})
+	r.full("eureka", "c1", "c2")
+	for range 5 {
+		r.flapOnce("eureka", 0)
+	}
+	r.after(20 * second) // 625 by now
+	before := r.rowOf("c1").HeldUntil
+	r.flapOnce("eureka", 0)
+	if after := r.rowOf("c1").HeldUntil; before == 0 || after <= before {
+		t.Errorf("held until %d, and until %d after one more flap", before, after)
+	}
+}
+
+// TestEachCacheIsReleasedWhenItsOwnSpanIsOver: the one that was held first flaps on.
+func TestEachCacheIsReleasedWhenItsOwnSpanIsOver(t *testing.T) {
+	r := newRig(t, eureka)
+	r.full("eureka", names(1, 9)...)
+	for _, id := range names(1, 9) {
+		for range 3 {
+			r.changes("eureka", id+"-")
+			r.changes("eureka", id)
+		}
+		r.after(second / 10)
+	}
+	for range 3 {
+		r.flapOnce("eureka", 0)
+	}
+	if len(r.wakes()) != 0 {
+		t.Errorf("a wake is asked for again: %+v", r.actions)
+	}
+	r.after(16 * second)
+	r.wantAll(names(2, 9), "up")
+	r.want("c1", "drains")
+	r.after(10*second).want("c1", "up")
+}
--- a/internal/membership/harness_test.go
+++ b/internal/membership/harness_test.go
@@ -159,6 +159,17 @@
 	return n
 }
 
+// wakes are the instants that the last event has asked for.
+func (r *rig) wakes() []Time {
+	var all []Time
+	for _, a := range r.actions {
+		if w, is := a.(Wake); is {
+			all = append(all, w.At)
+		}
+	}
+	return all
+}
+
 func (r *rig) rowOf(id string) Row {
 	r.Helper()
 	for _, row := range r.Table(r.at) {
--- a/internal/membership/loss.go
+++ b/internal/membership/loss.go
@@ -82,8 +82,8 @@
 	slices.SortFunc(caches, func(a, b *cache) int { return strings.Compare(a.id, b.id) })
 }
 
-// tooMany reports whether caches that a source leaves out are more than can be believed at once: of those that took work
-// by its word, or of those that take any.
+// tooMany reports whether caches that a source leaves out are more than can be believed at once: of those that
+// took work by its word, or of those that take any.
 func (m *Members) tooMany(i int, missing []*cache, before standing) bool {
 	up, all := 0, 0
 	for _, c := range missing {
@@ -147,7 +147,8 @@
 	c.asked, c.want, c.kept = false, false, c.open > 0
 }
 
-// askAgain has a Confirm sent, unless one is out. The danger: answers that differ each time are asked for without a pause.
+// askAgain has a Confirm sent, unless one is out. The danger: answers that differ each time are asked for
+// without a pause.
 func (c *check) askAgain(now, within Time) {
 	if c.asked || c.want {
 		return
--- a/internal/membership/loss_test.go
+++ b/internal/membership/loss_test.go
@@ -124,7 +124,8 @@
 	r.wantAll(names(1, 4), "up")
 }
 
-// TestNextListConfirmsOnlyOnceTheGraceIsOver. The danger: the same server, with the same fault, is polled twice in a moment.
+// TestNextListConfirmsOnlyOnceTheGraceIsOver. The danger: the same server, with the same fault, is polled twice
+// in a moment.
 func TestNextListConfirmsOnlyOnceTheGraceIsOver(t *testing.T) {
 	r := lossRig(t)
 	r.full("eureka")
@@ -196,3 +197,25 @@
 	r.wantAll(names(1, 10), "gone")
 	r.wantAll(names(11, 20), "up")
 }
+
+// TestEntryThatCannotBeReadEndsTheDoubt: the list names the cache, so it has not gone.
+func TestEntryThatCannotBeReadEndsTheDoubt(t *testing.T) {
+	r := lossRig(t)
+	r.full("eureka", "c2")
+	r.tell(&Heard{Source: "eureka", Full: true, Repeat: true, Claims: claims("c2"), Unread: []string{"c1"}})
+	r.after(10*second).want("c1", "up")
+	r.wantAll(names(3, 10), "gone")
+	if s := r.Sources(r.at)[0]; s.HeldBack != 0 {
+		t.Errorf("%+v", s)
+	}
+}
+
+// TestCacheWhoseDepartureIsInDoubtIsDrainedByAnotherSource.
+func TestCacheWhoseDepartureIsInDoubtIsDrainedByAnotherSource(t *testing.T) {
+	r := newRig(t, eureka, platform)
+	r.full("eureka", names(1, 10)...)
+	r.full("eureka")
+	r.changes("platform", "c1-")
+	r.want("c1", "drains")
+	r.wantAll(names(2, 10), "up")
+}
--- a/internal/membership/merge_test.go
+++ b/internal/membership/merge_test.go
@@ -66,7 +66,8 @@
 	if e := r.list["c1"]; e.Zone != "b" || r.addrs["c1"] != "10.0.0.2:2" {
 		t.Errorf("%+v at %s", e, r.addrs["c1"])
 	}
-	r.tell(&Heard{Source: "file", Claims: []Claim{{Addr: "10.0.0.1:1", Entry: decide.Entry{ID: "c1", Zone: "a", Cell: 1, Size: 1}}}})
+	r.tell(&Heard{Source: "file", Claims: []Claim{{Addr: "10.0.0.1:1",
+		Entry: decide.Entry{ID: "c1", Zone: "a", Cell: 1, Size: 1}}}})
 	want := decide.Entry{ID: "c1", Zone: "a", Cell: 1, Size: 1, Start: 77} // the file knows no start
 	if r.list["c1"] != want || r.addrs["c1"] != "10.0.0.1:1" {
 		t.Errorf("%+v at %s, want %+v", r.list["c1"], r.addrs["c1"], want)
@@ -137,9 +138,25 @@
 	}
 	r.full("platform", "c1")
 	r.want("c2", "gone")
-	r.tell(&Heard{Source: "platform", Full: true, Stale: true, Claims: claims("c2")})
+	r.tell(&Heard{Source: "platform", Full: true, Stale: true, Claims: claims("c2", "c4")})
 	r.want("c1", "up")
 	r.want("c2", "gone")
+	r.want("c4", "gone")
+}
+
+// TestFirstOldListOfASourceCounts, not the next one.
+func TestFirstOldListOfASourceCounts(t *testing.T) {
+	r := newRig(t, platform)
+	r.tell(&Heard{Source: "platform", Full: true, Stale: true, Claims: claims("c1-")})
+	r.tell(&Heard{Source: "platform", Full: true, Stale: true, Claims: claims("c1")})
+	r.want("c1", "drains")
+}
+
+func TestUnknownSourceChangesNothing(t *testing.T) {
+	r := newRig(t, platform)
+	if acts := r.full("nobody", "c1"); len(acts) != 1 || len(r.list) != 0 {
+		t.Errorf("%+v", acts)
+	}
 }
 
 func TestFirstListIsPublishedThoughItIsEmpty(t *testing.T) {
--- a/internal/membership/options.go
+++ b/internal/membership/options.go
@@ -92,7 +92,7 @@
 	}
 	// The danger: the figure is cut below Suppress, and nothing is ever held down.
 	if most := o.Damping.most(); damped && most <= o.Damping.Suppress {
-		return fmt.Errorf("membership: Damping.Longest lets the penalty grow to %.0f only, which Suppress (%.0f) is not below",
+		return fmt.Errorf("membership: Damping.Longest cuts the penalty at %.0f, and Damping.Suppress (%.0f) is not below",
 			most, o.Damping.Suppress)
 	}
 	return nil
--- a/internal/membership/random_test.go
+++ b/internal/membership/random_test.go
@@ -198,14 +198,16 @@
 		Caches: 100, Gone: 1000})
 	for i := 0; i < 100_000; i += 50 {
 		r.at += second / 100
-		r.changes("eureka", names(i, i+49)...)
 		var gone []string
 		for _, id := range names(i, i+49) {
 			gone = append(gone, id+"x")
 		}
-		r.changes("eureka", gone...)
+		for range 3 { // so that they are held down
+			r.changes("eureka", names(i, i+49)...)
+			r.changes("eureka", gone...)
+		}
 		r.changes("platform", fmt.Sprintf("c%dx", i+1_000_000)) // gone before anyone knew it
-		if len(r.caches) > 1100 || r.gone.Len() > 1000 || len(r.held) > 1100 {
+		if len(r.caches) > 1100 || r.gone.Len() > 1000 || len(r.held) > len(r.caches) {
 			t.Fatalf("%d caches, %d gone, %d held", len(r.caches), r.gone.Len(), len(r.held))
 		}
 	}
