--- a/internal/router/list.go
+++ b/internal/router/list.go
@@ -4,133 +4,115 @@
 	"errors"
 	"fmt"
 	"reflect"
-	"slices"
 
 	"starlingwinch/decide"
 	"starlingwinch/internal/discovery"
+	"starlingwinch/internal/membership"
 )
 
+// platform is the name of the platform's discovery among the sources of the list.
+const platform = "discovery"
+
 const (
-	listPiece   = 500 // entries that the loop takes over in one turn
-	mostChanges = 20  // caches that are named in the log one by one for one list
+	listPiece  = 500 // entries that the loop takes over in one turn
+	mostFaults = 20  // bad entries of one list that are named in the log
 )
 
-// newList is a list of caches that is still to be learned.
-type newList struct {
-	discovery.List
-	kind decide.ListKind
-	gone []string // caches that a whole list leaves out
+// hear gives a source's word to the module that merges them, and does what it says.
+func (r *Router) hear(ev membership.Event) {
+	for _, a := range r.members.Handle(r.m.Now(), ev) {
+		switch a := a.(type) {
+		case membership.Publish:
+			r.publish(a)
+		case membership.Confirm:
+			r.confirm(a.Source)
+		case membership.Wake:
+			if r.waking != nil {
+				r.waking.Stop()
+			}
+			r.waking = r.m.At(a.At, func() {
+				r.waking = nil
+				r.hear(&membership.Tick{})
+				r.Settle()
+			})
+		case membership.Log:
+			r.Log("list of caches: " + a.Text)
+		}
+	}
 }
 
-// learn takes over a list of caches, for the module and for sending alike. The danger: a large one
-// holds up every request; it is taken in pieces, with other work between, and bad news first.
-func (r *Router) learn(list discovery.List, kind decide.ListKind) {
-	r.index = list.Index
-	for i, fault := range list.Faults {
-		if i == mostChanges {
-			r.Log(fmt.Sprintf("list of caches: %d more faults", len(list.Faults)-i))
-			break
-		}
-		r.Log("list of caches: " + fault)
+// confirm asks a source for its whole list once more. The platform has one server, and its word needs
+// no confirmation: it is never checked.
+func (r *Router) confirm(string) {}
+
+// claims are what the platform's list says.
+func claims(list *discovery.List) []membership.Claim {
+	c := make([]membership.Claim, len(list.Entries))
+	for i, e := range list.Entries {
+		c[i] = membership.Claim{Entry: e, Addr: list.Addrs[i], Reason: conditionWords[e.Condition]}
 	}
-	r.lists = append(r.lists, newList{List: list, kind: kind})
+	return c
+}
+
+var conditionWords = map[decide.Condition]string{decide.Up: "in_service", decide.Draining: "terminating",
+	decide.Removed: "terminated"}
+
+// publish takes over what has changed in the merged list, bad news first. The danger: a large list
+// holds up every request; it is taken in pieces, with other work between.
+func (r *Router) publish(p membership.Publish) {
+	r.lists = append(r.lists, p)
 	if len(r.lists) == 1 {
-		r.learnPiece()
+		r.takePiece()
 	}
 }
 
-// learnPiece takes over the next piece of the oldest list.
-func (r *Router) learnPiece() {
+// takePiece takes over the next piece of the oldest list.
+func (r *Router) takePiece() {
 	next := &r.lists[0]
-	if next.Full {
-		next.complete(r)
-	}
 	piece := *next
 	if len(next.Entries) > listPiece {
 		piece.Entries, piece.Addrs = next.Entries[:listPiece:listPiece], next.Addrs[:listPiece:listPiece]
 		next.Entries, next.Addrs = next.Entries[listPiece:], next.Addrs[listPiece:]
-		if piece.kind == decide.ListFull {
-			piece.kind = decide.ListChanges // what a whole list leaves out stands among the entries by now
-		}
-		next.kind = decide.ListChanges
+		next.Kind = decide.ListChanges
 	} else {
 		r.lists = r.lists[1:]
 	}
 	if len(r.lists) > 0 {
-		r.m.Post(r.learnPiece)
+		r.m.Post(func() {
+			r.takePiece()
+			r.Settle()
+		})
 	} else {
 		r.lists = nil
 	}
 	r.take(piece)
-	r.Settle()
-}
-
-// complete puts in what a whole list does not say in so many words: caches that it leaves out are
-// gone, and those whose entry could not be read stay as they are. Bad news comes first.
-func (n *newList) complete(r *Router) {
-	n.Full = false
-	named := make(map[string]bool, len(n.Entries))
-	for _, e := range n.Entries {
-		named[e.ID] = true
-	}
-	for _, name := range n.Unread {
-		if h := r.caches[name]; h != nil && !named[name] {
-			named[name] = true
-			e := h.entry
-			e.Start = h.told // it is dated when it is taken
-			n.Entries, n.Addrs = append(n.Entries, e), append(n.Addrs, h.addr)
-		}
-	}
-	var left []string
-	for name := range r.caches { // any order: sorted below
-		if !named[name] {
-			left = append(left, name)
-		}
-	}
-	slices.Sort(left)
-	if len(n.Entries) <= listPiece {
-		n.gone = left
-		return // the module finds out what is left out by itself
-	}
-	n.Full = false
-	var entries []decide.Entry
-	var addrs []string
-	for _, name := range left {
-		entries, addrs = append(entries, decide.Entry{ID: name, Condition: decide.Removed}), append(addrs, "")
-	}
-	for _, up := range []bool{false, true} {
-		for i, e := range n.Entries {
-			if (e.Condition == decide.Up) == up {
-				entries, addrs = append(entries, e), append(addrs, n.Addrs[i])
-			}
-		}
-	}
-	n.Entries, n.Addrs = entries, addrs
 }
 
 // take hands a list, or a piece of one, to the module and to the upstream side.
-func (r *Router) take(n newList) {
-	told := make([]Time, len(n.Entries))
-	for i := range n.Entries {
-		told[i] = n.Entries[i].Start
-		r.date(&n.Entries[i])
+func (r *Router) take(p membership.Publish) {
+	told := make([]Time, len(p.Entries))
+	for i := range p.Entries {
+		told[i] = p.Entries[i].Start
+		r.date(&p.Entries[i])
 	}
 	// The danger: what ends with a drain is told before the drain, and is sent there again.
-	r.backlog = append(r.backlog, &decide.List{Kind: n.kind, Entries: n.Entries})
-	var news changes
-	for i, e := range n.Entries {
+	r.backlog = append(r.backlog, &decide.List{Kind: p.Kind, Entries: p.Entries})
+	served := r.Serving()
+	for i, e := range p.Entries {
 		h := r.caches[e.ID]
-		news.note(h, e)
 		if e.Condition == decide.Removed {
-			r.remove(e.ID)
+			if h != nil {
+				delete(r.caches, e.ID)
+				r.pool.Update(e.ID, h.addr, false, true)
+			}
 			continue
 		}
 		if h == nil {
 			h = &hop{}
 			r.caches[e.ID] = h
 		}
-		if n.Addrs[i] != "" {
-			h.addr = n.Addrs[i] // bad news needs none
+		if p.Addrs[i] != "" {
+			h.addr = p.Addrs[i] // bad news needs none
 		}
 		if told[i] != h.told {
 			r.pool.Renewed(e.ID)
@@ -138,17 +120,8 @@
 		h.entry, h.told = e, told[i]
 		r.pool.Update(e.ID, h.addr, e.Condition == decide.Up, false)
 	}
-	for _, name := range n.gone {
-		news.note(r.caches[name], decide.Entry{ID: name, Condition: decide.Removed})
-		r.remove(name)
-	}
-	news.log(r)
-}
-
-func (r *Router) remove(name string) {
-	if h := r.caches[name]; h != nil {
-		delete(r.caches, name)
-		r.pool.Update(name, h.addr, false, true)
+	if served && !r.Serving() {
+		r.Log("list of caches: none is left that takes work")
 	}
 }
 
@@ -168,45 +141,6 @@
 	e.Start = max(1, r.m.Now()-age)
 }
 
-// changes are what a list has told of caches that is worth a line in the log.
-type changes struct {
-	lines              []string
-	joined, left, down int
-}
-
-// note compares what is known of a cache, if anything is, with what the list says now.
-func (c *changes) note(h *hop, e decide.Entry) {
-	line := ""
-	switch {
-	case h == nil && e.Condition == decide.Removed || h != nil && h.entry.Condition == e.Condition:
-		return
-	case e.Condition == decide.Removed:
-		line = "has gone from the list"
-		c.left++
-	case e.Condition == decide.Draining:
-		line = "drains"
-		c.down++
-	default:
-		line = "takes work"
-		c.joined++
-	}
-	if len(c.lines) < mostChanges {
-		c.lines = append(c.lines, e.ID+" "+line)
-	}
-}
-
-func (c *changes) log(r *Router) {
-	for _, line := range c.lines {
-		r.Log("list of caches: " + line)
-	}
-	if c.joined+c.left+c.down > mostChanges {
-		r.Log(fmt.Sprintf("list of caches: in all %d take work, %d drain, %d have gone", c.joined, c.down, c.left))
-	}
-	if c.left+c.down > 0 && !r.Serving() {
-		r.Log("list of caches: none is left that takes work")
-	}
-}
-
 // watch follows discovery, unless it is followed already.
 func (r *Router) watch() {
 	if r.watching != nil || r.closed {
@@ -217,7 +151,17 @@
 
 // listed takes an answer of discovery.
 func (r *Router) listed(list discovery.List) {
-	r.learn(list, list.Kind())
+	r.index = list.Index
+	for i, fault := range list.Faults {
+		if i == mostFaults {
+			r.Log(fmt.Sprintf("list of caches: %d more faults", len(list.Faults)-i))
+			break
+		}
+		r.Log("list of caches: " + fault)
+	}
+	r.hear(&membership.Heard{Source: platform, Full: list.Full, Claims: claims(&list), Unread: list.Unread})
+	// Also where nothing has changed: the module hears that discovery answers.
+	r.backlog = append(r.backlog, &decide.List{Kind: decide.ListChanges})
 	r.Settle()
 }
 
@@ -229,7 +173,7 @@
 		// nothing to say for long of what comes after the old ones.
 		r.index = discovery.NoIndex
 	}
-	r.Log("discovery: " + err.Error())
+	r.hear(&membership.Lost{Source: platform, Why: err.Error()})
 	r.backlog = append(r.backlog, &decide.List{Kind: decide.ListFailed})
 	r.Settle()
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -14,6 +14,7 @@
 	"starlingwinch/internal/discovery"
 	"starlingwinch/internal/front"
 	"starlingwinch/internal/machine"
+	"starlingwinch/internal/membership"
 	"starlingwinch/internal/upstream"
 )
 
@@ -42,7 +43,9 @@
 	open      int             // requests that still want their final answer
 	caches    map[string]*hop // those listed
 	index     int64           // version of the list; NoIndex has the whole list asked for
-	lists     []newList       // that are still to be learned
+	members   *membership.Members
+	waking    machine.Timer        // for members
+	lists     []membership.Publish // that are still to be taken over
 	watching  *discovery.Watch
 	longest   Time // patience of any client
 	sweeping  machine.Timer
@@ -89,9 +92,10 @@
 		Descriptors: upstreams, DialTimeout: cfg.Transport.DialTimeout, Keepalive: cfg.Transport.Keepalive,
 		HungAfter: hungAfter}, r)
 	// A PING must not be told that no caches are known when they are: the list comes before the listener.
-	known := cfg.Known
-	known.Full = true
-	r.learn(known, decide.ListStale)
+	if r.members, err = membership.New(membership.Options{Sources: []membership.SourceOptions{{Name: platform}}}); err != nil {
+		return nil, err
+	}
+	r.hear(&membership.Heard{Source: platform, Full: true, Stale: true, Claims: claims(&cfg.Known), Unread: cfg.Known.Unread})
 	r.front, err = front.Listen(m, front.Options{Listen: cfg.Listen, Bounds: cfg.Bounds.Clients,
 		Classes: cfg.Settings.Classes, Clients: clients, Memory: cfg.Limits.memory()}, r)
 	if err != nil {
@@ -140,6 +144,9 @@
 	if r.watching != nil {
 		r.watching.Stop()
 	}
+	if r.waking != nil {
+		r.waking.Stop()
+	}
 	r.sweeping.Stop()
 	r.front.Close()
 	r.pool.Close()
