--- a/internal/httpd/chunks.go
+++ b/internal/httpd/chunks.go
@@ -8,7 +8,7 @@
 
 // Bounds of what surrounds the bytes of a body that comes in chunks.
 const (
-	mostChunkLine = 256     // of a chunk's size and extensions
+	mostChunkLine = 256     // of a chunk's size and extensions, or of one trailer
 	mostTrailers  = 4 << 10 // after the last chunk
 )
 
@@ -36,15 +36,18 @@
 		}
 		rest := b[used:]
 		end := bytes.IndexByte(rest, '\n')
+		if end > mostChunkLine || end < 0 && len(rest) > mostChunkLine {
+			return used, bad("a chunk's line is too long")
+		}
 		if end < 0 {
-			if len(rest) > mostChunkLine {
-				return used, bad("a chunk's first line is too long")
-			}
 			return used, nil
 		}
 		if end == 0 || rest[end-1] != '\r' {
 			return used, bad("a chunk's line ends without CR")
 		}
+		if bytes.IndexByte(rest[:end-1], '\r') >= 0 {
+			return used, bad("a CR stands within a chunk's line")
+		}
 		used += end + 1
 		if err := c.line(rest[:end-1]); err != nil {
 			return used, err
@@ -81,9 +84,6 @@
 		c.done = len(line) == 0
 		return nil
 	}
-	if len(line) > mostChunkLine {
-		return bad("a chunk's first line is too long")
-	}
 	digits, _, _ := bytes.Cut(line, []byte(";"))
 	digits = bytes.TrimRight(digits, " \t")
 	size, err := strconv.ParseUint(string(digits), 16, 32)
--- /dev/null
+++ b/internal/standin/registry/faults.go
@@ -0,0 +1,234 @@
+package registry
+
+import (
+	"bytes"
+	"net/http"
+	"strconv"
+
+	"starlingwinch/internal/httpd"
+	"starlingwinch/internal/machine"
+)
+
+// faults are what the registry does wrong.
+type faults struct {
+	silent    bool
+	status    int
+	slow      Time
+	truncate  bool
+	malform   bool
+	wrongHash bool
+	stale     *view
+	hidden    map[string]bool
+	lose      int
+	repeat    bool
+	old       *view
+	huge      int64
+	endless   bool
+
+	timers map[int64]machine.Timer // of slow answers, by the order in which they were asked for
+	asked  int64
+}
+
+func (f *faults) end() {
+	for _, t := range f.timers { // any order: all of them are stopped
+		t.Stop()
+	}
+	f.timers = nil
+}
+
+func (f *faults) losesDelta() bool {
+	if f.lose == 0 {
+		return false
+	}
+	f.lose--
+	return true
+}
+
+// Silent has it take calls in and answer none; those are never answered.
+func (r *Registry) Silent(on bool) { r.faults.silent = on }
+
+// Error has all calls answered with a status such as 503, and do nothing; 0 ends that.
+func (r *Registry) Error(status int) { r.faults.status = status }
+
+// Slow has all answers come so much later; 0 ends that.
+func (r *Registry) Slow(d Time) { r.faults.slow = d }
+
+// Truncate has answers with a body end in the middle, with the connection.
+func (r *Registry) Truncate(on bool) { r.faults.truncate = on }
+
+// Malform has bodies hold bad JSON.
+func (r *Registry) Malform(on bool) { r.faults.malform = on }
+
+// WrongHash has lists carry a hash that is not theirs.
+func (r *Registry) WrongHash(on bool) {
+	r.faults.wrongHash = on
+	r.forget()
+}
+
+// Stale has readers see the state of this moment from now on. Writers are served as ever.
+func (r *Registry) Stale(on bool) {
+	r.faults.stale = nil
+	if on {
+		r.faults.stale = r.shown()
+	}
+}
+
+// Empty loses all that was registered, as a server does that starts anew without replicas.
+func (r *Registry) Empty() {
+	for _, l := range r.leases {
+		r.marks = append(r.marks, mark{l.ID, Deleted})
+	}
+	r.leases, r.queue, r.overrides = nil, nil, map[string]string{}
+	r.start, r.thisMinute, r.renewals, r.lastRenewals = r.m.Now(), 0, 0, 0
+	r.version++
+	if r.o.CacheTime > 0 {
+		r.cached = r.view()
+	}
+	marks := r.marks
+	r.marks = nil
+	for _, m := range marks {
+		r.tell(m)
+	}
+}
+
+// Disagree has this replica show nothing of the instances; without any, that ends.
+func (r *Registry) Disagree(ids ...string) {
+	r.faults.hidden = map[string]bool{}
+	for _, id := range ids {
+		r.faults.hidden[id] = true
+	}
+	r.forget()
+	if r.o.CacheTime > 0 {
+		r.cached = r.view()
+	}
+}
+
+// DeltaLost has the next n changes never stand in deltas. The hash is that of the whole all the same.
+func (r *Registry) DeltaLost(n int) { r.faults.lose = n }
+
+// DeltaRepeat has each entry of a delta stand there twice.
+func (r *Registry) DeltaRepeat(on bool) {
+	r.faults.repeat = on
+	r.forget()
+}
+
+// DeltaOld has deltas stay as they are at this moment, with their hash, while the whole list goes on.
+func (r *Registry) DeltaOld(on bool) {
+	r.faults.old = nil
+	if on {
+		r.faults.old = r.shown()
+	}
+}
+
+// Huge has lists answered with so many bytes of deeply nested JSON; 0 ends that.
+func (r *Registry) Huge(size int64) { r.faults.huge = size }
+
+// Endless has lists answered with good instances, one after the other, that never end.
+func (r *Registry) Endless(on bool) { r.faults.endless = on }
+
+// forget has answers made anew.
+func (r *Registry) forget() {
+	r.version++
+	for _, v := range []*view{r.cached, r.faults.stale, r.faults.old} {
+		if v != nil {
+			v.bodies = map[string]body{}
+		}
+	}
+}
+
+// answer gives an answer, with what is wrong with it at present.
+func (r *Registry) answer(x *httpd.Exchange, a httpd.Answer) {
+	f := &r.faults
+	if f.slow <= 0 {
+		r.spoil(x, a)
+		return
+	}
+	if f.timers == nil {
+		f.timers = map[int64]machine.Timer{}
+	}
+	f.asked++
+	n := f.asked
+	x.Gone = func() {
+		if t := f.timers[n]; t != nil {
+			t.Stop()
+			delete(f.timers, n)
+		}
+	}
+	f.timers[n] = r.m.At(r.m.Now()+f.slow, func() {
+		delete(f.timers, n)
+		r.spoil(x, a)
+	})
+}
+
+func (r *Registry) spoil(x *httpd.Exchange, a httpd.Answer) {
+	f := &r.faults
+	list := x.Request.Method == http.MethodGet && a.Status == http.StatusOK
+	switch {
+	case f.huge > 0 && list:
+		a.Body, a.Header = nil, jsonHeader
+		x.Stream(a, nested(f.huge))
+	case f.endless && list:
+		a.Body, a.Header = nil, jsonHeader
+		x.Stream(a, instances())
+	case f.truncate && len(a.Body) > 0:
+		b := []byte("HTTP/1.1 " + strconv.Itoa(a.Status) + " " + http.StatusText(a.Status) + "\r\n")
+		for _, h := range a.Header {
+			b = append(b, h.Name+": "+h.Value+"\r\n"...)
+		}
+		b = append(b, "Content-Length: "+strconv.Itoa(len(a.Body))+"\r\n\r\n"...)
+		x.Raw(append(b, a.Body[:len(a.Body)/2]...))
+	default:
+		x.Answer(a)
+	}
+}
+
+// pieceSize is how much of an answer is made at a time.
+const pieceSize = 16 << 10
+
+// nested gives a list, as one level in the other, until size bytes are given.
+func nested(size int64) func() []byte {
+	const begin, end = `{"applications":{"application":`, `}}`
+	const open, shut = `[`, `]`
+	levels := max(1, (size-int64(len(begin)+len(end)))/2)
+	opened, closed := int64(0), int64(0)
+	step := func(done *int64, text string) []byte {
+		n := min(levels-*done, pieceSize)
+		*done += n
+		return bytes.Repeat([]byte(text), int(n))
+	}
+	return func() []byte {
+		switch {
+		case opened == 0:
+			return append([]byte(begin), step(&opened, open)...)
+		case opened < levels:
+			return step(&opened, open)
+		case closed < levels:
+			b := step(&closed, shut)
+			if closed == levels {
+				b = append(b, end...)
+			}
+			return b
+		}
+		return nil
+	}
+}
+
+// instances gives a list that goes on for ever.
+func instances() func() []byte {
+	n := 0
+	return func() []byte {
+		var b []byte
+		if n == 0 {
+			b = append(b, `{"applications":{"versions__delta":"1","apps__hashcode":"","application":[{"name":"ENDLESS","instance":[`...)
+		}
+		for len(b) < pieceSize {
+			n++
+			in := Instance{ID: "endless-" + strconv.Itoa(n), App: "ENDLESS", HostName: "endless", IPAddr: "127.0.0.1",
+				DataCenter: "MyOwn", Port: 1, PortOn: true}
+			in.fill()
+			b = append(b, encode(in.wire(Lease{}, false))...)
+			b = append(b, ',')
+		}
+		return b
+	}
+}
--- /dev/null
+++ b/internal/standin/registry/rest.go
@@ -0,0 +1,374 @@
+package registry
+
+import (
+	"bytes"
+	"compress/gzip"
+	"crypto/subtle"
+	"encoding/base64"
+	"errors"
+	"mime"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+
+	"starlingwinch/internal/httpd"
+)
+
+var jsonHeader = []httpd.Header{{Name: "Content-Type", Value: "application/json"}}
+
+// call is a call with its path taken apart.
+type call struct {
+	x          *httpd.Exchange
+	method     string
+	path       []string // below the base
+	query      url.Values
+	replicated bool // it comes from another server, which tells the others itself
+}
+
+// serve answers a call.
+func (r *Registry) serve(x *httpd.Exchange) {
+	if r.faults.silent {
+		return
+	}
+	if status := r.faults.status; status != 0 {
+		r.answer(x, httpd.Text(status, "the registry is told to fail"))
+		return
+	}
+	r.answer(x, r.reply(x))
+}
+
+func (r *Registry) reply(x *httpd.Exchange) httpd.Answer {
+	if !r.allowed(x.Request) {
+		a := httpd.Text(http.StatusUnauthorized, "user and password are wanted")
+		a.Header = append(a.Header, httpd.Header{Name: "WWW-Authenticate", Value: `Basic realm="eureka"`})
+		return a
+	}
+	c := call{x: x, method: x.Request.Method,
+		replicated: strings.EqualFold(x.Request.Header.Get("x-netflix-discovery-replication"), "true")}
+	var err error
+	if c.query, err = url.ParseQuery(x.Request.URL.RawQuery); err != nil {
+		return httpd.Text(http.StatusBadRequest, "the query can't be read")
+	}
+	rest, ok := strings.CutPrefix(x.Request.URL.EscapedPath(), r.o.Base)
+	if r.o.Base == "/" {
+		rest, ok = x.Request.URL.EscapedPath(), true
+	}
+	if !ok || !strings.HasPrefix(rest, "/") {
+		return notFound("nothing is here but " + r.o.Base)
+	}
+	for _, part := range strings.Split(strings.Trim(rest, "/"), "/") {
+		if part, err = url.PathUnescape(part); err != nil {
+			return httpd.Text(http.StatusBadRequest, "the path can't be read")
+		}
+		c.path = append(c.path, part)
+	}
+	return r.route(c)
+}
+
+// allowed checks the user and the password.
+func (r *Registry) allowed(q *http.Request) bool {
+	if r.o.User == "" && r.o.Password == "" {
+		return true
+	}
+	want := "Basic " + base64.StdEncoding.EncodeToString([]byte(r.o.User+":"+r.o.Password))
+	return subtle.ConstantTimeCompare([]byte(q.Header.Get("Authorization")), []byte(want)) == 1
+}
+
+// route finds what a call is for.
+func (r *Registry) route(c call) httpd.Answer {
+	reads := c.method == http.MethodGet || c.method == http.MethodHead
+	n := len(c.path)
+	if c.path[0] != "apps" {
+		switch {
+		case n != 2 || !slices.Contains([]string{"instances", "vips", "svips"}, c.path[0]):
+			return notFound("no such resource")
+		case !reads:
+			return notAllowed("GET, HEAD")
+		}
+		return r.lookUp(c)
+	}
+	switch {
+	case n == 1 && reads, n == 2 && reads && c.path[1] == "delta":
+		return r.whole(c, n == 2)
+	case n == 1 || n == 2 && c.path[1] == "delta":
+		return notAllowed("GET, HEAD")
+	case n == 2 && reads:
+		return r.getApp(c)
+	case n == 2 && c.method == http.MethodPost:
+		return r.post(c)
+	case n == 2:
+		return notAllowed("GET, HEAD, POST")
+	case n == 3 && reads:
+		return r.getOne(c, func(in *Instance) bool { return in.App == strings.ToUpper(c.path[1]) && in.ID == c.path[2] })
+	case n == 3 && c.method == http.MethodPut:
+		return r.putLease(c)
+	case n == 3 && c.method == http.MethodDelete:
+		if !r.cancel(strings.ToUpper(c.path[1]), c.path[2], c.replicated) {
+			return notFound(ErrUnknown.Error())
+		}
+		return httpd.Answer{Status: http.StatusOK}
+	case n == 3:
+		return notAllowed("GET, HEAD, PUT, DELETE")
+	case n == 4 && c.path[3] == "status":
+		return r.status(c)
+	case n == 4 && c.path[3] == "metadata" && c.method == http.MethodPut:
+		return r.putMetadata(c)
+	case n == 4 && c.path[3] == "metadata":
+		return notAllowed("PUT")
+	}
+	return notFound("no such resource")
+}
+
+func notFound(text string) httpd.Answer { return httpd.Text(http.StatusNotFound, text) }
+
+func notAllowed(methods string) httpd.Answer {
+	a := httpd.Text(http.StatusMethodNotAllowed, "only "+methods+" here")
+	a.Header = append(a.Header, httpd.Header{Name: "Allow", Value: methods})
+	return a
+}
+
+// failed is the answer for a call that did nothing.
+func failed(err error) httpd.Answer {
+	switch {
+	case errors.Is(err, ErrUnknown):
+		return notFound(err.Error())
+	case errors.Is(err, ErrFull):
+		return httpd.Text(http.StatusServiceUnavailable, err.Error())
+	}
+	return httpd.Text(http.StatusBadRequest, err.Error())
+}
+
+// post registers.
+func (r *Registry) post(c call) httpd.Answer {
+	h := c.x.Request.Header
+	kind, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	if h.Get("Content-Type") != "" && (err != nil || kind != "application/json" && !strings.HasSuffix(kind, "+json")) {
+		return httpd.Text(http.StatusUnsupportedMediaType, "only application/json is read here, no XML")
+	}
+	if coding := h.Get("Content-Encoding"); coding != "" && !strings.EqualFold(coding, "identity") {
+		return httpd.Text(http.StatusUnsupportedMediaType, "a body with a content coding is not read here")
+	}
+	in, err := readInstance(c.x.Body)
+	if err != nil {
+		return failed(err)
+	}
+	if app := strings.ToUpper(c.path[1]); in.App != app {
+		return httpd.Text(http.StatusBadRequest, "instance.app: is "+strconv.Quote(in.App)+", the path has "+strconv.Quote(app))
+	}
+	if in.LastDirty == 0 {
+		in.LastDirty = r.wall()
+	}
+	if err := r.register(in, c.replicated); err != nil {
+		return failed(err)
+	}
+	return httpd.Answer{Status: http.StatusNoContent}
+}
+
+// dirty is the time at which the caller has the instance changed last; 0 where it does not say.
+func (c *call) dirty() (int64, bool) {
+	text := c.query.Get("lastDirtyTimestamp")
+	if text == "" {
+		return 0, true
+	}
+	v, err := strconv.ParseInt(text, 10, 64)
+	return v, err == nil && v >= 0
+}
+
+// putLease renews.
+func (r *Registry) putLease(c call) httpd.Answer {
+	app, id := strings.ToUpper(c.path[1]), c.path[2]
+	dirty, ok := c.dirty()
+	if !ok {
+		return httpd.Text(http.StatusBadRequest, "lastDirtyTimestamp: not a time in ms")
+	}
+	if !r.renew(app, id, c.replicated) {
+		return notFound(ErrUnknown.Error())
+	}
+	if l := r.lease(app, id); dirty > l.LastDirty {
+		return notFound("the instance has changed since it registered")
+	}
+	return httpd.Answer{Status: http.StatusOK}
+}
+
+// status sets an override, or takes it away.
+func (r *Registry) status(c call) httpd.Answer {
+	app, id := strings.ToUpper(c.path[1]), c.path[2]
+	value := strings.ToUpper(c.query.Get("value"))
+	dirty, ok := c.dirty()
+	if !ok {
+		return httpd.Text(http.StatusBadRequest, "lastDirtyTimestamp: not a time in ms")
+	}
+	var err error
+	switch c.method {
+	case http.MethodPut:
+		err = r.override(app, id, value, dirty, c.replicated)
+	case http.MethodDelete:
+		if value == "" {
+			value = Unknown
+		}
+		err = r.endOverride(app, id, value, dirty, c.replicated)
+	default:
+		return notAllowed("PUT, DELETE")
+	}
+	if err != nil {
+		return failed(err)
+	}
+	return httpd.Answer{Status: http.StatusOK}
+}
+
+// putMetadata adds to an instance's metadata.
+func (r *Registry) putMetadata(c call) httpd.Answer {
+	l := r.lease(strings.ToUpper(c.path[1]), c.path[2])
+	if l == nil {
+		return notFound(ErrUnknown.Error())
+	}
+	in := *l.Instance
+	in.Metadata = map[string]string{}
+	for name, value := range l.Metadata { // any order: a map is copied
+		in.Metadata[name] = value
+	}
+	for name, values := range c.query { // any order: names differ
+		in.Metadata[name] = values[0]
+	}
+	if err := r.register(in, c.replicated); err != nil {
+		return failed(err)
+	}
+	return httpd.Answer{Status: http.StatusOK}
+}
+
+// whole answers with all applications, or with what changed of late.
+func (r *Registry) whole(c call, delta bool) httpd.Answer {
+	v, key := r.shown(), "apps"
+	if delta {
+		key = "delta"
+		if r.faults.old != nil {
+			v = r.faults.old
+		}
+	}
+	if _, ok := v.bodies[key]; !ok {
+		v.bodies[key] = body{plain: r.list(v, delta)}
+	}
+	return r.document(c, v, key)
+}
+
+func (r *Registry) list(v *view, delta bool) []byte {
+	hash, version, items := hashOf(v.all), int64(1), v.all
+	if r.faults.wrongHash {
+		hash += "WRONG_1_"
+	}
+	if delta {
+		r.answers++
+		version, items = r.answers, v.delta
+		if r.faults.repeat {
+			items = append(slices.Clone(items), items...)
+		}
+	}
+	return r.applications(items, version, hash)
+}
+
+func (r *Registry) getApp(c call) httpd.Answer {
+	name := strings.ToUpper(c.path[1])
+	var items []item
+	for _, i := range r.shown().all {
+		if i.App == name {
+			items = append(items, i)
+		}
+	}
+	if len(items) == 0 {
+		return notFound("no such application")
+	}
+	return r.fresh(c, encode(map[string]any{"application": r.app(name, items)}))
+}
+
+func (r *Registry) getOne(c call, match func(*Instance) bool) httpd.Answer {
+	i, ok := r.one(match)
+	if !ok {
+		return notFound(ErrUnknown.Error())
+	}
+	return r.fresh(c, encode(map[string]any{"instance": i.Instance.wire(i.Lease, r.o.OldNames)}))
+}
+
+// lookUp answers with an instance, or with those of an address.
+func (r *Registry) lookUp(c call) httpd.Answer {
+	name := c.path[1]
+	if c.path[0] == "instances" {
+		return r.getOne(c, func(in *Instance) bool { return in.ID == name })
+	}
+	var items []item
+	for _, i := range r.shown().all {
+		addresses := i.VIPAddress
+		if c.path[0] == "svips" {
+			addresses = i.SecureVIP
+		}
+		if slices.Contains(strings.Split(addresses, ","), name) {
+			items = append(items, i)
+		}
+	}
+	if len(items) == 0 {
+		return notFound("no instance has that address")
+	}
+	return r.fresh(c, r.applications(items, 1, hashOf(items)))
+}
+
+// fresh answers with a document that is made for this call.
+func (r *Registry) fresh(c call, plain []byte) httpd.Answer {
+	const key = "fresh"
+	return r.document(c, &view{bodies: map[string]body{key: {plain: plain}}}, key)
+}
+
+// document answers with a document in JSON, compressed where the caller accepts that.
+func (r *Registry) document(c call, v *view, key string) httpd.Answer {
+	h := c.x.Request.Header
+	if !accepts(h.Values("Accept"), "application/json", true) {
+		return httpd.Text(http.StatusNotAcceptable, "only application/json is written here, no XML")
+	}
+	a := httpd.Answer{Status: http.StatusOK, Header: slices.Clone(jsonHeader)}
+	b := v.bodies[key]
+	switch {
+	case r.faults.malform:
+		a.Body = malformed(b.plain)
+	case !r.o.NoGzip && accepts(h.Values("Accept-Encoding"), "gzip", false):
+		if b.packed == nil {
+			b.packed = pack(b.plain)
+			v.bodies[key] = b
+		}
+		a.Body = b.packed
+		a.Header = append(a.Header, httpd.Header{Name: "Content-Encoding", Value: "gzip"})
+	default:
+		a.Body = b.plain
+	}
+	return a
+}
+
+// malformed is a document that no JSON reader takes.
+func malformed(b []byte) []byte { return append(bytes.Clone(b[:len(b)*2/3]), `,"}`...) }
+
+func pack(plain []byte) []byte {
+	var b bytes.Buffer
+	z, _ := gzip.NewWriterLevel(&b, gzip.BestSpeed) // the level is a good one
+	z.Write(plain)                                  // to memory, which does not fail
+	z.Close()
+	return b.Bytes()
+}
+
+// accepts reports whether a header that lists what a client takes (RFC 9110, 12.4.2) holds what, or a pattern of
+// it. none is the verdict on an empty one.
+func accepts(lines []string, what string, none bool) bool {
+	if len(lines) == 0 {
+		return none
+	}
+	kind, _, _ := strings.Cut(what, "/")
+	for _, part := range strings.Split(strings.Join(lines, ","), ",") {
+		name, weight, _ := strings.Cut(part, ";")
+		if !slices.Contains([]string{what, kind + "/*", "*/*", "*"}, strings.ToLower(strings.TrimSpace(name))) {
+			continue
+		}
+		_, q, has := strings.Cut(strings.ReplaceAll(weight, " ", ""), "q=")
+		if v, err := strconv.ParseFloat(q, 64); !has || err != nil || v > 0 {
+			return true
+		}
+	}
+	return false
+}
