--- a/internal/standin/registry/evict.go
+++ b/internal/standin/registry/evict.go
@@ -29,10 +29,7 @@
 	return least == 0 || r.lastRenewals <= least
 }
 
-// evictedShare of the instances may be evicted at a time, rounded up.
-const evictedShare = 0.15
-
-// evict takes out instances whose leases are over, a small part of them at a time, drawn by lot.
+// evict takes out instances whose leases are over, drawn by lot, so many at a time that the share of renewals is kept.
 func (r *Registry) evict() {
 	r.evicts = r.m.At(r.m.Now()+r.o.EvictEvery, r.evict)
 	if r.Preserves() {
@@ -44,7 +41,7 @@
 			over = append(over, l)
 		}
 	}
-	most := len(r.leases) - int(float64(len(r.leases))*(1-evictedShare))
+	most := len(r.leases) - int(float64(len(r.leases))*r.o.RenewalShare)
 	r.rng.Shuffle(len(over), func(i, k int) { over[i], over[k] = over[k], over[i] })
 	for _, l := range over[:min(most, len(over))] {
 		// Each replica evicts by itself.
@@ -58,12 +55,12 @@
 // sweep drops the changes from the delta queue whose time is over.
 func (r *Registry) sweep() {
 	last := r.m.Now() - (r.m.Now()-r.start)%sweepEvery
-	kept := slices.IndexFunc(r.queue, func(q queued) bool { return q.at >= last-r.o.DeltaTime })
-	switch {
-	case kept < 0:
-		r.queue = nil
-	case kept > 0:
-		r.queue = slices.Clone(r.queue[kept:])
+	over := slices.IndexFunc(r.queue, func(q queued) bool { return q.at >= last-r.o.DeltaTime })
+	if over < 0 {
+		over = len(r.queue)
+	}
+	if over > 0 {
+		r.queue = slices.Clone(r.queue[over:])
 		r.version++
 	}
 }
--- a/internal/standin/registry/faults.go
+++ b/internal/standin/registry/faults.go
@@ -131,7 +131,7 @@
 	r.version++
 	for _, v := range []*view{r.cached, r.faults.stale, r.faults.old} {
 		if v != nil {
-			v.bodies = map[string]body{}
+			v.bodies = map[string]rendered{}
 		}
 	}
 }
--- a/internal/standin/registry/rest.go
+++ b/internal/standin/registry/rest.go
@@ -248,7 +248,7 @@
 		}
 	}
 	if _, ok := v.bodies[key]; !ok {
-		v.bodies[key] = body{plain: r.list(v, delta)}
+		v.bodies[key] = rendered{plain: r.list(v, delta)}
 	}
 	return r.document(c, v, key)
 }
@@ -315,7 +315,7 @@
 // fresh answers with a document that is made for this call.
 func (r *Registry) fresh(c call, plain []byte) httpd.Answer {
 	const key = "fresh"
-	return r.document(c, &view{bodies: map[string]body{key: {plain: plain}}}, key)
+	return r.document(c, &view{bodies: map[string]rendered{key: {plain: plain}}}, key)
 }
 
 // document answers with a document in JSON, compressed where the caller accepts that.
--- a/internal/standin/registry/view.go
+++ b/internal/standin/registry/view.go
@@ -19,11 +19,11 @@
 	version int64
 	all     []item // by app and id
 	delta   []item // what changed of late, each instance once, in the order of their last changes
-	bodies  map[string]body
+	bodies  map[string]rendered
 }
 
-// body is an answer's body; packed is nil until it is asked for.
-type body struct{ plain, packed []byte }
+// rendered is an answer's body; packed is nil until it is asked for.
+type rendered struct{ plain, packed []byte }
 
 // view is the state as it is now, without what this replica is to drop.
 func (r *Registry) view() *view {
@@ -31,7 +31,7 @@
 	if r.latest != nil && r.latest.version == r.version {
 		return r.latest
 	}
-	v := &view{version: r.version, bodies: map[string]body{}}
+	v := &view{version: r.version, bodies: map[string]rendered{}}
 	for _, l := range r.leases {
 		if !r.faults.hidden[l.ID] {
 			v.all = append(v.all, item{l.Instance, l.Lease})
