--- a/internal/httpd/conn.go
+++ b/internal/httpd/conn.go
@@ -130,11 +130,14 @@
 	return c.parse() || c.left && len(c.in) < c.s.o.MostHead+c.s.o.MostBody
 }
 
-// send has bytes written. It is not called while others are unsent.
-func (c *conn) send(b []byte) {
+// send has bytes written, and reports whether the connection took that. It is not called while others are unsent.
+func (c *conn) send(b []byte) bool {
 	c.unsent = b
 	c.expire(c.s.o.WriteTime)
+	c.write()
+	sent := !c.gone
 	c.step()
+	return sent
 }
 
 // write sends what is unsent, and reports whether all of it went.
--- a/internal/httpd/exchange.go
+++ b/internal/httpd/exchange.go
@@ -22,11 +22,11 @@
 // Open reports whether an answer can still be given.
 func (x *Exchange) Open() bool { return x.c != nil }
 
-// Answer answers.
-func (x *Exchange) Answer(a Answer) {
+// Answer answers, and reports whether the answer is on its way, as far as this side can tell.
+func (x *Exchange) Answer(a Answer) bool {
 	c := x.over()
 	if c == nil {
-		return
+		return false
 	}
 	a.Close = a.Close || x.Request.Close
 	c.ending = c.ending || a.Close
@@ -34,7 +34,7 @@
 	if x.Request.Method != http.MethodHead && a.Status != http.StatusNoContent {
 		out = append(out, a.Body...)
 	}
-	c.send(out)
+	return c.send(out)
 }
 
 // Raw sends bytes in place of an answer, good or bad, and ends the connection after them.
--- a/internal/httpd/server.go
+++ b/internal/httpd/server.go
@@ -62,6 +62,7 @@
 	handle func(*Exchange)
 	doors  []machine.Listener
 	conns  []*conn
+	refuse bool
 }
 
 // New returns a server that listens nowhere yet. handle is called with each request that has come whole,
@@ -97,14 +98,22 @@
 	}
 }
 
+// Refuse ends all connections, and each that comes from now on, without a word; or not any more.
+func (s *Server) Refuse(on bool) {
+	s.refuse = on
+	if on {
+		s.DropAll()
+	}
+}
+
 // Connections is how many are open.
 func (s *Server) Connections() int { return len(s.conns) }
 
 func (s *Server) accept(mc machine.Conn) machine.Handler {
 	c := &conn{s: s, conn: mc}
 	full := len(s.conns) >= s.o.Connections
-	if full && len(s.conns) >= s.o.Connections+s.o.Connections/8+1 {
-		// The danger: those that are told to go away are more than those that are served.
+	// The danger: those that are told to go away are more than those that are served.
+	if most := s.o.Connections + s.o.Connections/8; s.refuse || len(s.conns) > most {
 		c.gone = true
 		mc.Close()
 		return c
--- /dev/null
+++ b/internal/standin/discoverycall.go
@@ -0,0 +1,171 @@
+package standin
+
+import (
+	"net/http"
+	"net/url"
+
+	"starlingwinch/internal/httpd"
+	"starlingwinch/internal/machine"
+)
+
+const (
+	mostWatch = 60 * Second  // a watch may wait so long
+	mostIdle  = 600 * Second // a router may keep a connection so long without a call
+	mostHead  = 8 << 10      // bytes of a call's head
+)
+
+// listDoor is an address at which discovery listens.
+type listDoor struct {
+	addr, router string
+	http         *httpd.Server
+}
+
+func (d *Discovery) listen(door *listDoor) error {
+	o := httpd.Options{MostHead: mostHead, IdleTime: mostIdle}
+	door.http = httpd.New(d.m, o, func(x *httpd.Exchange) {
+		router := door.router
+		if router == "" && d.o.RouterOf != nil {
+			router = d.o.RouterOf(x.Remote)
+		}
+		d.take(&listCall{d: d, x: x, router: router, after: -1})
+	})
+	door.http.Refuse(d.down && d.resets)
+	var err error
+	door.addr, err = door.http.Open(door.addr)
+	return err
+}
+
+// listCall is a router's call for the list.
+type listCall struct {
+	d      *Discovery
+	x      *httpd.Exchange
+	router string
+	after  int64 // -1 for the whole list
+	waits  bool  // it is a watch that has nothing to tell yet
+	timer  machine.Timer
+}
+
+// take takes a call in.
+func (d *Discovery) take(k *listCall) {
+	if d.silent {
+		d.held = append(d.held, k)
+		return
+	}
+	if k.x.Open() {
+		k.begin()
+	}
+}
+
+// reject answers what is no call for the list, and ends the connection.
+func (k *listCall) reject(status int) { k.x.Answer(httpd.Answer{Status: status, Close: true}) }
+
+func (k *listCall) begin() {
+	d, q := k.d, k.x.Request
+	query, err := url.ParseQuery(q.URL.RawQuery)
+	switch {
+	case q.Method != http.MethodGet:
+		k.reject(http.StatusMethodNotAllowed)
+		return
+	case err != nil || len(k.x.Body) > 0:
+		k.reject(http.StatusBadRequest)
+		return
+	case q.URL.Path != "/discovery/hosts":
+		k.reject(http.StatusNotFound)
+		return
+	}
+	wait := Time(0)
+	if query.Has("after") {
+		after, ok := number([]byte(query.Get("after")))
+		ms, ok2 := number([]byte(query.Get("wait_ms")))
+		if !ok || query.Has("wait_ms") && !ok2 {
+			k.reject(http.StatusBadRequest)
+			return
+		}
+		k.after, wait = after, min(ms*Millisecond, mostWatch)
+	}
+	d.calls = append(d.calls, k)
+	k.x.Gone, k.x.Ended = k.over, k.drop
+	if who := d.callers[k.router]; who != nil {
+		who.last = d.m.Now()
+		who.waiting++
+	}
+	switch {
+	case d.down:
+		k.refuse()
+	case k.after == d.index && wait > 0 && !d.atOnce:
+		k.waits = true
+		k.timer = d.m.At(d.m.Now()+wait, k.answer)
+	default:
+		k.answer()
+	}
+}
+
+// answer answers the call once those before it are done.
+func (k *listCall) answer() {
+	d := k.d
+	if k.timer != nil {
+		k.timer.Stop()
+	}
+	k.waits = false
+	now := d.m.Now()
+	cost := d.o.CallCost + Time(len(d.lines))*d.o.LineCost
+	if cost == 0 {
+		k.reply()
+		return
+	}
+	if at := max(now, d.freeAt); d.o.Timeout > 0 && at-now > d.o.Timeout {
+		k.timer = d.m.At(now+d.o.Timeout, k.refuse)
+		return
+	}
+	d.freeAt = max(now, d.freeAt) + cost
+	k.timer = d.m.At(d.freeAt, k.reply)
+}
+
+func (k *listCall) reply() {
+	d := k.d
+	if d.silent {
+		k.timer = d.m.At(d.m.Now()+coldStep, k.reply)
+		return
+	}
+	k.over()
+	body, whole := d.list(k.router, k.after)
+	if k.send(http.StatusOK, body) {
+		d.listed(k.router, k.after, whole)
+	}
+}
+
+// refuse answers the call 503.
+func (k *listCall) refuse() {
+	k.over()
+	k.send(http.StatusServiceUnavailable, nil)
+}
+
+func (k *listCall) send(status int, body []byte) bool {
+	return k.x.Answer(httpd.Answer{
+		Status: status,
+		Header: []httpd.Header{{Name: "Content-Type", Value: "application/json"}},
+		Body:   body,
+	})
+}
+
+// drop ends the connection of a router that waits no more.
+func (k *listCall) drop() {
+	k.over()
+	k.x.Drop()
+}
+
+// over ends the call.
+func (k *listCall) over() {
+	d := k.d
+	d.calls = without(d.calls, k)
+	if k.timer != nil {
+		k.timer.Stop()
+	}
+	if who := d.callers[k.router]; who != nil {
+		who.last = d.m.Now()
+		who.waiting--
+		if who.waiting == 0 && d.o.AskEvery > 0 {
+			d.overdue(k.router)
+		}
+	}
+}
--- a/internal/standin/registry/faults.go
+++ b/internal/standin/registry/faults.go
@@ -75,17 +75,20 @@
 
 // Empty loses all that was registered, as a server does that starts anew without replicas.
 func (r *Registry) Empty() {
+	marks := r.marks
 	for _, l := range r.leases {
-		r.marks = append(r.marks, mark{l.ID, Deleted})
+		marks = append(marks, mark{l.ID, Deleted})
 	}
+	r.marks = nil
 	r.leases, r.queue, r.overrides = nil, nil, map[string]string{}
 	r.start, r.thisMinute, r.renewals, r.lastRenewals = r.m.Now(), 0, 0, 0
 	r.version++
 	if r.o.CacheTime > 0 {
 		r.cached = r.view()
 	}
-	marks := r.marks
-	r.marks = nil
+	if r.o.OnMark == nil {
+		return
+	}
 	for _, m := range marks {
 		r.tell(m)
 	}
@@ -219,12 +222,15 @@
 	return func() []byte {
 		var b []byte
 		if n == 0 {
-			b = append(b, `{"applications":{"versions__delta":"1","apps__hashcode":"","application":[{"name":"ENDLESS","instance":[`...)
+			b = append(b, `{"applications":{"versions__delta":"1","apps__hashcode":"",`...)
+			b = append(b, `"application":[{"name":"ENDLESS","instance":[`...)
 		}
 		for len(b) < pieceSize {
 			n++
-			in := Instance{ID: "endless-" + strconv.Itoa(n), App: "ENDLESS", HostName: "endless", IPAddr: "127.0.0.1",
-				DataCenter: "MyOwn", Port: 1, PortOn: true}
+			in := Instance{
+				ID: "endless-" + strconv.Itoa(n), App: "ENDLESS", HostName: "endless", IPAddr: "127.0.0.1",
+				DataCenter: "MyOwn", Port: 1, PortOn: true,
+			}
 			in.fill()
 			b = append(b, encode(in.wire(Lease{}, false))...)
 			b = append(b, ',')
--- a/internal/standin/registry/registry_test.go
+++ b/internal/standin/registry/registry_test.go
@@ -178,6 +178,34 @@
 	b.shows("/apps", "x UP", "UP_1_")
 }
 
+func TestAReplicaThatIsClosedIsLeftOut(t *testing.T) {
+	world := sim.New(1)
+	a, b := newReplica(t, world, 1, Options{ReplicaDelay: Second}), newReplica(t, world, 2, Options{})
+	Join(a.r, b.r)
+	a.register("x")
+	b.r.Close()
+	b.host.Kill()
+	a.after(2 * Second)
+	a.register("y")
+	a.after(2 * Second)
+	a.shows("/apps", "x UP, y UP", "UP_2_")
+	if n := len(b.r.State()); n != 0 {
+		t.Errorf("%d came to a closed registry", n)
+	}
+}
+
+func TestTheDeltaQueueIsBounded(t *testing.T) {
+	f := newField(t, Options{MostInstances: 2})
+	f.register("a", "b")
+	for i := range 100 {
+		f.r.SetStatus("a", []string{OutOfService, Up}[i%2])
+	}
+	if n := len(f.r.queue); n > 2*changesEach {
+		t.Errorf("%d changes are kept", n)
+	}
+	f.shows("/apps/delta", "a UP MODIFIED", "UP_2_")
+}
+
 func TestTestsChangeTheStateWithoutCalls(t *testing.T) {
 	f := newField(t, Options{})
 	in := Instance{ID: "a", App: "log-cache", HostName: "h", IPAddr: "10.9.0.1", Port: 1, PortOn: true}
--- a/internal/standin/registry/rest.go
+++ b/internal/standin/registry/rest.go
@@ -6,6 +6,7 @@
 	"crypto/subtle"
 	"encoding/base64"
 	"errors"
+	"fmt"
 	"mime"
 	"net/http"
 	"net/url"
@@ -155,7 +156,7 @@
 		return failed(err)
 	}
 	if app := strings.ToUpper(c.path[1]); in.App != app {
-		return httpd.Text(http.StatusBadRequest, "instance.app: is "+strconv.Quote(in.App)+", the path has "+strconv.Quote(app))
+		return failed(fmt.Errorf("instance.app: is %.80q, the path has %.80q", in.App, app))
 	}
 	if in.LastDirty == 0 {
 		in.LastDirty = r.wall()
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -1,8 +1,9 @@
 // Package standin plays what surrounds a router: cache servers, the store behind them, discovery and
-// clients. It follows the project's protocol page, RESP2 and as much of HTTP/1.1 (RFC 9112) as
-// discovery needs. It is written against machine.Machine alone: it starts no goroutine, reads no clock
-// but the machine's and draws all chance from the generator that it is given, so that the same code
-// runs on a virtual network, where equal seeds give equal runs, and on loopback sockets.
+// clients. It follows the project's protocol page and RESP2; discovery speaks HTTP/1.1 by package httpd,
+// and a Eureka registry has a package of its own below. It is written against machine.Machine alone: it
+// starts no goroutine, reads no clock but the machine's and draws all chance from the generator that it is
+// given, so that the same code runs on a virtual network, where equal seeds give equal runs, and on
+// loopback sockets.
 //
 // The stand-ins tell a rules.Observer what they see on their sockets. They never look into a router
 // and never judge what one does.
