--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -131,7 +131,9 @@
 // commands carries out the whole commands at the front of b, as many as the share allows, and returns how many
 // bytes they took.
 func (c *client) commands(b []byte, share *int) (used int) {
-	for *share > 0 && len(c.queue) < c.front.o.Bounds.Pipelined && used < len(b) {
+	// The danger: an answer has found the connection broken and closed it; what a command asks for after that is
+	// asked by nobody, and never given back.
+	for !c.closed && *share > 0 && len(c.queue) < c.front.o.Bounds.Pipelined && used < len(b) {
 		args, n, err := resp.NextCommand(b[used:])
 		if err == nil && n == 0 && len(b)-used > resp.MostCommand {
 			err = errors.New("too big a command")
