--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -62,7 +62,7 @@
 			return // it is closed behind the answers that are due
 		}
 		if len(c.queue) >= f.o.Bounds.Pipelined {
-			c.paused = true // until answers leave
+			c.pause()
 			return
 		}
 		if share <= 0 {
@@ -157,6 +157,15 @@
 	return used
 }
 
+// pause stops the reading until answers leave. The danger: a client that is not read passes for one that stops in a
+// command, and loses all that it waits for.
+func (c *client) pause() {
+	c.paused = true
+	if c.state == fresh || c.state == partial || c.state == idle {
+		c.enter(busy)
+	}
+}
+
 // settle puts the client into the state that fits what it has sent and what it is due.
 func (c *client) settle() {
 	c.part = shrink(c.part)
