--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -302,8 +302,10 @@
 		return
 	}
 	c.last, c.part = true, nil
-	c.enter(busy)
-	c.flush()
+	if c.state != stuck {
+		c.enter(busy)
+		c.flush()
+	}
 }
 
 // retire has the connection closed as soon as it is between requests.
@@ -334,47 +336,28 @@
 // flush sends the answers that are there, in the order of the commands.
 func (c *client) flush() {
 	f := c.front
-	if c.closed {
-		return
-	}
-	ready := 0
-	for ready < len(c.queue) && c.queue[ready].answered {
-		ready++
-	}
-	if ready == 0 && len(c.unsent) == 0 {
-		c.rest()
-		return
-	}
-	b := c.unsent
-	switch {
-	case len(b) == 0 && ready == 1:
-		b = c.queue[0].answer
-	default:
-		f.out = append(f.out[:0], b...)
-		for _, s := range c.queue[:ready] {
-			f.out = append(f.out, s.answer...)
+	for !c.closed {
+		b := c.unsent
+		if len(b) == 0 {
+			b = c.gather()
 		}
-		b = f.out
-	}
-	n, err := c.nc.Write(b)
-	if err != nil {
-		c.close()
-		return
-	}
-	charged := int64(0)
-	for _, s := range c.queue[:ready] {
-		charged += s.charge
-	}
-	left := int64(len(b) - n)
-	// What is left stays counted; all else is given back.
-	f.memory.give(charged + int64(len(c.unsent)) - left)
-	c.unsent = append([]byte(nil), b[n:]...)
-	c.queue = append(c.queue[:0], c.queue[ready:]...)
-	clear(c.queue[len(c.queue) : len(c.queue)+ready])
-	if len(c.unsent) > 0 {
-		if c.state != stuck {
-			c.enter(stuck)
+		if len(b) == 0 {
+			break
+		}
+		n, err := c.nc.Write(b)
+		if err != nil {
+			c.unsent = b // it is counted
+			c.close()
+			return
+		}
+		f.memory.give(int64(n))
+		if n < len(b) {
+			c.keep(b[n:])
+			return
 		}
+		c.unsent = nil
+	}
+	if c.closed {
 		return
 	}
 	if c.state == stuck {
@@ -388,6 +371,47 @@
 	c.rest()
 }
 
+// gather takes answers that are there off the queue: one, or as many as stay below a bound. They are
+// counted until they are sent.
+//
+// The danger: a client that does not read has all its answers put together anew with each one that comes,
+// and the loop does nothing else.
+func (c *client) gather() []byte {
+	f := c.front
+	size, charged, n := 0, int64(0), 0
+	for n < len(c.queue) && c.queue[n].answered && (n == 0 || size+len(c.queue[n].answer) <= gatherSize) {
+		size += len(c.queue[n].answer)
+		charged += c.queue[n].charge
+		n++
+	}
+	if n == 0 {
+		return nil
+	}
+	f.memory.give(charged - int64(size))
+	b := c.queue[0].answer
+	if n > 1 {
+		f.out = f.out[:0]
+		for _, s := range c.queue[:n] {
+			f.out = append(f.out, s.answer...)
+		}
+		b = f.out
+	}
+	left := copy(c.queue, c.queue[n:])
+	clear(c.queue[left:])
+	c.queue = c.queue[:left]
+	return b
+}
+
+// keep holds what the socket did not take. The client's time to take it runs from its first byte on.
+func (c *client) keep(rest []byte) {
+	if len(c.unsent) > 0 {
+		c.unsent = rest // of the same
+		return
+	}
+	c.unsent = bytes.Clone(rest)
+	c.enter(stuck)
+}
+
 // rest sees to a connection whose answers are sent as far as they are there.
 func (c *client) rest() {
 	if c.closed || len(c.queue) > 0 || len(c.unsent) > 0 || c.state == closing {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -25,6 +25,7 @@
 	lastReads    = 500_000 // a connection that is to close is read for so long, while answers are due
 	turnsShare   = 32      // commands of one connection in one turn: it must not crowd the others out
 	readSize     = 16 << 10
+	gatherSize   = 64 << 10             // bytes of small answers that are written at once
 	lingerSize   = 4 * resp.MostCommand // bytes that are read off a connection that is closed for its errors
 )
 
--- a/internal/front/slot.go
+++ b/internal/front/slot.go
@@ -43,5 +43,7 @@
 	}
 	s.charge += int64(len(b))
 	s.answer, s.answered = b, true
-	c.flush()
+	if len(c.unsent) == 0 { // else it waits until the client reads
+		c.flush()
+	}
 }
