--- /dev/null
+++ b/internal/front/retire_test.go
@@ -0,0 +1,117 @@
+package front
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"starlingwinch/internal/routertest"
+)
+
+// retire begins a drain. The channel is closed at its end.
+func (r *rig) retire() <-chan struct{} {
+	r.t.Helper()
+	drained := make(chan struct{})
+	r.Do(func() { r.f.Retire(func() { close(drained) }) })
+	return drained
+}
+
+// TestWhatComesInWhileAConnectionIsRetiredIsServed, as long as it can be had, and none of it is lost.
+func TestWhatComesInWhileAConnectionIsRetiredIsServed(t *testing.T) {
+	const clients = 30
+	r := newRig(t, nil)
+	var all []*routertest.Client
+	for range clients {
+		c := r.dial()
+		c.Send(words("PING"))
+		c.Want("+PONG")
+		all = append(all, c)
+	}
+	drained := make(chan struct{})
+	r.Do(func() {
+		for i, c := range all { // these have come, and nobody has looked
+			c.Send(get(fmt.Sprint("r", i)))
+		}
+		r.f.Retire(func() { close(drained) })
+	})
+	for i := range clients {
+		a := r.next()
+		// More comes behind what is due: it is read too.
+		var n int
+		fmt.Sscanf(a.cmd.ID(), "r%d", &n)
+		all[n].Send(get(fmt.Sprint("more", n)))
+		r.answerNext(a, fmt.Sprint("more", n))
+		if i == 0 {
+			select {
+			case <-drained:
+				t.Error("the drain ended with work in hand")
+			default:
+			}
+		}
+	}
+	for _, c := range all {
+		c.Want("value")
+		c.Want("value")
+		c.WantClosed()
+	}
+	routertest.Receive(t, drained, "end of the drain")
+	r.empty()
+}
+
+// answerNext answers a request, and before it the one with the given id, which comes behind it.
+func (r *rig) answerNext(a asked, id string) {
+	r.t.Helper()
+	var passed []asked
+	for {
+		b := r.next()
+		if b.cmd.ID() == id {
+			r.answer(b, value)
+			break
+		}
+		passed = append(passed, b)
+	}
+	for _, b := range passed { // they wait for their own turn
+		r.asked <- b
+	}
+	r.answer(a, value)
+}
+
+// TestRetiredClientWithHalfACommandHasAMoment to send the rest; then it is told and closed.
+func TestRetiredClientWithHalfACommandHasAMoment(t *testing.T) {
+	r := newRig(t, nil)
+	halting, goesOn := r.dial(), r.dial()
+	wire := get("r1")
+	halting.Send(wire[:20])
+	goesOn.Send(wire[:20])
+	r.Until("both halves", func() bool {
+		l := r.f.lists[partial]
+		return l.first != nil && l.first != l.last
+	})
+	drained := make(chan struct{})
+	r.Do(func() {
+		r.f.Retire(func() { close(drained) })
+		goesOn.Send(wire[20:])
+	})
+	a := r.next()
+	if got := halting.Line(); !strings.Contains(got, "does not go on") {
+		t.Errorf("half a command: %q", got)
+	}
+	halting.WantClosed()
+	r.answer(a, value)
+	goesOn.Want("value")
+	goesOn.WantClosed()
+	routertest.Receive(t, drained, "end of the drain")
+	r.empty()
+}
+
+// TestIdleConnectionsEndAtOnceAndNewOnesAreRefused when the drain begins.
+func TestIdleConnectionsEndAtOnceAndNewOnesAreRefused(t *testing.T) {
+	r := newRig(t, nil)
+	c := r.dial()
+	c.Send(words("PING"))
+	c.Want("+PONG")
+	drained := r.retire()
+	c.WantClosed()
+	routertest.Receive(t, drained, "end of the drain")
+	r.empty()
+}
