--- a/internal/front/client_test.go
+++ b/internal/front/client_test.go
@@ -311,6 +311,29 @@
 	c.Want("value")
 }
 
+// TestSmallAnswersAreGivenThoughMemoryIsUsedUp: a refusal stays one, and the router is seen to be alive.
+func TestSmallAnswersAreGivenThoughMemoryIsUsedUp(t *testing.T) {
+	r := newRig(t, nil)
+	c := r.dial()
+	c.Send(get("r1") + get("r2"))
+	refused, failed := r.next(), r.next()
+	var filled int64
+	r.Do(func() {
+		filled = r.f.memory.most - r.f.memory.held
+		r.f.memory.take(filled)
+		refused.Answer([]byte("-BUSY 100\r\n"))
+		failed.Answer([]byte(large))
+	})
+	c.Send(words("PING"))
+	for _, want := range []string{"-BUSY 100", "-ERR failed", "+PONG"} {
+		c.Want(want)
+	}
+	r.Do(func() { r.f.memory.give(filled) })
+	c.Send(get("r3"))
+	r.answer(r.next(), value)
+	c.Want("value")
+}
+
 // TestSilentClients: a connection on which nothing or half a command comes is not kept.
 func TestSilentClients(t *testing.T) {
 	r := newRig(t, nil)
--- a/internal/front/slot.go
+++ b/internal/front/slot.go
@@ -19,6 +19,9 @@
 // BusyReply is a refusal without a time to come back.
 const BusyReply = "-BUSY\r\n"
 
+// smallAnswer is the size of answers that are given though memory is used up: at most as many as may be pipelined.
+const smallAnswer = 64
+
 // Slot is the place of an answer in its connection's order.
 type Slot struct {
 	ID int64 // the desk's, for a request
@@ -38,7 +41,11 @@
 	}
 	f := c.front
 	if !f.memory.take(int64(len(b))) {
-		b = []byte(FailedReply) // many answers wait for readers that are slow
+		// Many answers wait for readers that are slow. The danger: where a refusal has no room either, the client
+		// is not told that another try does no harm; where a PONG has none, the router passes for dead.
+		if len(b) > smallAnswer {
+			b = []byte(FailedReply)
+		}
 		f.memory.held += int64(len(b))
 	}
 	s.charge += int64(len(b))
