--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -62,7 +62,7 @@
 			return // it is closed behind the answers that are due
 		}
 		if len(c.queue) >= f.o.Bounds.Pipelined {
-			c.paused = true // until answers leave
+			c.pause()
 			return
 		}
 		if share <= 0 {
@@ -131,7 +131,9 @@
 // commands carries out the whole commands at the front of b, as many as the share allows, and returns how many
 // bytes they took.
 func (c *client) commands(b []byte, share *int) (used int) {
-	for *share > 0 && len(c.queue) < c.front.o.Bounds.Pipelined && used < len(b) {
+	// The danger: an answer has found the connection broken and closed it; what a command asks for after that is
+	// asked by nobody, and never given back.
+	for !c.closed && *share > 0 && len(c.queue) < c.front.o.Bounds.Pipelined && used < len(b) {
 		args, n, err := resp.NextCommand(b[used:])
 		if err == nil && n == 0 && len(b)-used > resp.MostCommand {
 			err = errors.New("too big a command")
@@ -155,6 +157,15 @@
 	return used
 }
 
+// pause stops the reading until answers leave. The danger: a client that is not read passes for one that stops in a
+// command, and loses all that it waits for.
+func (c *client) pause() {
+	c.paused = true
+	if c.state == fresh || c.state == partial || c.state == idle {
+		c.enter(busy)
+	}
+}
+
 // settle puts the client into the state that fits what it has sent and what it is due.
 func (c *client) settle() {
 	c.part = shrink(c.part)
@@ -293,8 +304,10 @@
 		return
 	}
 	c.last, c.part = true, nil
-	c.enter(busy)
-	c.flush()
+	if c.state != stuck {
+		c.enter(busy)
+		c.flush()
+	}
 }
 
 // retire has the connection closed as soon as it is between requests.
@@ -325,47 +338,28 @@
 // flush sends the answers that are there, in the order of the commands.
 func (c *client) flush() {
 	f := c.front
-	if c.closed {
-		return
-	}
-	ready := 0
-	for ready < len(c.queue) && c.queue[ready].answered {
-		ready++
-	}
-	if ready == 0 && len(c.unsent) == 0 {
-		c.rest()
-		return
-	}
-	b := c.unsent
-	switch {
-	case len(b) == 0 && ready == 1:
-		b = c.queue[0].answer
-	default:
-		f.out = append(f.out[:0], b...)
-		for _, s := range c.queue[:ready] {
-			f.out = append(f.out, s.answer...)
+	for !c.closed {
+		b := c.unsent
+		if len(b) == 0 {
+			b = c.gather()
 		}
-		b = f.out
-	}
-	n, err := c.nc.Write(b)
-	if err != nil {
-		c.close()
-		return
-	}
-	charged := int64(0)
-	for _, s := range c.queue[:ready] {
-		charged += s.charge
-	}
-	left := int64(len(b) - n)
-	// What is left stays counted; all else is given back.
-	f.memory.give(charged + int64(len(c.unsent)) - left)
-	c.unsent = append([]byte(nil), b[n:]...)
-	c.queue = append(c.queue[:0], c.queue[ready:]...)
-	clear(c.queue[len(c.queue) : len(c.queue)+ready])
-	if len(c.unsent) > 0 {
-		if c.state != stuck {
-			c.enter(stuck)
+		if len(b) == 0 {
+			break
 		}
+		n, err := c.nc.Write(b)
+		if err != nil {
+			c.unsent = b // it is counted
+			c.close()
+			return
+		}
+		f.memory.give(int64(n))
+		if n < len(b) {
+			c.keep(b[n:])
+			return
+		}
+		c.unsent = nil
+	}
+	if c.closed {
 		return
 	}
 	if c.state == stuck {
@@ -379,6 +373,47 @@
 	c.rest()
 }
 
+// gather takes answers that are there off the queue: one, or as many as stay below a bound. They are
+// counted until they are sent.
+//
+// The danger: a client that does not read has all its answers put together anew with each one that comes,
+// and the loop does nothing else.
+func (c *client) gather() []byte {
+	f := c.front
+	size, charged, n := 0, int64(0), 0
+	for n < len(c.queue) && c.queue[n].answered && (n == 0 || size+len(c.queue[n].answer) <= gatherSize) {
+		size += len(c.queue[n].answer)
+		charged += c.queue[n].charge
+		n++
+	}
+	if n == 0 {
+		return nil
+	}
+	f.memory.give(charged - int64(size))
+	b := c.queue[0].answer
+	if n > 1 {
+		f.out = f.out[:0]
+		for _, s := range c.queue[:n] {
+			f.out = append(f.out, s.answer...)
+		}
+		b = f.out
+	}
+	left := copy(c.queue, c.queue[n:])
+	clear(c.queue[left:])
+	c.queue = c.queue[:left]
+	return b
+}
+
+// keep holds what the socket did not take. The client's time to take it runs from its first byte on.
+func (c *client) keep(rest []byte) {
+	if len(c.unsent) > 0 {
+		c.unsent = rest // of the same
+		return
+	}
+	c.unsent = bytes.Clone(rest)
+	c.enter(stuck)
+}
+
 // rest sees to a connection whose answers are sent as far as they are there.
 func (c *client) rest() {
 	if c.closed || len(c.queue) > 0 || len(c.unsent) > 0 || c.state == closing {
