--- /dev/null
+++ b/internal/lab/loopback/build.go
@@ -0,0 +1,19 @@
+package loopback
+
+import (
+	"bytes"
+	"fmt"
+	"os/exec"
+	"path/filepath"
+)
+
+// Build builds the router program into a directory and returns its path. It needs the Go tool chain, and the
+// working directory to be inside the module.
+func Build(dir string) (string, error) {
+	path := filepath.Join(dir, "starlingwinch")
+	out, err := exec.Command("go", "build", "-o", path, "starlingwinch/cmd/starlingwinch").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("go build of the router: %w\n%s", err, bytes.TrimSpace(out))
+	}
+	return path, nil
+}
--- /dev/null
+++ b/internal/lab/loopback/loopback.go
@@ -0,0 +1,116 @@
+// Package loopback runs real router processes beside stand-ins for all that surrounds them, on this machine's
+// loopback addresses. The stand-ins share one machine in this process; each router has addresses of its own at
+// every cache and at discovery, so that it is known who calls. The four rules are watched from outside by
+// package rules.
+//
+// It never looks into a router but for what the system tells of a process, it judges no time that this process
+// itself was late for (see witness), and it leaves no process behind: each is ended by its id, and by the
+// kernel where this process dies.
+package loopback
+
+import (
+	"io"
+
+	"starlingwinch/internal/lab/script"
+	"starlingwinch/internal/machine"
+	"starlingwinch/internal/rules"
+	"starlingwinch/internal/standin"
+)
+
+// Time is an instant or a span in microseconds.
+type Time = machine.Time
+
+const (
+	millisecond = standin.Millisecond
+	second      = standin.Second
+)
+
+// Options describe a run.
+type Options struct {
+	Script  script.Script // the world, and what goes wrong in it
+	Endless bool          // clients go on until an interrupt, whatever the script's length
+	Program string        // a router's binary; empty has it built
+	// Visitors says that somebody else may ask the routers besides; what they ask for is not watched.
+	Visitors bool
+
+	Ready func(Addresses) // once all routers serve; may be nil
+	See   func(Snapshot)  // every second from then on; may be nil
+	Log   io.Writer       // takes the routers' lines as they come; may be nil
+}
+
+// Addresses are where the parts listen.
+type Addresses struct {
+	Routers   []standin.Target
+	Discovery []string // for each router
+	Dir       string   // holds the routers' configuration files
+}
+
+// Report is what a run has shown.
+type Report struct {
+	Counts      rules.Counts     // of tries, by the watcher
+	Tallies     []*standin.Tally // of requests with all their tries, by class
+	Broken      []Finding        // rules broken, the first ones
+	Misses      Misses           // requests that were not served in time
+	Troubles    []string         // what was wrong with a process, each in one line
+	Routers     []RouterReport
+	Lag         Lag
+	Interrupted bool
+	// Classes are the clients'.
+	Classes []standin.Class
+}
+
+// Finding is a broken rule with the life of its request.
+type Finding struct {
+	rules.Violation
+	History []string
+}
+
+// RouterReport is what is known of a router over all its processes.
+type RouterReport struct {
+	Name        string
+	Starts      int
+	PeakRSS     int64 // bytes, the most of any of its processes
+	Descriptors int   // the most that were seen
+	Lines       int   // of its log
+	Tail        []string
+}
+
+// OK reports whether no rule was broken and every process did as it should.
+func (r *Report) OK() bool { return r.Counts.Violations() == 0 && len(r.Troubles) == 0 }
+
+// Requests sums the tallies of all classes up.
+func (r *Report) Requests() standin.Tally {
+	var sum standin.Tally
+	for _, t := range r.Tallies {
+		sum.Add(t)
+	}
+	return sum
+}
+
+// InTime is the share of the clients' requests that were served within their aim, at whichever try.
+func (r *Report) InTime() float64 {
+	sum := r.Requests()
+	if sum.Requests == 0 {
+		return 1
+	}
+	return float64(sum.InAim) / float64(sum.Requests)
+}
+
+// Service is the worth earned of the worth asked for.
+func (r *Report) Service() float64 { return standin.Service(r.Tallies) }
+
+// PeakRSS is the most bytes that any router held, Descriptors the most descriptors.
+func (r *Report) PeakRSS() (most int64) {
+	for _, router := range r.Routers {
+		most = max(most, router.PeakRSS)
+	}
+	return most
+}
+
+// Descriptors is the most descriptors that any router held.
+func (r *Report) Descriptors() (most int) {
+	for _, router := range r.Routers {
+		most = max(most, router.Descriptors)
+	}
+	return most
+}
--- /dev/null
+++ b/internal/lab/loopback/world.go
@@ -0,0 +1,91 @@
+package loopback
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+
+	"starlingwinch/internal/lab/script"
+	"starlingwinch/internal/rules"
+	"starlingwinch/internal/standin"
+)
+
+// slack is how much longer each limit of time is on sockets than in the simulator: the operators' protocol says so.
+const slack = 50 * millisecond
+
+// Check refuses a script before anything starts. The error names each fault that loopback sockets can't have.
+func Check(s script.Script) error {
+	if err := s.Check(); err != nil {
+		return err
+	}
+	var impossible []string
+	for _, f := range s.Faults {
+		if doers[f.Kind].begin == nil {
+			impossible = append(impossible, f.String())
+		}
+	}
+	if len(impossible) > 0 {
+		return errors.New("not possible on loopback sockets: " + strings.Join(impossible, ", "))
+	}
+	return nil
+}
+
+// fleetOptions are the stand-ins that a script asks for.
+func fleetOptions(s *script.Script) standin.Options {
+	o := standin.DefaultOptions()
+	o.Caches, o.Zones = s.Caches, script.Zones()
+	for i := range o.Classes {
+		if o.Classes[i].Write {
+			o.Classes[i].Share *= s.Clients.Writes
+		}
+	}
+	// A fleet that has run for long holds in its caches together what one pooled cache would. Which of them holds
+	// what is the routers' choice of long ago, so each begins with all of it.
+	o.Cache.MemoryKeys *= s.Caches
+	o.Cache.Capacity.Speed = s.Fleet.Speed
+	o.Cache.Probes, o.Cache.Reports = s.Fleet.Probes, s.Fleet.Reports
+	o.Cache.Cancel = map[string]standin.Cancel{"none": standin.CancelNone, "queued": standin.CancelQueued,
+		"all": standin.CancelAll}[s.Fleet.Cancel]
+	o.Discovery.Delay = span(s.Fleet.ListDelay)
+	o.Clients = s.Clients.Groups
+	o.Client.Rate, o.Client.Retries, o.Client.Honour = s.Rate, s.Clients.Retries, s.Clients.Honour
+	o.Client.Wait = map[string]standin.RetryWait{"at-once": standin.AtOnce, "fixed": standin.FixedWait,
+		"exponential": standin.Exponential}[s.Clients.Wait]
+	o.Client.WaitTime, o.Client.TryShare = span(s.Clients.WaitTime), s.Clients.TryShare
+	o.Client.Slack = slack
+	o.Client.Impatient, o.Client.Pipeline = s.Clients.Impatient, s.Clients.Pipeline
+	for i := range s.Routers {
+		o.Routers = append(o.Routers[:i], fmt.Sprintf("r-%d", i+1))
+	}
+	return o
+}
+
+// routerSettings are what each router is told, but for its name and its addresses.
+func routerSettings(s *script.Script, classes []standin.Class) standin.RouterSettings {
+	o := standin.DefaultRouterSettings()
+	o.Routers, o.Classes, o.Sockets = s.Routers, classes, s.Fleet.Sockets
+	o.MaxAttempts, o.Copies, o.Probes = s.Fleet.MaxAttempts, s.Fleet.Copies, s.Fleet.Probes
+	o.Cancel = s.Fleet.Cancel == "all"
+	return o
+}
+
+// ruleSettings are the figures of the rules. Each limit of time is 50 ms longer on sockets.
+func ruleSettings(fleet *standin.Options, router *standin.RouterSettings) rules.Settings {
+	capacity := &fleet.Cache.Capacity
+	set := rules.Settings{
+		Classes: map[string]rules.Class{}, MaxAttempts: router.MaxAttempts, Copies: router.Copies,
+		Slack: slack, Flight: 50 * millisecond, DrainGrace: router.DrainGrace,
+		FallMultiple: capacity.FallMultiple, FallFor: capacity.FallFor, FallSlack: 0.1,
+		StoreFallFor: fleet.Store.FallFor, StoreColdShare: 0.5,
+	}
+	effects := [...]rules.Effect{standin.Safe: rules.Safe, standin.Keyed: rules.Keyed, standin.Unsafe: rules.Unsafe}
+	for _, c := range fleet.Classes {
+		set.Classes[c.Name] = rules.Class{Effect: effects[c.Effect], Scope: rules.ScopeAll, Window: c.Window,
+			Aim: c.Aim, Deadline: c.Deadline, Worth: c.Worth, LateWorth: c.LateWorth}
+	}
+	return set
+}
+
+// part is a generator of its own for one part of a run.
+func part(seed int64, of uint64) *rand.Rand { return rand.New(rand.NewPCG(uint64(seed), of)) }
--- a/internal/standin/cache.go
+++ b/internal/standin/cache.go
@@ -64,6 +64,8 @@
 	calls   map[*call]struct{} // begun and not over
 	offered offeredOver
 	faults  faults
+	hits    int // reads that its memory held ...
+	misses  int // ... and those that it did not
 }
 
 // door is an address that a cache listens on.
@@ -168,6 +170,9 @@
 // Holds is the number of requests that run or wait.
 func (c *Cache) Holds() int { return len(c.calls) }
 
+// Hits is the number of reads whose key it held, and of those that had to wait for the store, since it exists.
+func (c *Cache) Hits() (hits, misses int) { return c.hits, c.misses }
+
 // Connections is the number of those that are open.
 func (c *Cache) Connections() int { return len(c.conns) }
 
--- a/internal/standin/call.go
+++ b/internal/standin/call.go
@@ -65,6 +65,7 @@
 		c.proc.run(&k.job)
 	case c.memory.use(k.ask.key):
 		k.how = "hit"
+		c.hits++
 		c.proc.run(&k.job)
 	default:
 		k.miss()
@@ -74,6 +75,7 @@
 // miss asks the store, or joins who has asked.
 func (k *call) miss() {
 	c := k.c
+	c.misses++
 	k.how = "miss"
 	f := c.fetching(k.ask.key)
 	if f != nil {
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -46,6 +46,7 @@
 	MostWait  Time    // of an advice; 0 stands for 1.5 s
 	TryShare  float64 // a try is given up after this share of the deadline; 0 stands for 1
 	Impatient float64 // share of tries that are left early
+	Slack     Time    // for which a client stays past the end of its patience, to see an answer that comes late
 	MarkRetry bool
 	Hints     bool
 	ValueSize int // of a write's value
@@ -209,9 +210,9 @@
 	r.tries++
 	t := &try{req: r, id: fmt.Sprintf("%016x", c.rng.Uint64())}
 	t.deadline = min(now+Time(c.o.TryShare*float64(r.class.Deadline)), r.deadline())
-	until := t.deadline
+	until := t.deadline + c.o.Slack
 	if chance(c.rng, c.o.Impatient) {
-		until = between(c.rng, now, until)
+		until = between(c.rng, now, t.deadline)
 	}
 	t.giveUp = c.m.At(until, t.givenUp)
 	c.place(t)
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -161,6 +161,25 @@
 	})
 }
 
+// Restarted tells in the list that a cache's process has started anew.
+func (d *Discovery) Restarted(name string, at Time) {
+	d.change(func(d *Discovery) {
+		if l := d.line(name); l != nil {
+			e := l.Entry
+			e.Since = at
+			d.set(e)
+		}
+	})
+}
+
+// Forget forgets what a router was told: it has started anew, and knows nothing.
+func (d *Discovery) Forget(router string) {
+	delete(d.told, router)
+	if c := d.callers[router]; c != nil {
+		c.last = d.m.Now()
+	}
+}
+
 // Remove takes a cache off the list; watches are told that it is terminated.
 func (d *Discovery) Remove(name string) { d.SetStatus(name, Terminated) }
 
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -137,6 +137,15 @@
 	return c, err
 }
 
+// RestartCold ends a cache's process and starts a cold one, and has discovery tell so.
+func (f *Fleet) RestartCold(c *Cache) error {
+	if err := c.Restart(true); err != nil {
+		return fmt.Errorf("cache %s: %w", c.Name(), err)
+	}
+	f.Discovery.Restarted(c.Name(), c.m.Now())
+	return nil
+}
+
 func (f *Fleet) newCache(cold bool) (*Cache, Entry, error) {
 	o := f.o.Cache
 	o.Zone = f.o.Zones[f.names%len(f.o.Zones)]
