--- a/cmd/lab/try.go
+++ b/cmd/lab/try.go
@@ -105,7 +105,11 @@
 	if err != nil {
 		return err
 	}
-	summary(out, "try", &r)
+	told(out, &r)
+	sum := r.Requests()
+	fmt.Fprintf(out, "try: requests %d served %d refused %d failed %d lost %d doubled %d late_drains %d in_time %.3f "+
+		"rules broken %d\n", sum.Requests, sum.InAim+sum.Late, sum.Refused, sum.Failed+sum.Lost+sum.Left,
+		r.Counts.Lost, r.Counts.Doubled, r.Counts.LateDrains(), r.InTime(), r.Counts.Violations())
 	if !r.OK() {
 		return errMissed
 	}
@@ -123,8 +127,8 @@
 	fmt.Fprintln(out, "at:   "+strings.Join(all, "; "))
 }
 
-// summary tells how a run has gone: what went wrong, and one line of figures.
-func summary(out io.Writer, name string, r *loopback.Report) {
+// told tells what went wrong in a run.
+func told(out io.Writer, r *loopback.Report) {
 	for _, f := range r.Broken {
 		fmt.Fprintln(out, "RULE BROKEN", f.Violation)
 		for _, line := range f.History {
@@ -137,10 +141,4 @@
 	if r.Lag.Stalls > 0 {
 		fmt.Fprintln(out, r.Lag)
 	}
-	sum := r.Requests()
-	fmt.Fprintf(out, "%s: requests %d served %d refused %d failed %d lost %d doubled %d late_drains %d broken %d "+
-		"in_time %.3f service %.3f rss_mb %.0f descriptors %d\n",
-		name, sum.Requests, sum.InAim+sum.Late, sum.Refused, sum.Failed+sum.Lost+sum.Left, r.Counts.Lost,
-		r.Counts.Doubled, r.Counts.LateDrains(), r.Counts.Violations(), r.InTime(), r.Service(),
-		float64(r.PeakRSS())/(1<<20), r.Descriptors())
 }
