--- a/internal/sim/conn.go
+++ b/internal/sim/conn.go
@@ -38,8 +38,10 @@
 
 	in     []byte // come and not read, from head on
 	head   int
-	credit int // that may be written
-	freed  int // read here, and not told to the peer yet
+	came   uint64 // bytes, in all
+	marks  []mark // of the pieces that have come, the latest of them
+	credit int    // that may be written
+	freed  int    // read here, and not told to the peer yet
 
 	last   *event // the last piece on its way, where more can join it
 	lastAt Time   // nothing sent later arrives before this
@@ -153,6 +155,7 @@
 		return
 	}
 	ev.data = append(ev.data, b...)
+	ev.sentAt = c.w.now
 	c.last = ev
 }
 
@@ -323,8 +326,36 @@
 	}
 }
 
+// mark tells from which byte on what came was written when.
+type mark struct {
+	from uint64
+	sent Time
+}
+
+// mostMarks bounds the pieces whose time of writing is held.
+const mostMarks = 64
+
+// SentAt is when the byte with that number, from 0, was written by the other side, as an onlooker between the two would
+// know it: a cut or a slow link delays bytes by any time. For one that came long ago it may be later than
+// that. It is for stand-ins that watch, not for the code under test.
+func (c *Conn) SentAt(number uint64) Time {
+	i := len(c.marks) - 1
+	for i > 0 && c.marks[i].from > number {
+		i--
+	}
+	if i < 0 {
+		return c.w.now
+	}
+	return c.marks[i].sent
+}
+
 // takeIn adds bytes to those that wait.
 func (c *Conn) takeIn(ev *event) {
+	if len(c.marks) == mostMarks {
+		c.marks = c.marks[:copy(c.marks, c.marks[mostMarks/2:])]
+	}
+	c.marks = append(c.marks, mark{c.came, ev.sentAt})
+	c.came += uint64(len(ev.data))
 	if c.head == len(c.in) {
 		c.in, ev.data = ev.data, c.in[:0]
 		c.head = 0
--- a/internal/sim/event.go
+++ b/internal/sim/event.go
@@ -54,6 +54,7 @@
 	fn       func()
 	err      error
 	n        int
+	sentAt   Time // BytesCame: when its first byte was written
 	heldAt   Time
 	link     *Link
 	to       netip.AddrPort
--- a/internal/sim/faults_test.go
+++ b/internal/sim/faults_test.go
@@ -423,3 +423,34 @@
 		t.Errorf("got %v", err)
 	}
 }
+
+func TestBytesThatACutHeldTellWhenTheyWereWritten(t *testing.T) {
+	f := newField(t, HostOptions{}, HostOptions{})
+	near, far := f.pair()
+	f.Cut("c", "s")
+	near.write(t, "ab")
+	first := f.now
+	f.after(3 * Second)
+	near.write(t, "cd")
+	second := f.now
+	f.after(Second)
+	f.Heal("c", "s")
+	f.after(Second)
+	f.reads("the server", far, "abcd", nil)
+	c := far.conn.(*Conn)
+	for i, want := range []Time{first, first, second, second} {
+		if got := c.SentAt(uint64(i)); got != want {
+			t.Errorf("byte %d was written at %d, it tells %d", i, want-first, got-first)
+		}
+	}
+	for i := range 3 * mostMarks {
+		near.write(t, "x")
+		f.after(10 * Millisecond)
+		if got, want := c.SentAt(uint64(4+i)), f.now-10*Millisecond; got != want {
+			t.Fatalf("byte %d was written at %d, it tells %d", 4+i, want, got)
+		}
+	}
+	if len(c.marks) > mostMarks || c.SentAt(0) > f.now {
+		t.Errorf("%d marks are held", len(c.marks))
+	}
+}
--- a/internal/standin/cacheconn.go
+++ b/internal/standin/cacheconn.go
@@ -183,7 +183,7 @@
 	k := &call{c: c, conn: cc, ask: a}
 	now := c.m.Now()
 	k.attempt = rules.Attempt{ID: a.id, Key: a.key, IdemKey: a.idem, Class: a.class, Router: cc.router,
-		Cache: c.o.Name, Write: a.write, First: cc.first, Last: now, Sent: cc.first}
+		Cache: c.o.Name, Write: a.write, First: cc.first, Last: now, Sent: cc.sentAt(cc.first)}
 	return k
 }
 
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -120,27 +120,46 @@
 
 // AddCache starts one more cache and has discovery name it. A warm one holds the most popular keys.
 func (f *Fleet) AddCache(cold bool) (*Cache, error) {
-	c, e, err := f.newCache(cold)
+	c, e, err := f.newCache(cold, nil)
 	if err == nil {
 		f.Discovery.Add(e)
 	}
 	return c, err
 }
 
-// Replace ends a cache and starts a cold one, under a new name, in its place.
+// Replace ends a cache and starts a cold one, under a new name, in its place and zone.
 func (f *Fleet) Replace(old *Cache) (*Cache, error) {
 	old.Stop()
-	c, e, err := f.newCache(true)
+	c, e, err := f.newCache(true, old)
 	if err == nil {
 		f.Discovery.Replace(old.Name(), e)
 	}
 	return c, err
 }
 
-func (f *Fleet) newCache(cold bool) (*Cache, Entry, error) {
+// Restart ends a cache's process and starts a cold one, of which discovery tells the time of its start.
+func (f *Fleet) Restart(c *Cache) error {
+	now := c.m.Now()
+	if err := c.Restart(true); err != nil {
+		return err
+	}
+	f.Discovery.change(func(d *Discovery) {
+		if l := d.line(c.Name()); l != nil {
+			e := l.Entry
+			e.Since = now
+			d.set(e)
+		}
+	})
+	return nil
+}
+
+func (f *Fleet) newCache(cold bool, old *Cache) (*Cache, Entry, error) {
 	o := f.o.Cache
 	o.Zone = f.o.Zones[f.names%len(f.o.Zones)]
 	o.Group = f.names % len(f.o.Zones)
+	if old != nil {
+		o.Zone, o.Group = old.o.Zone, old.o.Group
+	}
 	f.names++
 	o.Name = fmt.Sprintf("s-%08x", uint32(mix(uint64(f.names))))
 	m := f.p.Cache(o.Name, o.Zone)
--- a/internal/standin/fleet_test.go
+++ b/internal/standin/fleet_test.go
@@ -165,3 +165,36 @@
 		t.Errorf("the router read %+v and %+v", s, transport)
 	}
 }
+
+func TestCacheStartedInAnothersPlaceStandsInItsZone(t *testing.T) {
+	l := newLab()
+	p := Places{
+		Cache: func(string, string) machine.Machine { return l }, Store: func() machine.Machine { return l },
+		Discovery: func() machine.Machine { return l }, Client: func(string, string) machine.Machine { return l },
+		Routers: func(string) []Target { return nil },
+	}
+	o := DefaultOptions()
+	o.Caches = 4
+	f, err := NewFleet(o, p, chanceOf(1), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	old := f.Caches[1]
+	c, err := f.Replace(old)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Zone() != old.Zone() || c.Name() == old.Name() || old.Up() || !c.Cold() {
+		t.Errorf("%s in %s stands in for %s in %s", c.Name(), c.Zone(), old.Name(), old.Zone())
+	}
+	l.run(t, 3*Second)
+	warm := f.Caches[0]
+	restarted := l.now
+	if err := f.Restart(warm); err != nil {
+		t.Fatal(err)
+	}
+	l.run(t, 3*Second)
+	if line := f.Discovery.line(warm.Name()); line.Since != restarted || !warm.Cold() {
+		t.Errorf("discovery says that it started at %d, which was at %d", line.Since, restarted)
+	}
+}
--- a/internal/standin/stream.go
+++ b/internal/standin/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 
 	"starlingwinch/internal/machine"
 )
@@ -11,22 +12,26 @@
 	conn   machine.Conn
 	in     []byte
 	out    []byte
-	left   bool // there may be more to read: fill stopped because in was full
+	taken  uint64 // bytes before those in in
+	left   bool   // there may be more to read: fill stopped because in was full
 	closed bool
 }
 
+// leastRoom is how much a read has room for at the least.
+const leastRoom = 512
+
 // fill reads what has come, until in holds most bytes. The error says that nothing more will come.
 func (s *stream) fill(most int) error {
 	s.left = false
-	var buf [16 << 10]byte
 	for !s.closed {
 		room := most - len(s.in)
 		if room <= 0 {
 			s.left = true
 			return nil
 		}
-		n, err := s.conn.Read(buf[:min(room, len(buf))])
-		s.in = append(s.in, buf[:n]...)
+		s.in = slices.Grow(s.in, min(room, leastRoom))
+		n, err := s.conn.Read(s.in[len(s.in):min(cap(s.in), most)])
+		s.in = s.in[:len(s.in)+n]
 		if errors.Is(err, machine.ErrWait) {
 			return nil
 		}
@@ -40,6 +45,16 @@
 // take drops the first n bytes of what has come.
 func (s *stream) take(n int) {
 	s.in = append(s.in[:0], s.in[n:]...)
+	s.taken += uint64(n)
+}
+
+// sentAt is when the other side has written the first byte of in, where the machine can tell; else it is came, when that
+// byte was read.
+func (s *stream) sentAt(came Time) Time {
+	if c, ok := s.conn.(interface{ SentAt(number uint64) Time }); ok {
+		return c.SentAt(s.taken)
+	}
+	return came
 }
 
 // send writes b, now or once the connection takes it.
