--- a/internal/lab/loopback/loopback.go
+++ b/internal/lab/loopback/loopback.go
@@ -36,6 +36,8 @@
 	Ready func(Addresses) // once all routers serve; may be nil
 	See   func(Snapshot)  // every second from then on; may be nil
 	Log   io.Writer       // takes the routers' lines as they come; may be nil
+
+	started func(pid int) // of each process; for tests
 }
 
 // Addresses are where the parts listen.
--- a/internal/lab/loopback/router.go
+++ b/internal/lab/loopback/router.go
@@ -109,6 +109,9 @@
 			r.ended()
 			return
 		}
+		if r.o.started != nil {
+			r.o.started(p.pid())
+		}
 		if rt.life == life && rt.state != down { // else it has ended by now
 			rt.proc = p
 			rt.catchUp()
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -35,6 +35,19 @@
 	how                          Spoil
 	doubleHow                    string
 	doubleAfter                  Time
+	deafFrom, deafTo             Time // the last silence
+}
+
+// caughtUp is how long after a silence all that had come meanwhile is read.
+const caughtUp = 20 * Millisecond
+
+// mayHaveCome is when something that is read at now may have come at the earliest. The danger: a router would be
+// blamed for sending late what it had sent while the cache read nothing.
+func (f *faults) mayHaveCome(now Time) Time {
+	if f.deafTo != 0 && now <= f.deafTo+caughtUp {
+		return f.deafFrom
+	}
+	return now
 }
 
 // apply puts the faults that a processor feels on a new one.
@@ -74,6 +87,12 @@
 
 // Silent has it not even read, like a machine that is cut off. New connections stay in the machine's queue.
 func (c *Cache) Silent(on bool) {
+	switch now := c.m.Now(); {
+	case on && !c.faults.silent:
+		c.faults.deafFrom, c.faults.deafTo = now, 0
+	case !on && c.faults.silent:
+		c.faults.deafTo = now
+	}
 	c.faults.silent = on
 	for _, d := range c.doors {
 		switch {
