--- a/cmd/lab/chaos.go
+++ b/cmd/lab/chaos.go
@@ -10,8 +10,8 @@
 )
 
 // The marks of chaos. No request is lost, none answered twice, none sent to a drained cache, no other rule
-// broken: the operators' four rules. The share in time of the last landing that was measured on the operators'
-// fleet before was 0.965 to 0.975; chaos wants what is hardly below.
+// broken: the operators' four rules. The share in time, by worth as the operators measure it, was 0.965 to 0.975 on
+// their fleet before; chaos wants what is hardly below.
 const (
 	chaosInTime = 0.96
 	chaosLength = time.Minute
@@ -84,6 +84,7 @@
 		return fmt.Errorf("chaos: %w", loopback.ErrInterrupted)
 	}
 	told(out, &r)
+	fmt.Fprintln(out, r.Misses.String())
 	missed := !r.OK()
 	if r.InTime() < chaosInTime {
 		missed = true
--- a/cmd/lab/table.go
+++ b/cmd/lab/table.go
@@ -26,7 +26,7 @@
 	return t
 }
 
-func (t *table) show(s loopback.Snapshot) {
+func (t *table) show(s loopback.Snapshot) error {
 	text := t.line(s)
 	if t.terminal {
 		text = t.whole(s)
@@ -40,7 +40,8 @@
 		t.lines = 0 // it stays
 	}
 	t.seen = len(s.Broken)
-	io.WriteString(t.out, text)
+	_, err := io.WriteString(t.out, text)
+	return err
 }
 
 // line is the state in one line.
--- a/internal/lab/loopback/witness.go
+++ b/internal/lab/loopback/witness.go
@@ -11,7 +11,8 @@
 	clock    steady
 	visitors bool
 	known    generations
-	asked    map[string]rules.Ask // that have no answer yet, by id
+	asked    map[string]ask // that have no answer yet, by id
+	forgiven map[string]int // by class: answers that were late only because this process was
 	classes  map[string]rules.Class
 	misses   Misses
 	caches   map[string]*answering
@@ -21,8 +22,14 @@
 var _ rules.Observer = (*witness)(nil)
 
 func newWitness(set rules.Settings, visitors bool, report func(rules.Violation)) *witness {
-	return &witness{w: rules.New(set, report), visitors: visitors, asked: map[string]rules.Ask{}, classes: set.Classes,
-		caches: map[string]*answering{}}
+	return &witness{w: rules.New(set, report), visitors: visitors, asked: map[string]ask{}, classes: set.Classes,
+		caches: map[string]*answering{}, forgiven: map[string]int{}}
+}
+
+// ask is a request on the steady clock, and when it was sent by the machine's.
+type ask struct {
+	rules.Ask
+	sent Time
 }
 
 // time is now on the steady clock.
@@ -39,8 +46,9 @@
 	if o.visitors {
 		o.known.add(now, a.ID)
 	}
+	sent := a.Sent
 	a.Sent, a.Deadline = o.clock.at(a.Sent), o.clock.after(now, a.Deadline)
-	o.asked[a.ID] = a
+	o.asked[a.ID] = ask{a, sent}
 	o.w.Asked(at, a)
 }
 
@@ -57,6 +65,8 @@
 		o.missed(at, a, kind.String())
 	case at-a.Sent > aim:
 		o.missed(at, a, "served late")
+	case now-a.sent > aim:
+		o.forgiven[a.Class]++
 	}
 }
 
@@ -80,7 +90,7 @@
 	}
 }
 
-func (o *witness) missed(at Time, a rules.Ask, how string) {
+func (o *witness) missed(at Time, a ask, how string) {
 	o.misses.add(Miss{ID: a.ID, Class: a.Class, Router: a.Router, How: how, At: at - o.start}, o.w.History)
 }
 
