--- a/internal/lab/loopback/loopback.go
+++ b/internal/lab/loopback/loopback.go
@@ -93,12 +93,18 @@
 
 // InTime is the operators' measure: the worth of the requests that were served within their aim, at whichever try,
 // over the worth of all that were made. A late answer earns nothing here.
-func (r *Report) InTime() float64 {
+func (r *Report) InTime() float64 { return r.InTimeSince(nil) }
+
+// InTimeSince is InTime without what an earlier snapshot has counted.
+func (r *Report) InTimeSince(before []*standin.Tally) float64 {
 	earned, asked := 0.0, 0.0
 	for i, t := range r.Tallies {
-		worth := r.Classes[i].Worth
-		earned += worth * float64(t.InAim+r.Forgiven[t.Class])
-		asked += worth * float64(t.Requests)
+		worth, served, made := r.Classes[i].Worth, t.InAim+r.Forgiven[t.Class], t.Requests
+		if before != nil {
+			served, made = served-before[i].InAim, made-before[i].Requests
+		}
+		earned += worth * float64(served)
+		asked += worth * float64(made)
 	}
 	if asked == 0 {
 		return 1
--- a/internal/standin/clientconn.go
+++ b/internal/standin/clientconn.go
@@ -99,6 +99,10 @@
 func (cc *clientConn) write(t *try) {
 	c := cc.c
 	now := c.m.Now()
+	if now >= t.deadline {
+		t.conn = nil
+		return // the connection came up too late: nobody wants an answer any more, and the try is given up
+	}
 	cc.queue(t)
 	r := t.req
 	err := cc.send(t.words(now))
