--- a/internal/rules/events.go
+++ b/internal/rules/events.go
@@ -52,11 +52,14 @@
 	// without load reports; bytes past an answer are one more Answered of the same id. Left: the client has
 	// closed the connection, or has given the request up, before an answer; at the deadline or later it
 	// excuses nothing, so a client waits for the deadline and the slack before it goes. Broken: the
-	// router, or its end, has ended the connection with no byte of an answer, or with part of a line.
+	// router, or its end, has ended the connection with no byte of an answer, or with part of a line. Behind:
+	// at its deadline a request waits for those before it on its connection, for which the router has up
+	// to until; answers come in order, and that time does not count.
 	Asked(now Time, a Ask)
 	Answered(now Time, id string, kind Answer, value string)
 	Left(now Time, id string)
 	Broken(now Time, id string)
+	Behind(now Time, id string, until Time)
 
 	// Began: a command has come whole at a cache, also one that it turns away. Bad: something came
 	// that no client sent in this form. Ran: a cache has carried a request out (a write's effect took
--- a/internal/rules/watcher.go
+++ b/internal/rules/watcher.go
@@ -129,6 +129,7 @@
 		switch {
 		case d.kind == dueBroken:
 			w.check(d)
+		case d.kind == dueDeadline && d.at < d.r.ask.Deadline+w.set.Slack:
 		case d.kind == dueDeadline && d.r.state == open && !d.r.broken:
 			w.counts.Unsettled++
 		}
@@ -180,6 +181,9 @@
 func (w *Watcher) check(d due) {
 	switch d.kind {
 	case dueDeadline:
+		if d.at < d.r.ask.Deadline+w.set.Slack {
+			return // it stands behind others; there is a later check
+		}
 		if d.r.state == open && !d.r.broken {
 			w.lose(d.r, d.r.ask.Deadline, "no answer by its deadline")
 		}
@@ -371,6 +375,17 @@
 	w.due.push(due{at: now + deathNotice, kind: dueBroken, r: r})
 }
 
+// Behind implements Observer.
+func (w *Watcher) Behind(now Time, id string, until Time) {
+	w.advance(now)
+	r := w.requests[id]
+	if r == nil || r.state != open || until <= r.ask.Deadline {
+		return
+	}
+	r.ask.Deadline = until
+	w.due.push(due{at: until + w.set.Slack, kind: dueDeadline, r: r})
+}
+
 // RouterUp implements Observer.
 func (w *Watcher) RouterUp(now Time, name string) {
 	w.advance(now)
--- a/internal/rules/watcher_test.go
+++ b/internal/rules/watcher_test.go
@@ -145,3 +145,20 @@
 		t.Errorf("%v", got)
 	}
 }
+
+func TestRequestThatStandsBehindAnotherIsDueLater(t *testing.T) {
+	for _, answer := range []Time{1249 * ms, 2049 * ms, 2051 * ms} {
+		s := newScene(figures())
+		s.ask(0, "q", "read")
+		s.Behind(1200*ms, "q", 2000*ms)
+		s.Behind(1200*ms, "q", 1000*ms) // says nothing new
+		s.begin(10*ms, "a", "q", "read")
+		s.Replied(20*ms, "a", "q", Served, "v")
+		s.Answered(answer, "q", Served, "v")
+		s.Tick(9000 * ms)
+		late := answer > 2050*ms
+		if lost := s.Counts().Lost == 1; lost != late || len(s.got) > 0 != late {
+			t.Errorf("answered after %s: %v", span(answer), s.got)
+		}
+	}
+}
--- a/internal/standin/cache.go
+++ b/internal/standin/cache.go
@@ -114,6 +114,16 @@
 	return d.addr, nil
 }
 
+// address is the one that was opened for a router.
+func (c *Cache) address(router string) string {
+	for _, d := range c.doors {
+		if d.router == router {
+			return d.addr
+		}
+	}
+	return ""
+}
+
 func (c *Cache) listen(d *door) error {
 	ln, err := c.m.Listen(d.addr, func(conn machine.Conn) machine.Handler { return c.accept(conn, d) })
 	if err != nil {
--- a/internal/standin/clientconn.go
+++ b/internal/standin/clientconn.go
@@ -99,6 +99,10 @@
 func (cc *clientConn) write(t *try) {
 	c := cc.c
 	now := c.m.Now()
+	if now >= t.deadline {
+		t.conn = nil // it was long in coming up; nobody waits for an answer any more
+		return
+	}
 	cc.queue(t)
 	r := t.req
 	err := cc.send(t.words(now))
@@ -167,6 +171,9 @@
 // been on its way already.
 const crossing = 5 * Millisecond
 
+// mostCrossings is how often a request is sent once more. The danger: a router that closes whatever it gets.
+const mostCrossings = 3
+
 // broken is called when the router has ended the connection.
 func (cc *clientConn) broken() {
 	if cc.closed {
@@ -182,8 +189,8 @@
 		switch {
 		case partly && i == 0:
 			t.answered(answer{kind: rules.Failed}) // it is plain that the value is not whole
-		case cc.answers > 0 && now-t.sent <= crossing && !r.resent:
-			r.resent = true
+		case cc.answers > 0 && now-t.sent <= crossing && r.resent < mostCrossings:
+			r.resent++
 			r.tally.Resent++
 			t.move()
 		default:
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -102,6 +102,8 @@
 			return nil, err
 		}
 	}
+	f.Discovery.Late(-o.Discovery.Delay) // they have been on the list for long
+	f.Discovery.Late(0)
 	for i := range o.Clients {
 		f.addClient(i)
 	}
@@ -120,7 +122,7 @@
 
 // AddCache starts one more cache and has discovery name it. A warm one holds the most popular keys.
 func (f *Fleet) AddCache(cold bool) (*Cache, error) {
-	c, e, err := f.newCache(cold, nil)
+	c, e, err := f.newCache(cold, nil, false)
 	if err == nil {
 		f.Discovery.Add(e)
 	}
@@ -128,9 +130,14 @@
 }
 
 // Replace ends a cache and starts a cold one, under a new name, in its place and zone.
-func (f *Fleet) Replace(old *Cache) (*Cache, error) {
+func (f *Fleet) Replace(old *Cache) (*Cache, error) { return f.replace(old, false) }
+
+// TakeOver is Replace by one on the same machine and at the same addresses.
+func (f *Fleet) TakeOver(old *Cache) (*Cache, error) { return f.replace(old, true) }
+
+func (f *Fleet) replace(old *Cache, sameAddress bool) (*Cache, error) {
 	old.Stop()
-	c, e, err := f.newCache(true, old)
+	c, e, err := f.newCache(true, old, sameAddress)
 	if err == nil {
 		f.Discovery.Replace(old.Name(), e)
 	}
@@ -153,7 +160,8 @@
 	return nil
 }
 
-func (f *Fleet) newCache(cold bool, old *Cache) (*Cache, Entry, error) {
+// newCache starts a cache, in the zone of an old one and, where it is to be, at its addresses.
+func (f *Fleet) newCache(cold bool, old *Cache, sameAddress bool) (*Cache, Entry, error) {
 	o := f.o.Cache
 	o.Zone = f.o.Zones[f.names%len(f.o.Zones)]
 	o.Group = f.names % len(f.o.Zones)
@@ -162,11 +170,22 @@
 	}
 	f.names++
 	o.Name = fmt.Sprintf("s-%08x", uint32(mix(uint64(f.names))))
-	m := f.p.Cache(o.Name, o.Zone)
+	var m machine.Machine
+	if sameAddress {
+		m = old.m
+	} else {
+		m = f.p.Cache(o.Name, o.Zone)
+	}
 	c := NewCache(m, o, CacheParts{f.Workload, f.Store, f.Repeats, f.obs}, f.part())
 	e := Entry{Name: o.Name, Zone: o.Zone, Type: "std-6", Group: o.Group, Weight: 1, Addresses: map[string]string{}}
 	for _, r := range f.o.Routers {
-		addr, err := c.Open(f.listen(o.Name, r), r)
+		at := ""
+		if sameAddress {
+			at = old.address(r)
+		} else {
+			at = f.listen(o.Name, r)
+		}
+		addr, err := c.Open(at, r)
 		if err != nil {
 			return nil, e, fmt.Errorf("cache %s for %s: %w", o.Name, r, err)
 		}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -144,6 +144,7 @@
 func (Blind) Answered(Time, string, rules.Answer, string)        {}
 func (Blind) Left(Time, string)                                  {}
 func (Blind) Broken(Time, string)                                {}
+func (Blind) Behind(Time, string, Time)                          {}
 func (Blind) Began(Time, rules.Attempt)                          {}
 func (Blind) Bad(Time, string, string)                           {}
 func (Blind) Ran(Time, rules.Attempt, bool)                      {}
