--- /dev/null
+++ b/internal/lab/eyes.go
@@ -0,0 +1,215 @@
+package lab
+
+import (
+	"fmt"
+	"slices"
+
+	"starlingwinch/internal/lab/script"
+	"starlingwinch/internal/rules"
+	"starlingwinch/internal/sim"
+)
+
+// eyes hands what the stand-ins see to the watcher, and tells a timeline what a person wants to know.
+type eyes struct {
+	*rules.Watcher
+	w       *world
+	history []string        // of the request that is followed
+	last    rules.Tally     // as the window before has ended
+	asked   map[string]Time // when, by id; nil where no router is stopped
+}
+
+func newEyes(w *world) *eyes {
+	e := &eyes{Watcher: w.watcher, w: w}
+	if slices.ContainsFunc(w.s.Faults, func(f script.Fault) bool { return f.Kind == script.Stall }) {
+		e.asked = map[string]Time{}
+	}
+	return e
+}
+
+// say adds a line to the timeline.
+func (e *eyes) say(line string) {
+	if e.w.o.Timeline != nil {
+		e.w.o.Timeline(e.w.now(), line)
+	}
+}
+
+func (e *eyes) sayf(format string, args ...any) {
+	if e.w.o.Timeline != nil {
+		e.say(fmt.Sprintf(format, args...))
+	}
+}
+
+// Listed is told to the watcher once the router can have read it. The danger: what discovery has written into a cut,
+// or to a router whose machine is stopped, would count against a router that can't know.
+func (e *eyes) Listed(now Time, router, cache string, takesWork bool) {
+	r := e.w.routerNamed(router)
+	if at := e.w.readableBy(r); at > now {
+		e.w.sim.At(min(at, now+pollCut), func() { e.Listed(e.w.sim.Now(), router, cache, takesWork) })
+		return
+	}
+	if takesWork {
+		e.sayf("%s is told that %s takes work", router, cache)
+	} else {
+		e.sayf("%s is told that %s takes no work", router, cache)
+	}
+	e.Watcher.Listed(now, router, cache, takesWork)
+}
+
+// pollCut is how often it is looked at whether a cut has healed.
+const pollCut = 10 * millisecond
+
+// readableBy is when a router can read what discovery writes to it now, or later than now where nobody knows.
+func (w *world) readableBy(r *router) Time {
+	now := w.sim.Now()
+	if r == nil || r.node == nil {
+		return now
+	}
+	at := max(now, r.resumes())
+	if w.faults != nil && w.faults.apart(centre(), r.zone) {
+		at = max(at, now+pollCut)
+	}
+	return at
+}
+
+func (w *world) routerNamed(name string) *router {
+	for _, r := range w.routers {
+		if r.name == name {
+			return r
+		}
+	}
+	return nil
+}
+
+// Began implements rules.Observer.
+func (e *eyes) Began(now Time, a rules.Attempt) {
+	e.Watcher.Began(now, a)
+	e.follow(a.ID)
+}
+
+// Asked implements rules.Observer.
+func (e *eyes) Asked(now Time, a rules.Ask) {
+	if e.asked != nil {
+		e.asked[a.ID] = now
+	}
+	e.Watcher.Asked(now, a)
+	e.follow(a.ID)
+}
+
+// Answered implements rules.Observer.
+func (e *eyes) Answered(now Time, id string, kind rules.Answer, value string) {
+	e.Watcher.Answered(now, id, kind, value)
+	e.follow(id)
+}
+
+// follow keeps the life of the request that is followed: the watcher forgets those that are over.
+func (e *eyes) follow(id string) {
+	if id != "" && id == e.w.o.Follow {
+		e.history = e.History(id)
+	}
+}
+
+// CacheUp implements rules.Observer.
+func (e *eyes) CacheUp(now Time, cache string, capacity, coldShare float64, coldFor Time) {
+	if now > sim.Start {
+		e.sayf("cache %s starts", cache)
+	}
+	e.Watcher.CacheUp(now, cache, capacity, coldShare, coldFor)
+}
+
+// CacheDown implements rules.Observer.
+func (e *eyes) CacheDown(now Time, cache string, fallen bool) {
+	if fallen {
+		e.sayf("cache %s falls over", cache)
+	} else {
+		e.sayf("cache %s ends", cache)
+	}
+	e.Watcher.CacheDown(now, cache, fallen)
+	if fallen {
+		e.w.sim.At(now, func() { e.w.fell(cache) })
+	}
+}
+
+// fell has discovery see that a fallen cache's process runs no more.
+func (w *world) fell(cache string) {
+	for _, p := range w.caches {
+		if p.cache.Name() == cache {
+			p.gone = true
+		}
+	}
+	w.fleet.Discovery.Remove(cache)
+}
+
+// StoreFell implements rules.Observer.
+func (e *eyes) StoreFell(now Time) {
+	e.say("the store falls over")
+	e.Watcher.StoreFell(now)
+}
+
+// RouterUp implements rules.Observer.
+func (e *eyes) RouterUp(now Time, router string) {
+	e.sayf("%s starts", router)
+	e.Watcher.RouterUp(now, router)
+}
+
+// RouterDown implements rules.Observer.
+func (e *eyes) RouterDown(now Time, router string, clean bool) {
+	e.sayf("%s has ended", router)
+	e.Watcher.RouterDown(now, router, clean)
+}
+
+// violated takes in what the watcher has found.
+func (w *world) violated(v rules.Violation) {
+	if w.excuses(v) {
+		w.excused++
+		return
+	}
+	w.breaks(broken(v))
+}
+
+func (w *world) breaks(b Broken) {
+	if len(w.broken) == mostBroken {
+		w.more++
+		return
+	}
+	w.broken = append(w.broken, b)
+	w.eyes.say("BROKEN " + b.String())
+}
+
+// excuses reports whether a request was lost through no fault of its router: its machine was stopped while the
+// request was open, and the router can't know for how long the request had waited by then; or its client
+// stood in another zone, from which it was cut off.
+func (w *world) excuses(v rules.Violation) bool {
+	if v.Rule != rules.Lost && v.Rule != rules.Late {
+		return false
+	}
+	r := w.routerNamed(v.Router)
+	if r == nil {
+		return false
+	}
+	for _, s := range r.stalled {
+		if v.At >= s.from && w.eyes.asked[v.Request] <= s.to {
+			return true
+		}
+	}
+	return r.abroad && w.faults.cutOff(r.zone, v.At)
+}
+
+// cutOff reports whether the ways to and from a zone were cut or long during the time in which a request that was lost
+// at that instant was open.
+func (f *faults) cutOff(zone string, at Time) bool {
+	for _, x := range f.w.s.Faults {
+		if x.Kind != script.Cut && x.Kind != script.Lag {
+			continue
+		}
+		from, to, _, _ := script.LinkOf(x.Target)
+		begin := sim.Start + lead + microseconds(x.At)
+		end := sim.Start + lead + microseconds(x.Until(f.w.s.Length))
+		if (from == zone || to == zone) && begin <= at && at <= end+longestOpen {
+			return true
+		}
+	}
+	return false
+}
+
+// longestOpen is how long a request may be open.
+const longestOpen = 3 * second
--- /dev/null
+++ b/internal/lab/front.go
@@ -0,0 +1,127 @@
+package lab
+
+import (
+	"slices"
+	"strings"
+
+	"starlingwinch/internal/machine"
+	"starlingwinch/internal/sim"
+	"starlingwinch/internal/standin"
+)
+
+// front deals clients to the routers of their zone, and to others where their zone has none. It uses a router
+// once it has answered PING, and notices only after some seconds that one has died.
+type front struct {
+	w       *world
+	host    *sim.Host
+	serving []*router // in the order of their names
+	byZone  map[string][]standin.Target
+}
+
+func newFront(w *world) *front {
+	return &front{w: w, host: w.host("front", centre()), byZone: map[string][]standin.Target{}}
+}
+
+// routers is what clients of a zone are dealt to now.
+func (f *front) routers(zone string) []standin.Target {
+	if targets, ok := f.byZone[zone]; ok {
+		return targets
+	}
+	var near, all []standin.Target
+	for _, r := range f.serving {
+		t := standin.Target{Name: r.name, Addr: r.addr}
+		all = append(all, t)
+		if r.zone == zone {
+			near = append(near, t)
+		}
+	}
+	if len(near) == 0 {
+		near = all
+		for _, r := range f.serving {
+			r.abroad = true
+		}
+	}
+	f.byZone[zone] = near
+	return near
+}
+
+// started asks a router until it answers.
+func (f *front) started(r *router) {
+	life := r.life
+	again := func() {
+		f.w.sim.At(f.w.sim.Now()+pingEvery, func() {
+			if r.life == life && r.node != nil {
+				f.started(r)
+			}
+		})
+	}
+	f.host.Machine().Dial(r.addr, second, func(c machine.Conn, err error) machine.Handler {
+		if err != nil {
+			again()
+			return nil
+		}
+		p := &ping{conn: c, answered: func(ok bool) {
+			switch {
+			case r.life != life || r.node == nil || r.ending:
+			case ok:
+				f.use(r)
+			default:
+				again()
+			}
+		}}
+		c.Write([]byte("*1\r\n$4\r\nPING\r\n"))
+		return p
+	})
+}
+
+const pingEvery = 50 * millisecond
+
+func (f *front) use(r *router) {
+	if slices.Contains(f.serving, r) {
+		return
+	}
+	f.serving = append(f.serving, r)
+	slices.SortFunc(f.serving, func(a, b *router) int { return strings.Compare(a.name, b.name) })
+	clear(f.byZone)
+}
+
+func (f *front) drop(r *router) {
+	f.serving = slices.DeleteFunc(f.serving, func(x *router) bool { return x == r })
+	clear(f.byZone)
+}
+
+// ended is told when a process has ended; the front notices later.
+func (f *front) ended(r *router) {
+	life := r.life
+	f.w.sim.At(f.w.sim.Now()+microseconds(f.w.s.Clients.Front), func() {
+		if r.life == life {
+			f.drop(r)
+		}
+	})
+}
+
+// ping waits for the answer to a PING.
+type ping struct {
+	conn     machine.Conn
+	got      []byte
+	answered func(ok bool)
+}
+
+func (p *ping) Writable() {}
+
+func (p *ping) Readable() {
+	var buf [64]byte
+	for {
+		n, err := p.conn.Read(buf[:])
+		p.got = append(p.got, buf[:n]...)
+		whole := len(p.got) > 0 && p.got[len(p.got)-1] == '\n'
+		if err == machine.ErrWait && !whole {
+			return
+		}
+		if err != nil || whole {
+			p.conn.Close()
+			p.answered(string(p.got) == "+PONG\r\n")
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/result.go
@@ -0,0 +1,88 @@
+package lab
+
+import (
+	"fmt"
+	"hash/fnv"
+	"strings"
+
+	"starlingwinch/internal/rules"
+	"starlingwinch/internal/sim"
+)
+
+// Rules that the runner watches besides those of package rules.
+const (
+	Crash = "crash" // a panic in a callback
+	Stuck = "stuck" // more events than a run of that length can have
+)
+
+// Broken is one broken rule.
+type Broken struct {
+	Rule                   string
+	At                     Time // from the beginning of the script
+	Request, Router, Cache string
+	Text                   string
+}
+
+func (b Broken) String() string {
+	var s strings.Builder
+	fmt.Fprintf(&s, "%9.6f s: %s", float64(b.At)/1e6, b.Rule)
+	for _, part := range [...]struct{ name, value string }{
+		{"request", b.Request}, {"router", b.Router}, {"cache", b.Cache},
+	} {
+		if part.value != "" {
+			fmt.Fprintf(&s, ", %s %s", part.name, part.value)
+		}
+	}
+	if b.Text != "" {
+		s.WriteString(": " + b.Text)
+	}
+	return s.String()
+}
+
+// broken is a violation that the watcher has found.
+func broken(v rules.Violation) Broken {
+	return Broken{v.Rule.String(), v.At - sim.Start - lead, v.Request, v.Router, v.Cache, v.Text}
+}
+
+// mostBroken bounds the broken rules of one run that are kept.
+const mostBroken = 100
+
+// Result is what came of a run.
+type Result struct {
+	Broken    []Broken // the first mostBroken
+	More      int      // and so many more
+	Excused   int      // requests that were lost while their router's machine was stopped or cut off
+	Counts    rules.Counts
+	Steps     int64
+	Simulated Time
+	Trace     uint64
+	History   []string // of Options.Follow
+}
+
+// First is the first broken rule, empty for none.
+func (r *Result) First() string {
+	if len(r.Broken) == 0 {
+		return ""
+	}
+	return r.Broken[0].Rule
+}
+
+// Breaks reports whether a rule of that name broke.
+func (r *Result) Breaks(rule string) bool {
+	for _, b := range r.Broken {
+		if b.Rule == rule {
+			return true
+		}
+	}
+	return false
+}
+
+// sum folds what the watcher found into the trace of the world.
+func (r *Result) sum(trace uint64) {
+	h := fnv.New64a()
+	fmt.Fprintf(h, "%d %+v\n", trace, r.Counts)
+	for _, b := range r.Broken {
+		fmt.Fprintln(h, b)
+	}
+	r.Trace = h.Sum64()
+}
--- /dev/null
+++ b/internal/lab/run.go
@@ -0,0 +1,223 @@
+// Package lab runs routers among stand-ins, in a virtual world on which a script of faults is played, and finds the
+// rules that break. A run is decided by its script alone, seed included: the same script gives the same
+// run to the byte, whatever else the process does. One goroutine carries a run out; several runs may go on side
+// by side, as they share nothing.
+//
+// The lab never judges: package rules does, from what is on the sockets. What it adds is what no
+// socket shows: a router that crashes, a run that does not end, and what is left behind once all is quiet.
+package lab
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"path"
+	"runtime"
+	"slices"
+	"strings"
+
+	"starlingwinch/internal/books"
+	"starlingwinch/internal/lab/script"
+	"starlingwinch/internal/sim"
+)
+
+// Options say how a script is run.
+type Options struct {
+	Node Start // the router under test
+	// Wrap stands between each router and its decision module; see NodeConfig.
+	Wrap func(books.Module) books.Module
+	// Follow is the id of a request whose life the result is to hold.
+	Follow string
+	// Timeline is told what a person wants to know, in order.
+	Timeline func(at Time, line string)
+}
+
+// Bounds of a run.
+const (
+	settleFor    = 8 * second // after the clients have stopped
+	settleStep   = 100 * millisecond
+	tickEvery    = 5 * millisecond
+	usageEvery   = 100 * millisecond
+	stepsAtLeast = 2_000_000
+	stepsASecond = 1_000_000 // of simulated time
+)
+
+// Run plays a script. The error tells what kept it from being played; broken rules are in the result.
+func Run(s script.Script, o Options) (*Result, error) {
+	if err := s.Check(); err != nil {
+		return nil, err
+	}
+	if o.Node == nil {
+		return nil, errors.New("lab: no router to run")
+	}
+	w, err := newWorld(s, o)
+	if err != nil {
+		return nil, err
+	}
+	w.play()
+	if w.err != nil {
+		return nil, w.err
+	}
+	return w.result(), nil
+}
+
+// play runs the world to its end, which is early where it crashes or is stuck.
+func (w *world) play() {
+	end := sim.Start + lead + microseconds(w.s.Length)
+	if !w.runTo(end) {
+		return
+	}
+	w.fleet.Stop()
+	w.eyes.say("the script is over, the clients stop")
+	for until := end + settleFor; w.sim.Now() < until; {
+		if !w.runTo(w.sim.Now() + settleStep) {
+			return
+		}
+		if w.quiet() {
+			break
+		}
+	}
+	w.checkLeft()
+	w.watcher.Close(w.sim.Now())
+}
+
+// runTo plays up to an instant and reports whether the run can go on.
+func (w *world) runTo(until Time) bool {
+	most := int64(stepsAtLeast) + int64(stepsASecond)*((until-sim.Start)/second)
+	for w.sim.Now() < until {
+		next := min(until, w.sim.Now()-w.sim.Now()%tickEvery+tickEvery)
+		if !w.runPart(next, most) {
+			return false
+		}
+		now := w.sim.Now()
+		w.watcher.Tick(now)
+		if now%usageEvery == 0 {
+			w.usage()
+		}
+		if w.now()%second == 0 && w.o.Timeline != nil {
+			w.window()
+		}
+	}
+	return w.err == nil
+}
+
+// runPart plays up to an instant and catches what panics.
+func (w *world) runPart(until Time, most int64) (on bool) {
+	defer func() {
+		if r := recover(); r != nil {
+			who := ""
+			if h := w.sim.Acting(); h != nil {
+				who = h.Name()
+			}
+			w.breaks(Broken{Rule: Crash, At: w.now(), Router: who, Text: fmt.Sprintf("%v%s", r, stack())})
+			on = false
+		}
+	}()
+	if w.sim.RunUntil(until, func() bool { return w.sim.Steps() > most }) {
+		w.breaks(Broken{Rule: Stuck, At: w.now(), Text: fmt.Sprintf("%d events", w.sim.Steps())})
+		return false
+	}
+	return true
+}
+
+// mostFrames is how much of a stack is told.
+const mostFrames = 8
+
+// stack names the project's functions that led to the panic, without what differs from run to run.
+func stack() string {
+	var pcs [64]uintptr
+	frames := runtime.CallersFrames(pcs[:runtime.Callers(3, pcs[:])])
+	var lines []string
+	for {
+		f, more := frames.Next()
+		name, ours := strings.CutPrefix(f.Function, "starlingwinch/")
+		if ours && !strings.HasPrefix(name, "internal/lab.") && !strings.HasPrefix(name, "internal/sim.") {
+			lines = append(lines, fmt.Sprintf(" | %s %s:%d", name, path.Base(f.File), f.Line))
+		}
+		if !more || len(lines) == mostFrames {
+			return strings.Join(lines, "")
+		}
+	}
+}
+
+// usage tells the watcher how many descriptors each router holds.
+func (w *world) usage() {
+	for _, r := range w.routers {
+		if r.node != nil {
+			w.watcher.Usage(w.sim.Now(), r.name, r.host.Descriptors(), w.s.Fleet.Sockets)
+		}
+	}
+}
+
+// quiet reports whether nothing is under way any more.
+func (w *world) quiet() bool {
+	if w.fleet.Open() > 0 {
+		return false
+	}
+	for _, r := range w.routers {
+		if r.ending {
+			return false
+		}
+		if r.node == nil {
+			continue
+		}
+		for what, n := range r.node.Left() {
+			if n != 0 && what != connections {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// connections is the one thing that a quiet router may hold.
+const connections = "connections"
+
+// A quiet router's descriptors beside its connections, and its timers.
+const (
+	otherDescriptors = 8
+	otherTimers      = 256
+)
+
+// checkLeft looks at what is left behind. The danger: what is never given back shows only after weeks.
+func (w *world) checkLeft() {
+	now := w.sim.Now()
+	for _, r := range w.routers {
+		if r.node == nil || r.ending {
+			continue
+		}
+		left := r.node.Left()
+		for _, what := range slices.Sorted(maps.Keys(left)) {
+			if what != connections {
+				w.watcher.Leftover(now, r.name, what, left[what])
+			}
+		}
+		conns, held, timers := left[connections], r.host.Descriptors(), r.host.Pending()
+		if _, told := left[connections]; told && held > conns+otherDescriptors {
+			w.watcher.Leftover(now, r.name, "descriptors beyond its connections", held-conns)
+		}
+		if timers > held+otherTimers {
+			w.watcher.Leftover(now, r.name, "timers", timers)
+		}
+	}
+}
+
+func (w *world) result() *Result {
+	r := &Result{Broken: w.broken, More: w.more, Excused: w.excused, Counts: w.watcher.Counts(), Steps: w.sim.Steps(),
+		Simulated: w.sim.Now() - sim.Start, History: w.eyes.history}
+	if last := w.watcher.History(w.o.Follow); last != nil {
+		r.History = last
+	}
+	r.sum(w.sim.TraceHash())
+	return r
+}
+
+// window tells what the last second was like.
+func (w *world) window() {
+	c := w.watcher.Counts()
+	was := w.eyes.last
+	w.eyes.last = c.Tally
+	w.eyes.sayf("  asked %d, served %d (in time %d), refused %d, failed %d, lost %d",
+		c.Asked-was.Asked, c.Served-was.Served, c.InTime-was.InTime, c.Refused-was.Refused, c.Failed-was.Failed,
+		c.Lost-was.Lost)
+}
--- a/internal/lab/script/draw.go
+++ b/internal/lab/script/draw.go
@@ -65,6 +65,7 @@
 	s.Clients.Honour = d.figure(0, 1)
 	s.Clients.TryShare = d.figure(0.5, 1)
 	s.Clients.Writes = pick(d, []float64{1, 1, 5})
+	s.Clients.Unsafe = pick(d, []float64{0, 0, 0.05})
 	s.Clients.Pipeline = pick(d, []float64{0, 0, 0.2, 0.6})
 	s.Clients.Impatient = pick(d, []float64{0, 0, 0.05})
 	s.Clients.Front = d.span(500*time.Millisecond, 4*time.Second)
--- a/internal/lab/script/script.go
+++ b/internal/lab/script/script.go
@@ -42,6 +42,7 @@
 	Impatient float64       `toml:"impatient" min:"0" max:"1" doc:"share of tries that are left early"`
 	Pipeline  float64       `toml:"pipeline" min:"0" max:"1" doc:"share of requests written behind another"`
 	Writes    float64       `toml:"writes" min:"1" max:"20" doc:"times the usual share of writes"`
+	Unsafe    float64       `toml:"unsafe" min:"0" max:"1" doc:"share of requests that must never run twice"`
 	Front     time.Duration `toml:"front" min:"0s" max:"30s" doc:"the front notices a dead router after this"`
 }
 
--- /dev/null
+++ b/internal/lab/world.go
@@ -0,0 +1,199 @@
+package lab
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"starlingwinch/internal/lab/script"
+	"starlingwinch/internal/machine"
+	"starlingwinch/internal/rules"
+	"starlingwinch/internal/sim"
+	"starlingwinch/internal/standin"
+)
+
+// Time is an instant or a span in microseconds.
+type Time = machine.Time
+
+const (
+	millisecond Time = 1000
+	second      Time = 1000 * millisecond
+)
+
+// lead is how long routers run before clients come: script time 0 is this long after the world's beginning.
+const lead = 500 * millisecond
+
+// mostDescriptors is what any host but a router may hold.
+const mostDescriptors = 8192
+
+// world is a run that is under way.
+type world struct {
+	s       script.Script
+	o       Options
+	sim     *sim.World
+	rand    *rand.Rand // of what no script says: how long the front takes, and the like
+	classes []standin.Class
+	fleet   *standin.Fleet
+	watcher *rules.Watcher
+	eyes    *eyes
+	hosts   map[string]*sim.Host // of stand-ins, by name
+	routers []*router
+	front   *front
+	caches  []*place
+	faults  *faults
+	broken  []Broken
+	more    int
+	excused int
+	err     error // of what the lab itself could not do
+}
+
+// place is one place in the fleet: the cache that stands there now.
+type place struct {
+	cache *standin.Cache
+	gone  bool // drained, or fallen, and off the list
+}
+
+func microseconds(d time.Duration) Time { return d.Microseconds() }
+
+// newWorld sets a world up; the routers start at once, the clients after lead.
+func newWorld(s script.Script, o Options) (*world, error) {
+	w := &world{s: s, o: o, sim: sim.New(uint64(s.Seed)), hosts: map[string]*sim.Host{}}
+	w.rand = w.sim.Rand("lab")
+	w.classes = classesOf(s)
+	w.network()
+	w.watcher = rules.New(w.rules(), w.violated)
+	w.eyes = newEyes(w)
+	w.front = newFront(w)
+	zones := script.Zones()
+	for i := range s.Routers {
+		w.routers = append(w.routers, newRouter(w, i, zones[i%len(zones)]))
+	}
+	var err error
+	if w.fleet, err = standin.NewFleet(w.fleetOptions(), w.places(), w.sim.Rand("fleet"), w.eyes); err != nil {
+		return nil, err
+	}
+	for _, c := range w.fleet.Caches {
+		w.caches = append(w.caches, &place{cache: c})
+	}
+	w.faults = newFaults(w)
+	for _, r := range w.routers {
+		if r.start(); w.err != nil {
+			return nil, w.err
+		}
+	}
+	w.sim.At(sim.Start+lead, w.fleet.Start)
+	for _, f := range s.Faults {
+		w.faults.plan(f.Usual())
+	}
+	return w, nil
+}
+
+// now is the script's time.
+func (w *world) now() Time { return w.sim.Now() - sim.Start - lead }
+
+func (w *world) network() {
+	n := w.s.Network
+	link := func(latency time.Duration) sim.Link {
+		l := microseconds(latency)
+		return sim.Link{Latency: l, Jitter: Time(float64(l) * n.Jitter), Split: n.Split}
+	}
+	w.sim.Near, w.sim.Far = link(n.Near), link(n.Far)
+	w.sim.ShuffleTies = n.Shuffle
+}
+
+// host makes a host for a stand-in.
+func (w *world) host(name, zone string) *sim.Host {
+	n := len(w.sim.Hosts()) + 1
+	h := w.sim.Host(name, fmt.Sprintf("10.0.%d.%d", n/250, n%250+1),
+		sim.HostOptions{Zone: zone, Descriptors: mostDescriptors})
+	w.hosts[name] = h
+	return h
+}
+
+// centre is the zone that discovery and the store stand in.
+func centre() string { return script.Zones()[1] }
+
+func (w *world) places() standin.Places {
+	return standin.Places{
+		Cache:     func(name, zone string) machine.Machine { return w.host(name, zone).Machine() },
+		Store:     func() machine.Machine { return w.host("store", centre()).Machine() },
+		Discovery: func() machine.Machine { return w.host("discovery", centre()).Machine() },
+		Client:    func(name, zone string) machine.Machine { return w.host(name, zone).Machine() },
+		Listen:    func(name, _ string) string { return w.hosts[name].IP() + ":0" },
+		Routers:   w.front.routers,
+	}
+}
+
+// classesOf are the operators' classes, with more writes and an unsafe class where the script says so.
+func classesOf(s script.Script) []standin.Class {
+	all := standin.DefaultClasses()
+	for i := range all {
+		if all[i].Write {
+			all[i].Share *= s.Clients.Writes
+		}
+	}
+	if s.Clients.Unsafe > 0 {
+		all = append(all, standin.Class{Name: "merge-log", Share: s.Clients.Unsafe, Effect: standin.Unsafe, Write: true,
+			Aim: 800 * millisecond, Deadline: 2 * second, Worth: 4, LateWorth: 0.25, Work: 100 * millisecond, CV: 2})
+	}
+	return all
+}
+
+func (w *world) fleetOptions() standin.Options {
+	s, o := w.s, standin.DefaultOptions()
+	o.Caches, o.Zones, o.Classes = s.Caches, script.Zones(), w.classes
+	o.Cache.Capacity.Speed = s.Fleet.Speed
+	o.Cache.Probes, o.Cache.Reports = s.Fleet.Probes, s.Fleet.Reports
+	o.Cache.Cancel = map[string]standin.Cancel{"none": standin.CancelNone, "queued": standin.CancelQueued,
+		"all": standin.CancelAll}[s.Fleet.Cancel]
+	o.Discovery.Delay = microseconds(s.Fleet.ListDelay)
+	o.Clients = s.Clients.Groups
+	c := &o.Client
+	c.Rate, c.Retries, c.Honour, c.TryShare = s.Rate, s.Clients.Retries, s.Clients.Honour, s.Clients.TryShare
+	c.Wait = map[string]standin.RetryWait{"at-once": standin.AtOnce, "fixed": standin.FixedWait,
+		"exponential": standin.Exponential}[s.Clients.Wait]
+	c.WaitTime = microseconds(s.Clients.WaitTime)
+	c.Impatient, c.Pipeline = s.Clients.Impatient, s.Clients.Pipeline
+	o.Routers = nil
+	for _, r := range w.routers {
+		o.Routers = append(o.Routers, r.name)
+	}
+	return o
+}
+
+// routerSettings are what a router is told at its start.
+func (w *world) routerSettings(r *router) standin.RouterSettings {
+	s := standin.DefaultRouterSettings()
+	s.Name, s.Listen, s.Discovery = r.name, r.addr, r.list
+	s.Sockets, s.Routers, s.Classes = w.s.Fleet.Sockets, w.s.Routers, w.classes
+	s.MaxAttempts, s.Copies, s.Probes = w.s.Fleet.MaxAttempts, w.s.Fleet.Copies, w.s.Fleet.Probes
+	s.Cancel = w.s.Fleet.Cancel != "none"
+	return s
+}
+
+// slack is what each limit of time is longer by on sockets.
+const slack = 50 * millisecond
+
+// rules are the figures of the rules, those of the operators.
+func (w *world) rules() rules.Settings {
+	set := rules.Settings{
+		Classes: map[string]rules.Class{}, MaxAttempts: w.s.Fleet.MaxAttempts, Slack: slack, Flight: 50 * millisecond,
+		Copies: w.s.Fleet.Copies || w.hidesCloses(), DrainGrace: second,
+		FallMultiple: 3, FallFor: 3 * second, FallSlack: 0.05, StoreFallFor: 3 * second, StoreColdShare: 0.5,
+	}
+	for _, c := range w.classes {
+		effect := [...]rules.Effect{standin.Safe: rules.Safe, standin.Keyed: rules.Keyed, standin.Unsafe: rules.Unsafe}
+		set.Classes[c.Name] = rules.Class{Effect: effect[c.Effect], Scope: rules.ScopeAll, Window: c.Window, Aim: c.Aim,
+			Deadline: c.Deadline, Worth: c.Worth, LateWorth: c.LateWorth}
+	}
+	return set
+}
+
+// hidesCloses reports whether caches may learn of a close any time after it: then nobody can tell from outside whether
+// two copies of a request were out at once.
+func (w *world) hidesCloses() bool {
+	return slices.ContainsFunc(w.s.Faults, func(f script.Fault) bool {
+		return slices.Contains([]string{script.Cut, script.Lag, script.Silence}, f.Kind)
+	})
+}
