--- a/internal/lab/loopback/witness.go
+++ b/internal/lab/loopback/witness.go
@@ -90,6 +90,16 @@
 	}
 }
 
+func (o *witness) Behind(now Time, id string, until Time) {
+	at := o.time(now)
+	until = o.clock.after(now, until)
+	if a, open := o.asked[id]; open {
+		a.Deadline = max(a.Deadline, until)
+		o.asked[id] = a
+	}
+	o.w.Behind(at, id, until)
+}
+
 func (o *witness) missed(at Time, a ask, how string) {
 	o.misses.add(Miss{ID: a.ID, Class: a.Class, Router: a.Router, How: how, At: at - o.start}, o.w.History)
 }
