--- /dev/null
+++ b/internal/lab/loopback/witness_test.go
@@ -0,0 +1,67 @@
+package loopback
+
+import (
+	"strings"
+	"testing"
+
+	"starlingwinch/internal/rules"
+)
+
+func newScene(visitors bool) (*witness, *[]rules.Violation) {
+	var got []rules.Violation
+	set := rules.Settings{Slack: 50 * millisecond, MaxAttempts: 3, Copies: true, Classes: map[string]rules.Class{
+		"read": {Effect: rules.Safe, Aim: 500 * millisecond, Deadline: 1200 * millisecond, Worth: 1}}}
+	return newWitness(set, visitors, func(v rules.Violation) { got = append(got, v) }), &got
+}
+
+func TestAnswerThatThisProcessReadLateIsNotTheRouters(t *testing.T) {
+	for _, punctual := range []bool{false, true} {
+		o, got := newScene(false)
+		at := 100 * second
+		o.clock.beaten(at)
+		o.Asked(at, rules.Ask{ID: "q", Router: "r", Class: "read", Sent: at, Deadline: at + 1200*millisecond})
+		for past := Time(0); punctual && past < 1400*millisecond; past += beat {
+			o.clock.beaten(at + past)
+			o.w.Tick(o.clock.at(at + past))
+		}
+		o.Answered(at+1400*millisecond, "q", rules.Failed, "")
+		if lost := len(*got) > 0; lost != punctual {
+			t.Errorf("punctual %v: violations %v", punctual, *got)
+		}
+	}
+}
+
+func TestVisitorsRequestsAreNotWatched(t *testing.T) {
+	for _, visitors := range []bool{true, false} {
+		o, got := newScene(visitors)
+		a := rules.Attempt{ID: "mine", Class: "read", Router: "r", Cache: "c", First: second, Last: second}
+		o.Began(second, a)
+		o.Ran(second, a, false)
+		o.Replied(second, "c", "mine", rules.Served, "v")
+		if (len(*got) == 0) != visitors {
+			t.Errorf("visitors %v: violations %v", visitors, *got)
+		}
+		*got = nil
+		o.Asked(2*second, rules.Ask{ID: "q", Router: "r", Class: "read", Sent: 2 * second, Deadline: 3 * second})
+		o.Answered(2*second+1, "q", rules.Served, "from nobody")
+		if len(*got) != 1 || (*got)[0].Rule != rules.WrongValue {
+			t.Errorf("visitors %v: violations %v of a client's request", visitors, *got)
+		}
+	}
+}
+
+func TestMissesAreToldByTheCommonestKindWithLives(t *testing.T) {
+	o, _ := newScene(false)
+	for i, kind := range []rules.Answer{rules.Failed, rules.Refused, rules.Refused} {
+		at, id := second+Time(i), string(rune('a'+i))
+		o.Asked(at, rules.Ask{ID: id, Router: "r", Class: "read", Sent: at, Deadline: at + second})
+		o.Answered(at+millisecond, id, kind, "")
+	}
+	var b strings.Builder
+	o.misses.Explain(&b, 1)
+	lines := strings.Split(strings.TrimSpace(b.String()), "\n")
+	if len(lines) != 8 || o.misses.String() != "3 tries were not served within their aim; by the second: 1:3" ||
+		strings.TrimSpace(lines[0]) != "2  refused, read at r" || strings.TrimSpace(lines[7]) != "1  failed, read at r" {
+		t.Errorf("got\n%s", b.String())
+	}
+}
--- a/internal/standin/cache.go
+++ b/internal/standin/cache.go
@@ -64,6 +64,8 @@
 	calls   map[*call]struct{} // begun and not over
 	offered offeredOver
 	faults  faults
+	hits    int // reads that its memory held ...
+	misses  int // ... and those that it did not
 }
 
 // door is an address that a cache listens on.
@@ -114,6 +116,16 @@
 	return d.addr, nil
 }
 
+// address is the one that was opened for a router.
+func (c *Cache) address(router string) string {
+	for _, d := range c.doors {
+		if d.router == router {
+			return d.addr
+		}
+	}
+	return ""
+}
+
 func (c *Cache) listen(d *door) error {
 	ln, err := c.m.Listen(d.addr, func(conn machine.Conn) machine.Handler { return c.accept(conn, d) })
 	if err != nil {
@@ -168,6 +180,9 @@
 // Holds is the number of requests that run or wait.
 func (c *Cache) Holds() int { return len(c.calls) }
 
+// Hits is the number of reads whose key it held, and of those that had to wait for the store, since it exists.
+func (c *Cache) Hits() (hits, misses int) { return c.hits, c.misses }
+
 // Connections is the number of those that are open.
 func (c *Cache) Connections() int { return len(c.conns) }
 
--- a/internal/standin/cacheconn.go
+++ b/internal/standin/cacheconn.go
@@ -15,6 +15,7 @@
 	calls   []*call // in order, from the first that is not answered
 	begun   int     // of calls, the first so many
 	first   Time    // arrival of the first byte of what was not read yet
+	came    Time    // when that byte may have come at the earliest
 	greeted bool    // the handshake is paid for
 	shaken  bool    // ... and its time is over
 	shake   job
@@ -85,10 +86,16 @@
 	had := len(cc.in)
 	cc.ended = cc.fill(mostCommand) != nil
 	if had == 0 && len(cc.in) > 0 {
-		cc.first = cc.c.m.Now()
+		cc.begins()
 	}
 }
 
+// begins books the first byte of a command.
+func (cc *cacheConn) begins() {
+	cc.first = cc.c.m.Now()
+	cc.came = cc.c.faults.mayHaveCome(cc.first)
+}
+
 // work does what can be done now: it takes commands off what has come, begins them and writes answers.
 // An end of the router's sending comes after all that was sent before it, and ends what is under way.
 func (cc *cacheConn) work() {
@@ -139,7 +146,7 @@
 	}
 	cc.calls = append(cc.calls, cc.command(args))
 	cc.take(used)
-	cc.first = cc.c.m.Now()
+	cc.begins()
 	if cc.left {
 		cc.read()
 	}
@@ -183,7 +190,7 @@
 	k := &call{c: c, conn: cc, ask: a}
 	now := c.m.Now()
 	k.attempt = rules.Attempt{ID: a.id, Key: a.key, IdemKey: a.idem, Class: a.class, Router: cc.router,
-		Cache: c.o.Name, Write: a.write, First: cc.first, Last: now, Sent: cc.first}
+		Cache: c.o.Name, Write: a.write, First: cc.first, Last: now, Sent: cc.sentAt(cc.came)}
 	return k
 }
 
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -143,6 +143,14 @@
 	})
 }
 
+// Forget forgets what a router was told: it has started anew, and knows nothing.
+func (d *Discovery) Forget(router string) {
+	delete(d.told, router)
+	if c := d.callers[router]; c != nil {
+		c.last = d.m.Now()
+	}
+}
+
 // Remove takes a cache off the list; watches are told that it is terminated.
 func (d *Discovery) Remove(name string) { d.SetStatus(name, Terminated) }
 
