--- a/internal/lab/loopback/router.go
+++ b/internal/lab/loopback/router.go
@@ -13,7 +13,7 @@
 	"starlingwinch/internal/standin"
 )
 
-// ErrInterrupted says that a run was interrupted before it began.
+// ErrInterrupted says that a run was interrupted before it began, or twice: it has shown nothing.
 var ErrInterrupted = errors.New("interrupted")
 
 // Bounds of what is kept of a router.
--- a/internal/lab/loopback/run.go
+++ b/internal/lab/loopback/run.go
@@ -203,9 +203,7 @@
 	again := r.report.Interrupted
 	r.report.Interrupted = true
 	if again || r.phase == starting {
-		if r.phase == starting {
-			r.err = ErrInterrupted
-		}
+		r.err = ErrInterrupted
 		r.m.Stop()
 		return
 	}
