--- a/cmd/lab/chaos.go
+++ b/cmd/lab/chaos.go
@@ -109,8 +109,9 @@
 	}
 	sum := r.Requests()
 	fmt.Fprintf(out, "chaos: requests %d served %d refused %d failed %d lost %d doubled %d late_drains %d in_time %.3f "+
-		"after_start %.3f service %.3f broken %d rss_mb %.0f descriptors %d\n", sum.Requests, sum.InAim+sum.Late, sum.Refused,
-		sum.Failed+sum.Lost+sum.Left, r.Counts.Lost, r.Counts.Doubled, r.Counts.LateDrains(), r.InTime(), r.InTimeSince(atStart), r.Service(),
+		"after_start %.3f service %.3f broken %d rss_mb %.0f descriptors %d\n",
+		sum.Requests, sum.InAim+sum.Late, sum.Refused, sum.Failed+sum.Lost+sum.Left,
+		r.Counts.Lost, r.Counts.Doubled, r.Counts.LateDrains(), r.InTime(), r.InTimeSince(atStart), r.Service(),
 		r.Counts.Violations(), float64(r.PeakRSS())/(1<<20), r.Descriptors())
 	if missed {
 		return errMissed
--- a/cmd/lab/table.go
+++ b/cmd/lab/table.go
@@ -75,8 +75,8 @@
 // whole is the state as a table.
 func (t *table) whole(s loopback.Snapshot) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "\n%-4s %-11s %-10s %-24s %9s %6s %6s %8s\n", "", "cache", "zone", "state", "in flight", "open", "hits",
-		"median")
+	fmt.Fprintf(&b, "\n%-4s %-11s %-10s %-24s %9s %6s %6s %8s\n", "", "cache", "zone", "state", "in flight",
+		"open", "hits", "median")
 	for i, c := range s.Caches {
 		fmt.Fprintf(&b, "%-4s %-11s %-10s %-24.24s %9d %6d %4.0f %% %5d ms\n", fmt.Sprintf("c%d", i+1), c.Name, c.Zone,
 			c.State, c.InFlight, c.Connections, 100*c.Hits, c.Median/1000)
