--- a/decide/decide.go
+++ b/decide/decide.go
@@ -23,6 +23,7 @@
 	originTolerated = .15 // the same for likely misses: the origin is slow to recover
 	originShare     = .65 // of the aim after which a likely miss speaks against the origin
 	missWindow      = 64  // likely misses over which the share of true ones fades
+	missAtStart     = .5  // share of likely misses that are taken for true ones before any was seen
 	step            = .5  // of an attempt, by which one overdue attempt lowers a limit
 	pooled          = .3  // weight of a verdict at all other caches together, for each router
 	leastLimit      = .1  // where the limit stops falling; under 1 it is the share of time in use
@@ -221,7 +222,7 @@
 	sort.Slice(r.ready, func(i, j int) bool { return r.ready[i].ID < r.ready[j].ID })
 	if !r.started {
 		r.started = true
-		r.missing = 1
+		r.missing = missAtStart
 		r.fetches = max(leastFirst, firstLimit*float64(len(r.ready))/float64(max(1, r.set.Routers)))
 		if r.set.MustWatch {
 			r.do(Watch{})
