--- a/internal/lab/node_test.go
+++ b/internal/lab/bare/bare.go
@@ -1,4 +1,6 @@
-package lab
+// Package bare is the least that makes a router of the decision module: a connection for each attempt, no pools, no
+// limits. Tests of the lab run it, so that they hold whatever becomes of the router.
+package bare
 
 import (
 	"bytes"
@@ -10,38 +12,37 @@
 
 	"starlingwinch/decide"
 	"starlingwinch/internal/books"
+	"starlingwinch/internal/lab"
 	"starlingwinch/internal/machine"
 	"starlingwinch/internal/settings"
 )
 
-// bareNode is the least that makes a router of the decision module: a connection for each attempt, no pools, no limits.
-// The lab's own tests run it, so that they hold whatever becomes of the router.
-type bareNode struct {
+type node struct {
 	m        machine.Machine
-	c        bareConfig
+	c        config
 	set      decide.Settings
 	module   books.Module
-	now      Time
 	backlog  []decide.Event
 	telling  bool
 	listener machine.Listener
-	clients  []*bareClient
-	requests map[int64]*bareRequest
+	clients  []*client
+	requests map[int64]*request
 	lastID   int64
 	addrs    map[string]string // of the caches that are known
-	list     *bareList
+	list     *list
 	drained  func()
 	conns    int
 	attempts int
 }
 
-type bareConfig struct {
+type config struct {
 	Listen, Discovery string
 	Settings          json.RawMessage
 }
 
-func startBare(m machine.Machine, c NodeConfig) (Node, error) {
-	n := &bareNode{m: m, now: m.Now(), requests: map[int64]*bareRequest{}, addrs: map[string]string{}}
+// Start is a lab.Start.
+func Start(m machine.Machine, c lab.NodeConfig) (lab.Node, error) {
+	n := &node{m: m, requests: map[int64]*request{}, addrs: map[string]string{}}
 	if err := json.Unmarshal(c.JSON, &n.c); err != nil {
 		return nil, err
 	}
@@ -56,7 +57,7 @@
 		n.module = c.Wrap(n.module)
 	}
 	n.listener, err = m.Listen(n.c.Listen, func(conn machine.Conn) machine.Handler {
-		c := &bareClient{n: n, bareConn: bareConn{conn: conn}}
+		c := &client{n: n, stream: stream{conn: conn}}
 		n.clients = append(n.clients, c)
 		n.conns++
 		return c
@@ -64,26 +65,26 @@
 	if err != nil {
 		return nil, err
 	}
-	n.list = &bareList{n: n, after: -1}
+	n.list = &list{n: n, after: -1}
 	n.list.dial()
 	return n, nil
 }
 
-func (n *bareNode) Addr() string { return n.listener.Addr() }
+func (n *node) Addr() string { return n.listener.Addr() }
 
-func (n *bareNode) Left() map[string]int {
+func (n *node) Left() map[string]int {
 	open := 0
 	for _, r := range n.requests {
 		if !r.over {
 			open++
 		}
 	}
-	return map[string]int{"requests": open, "attempts": n.attempts, connections: n.conns}
+	return map[string]int{"requests": open, "attempts": n.attempts, "connections": n.conns}
 }
 
-func (n *bareNode) Reload(config []byte) error {
-	var c bareConfig
-	if err := json.Unmarshal(config, &c); err != nil {
+func (n *node) Reload(raw []byte) error {
+	var c config
+	if err := json.Unmarshal(raw, &c); err != nil {
 		return err
 	}
 	if c.Discovery != n.c.Discovery {
@@ -94,7 +95,7 @@
 }
 
 // Drain closes the listener at once, and every connection when nothing is owed on it.
-func (n *bareNode) Drain(done func()) {
+func (n *node) Drain(done func()) {
 	n.drained = done
 	n.m.At(n.m.Now()+400_000, func() {
 		n.listener.Close()
@@ -102,8 +103,8 @@
 	})
 }
 
-func (n *bareNode) drainOn() {
-	for _, c := range append([]*bareClient(nil), n.clients...) {
+func (n *node) drainOn() {
+	for _, c := range append([]*client(nil), n.clients...) {
 		if len(c.slots) == 0 {
 			c.drop()
 		}
@@ -116,7 +117,7 @@
 }
 
 // tell hands the module what has happened, and does what it says.
-func (n *bareNode) tell(ev decide.Event) {
+func (n *node) tell(ev decide.Event) {
 	n.backlog = append(n.backlog, ev)
 	if n.telling {
 		return
@@ -132,7 +133,7 @@
 	n.telling = false
 }
 
-func (n *bareNode) perform(a decide.Action) {
+func (n *node) perform(a decide.Action) {
 	switch a := a.(type) {
 	case decide.Send:
 		n.send(a)
@@ -157,15 +158,15 @@
 	}
 }
 
-// bareConn is a connection with what has come on it.
-type bareConn struct {
+// stream is a connection with what has come on it.
+type stream struct {
 	conn    machine.Conn
 	in, out []byte
 	closed  bool
 }
 
 // fill reads what has come and reports whether more can come.
-func (c *bareConn) fill() bool {
+func (c *stream) fill() bool {
 	var b [2048]byte
 	for {
 		k, err := c.conn.Read(b[:])
@@ -179,7 +180,7 @@
 	}
 }
 
-func (c *bareConn) write(b []byte) {
+func (c *stream) write(b []byte) {
 	if c.closed {
 		return
 	}
@@ -188,9 +189,9 @@
 	c.out = c.out[k:]
 }
 
-func (c *bareConn) Writable() { c.write(nil) }
+func (c *stream) Writable() { c.write(nil) }
 
-func (c *bareConn) close() {
+func (c *stream) close() {
 	c.closed = true
 	c.conn.Close()
 }
@@ -253,21 +254,21 @@
 	return all
 }
 
-// bareClient is a connection of a client.
-type bareClient struct {
-	bareConn
-	n     *bareNode
-	slots []*bareSlot
+// client is a connection of a client.
+type client struct {
+	stream
+	n     *node
+	slots []*slot
 }
 
-// bareSlot is the place of an answer.
-type bareSlot struct {
-	client  *bareClient
-	request *bareRequest
+// slot is the place of an answer.
+type slot struct {
+	client  *client
+	request *request
 	answer  []byte
 }
 
-func (c *bareClient) Readable() {
+func (c *client) Readable() {
 	if c.closed {
 		return
 	}
@@ -291,7 +292,7 @@
 	}
 }
 
-func (c *bareClient) drop() {
+func (c *client) drop() {
 	if c.closed {
 		return
 	}
@@ -312,7 +313,7 @@
 	}
 }
 
-func (s *bareSlot) say(b []byte) {
+func (s *slot) say(b []byte) {
 	s.answer = b
 	c := s.client
 	for len(c.slots) > 0 && c.slots[0].answer != nil {
@@ -321,8 +322,8 @@
 	}
 }
 
-func (c *bareClient) command(raw []byte) {
-	n, s, args := c.n, &bareSlot{client: c}, words(raw)
+func (c *client) command(raw []byte) {
+	n, s, args := c.n, &slot{client: c}, words(raw)
 	c.slots = append(c.slots, s)
 	switch {
 	case args[0] == "PING" && len(n.addrs) > 0:
@@ -333,7 +334,7 @@
 		return
 	}
 	n.lastID++
-	r := &bareRequest{n: n, id: n.lastID, raw: raw, slot: s}
+	r := &request{n: n, id: n.lastID, raw: raw, slot: s}
 	s.request = r
 	ev := &decide.Request{ID: r.id, HasKey: true, Write: args[0] == "C.SET"}
 	hash := fnv.New64a()
@@ -356,18 +357,18 @@
 	n.tell(ev)
 }
 
-type bareRequest struct {
-	n        *bareNode
+type request struct {
+	n        *node
 	id       int64
 	raw      []byte
-	deadline Time
-	slot     *bareSlot
+	deadline decide.Time
+	slot     *slot
 	over     bool
 	out      int
-	attempts []*bareAttempt
+	attempts []*attempt
 }
 
-func (r *bareRequest) finish(b []byte) {
+func (r *request) finish(b []byte) {
 	if r.over {
 		return
 	}
@@ -381,31 +382,31 @@
 	r.forget()
 }
 
-func (r *bareRequest) forget() {
+func (r *request) forget() {
 	if r.over && r.out == 0 {
 		delete(r.n.requests, r.id)
 	}
 }
 
-// bareAttempt is one attempt with its connection.
-type bareAttempt struct {
-	bareConn
-	request *bareRequest
+// attempt is one attempt with its connection.
+type attempt struct {
+	stream
+	request *request
 	number  int
-	sent    Time
-	writeBy Time
+	sent    decide.Time
+	writeBy decide.Time
 	dialing machine.Dialing
 	timer   machine.Timer
 	written bool
 	over    bool
 }
 
-func (n *bareNode) send(s decide.Send) {
+func (n *node) send(s decide.Send) {
 	r := n.requests[s.ID]
 	if r == nil {
 		return
 	}
-	a := &bareAttempt{request: r, number: len(r.attempts), sent: n.m.Now(), writeBy: s.WriteBy}
+	a := &attempt{request: r, number: len(r.attempts), sent: n.m.Now(), writeBy: s.WriteBy}
 	r.attempts = append(r.attempts, a)
 	r.out++
 	n.attempts++
@@ -438,7 +439,7 @@
 	})
 }
 
-func (a *bareAttempt) Readable() {
+func (a *attempt) Readable() {
 	if a.over {
 		return
 	}
@@ -457,7 +458,7 @@
 	}
 }
 
-func (a *bareAttempt) end(result decide.Result, answer []byte, miss bool) {
+func (a *attempt) end(result decide.Result, answer []byte, miss bool) {
 	if a.over {
 		return
 	}
@@ -488,22 +489,22 @@
 	r.forget()
 }
 
-// bareList watches discovery.
-type bareList struct {
-	n       *bareNode
-	conn    *bareListConn
+// list watches discovery.
+type list struct {
+	n       *node
+	conn    *listConn
 	after   int64
 	dialing machine.Dialing
 	timer   machine.Timer
 }
 
-type bareListConn struct {
-	bareConn
-	l *bareList
+type listConn struct {
+	stream
+	l *list
 }
 
 // again begins a new connection to discovery.
-func (l *bareList) again() {
+func (l *list) again() {
 	if l.dialing != nil {
 		l.dialing.Cancel()
 		l.dialing = nil
@@ -520,7 +521,7 @@
 	l.timer = l.n.m.At(l.n.m.Now()+50_000, l.dial)
 }
 
-func (l *bareList) dial() {
+func (l *list) dial() {
 	l.n.conns++
 	l.dialing = l.n.m.Dial(l.n.c.Discovery, 500_000, func(conn machine.Conn, err error) machine.Handler {
 		l.dialing = nil
@@ -529,13 +530,13 @@
 			l.again()
 			return nil
 		}
-		l.conn = &bareListConn{bareConn{conn: conn}, l}
+		l.conn = &listConn{stream{conn: conn}, l}
 		l.ask()
 		return l.conn
 	})
 }
 
-func (l *bareList) ask() {
+func (l *list) ask() {
 	path := "/discovery/hosts"
 	if l.after >= 0 {
 		path += fmt.Sprintf("?after=%d&wait_ms=2000", l.after)
@@ -544,7 +545,7 @@
 	l.timer = l.n.m.At(l.n.m.Now()+3_500_000, l.again)
 }
 
-func (c *bareListConn) Readable() {
+func (c *listConn) Readable() {
 	if c.closed {
 		return
 	}
@@ -577,7 +578,7 @@
 }
 
 // take takes an answer of discovery in, and reports whether it could be read.
-func (l *bareList) take(body []byte) bool {
+func (l *list) take(body []byte) bool {
 	var in struct {
 		Index     int64
 		Snapshot  bool
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -131,6 +131,9 @@
 	for {
 		f, more := frames.Next()
 		name, ours := strings.CutPrefix(f.Function, "starlingwinch/")
+		if name == "internal/lab.(*world).runPart" {
+			more = false // who has called the runner is no part of it
+		}
 		if ours && !strings.HasPrefix(name, "internal/lab.") && !strings.HasPrefix(name, "internal/sim.") {
 			lines = append(lines, fmt.Sprintf(" | %s %s:%d", name, path.Base(f.File), f.Line))
 		}
--- /dev/null
+++ b/internal/lab/shrink.go
@@ -0,0 +1,150 @@
+package lab
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"starlingwinch/internal/lab/script"
+)
+
+// Shrinking cuts a script down to what matters for one broken rule. Faults are dropped by delta debugging (Zeller and
+// Hildebrandt, "Simplifying and Isolating Failure-Inducing Input", IEEE TSE 28(2), 2002); what is left is made
+// shorter and milder step by step, as long as the rule still breaks.
+type Shrinking struct {
+	Rule    string // that is to break
+	Options Options
+	// Tried is told of each script that was tried and whether the rule broke.
+	Tried func(s script.Script, breaks bool)
+	// Most is how many runs are made at the most; 0 stands for 500.
+	Most int
+
+	runs int
+}
+
+// Shrink returns the smallest script that it has found, and the number of runs made. Where ctx ends, that is the
+// smallest so far.
+func (h *Shrinking) Shrink(ctx context.Context, s script.Script) (script.Script, int) {
+	if h.Most == 0 {
+		h.Most = 500
+	}
+	breaks := func(c script.Script) bool {
+		if ctx.Err() != nil || h.runs >= h.Most || c.Check() != nil {
+			return false
+		}
+		h.runs++
+		r, err := Run(c, h.Options)
+		ok := err == nil && r.Breaks(h.Rule)
+		if h.Tried != nil {
+			h.Tried(c, ok)
+		}
+		return ok
+	}
+	for {
+		before := script.Text(s)
+		s = shorter(s, breaks)
+		s = fewer(s, breaks)
+		s = milder(s, breaks)
+		if script.Text(s) == before {
+			return s, h.runs
+		}
+	}
+}
+
+// fewer drops faults: ddmin over the list.
+func fewer(s script.Script, breaks func(script.Script) bool) script.Script {
+	for parts := 2; len(s.Faults) > 0; {
+		parts = min(parts, len(s.Faults))
+		found := false
+		for i := range parts {
+			c := s.Clone()
+			from, to := i*len(s.Faults)/parts, (i+1)*len(s.Faults)/parts
+			c.Faults = slices.Delete(c.Faults, from, to)
+			if breaks(c) {
+				s, found = c, true
+				parts = max(parts-1, 2)
+				break
+			}
+		}
+		if found {
+			continue
+		}
+		if parts >= len(s.Faults) {
+			return s
+		}
+		parts *= 2
+	}
+	return s
+}
+
+// cut is a script of another length, with its faults cut off at the end.
+func cut(s script.Script, length time.Duration) script.Script {
+	c := s.Clone()
+	c.Length = length
+	c.Faults = nil
+	for _, f := range s.Faults {
+		if f.At >= length {
+			continue
+		}
+		f.For = min(f.For, length-f.At)
+		c.Faults = append(c.Faults, f)
+	}
+	return c
+}
+
+// shorter halves the rest of the run that it can do without, and then the spans of faults.
+func shorter(s script.Script, breaks func(script.Script) bool) script.Script {
+	s.Length = least(s.Length, 200*time.Millisecond, func(d time.Duration) bool { return breaks(cut(s, d)) })
+	s = cut(s, s.Length)
+	for i := range s.Faults {
+		if s.Faults[i].For == 0 {
+			continue
+		}
+		s.Faults[i].For = least(s.Faults[i].For, 10*time.Millisecond, func(d time.Duration) bool {
+			c := s.Clone()
+			c.Faults[i].For = d
+			return breaks(c)
+		})
+	}
+	return s
+}
+
+// least searches for the least span that still breaks, to a tenth of what it began with.
+func least(from, floor time.Duration, breaks func(time.Duration) bool) time.Duration {
+	low, high := floor, from
+	for step := max(from/10, floor); high-low > step; {
+		mid := (low + (high-low)/2).Round(time.Millisecond)
+		if breaks(mid) {
+			high = mid
+		} else {
+			low = mid
+		}
+	}
+	return high
+}
+
+// milder takes out of the world what does not matter.
+func milder(s script.Script, breaks func(script.Script) bool) script.Script {
+	usual := script.Default()
+	try := func(change func(c *script.Script)) {
+		c := s.Clone()
+		if change(&c); script.Text(c) != script.Text(s) && breaks(c) {
+			s = c
+		}
+	}
+	for _, rate := range []float64{s.Rate / 8, s.Rate / 2} {
+		try(func(c *script.Script) { c.Rate = max(1, float64(int(rate))) })
+	}
+	try(func(c *script.Script) { c.Clients = usual.Clients })
+	try(func(c *script.Script) { c.Clients.Retries = 0 })
+	try(func(c *script.Script) { c.Clients.Pipeline = 0 })
+	try(func(c *script.Script) { c.Clients.Impatient = 0 })
+	try(func(c *script.Script) { c.Fleet = usual.Fleet })
+	try(func(c *script.Script) { c.Network = usual.Network })
+	try(func(c *script.Script) { c.Network.Shuffle = false })
+	try(func(c *script.Script) { c.Network.Jitter, c.Network.Split = 0, 0 })
+	try(func(c *script.Script) { c.Caches = 3 })
+	try(func(c *script.Script) { c.Routers = 1 })
+	try(func(c *script.Script) { c.Clients.Groups = 1 })
+	return s
+}
