--- a/internal/lab/bare/bare.go
+++ b/internal/lab/bare/bare.go
@@ -31,6 +31,7 @@
 	addrs    map[string]string // of the caches that are known
 	list     *list
 	drained  func()
+	ending   bool
 	conns    int
 	attempts int
 }
@@ -99,6 +100,7 @@
 	n.drained = done
 	n.m.At(n.m.Now()+400_000, func() {
 		n.listener.Close()
+		n.ending = true
 		n.drainOn()
 	})
 }
@@ -320,6 +322,9 @@
 		c.write(c.slots[0].answer)
 		c.slots = c.slots[1:]
 	}
+	if len(c.slots) == 0 && c.n.ending && !c.closed {
+		c.drop()
+	}
 }
 
 func (c *client) command(raw []byte) {
