--- a/cmd/lab/chaos.go
+++ b/cmd/lab/chaos.go
@@ -1,10 +1,11 @@
 package main
 
 import (
+	"context"
 	"fmt"
-	"io"
 	"time"
 
+	"starlingwinch/internal/lab"
 	"starlingwinch/internal/lab/loopback"
 	"starlingwinch/internal/lab/script"
 	"starlingwinch/internal/standin"
@@ -25,7 +26,8 @@
 )
 
 func init() {
-	scenarios["chaos"] = scenario{"a minute of troubles on loopback sockets, router processes killed among them", chaos}
+	lab.Register(lab.Scenario{Name: "chaos", Run: chaos,
+		Doc: "a minute of troubles on loopback sockets, router processes killed among them"})
 }
 
 // chaosScript is a load that the fleet can serve, and troubles of which none takes more than a cache in nine at a
@@ -76,9 +78,10 @@
 // chaosLives is how many of the commonest kinds of misses are told with the lives of some requests.
 const chaosLives = 6
 
-func chaos(out io.Writer, long bool) error {
+func chaos(_ context.Context, o lab.RunOptions) (line string, ok bool, err error) {
+	out := o.Out
 	length := chaosLength
-	if long {
+	if o.Long {
 		length *= 5
 	}
 	shown := newTable(out)
@@ -90,12 +93,12 @@
 		}
 		return shown.show(s)
 	}
-	r, err := loopback.Run(loopback.Options{Script: chaosScript(length), See: see})
+	r, err := loopback.Run(loopback.Options{Script: chaosScript(length), See: see, Program: o.Against})
 	if err != nil {
-		return err
+		return "", false, err
 	}
 	if r.Interrupted {
-		return fmt.Errorf("chaos: %w", loopback.ErrInterrupted)
+		return "", false, loopback.ErrInterrupted
 	}
 	told(out, &r)
 	fmt.Fprintln(out, r.Misses.String())
@@ -108,13 +111,9 @@
 		fmt.Fprintf(out, "MISSED: in_time %.4f, wanted %.2f\n", r.InTime(), chaosInTime)
 	}
 	sum := r.Requests()
-	fmt.Fprintf(out, "chaos: requests %d served %d refused %d failed %d lost %d doubled %d late_drains %d in_time %.3f "+
-		"after_start %.3f service %.3f broken %d rss_mb %.0f descriptors %d\n",
+	return fmt.Sprintf("requests %d served %d refused %d failed %d lost %d doubled %d late_drains %d in_time %.3f "+
+		"after_start %.3f service %.3f broken %d rss_mb %.0f descriptors %d",
 		sum.Requests, sum.InAim+sum.Late, sum.Refused, sum.Failed+sum.Lost+sum.Left,
 		r.Counts.Lost, r.Counts.Doubled, r.Counts.LateDrains(), r.InTime(), r.InTimeSince(atStart), r.Service(),
-		r.Counts.Violations(), float64(r.PeakRSS())/(1<<20), r.Descriptors())
-	if missed {
-		return errMissed
-	}
-	return nil
+		r.Counts.Violations(), float64(r.PeakRSS())/(1<<20), r.Descriptors()), !missed, nil
 }
--- a/cmd/lab/try_test.go
+++ b/cmd/lab/try_test.go
@@ -39,7 +39,7 @@
 		"try --rate 0":                     "--rate: out of range",
 		"try --for -1s":                    "--for: out of range",
 		"try so":                           "unknown word",
-		"run nothing":                      "chaos",
+		"run nothing":                      "lab list",
 	} {
 		cmd := root()
 		cmd.SetArgs(strings.Fields(args))
