--- a/internal/front/command.go
+++ b/internal/front/command.go
@@ -25,6 +25,7 @@
 	Wait   Time   // how long the client waits, cut at what its class allows
 	Cost   Time   // the client's guess at the work; 0 where it has none
 	Write  bool
+	Unsafe bool // its class must never run twice, and no cache drops a repeat
 
 	args     [][]byte // verb, key, id, names and values, and the value to set if there is one
 	size     int      // bytes on the wire
@@ -65,6 +66,7 @@
 	if c.Write == (classes[i].Effect == decide.Safe) {
 		return c, fmt.Errorf("%s does not fit the class", args[0])
 	}
+	c.Unsafe = classes[i].Effect == decide.Unsafe
 	if classes[i].Effect == decide.Keyed && !keyed {
 		return c, errors.New("k is needed: no cache can drop a repeat of this class without it")
 	}
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -36,6 +36,12 @@
 // Open implements upstream.Work.
 func (s *sending) Open() bool { return !s.request.over }
 
+// Key implements upstream.Work.
+func (s *sending) Key() uint64 { return s.request.cmd.Hash }
+
+// Unsafe implements upstream.Work.
+func (s *sending) Unsafe() bool { return s.request.cmd.Unsafe }
+
 // Settle hands the module what has happened, in order, and does what it says.
 func (r *Router) Settle() {
 	if r.telling {
--- a/internal/upstream/cache.go
+++ b/internal/upstream/cache.go
@@ -23,6 +23,7 @@
 	waiting []*Attempt // in the order of their sending
 	out     int        // attempts without an outcome, probes left out
 	trouble trouble
+	equals  equals
 
 	rest     Time // of a connection, between an answer and the next request at least
 	fullRest Time // ... where there is a choice: a cache may close right after an answer, and that takes its way
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -19,6 +19,7 @@
 	attempt   *Attempt        // what it carries
 	unwritten []byte          // rest of the attempt's command
 	part      []byte          // what has come of its answer
+	last      answer          // the one before
 	idleSince Time
 	closed    bool
 }
@@ -132,6 +133,9 @@
 	defer p.owner.Settle()
 	if c.attempt == nil || c.attempt.state != written {
 		if !c.nc.Quiet() {
+			if c.attempt == nil {
+				c.stray()
+			}
 			c.broken() // nobody asked, or not yet: what else comes can't be told apart either
 		}
 		return
@@ -175,6 +179,9 @@
 		return
 	case rep.Pong:
 		result = decide.Served
+	case c.repeats(a.Work, rep.Value):
+		c.broken()
+		return
 	}
 	a.end(result, rep)
 	if !clean {
--- a/internal/upstream/harness_test.go
+++ b/internal/upstream/harness_test.go
@@ -23,8 +23,14 @@
 	id    string
 	value []byte // of a write
 	over  bool
+
+	key    uint64 // of all alike unless a test says so
+	unsafe bool
 }
 
+func (w *work) Key() uint64  { return w.key }
+func (w *work) Unsafe() bool { return w.unsafe }
+
 func (w *work) Open() bool { return !w.over }
 
 func (w *work) Encode(b []byte, wait Time) []byte {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -27,6 +27,9 @@
 	Encode(b []byte, wait Time) []byte
 	// Open reports whether an answer is still wanted: nothing is sent where none is.
 	Open() bool
+	// Key is a hash of what it asks for. Unsafe reports whether a wrong word that the answer was lost does harm.
+	Key() uint64
+	Unsafe() bool
 }
 
 // Owner is told what becomes of attempts.
