--- a/cmd/starlingwinch/run.go
+++ b/cmd/starlingwinch/run.go
@@ -10,6 +10,7 @@
 
 	"github.com/spf13/cobra"
 
+	"starlingwinch/internal/eureka"
 	"starlingwinch/internal/fault"
 	"starlingwinch/internal/limits"
 	"starlingwinch/internal/machine"
@@ -19,7 +20,7 @@
 )
 
 // kinds are the operators' files that the program knows. A subsystem adds its own here.
-var kinds = opfile.Registry{limits.Kind}
+var kinds = opfile.Registry{limits.Kind, eureka.Kind}
 
 const (
 	configVariable = "BALANCER_CONFIG"
--- /dev/null
+++ b/internal/eureka/config.go
@@ -0,0 +1,208 @@
+package eureka
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"time"
+
+	"starlingwinch/internal/opfile"
+)
+
+// Config is an operators' file of the kind "eureka".
+type Config struct {
+	Enabled     bool          `toml:"enabled" doc:"the registry is one of the sources of the list of caches"`
+	URLs        []string      `toml:"urls" min:"1" max:"8" secret:"true" doc:"its servers' REST interfaces, the preferred one first"`
+	Application string        `toml:"application" max:"256" doc:"the application whose instances are the caches; empty for all"`
+	VIP         string        `toml:"vip" max:"256" doc:"the virtual address that the caches have; empty for any"`
+	Delta       string        `toml:"delta" words:"auto,always,never" doc:"whether the registry is asked for changes alone"`
+	Cadence     time.Duration `toml:"cadence" min:"50ms" max:"1m" doc:"between calls, give or take a fifth"`
+	Timeout     time.Duration `toml:"timeout" min:"100ms" max:"1m" doc:"for an answer to come whole"`
+	BackoffMost time.Duration `toml:"backoff_most" min:"100ms" max:"10m" doc:"between calls to a server that fails, at most"`
+	PreferAgain time.Duration `toml:"prefer_again" min:"1s" max:"1h" doc:"a server that failed is tried again after that, while another serves"`
+	FullEvery   time.Duration `toml:"full_every" min:"1s" max:"1h" doc:"the whole list is fetched at least so often"`
+	Body        opfile.Size   `toml:"body" min:"64KiB" max:"64MiB" doc:"bytes of an answer, packed or not"`
+	Bandwidth   opfile.Size   `toml:"bandwidth" min:"16KiB" max:"1GiB" doc:"bytes of answers a second: calls wait where answers are larger"`
+	LeaseGrace  int           `toml:"lease_grace" min:"0" max:"100" doc:"leases without a renewal after which an instance that is up counts as draining; 0 for never"`
+
+	User         string `toml:"user" max:"256" doc:"for basic authentication; empty for none"`
+	Password     string `toml:"password" max:"1024" secret:"true" doc:"for basic authentication; it is never logged"`
+	PasswordFile string `toml:"password_file" max:"4096" doc:"the file that holds the password, instead"`
+
+	Metadata Metadata `toml:"metadata"`
+	Register Section  `toml:"register"`
+}
+
+// Metadata are the names of what instances tell of themselves.
+type Metadata struct {
+	Zone             string `toml:"zone" max:"256" doc:"the key that holds the zone; empty for none"`
+	Group            string `toml:"group" max:"256" doc:"the key that holds the number of the group; empty for none"`
+	Weight           string `toml:"weight" max:"256" doc:"the key that holds the weight; empty for none"`
+	Start            string `toml:"start" max:"256" doc:"the key that holds the last start, Unix time in milliseconds; empty for none"`
+	AvailabilityZone bool   `toml:"availability_zone" doc:"without a zone in metadata, the data centre's counts"`
+	ServiceUp        bool   `toml:"service_up" doc:"without a start in metadata, the time since when the registry has it up counts"`
+}
+
+// Section is the registration of the router itself.
+type Section struct {
+	Enabled     bool          `toml:"enabled" doc:"the router registers itself"`
+	Application string        `toml:"application" min:"1" max:"256" doc:"the application that the router is registered under"`
+	Instance    string        `toml:"instance" max:"256" doc:"the id of the instance; empty for application:ip:port"`
+	VIP         string        `toml:"vip" max:"256" doc:"its virtual address; empty for the application in lower case"`
+	IP          string        `toml:"ip" max:"64" doc:"the IP address that clients are to use"`
+	Port        int           `toml:"port" min:"0" max:"65535" doc:"the port that clients are to use"`
+	Renewal     time.Duration `toml:"renewal" min:"1s" max:"5m" doc:"between heartbeats"`
+	Duration    time.Duration `toml:"duration" min:"2s" max:"1h" doc:"the registry drops the router so long after its last heartbeat"`
+	Timeout     time.Duration `toml:"timeout" min:"50ms" max:"10s" doc:"for a call, and for the whole of the end"`
+}
+
+// Default is what holds where no file says otherwise. The URL is a placeholder from the addresses for documents
+// (RFC 5737), at which nobody answers.
+func Default() Config {
+	return Config{
+		URLs:        []string{"http://192.0.2.1:8761/eureka"},
+		Delta:       DeltaAuto,
+		Cadence:     300 * time.Millisecond,
+		Timeout:     time.Second,
+		BackoffMost: 5 * time.Second,
+		PreferAgain: 30 * time.Second,
+		FullEvery:   time.Minute,
+		Body:        16 << 20,
+		Bandwidth:   4 << 20,
+		Metadata:    Metadata{Zone: "zone", Group: "group", Weight: "weight", Start: "start"},
+		Register: Section{
+			Application: "STARLINGWINCH",
+			Renewal:     30 * time.Second,
+			Duration:    90 * time.Second,
+			Timeout:     time.Second,
+		},
+	}
+}
+
+// Kind is the kind of file that sets it.
+var Kind = opfile.Define("eureka", "an Eureka registry as a source of the list of caches", Default(), check)
+
+// check looks at what no single range tells.
+func check(c Config, bad opfile.Bad) {
+	seen := map[string]bool{}
+	for i, text := range c.URLs {
+		key := fmt.Sprintf("urls[%d]", i)
+		u, err := ParseURL(text)
+		switch {
+		case err != nil:
+			bad(key, "%v", err)
+		case seen[u.String()]:
+			bad(key, "stands twice")
+		}
+		seen[u.String()] = true
+	}
+	if c.Application != "" && c.VIP != "" {
+		bad("vip", "application is set too (one of them is wanted)")
+	}
+	for _, name := range []struct{ key, text string }{{"application", c.Application}, {"vip", c.VIP},
+		{"register.application", c.Register.Application}, {"register.instance", c.Register.Instance}} {
+		if strings.ContainsFunc(name.text, func(r rune) bool { return r <= ' ' || r == '/' || r == 0x7f }) {
+			bad(name.key, "holds a space, a slash or a control character")
+		}
+	}
+	if c.BackoffMost < c.Cadence {
+		bad("backoff_most", "below cadence (%s, wanted at least %s)", opfile.Duration(c.BackoffMost), opfile.Duration(c.Cadence))
+	}
+	switch {
+	case c.Password != "" && c.PasswordFile != "":
+		bad("password_file", "password is set too (one of them is wanted)")
+	case c.User == "" && (c.Password != "" || c.PasswordFile != ""):
+		bad("user", "empty, but there is a password")
+	case strings.Contains(c.User, ":"):
+		bad("user", "holds a colon")
+	}
+	c.Register.check(bad)
+}
+
+func (s Section) check(bad opfile.Bad) {
+	if s.Duration < 2*s.Renewal {
+		bad("register.duration", "below two renewals (%s, wanted at least %s)",
+			opfile.Duration(s.Duration), opfile.Duration(2*s.Renewal))
+	}
+	for _, span := range []struct {
+		key string
+		d   time.Duration
+	}{{"renewal", s.Renewal}, {"duration", s.Duration}} {
+		if span.d%time.Second != 0 {
+			bad("register."+span.key, "not in whole seconds (%s)", opfile.Duration(span.d))
+		}
+	}
+	if !s.Enabled {
+		return
+	}
+	if ip, err := netip.ParseAddr(s.IP); err != nil || ip.IsUnspecified() || ip.Zone() != "" {
+		bad("register.ip", "not an IP address that clients can use (%.64q)", s.IP)
+	}
+	if s.Port == 0 {
+		bad("register.port", "out of range (0, wanted 1 to 65535)")
+	}
+}
+
+func (c Config) servers() []URL {
+	var all []URL
+	for _, text := range c.URLs {
+		if u, err := ParseURL(text); err == nil { // check has seen to it
+			all = append(all, u)
+		}
+	}
+	return all
+}
+
+func (c Config) login() Login {
+	return Login{User: c.User, Password: c.Password, PasswordFile: c.PasswordFile}
+}
+
+// Options are those of Follow, for a source of that name.
+func (c Config) Options(name string) Options {
+	return Options{
+		Name:        name,
+		Servers:     c.servers(),
+		Login:       c.login(),
+		Application: c.Application,
+		VIP:         c.VIP,
+		Delta:       c.Delta,
+		Cadence:     c.Cadence.Microseconds(),
+		Timeout:     c.Timeout.Microseconds(),
+		BackoffMost: c.BackoffMost.Microseconds(),
+		PreferAgain: c.PreferAgain.Microseconds(),
+		FullEvery:   c.FullEvery.Microseconds(),
+		Body:        int(c.Body),
+		Bandwidth:   int(c.Bandwidth),
+		LeaseGrace:  c.LeaseGrace,
+		Names: Names{
+			Zone:             c.Metadata.Zone,
+			Group:            c.Metadata.Group,
+			Weight:           c.Metadata.Weight,
+			Start:            c.Metadata.Start,
+			AvailabilityZone: c.Metadata.AvailabilityZone,
+			ServiceUp:        c.Metadata.ServiceUp,
+		},
+	}
+}
+
+// Registration gives the options of Register. They hold only where Register.Enabled.
+func (c Config) Registration() RegisterOptions {
+	s := c.Register
+	ip, _ := netip.ParseAddr(s.IP) // check has seen to it
+	o := RegisterOptions{
+		Servers:     c.servers(),
+		Login:       c.login(),
+		Application: strings.ToUpper(s.Application),
+		Instance:    s.Instance,
+		VIP:         s.VIP,
+		Addr:        netip.AddrPortFrom(ip, uint16(s.Port)),
+		Renewal:     s.Renewal.Microseconds(),
+		Duration:    s.Duration.Microseconds(),
+		Timeout:     s.Timeout.Microseconds(),
+		BackoffMost: c.BackoffMost.Microseconds(),
+	}
+	if o.Instance == "" {
+		o.Instance = fmt.Sprintf("%s:%s", strings.ToLower(s.Application), o.Addr)
+	}
+	return o
+}
--- /dev/null
+++ b/internal/eureka/harness_test.go
@@ -0,0 +1,342 @@
+package eureka
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+
+	"starlingwinch/decide"
+	"starlingwinch/internal/machine"
+	"starlingwinch/internal/membership"
+	"starlingwinch/internal/sim"
+)
+
+// field is a world with a client's host and scripted registries.
+type field struct {
+	*testing.T
+	*sim.World
+	client *sim.Host
+	log    []string
+	events []membership.Event
+	heard  []Time // when they came
+}
+
+func newField(t *testing.T) *field {
+	w := sim.New(1)
+	w.Near = sim.Link{Latency: millisecond / 2, Split: 0.3}
+	f := &field{T: t, World: w}
+	f.client = w.Host("client", "10.0.0.9", sim.HostOptions{Zone: "a"})
+	f.client.Logged = func(line string) { f.log = append(f.log, line) }
+	return f
+}
+
+// asked is a request that came to a registry.
+type asked struct {
+	at     Time
+	method string
+	path   string
+	header http.Header
+	body   string
+}
+
+func (a asked) String() string { return a.method + " " + a.path }
+
+// answer is what a registry says. Raw goes out as it is.
+type answer struct {
+	status int
+	body   string
+	header string // lines, each with its end
+	raw    string
+	delay  Time
+	silent bool
+	open   bool // the body has no length and no end
+}
+
+// registry is a scripted server.
+type registry struct {
+	f      *field
+	host   *sim.Host
+	m      machine.Machine
+	calls  []asked
+	answer func(a asked) answer
+}
+
+func (f *field) registry(name, ip string, script func(a asked) answer) *registry {
+	r := &registry{f: f, answer: script}
+	r.host = f.World.Host(name, ip, sim.HostOptions{Zone: "a"})
+	r.m = r.host.Machine()
+	_, err := r.m.Listen(ip+":8761", func(c machine.Conn) machine.Handler { return &peer{r: r, conn: c} })
+	if err != nil {
+		f.Fatal(err)
+	}
+	return r
+}
+
+func (r *registry) url() URL {
+	u, err := ParseURL("http://" + r.host.IP() + ":8761/eureka/")
+	if err != nil {
+		panic(err)
+	}
+	return u
+}
+
+// paths are the paths asked for so far.
+func (r *registry) paths() []string {
+	var all []string
+	for _, a := range r.calls {
+		all = append(all, a.path)
+	}
+	return all
+}
+
+// peer is one connection of a registry.
+type peer struct {
+	r    *registry
+	conn machine.Conn
+	in   []byte
+	out  []byte
+	more bool // bytes without end
+}
+
+func (p *peer) Readable() {
+	var b [4096]byte
+	for {
+		n, err := p.conn.Read(b[:])
+		p.in = append(p.in, b[:n]...)
+		if err == machine.ErrWait {
+			break
+		}
+		if err != nil {
+			p.conn.Close()
+			return
+		}
+	}
+	src := bytes.NewReader(p.in)
+	q, err := http.ReadRequest(bufio.NewReader(src))
+	if err != nil {
+		return // not whole yet
+	}
+	body, err := io.ReadAll(q.Body)
+	if err != nil {
+		return
+	}
+	p.in = nil
+	path := strings.TrimPrefix(q.URL.RequestURI(), "/eureka")
+	a := asked{at: p.r.f.Now(), method: q.Method, path: path, header: q.Header, body: string(body)}
+	p.r.calls = append(p.r.calls, a)
+	got := p.r.answer(a)
+	if got.silent {
+		return
+	}
+	p.r.m.At(p.r.m.Now()+got.delay, func() { p.send(got) })
+}
+
+func (p *peer) send(a answer) {
+	switch {
+	case a.raw != "":
+		p.out = append(p.out, a.raw...)
+	case a.open:
+		p.out = fmt.Appendf(p.out, "HTTP/1.1 %d X\r\n%s\r\n%s", a.status, a.header, a.body)
+		p.more = true
+	default:
+		p.out = fmt.Appendf(p.out, "HTTP/1.1 %d X\r\n%sContent-Length: %d\r\n\r\n%s", a.status, a.header, len(a.body), a.body)
+	}
+	p.Writable()
+}
+
+func (p *peer) Writable() {
+	for len(p.out) > 0 || p.more {
+		if len(p.out) == 0 {
+			p.out = bytes.Repeat([]byte("["), 64<<10)
+		}
+		n, err := p.conn.Write(p.out)
+		p.out = p.out[n:]
+		if err != nil || len(p.out) > 0 {
+			return
+		}
+	}
+}
+
+// node is an instance of the scripts.
+type node struct {
+	id, status string
+	updated    int64 // ms
+	action     string
+	app        string // "CACHE" where it is empty
+}
+
+func (n node) json() string {
+	app := n.app
+	if app == "" {
+		app = "CACHE"
+	}
+	return fmt.Sprintf(`{"instanceId":%q,"hostName":"h","app":%q,"ipAddr":"10.1.0.%d","status":%q,`+
+		`"overriddenStatus":"UNKNOWN","port":{"$":6379,"@enabled":"true"},"securePort":{"$":443,"@enabled":"false"},`+
+		`"countryId":1,"dataCenterInfo":{"@class":"com.netflix.appinfo.InstanceInfo$DefaultDataCenterInfo","name":"MyOwn"},`+
+		`"leaseInfo":{"renewalIntervalInSecs":30,"durationInSecs":90,"registrationTimestamp":1749999000000,`+
+		`"lastRenewalTimestamp":1749999900000,"evictionTimestamp":0,"serviceUpTimestamp":1749999000000},`+
+		`"metadata":{"zone":"z1","group":"3","weight":"1.5","management.port":"8080"},"homePageUrl":"http://h:6379/",`+
+		`"statusPageUrl":"http://h:6379/info","healthCheckUrl":"http://h:6379/health","vipAddress":"cache",`+
+		`"secureVipAddress":"cache","isCoordinatingDiscoveryServer":"false","lastUpdatedTimestamp":"%d",`+
+		`"lastDirtyTimestamp":"%d","actionType":%q}`, n.id, app, len(n.id), n.status, n.updated, n.updated, n.action)
+}
+
+// list is the text of an answer that holds all of the nodes, with the hash code of counted.
+func list(version int, counted, nodes []node) string {
+	counts := map[string]int{}
+	for _, n := range counted {
+		counts[n.status]++
+	}
+	var apps, texts []string
+	for _, n := range nodes {
+		if n.app == "" {
+			n.app = "CACHE"
+		}
+		if !slices.Contains(apps, n.app) {
+			apps = append(apps, n.app)
+		}
+	}
+	for _, app := range apps {
+		var all []string
+		for _, n := range nodes {
+			if n.app == app || n.app == "" && app == "CACHE" {
+				all = append(all, n.json())
+			}
+		}
+		texts = append(texts, fmt.Sprintf(`{"name":%q,"instance":[%s]}`, app, strings.Join(all, ",")))
+	}
+	return fmt.Sprintf(`{"applications":{"versions__delta":"%d","apps__hashcode":%q,"application":[%s]}}`,
+		version, hashCode(counts), strings.Join(texts, ","))
+}
+
+// fleet is a registry's content, which a script changes.
+type fleet struct {
+	nodes   []node
+	changes []node
+	version int
+	clock   int64
+}
+
+func newFleet(ids ...string) *fleet {
+	fl := &fleet{version: 1, clock: 1_750_000_000_000}
+	for _, id := range ids {
+		fl.nodes = append(fl.nodes, node{id: id, status: "UP", updated: fl.clock, action: "ADDED"})
+	}
+	return fl
+}
+
+// set changes an instance, or adds it; status "" takes it away.
+func (fl *fleet) set(id, status string) {
+	fl.clock++
+	fl.version++
+	at := slices.IndexFunc(fl.nodes, func(n node) bool { return n.id == id })
+	n := node{id: id, status: status, updated: fl.clock, action: "MODIFIED"}
+	switch {
+	case status == "":
+		n.status, n.action = fl.nodes[at].status, "DELETED"
+		fl.nodes = slices.Delete(fl.nodes, at, at+1)
+	case at < 0:
+		n.action = "ADDED"
+		fl.nodes = append(fl.nodes, n)
+	default:
+		fl.nodes[at] = n
+	}
+	fl.changes = append(fl.changes, n)
+}
+
+// script answers as a registry with that content.
+func (fl *fleet) script(a asked) answer {
+	switch a.path {
+	case "/apps/delta":
+		return answer{status: 200, body: list(fl.version, fl.nodes, fl.changes)}
+	case "/apps/CACHE":
+		if len(fl.nodes) == 0 {
+			return answer{status: 404}
+		}
+		var all []string
+		for _, n := range fl.nodes {
+			all = append(all, n.json())
+		}
+		return answer{status: 200, body: `{"application":{"name":"CACHE","instance":[` + strings.Join(all, ",") + `]}}`}
+	case "/apps", "/vips/cache":
+		return answer{status: 200, body: list(1, fl.nodes, fl.nodes)}
+	}
+	return answer{status: 404}
+}
+
+// options are the defaults, for these registries.
+func options(servers ...*registry) Options {
+	o := Default().Options("eureka")
+	o.Servers = nil
+	for _, r := range servers {
+		o.Servers = append(o.Servers, r.url())
+	}
+	return o
+}
+
+// follow starts a client whose events are kept.
+func (f *field) follow(o Options) *Client {
+	return Follow(f.client.Machine(), o, func(e membership.Event) {
+		f.events = append(f.events, e)
+		f.heard = append(f.heard, f.Now())
+	})
+}
+
+// after runs the world for a span.
+func (f *field) after(d Time) { f.World.Run(f.Now() + d) }
+
+// wait runs the world until done, for a span at most.
+func (f *field) wait(d Time, what string, done func() bool) {
+	f.Helper()
+	if !f.RunUntil(f.Now()+d, done) {
+		f.Fatalf("not within %d ms: %s\nlog: %q", d/1000, what, f.log)
+	}
+}
+
+// waitHeard waits for what keeps.
+func (f *field) waitHeard(d Time, what string, keeps func(h *membership.Heard) bool) *membership.Heard {
+	f.Helper()
+	from := len(f.events)
+	var found *membership.Heard
+	f.wait(d, what, func() bool {
+		for ; from < len(f.events); from++ {
+			if h, ok := f.events[from].(*membership.Heard); ok && keeps(h) {
+				found = h
+				return true
+			}
+		}
+		return false
+	})
+	return found
+}
+
+func full(h *membership.Heard) bool { return h.Full }
+
+// words are the claims as "id condition", with the reason of what is not up.
+func words(claims []membership.Claim) string {
+	var all []string
+	for _, c := range claims {
+		text := c.Entry.ID + [...]string{" up", " draining", " removed"}[c.Entry.Condition]
+		if c.Entry.Condition != decide.Up {
+			text += " (" + c.Reason + ")"
+		}
+		all = append(all, text)
+	}
+	return strings.Join(all, ", ")
+}
+
+// losts counts the Lost.
+func (f *field) losts() int {
+	n := 0
+	for _, e := range f.events {
+		if _, ok := e.(*membership.Lost); ok {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/opfile/decode.go
+++ b/internal/opfile/decode.go
@@ -49,7 +49,7 @@
 // value carries one value over, and looks at its range.
 func (d *decoder) value(at string, value any, v reflect.Value, tag reflect.StructTag) {
 	t := v.Type()
-	wrong := func(wanted string) { d.bad(at, "wrong type (%s, wanted %s)", got(value), wanted) }
+	wrong := func(wanted string) { d.bad(at, "wrong type (%s, wanted %s)", gotOf(tag, value), wanted) }
 	text, isText := value.(string)
 	switch {
 	case t == durationType:
@@ -94,7 +94,7 @@
 }
 
 func (d *decoder) scalar(at string, value any, v reflect.Value, tag reflect.StructTag) {
-	wrong := func(wanted string) { d.bad(at, "wrong type (%s, wanted %s)", got(value), wanted) }
+	wrong := func(wanted string) { d.bad(at, "wrong type (%s, wanted %s)", gotOf(tag, value), wanted) }
 	switch v.Kind() {
 	case reflect.Bool:
 		if b, ok := value.(bool); ok {
@@ -154,15 +154,19 @@
 func (d *decoder) list(at string, value any, v reflect.Value, tag reflect.StructTag) {
 	items, ok := value.([]any)
 	if !ok {
-		d.bad(at, "wrong type (%s, wanted a list)", got(value))
+		d.bad(at, "wrong type (%s, wanted a list)", gotOf(tag, value))
 		return
 	}
 	if !d.length(at, len(items), "entries", longestList, tag) {
 		return
 	}
 	out := reflect.MakeSlice(v.Type(), len(items), len(items))
+	var itemTag reflect.StructTag
+	if secret(tag) {
+		itemTag = `secret:"true"`
+	}
 	for i, item := range items {
-		d.value(fmt.Sprintf("%s[%d]", at, i), item, out.Index(i), "")
+		d.value(fmt.Sprintf("%s[%d]", at, i), item, out.Index(i), itemTag)
 	}
 	v.Set(out)
 }
@@ -225,6 +229,17 @@
 	return x
 }
 
+// secret reports whether a key's value must not be shown.
+func secret(tag reflect.StructTag) bool { return tag.Get("secret") == "true" }
+
+// gotOf words the value of a key. The danger: a password that stands there as a number, or not in a list, is shown.
+func gotOf(tag reflect.StructTag, value any) string {
+	if !secret(tag) {
+		return got(value)
+	}
+	return "a value that is not shown"
+}
+
 // got words a value of the file.
 func got(value any) string {
 	switch x := value.(type) {
--- a/internal/opfile/opfile.go
+++ b/internal/opfile/opfile.go
@@ -44,6 +44,7 @@
 //	min:"100ms" max:"1m"      its range, in the form of the file; for a text its length, for a list its entries
 //	words:"first,last"        the only values of a text
 //	doc:"..."                 what it is for
+//	secret:"true"             no fault shows its value; for texts and lists of texts
 //
 // A key may be a bool, an integer, a float, a time.Duration, a Size, a string, what unmarshals itself from text, a
 // list of these, a struct (a table), or a list of structs. check may be nil; it is called with values inside their ranges.
--- a/internal/opfile/opfile_test.go
+++ b/internal/opfile/opfile_test.go
@@ -23,6 +23,7 @@
 	On      bool           `toml:"on" doc:"a truth"`
 	Order   string         `toml:"order" words:"first,last" doc:"a choice"`
 	Label   string         `toml:"label" min:"1" max:"8" doc:"a text"`
+	Secrets []string       `toml:"secrets" max:"2" secret:"true" doc:"what no fault shows"`
 	Address netip.AddrPort `toml:"address" doc:"an address"`
 	Zones   []string       `toml:"zones" max:"3" doc:"a list"`
 	Part    part           `toml:"part"`
@@ -112,6 +113,9 @@
 		{"kind = \"sample\"\naddress = \"here\"", `f:2:1: address: "here": not an ip:port`},
 		{"kind = \"sample\"\nzones = [\"a\",\"b\",\"c\",\"d\"]", `f:2:1: zones: out of range (4 entries, wanted 0 to 3)`},
 		{"kind = \"sample\"\nzones = [\"a\",\n 5]", `f:3:2: zones[1]: wrong type (the number 5, wanted a text in quotes)`},
+		{"kind = \"sample\"\nsecrets = \"xyz\"", `f:2:1: secrets: wrong type (a value that is not shown, wanted a list)`},
+		{"kind = \"sample\"\nsecrets = [77]",
+			`f:2:12: secrets[0]: wrong type (a value that is not shown, wanted a text in quotes)`},
 		{"kind = \"sample\"\npart = 5", `f:2:1: part: wrong type (the number 5, wanted a table)`},
 		{"kind = \"sample\"\n[part]\nlow = 3", `f:3:1: part.low: above part.high (3, wanted at most 2)`},
 		{"kind = \"sample\"\npart = { lwo = 3 }", `f:2:10: part.lwo: unknown key (did you mean "low"?)`},
@@ -176,7 +180,8 @@
 	}
 	want := []string{`wait|duration|"1s"|10ms to 1m|a duration`, `room|size|"64KiB"|1KiB to 1MiB|a size`,
 		`count|count|3|1 to 10|a count`, `share|number|0|0 to 1|a number`, `on|true or false|false||a truth`,
-		`order|text|"first"|first, last|a choice`, `label|text|"x"|1 to 8|a text`, `address|text|""||an address`,
+		`order|text|"first"|first, last|a choice`, `label|text|"x"|1 to 8|a text`,
+		`secrets|list of text|[]|at most 2|what no fault shows`, `address|text|""||an address`,
 		`zones|list of text|["a"]|at most 3|a list`, `part.low|count|1|at least 0|the lower end`,
 		`part.high|count|2|at least 0|the upper end`, `members[].low|count|0|at least 0|the lower end`,
 		`members[].high|count|0|at least 0|the upper end`}
--- a/internal/seam/seam_test.go
+++ b/internal/seam/seam_test.go
@@ -18,7 +18,7 @@
 
 // virtual are the packages that run on a virtual machine.
 var virtual = []string{"decide", "internal/router", "internal/front", "internal/upstream", "internal/discovery",
-	"internal/httpc", "internal/resp", "internal/books", "internal/rules", "internal/standin", "internal/sim"}
+	"internal/httpc", "internal/eureka", "internal/resp", "internal/books", "internal/rules", "internal/standin", "internal/sim"}
 
 // forbidden are the calls that only the machine's real side may make, by package.
 var forbidden = map[string][]string{
