--- a/internal/eureka/client.go
+++ b/internal/eureka/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"net/url"
+	"slices"
 	"strings"
 
 	"starlingwinch/internal/httpc"
@@ -21,7 +22,7 @@
 // Spans and figures that nobody needs to set.
 const (
 	dialTime    = 400 * millisecond // a server that has vanished must not hold up the turn to another one
-	trialTime   = 600 * millisecond // for a preferred server that is tried while another one serves
+	hasty       = 600 * millisecond // for an answer, at least, where another server could be asked instead
 	deltaGap    = 60 * second       // servers forget changes after 3 min; a longer gap takes a full list
 	deltasOff   = 10 * minute       // a server that refuses deltas is not asked for them for so long
 	distrust    = minute            // nor one whose deltas don't add up
@@ -103,6 +104,14 @@
 	start  Time
 }
 
+// kind is 0 for a whole list, 1 for a delta.
+func (k *call) kind() int {
+	if k.delta {
+		return 1
+	}
+	return 0
+}
+
 // Follow asks a registry for its list, again and again until Stop. told is never called from within Follow, and may
 // call Confirm and Stop.
 func Follow(m machine.Machine, o Options, told func(membership.Event)) *Client {
@@ -210,23 +219,34 @@
 	deltas := c.deltas(s, now)
 	k.delta = s == c.at && !c.full && deltas && now-c.answered < deltaGap && now-c.fulled < c.o.FullEvery
 	k.one = !deltas && (c.o.Application != "" || c.o.VIP != "")
-	wait := c.o.Timeout
-	if k.trial {
-		wait = min(wait, trialTime)
-	}
 	c.out, c.started = true, now
 	c.status.Calls++
 	if !k.delta {
 		c.status.Fulls++
 	}
 	r := httpc.Request{Method: "GET", Path: s.url.path + c.path(k), Headers: s.headers(c.login)}
-	s.http.Do(r, wait, func(resp *httpc.Response, err error) {
+	s.http.Do(r, c.patience(k, now), func(resp *httpc.Response, err error) {
 		if k.turn == c.turn {
 			c.came(k, resp, err)
 		}
 	})
 }
 
+// patience is how long to wait for an answer. Where another server could be asked instead, it is a few times what such
+// answers have taken. The danger: a server that vanishes, or the try of one, takes the time in which a drain must be learned.
+func (c *Client) patience(k *call, now Time) Time {
+	s := k.server
+	took := s.took[k.kind()]
+	if k.trial {
+		took = max(took, c.at.took[k.kind()])
+	}
+	other := slices.ContainsFunc(c.servers, func(o *server) bool { return o != s && o.rest <= now })
+	if !other || took == 0 {
+		return c.o.Timeout
+	}
+	return min(c.o.Timeout, max(hasty, 4*took))
+}
+
 // deltas reports whether they are wanted of a server. An application's own list is the whole of what is asked for, and
 // small; the registry's deltas and the full lists that they are checked against tell of all applications.
 func (c *Client) deltas(s *server, now Time) bool {
@@ -391,6 +411,7 @@
 	}
 	c.at, c.lost, c.answered = s, false, c.m.Now()
 	s.fails, s.tries, s.rest, s.shun = 0, 0, 0, 0
+	s.took[k.kind()] = max(c.answered-k.start, s.took[k.kind()]*3/4, millisecond)
 	if !k.delta {
 		c.full, c.fulled = false, c.answered
 	}
--- /dev/null
+++ b/internal/eureka/register_test.go
@@ -0,0 +1,212 @@
+package eureka
+
+import (
+	"encoding/json"
+	"net/netip"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// book is a registry that keeps registrations.
+type book struct {
+	status string // "" while the router is unknown
+	down   bool
+	silent bool
+}
+
+func (b *book) script(a asked) answer {
+	const own = "/apps/ROUTER/r%201"
+	path, query, _ := strings.Cut(a.path, "?")
+	switch {
+	case b.silent:
+		return answer{silent: true}
+	case b.down:
+		return answer{status: 503}
+	case a.method == "POST" && path == "/apps/ROUTER":
+		b.status = "UP"
+		return answer{status: 204}
+	case b.status == "":
+		return answer{status: 404}
+	case a.method == "PUT" && path == own+"/status" && strings.HasPrefix(query, "value=OUT_OF_SERVICE&lastDirtyTimestamp="):
+		b.status = "OUT_OF_SERVICE"
+	case a.method == "PUT" && path == own && strings.HasPrefix(query, "status="+b.status+"&lastDirtyTimestamp="):
+	case a.method == "DELETE" && path == own:
+		b.status = ""
+	default:
+		return answer{status: 400}
+	}
+	return answer{status: 200}
+}
+
+func registration(servers ...*registry) RegisterOptions {
+	c := Default()
+	c.Register.Application, c.Register.Instance, c.Register.IP, c.Register.Port = "router", "r 1", "10.0.0.9", 7000
+	o := c.Registration()
+	o.Servers = options(servers...).Servers
+	return o
+}
+
+// methods are the calls from some one on, as "POST PUT".
+func (r *registry) methods(from int) string {
+	var all []string
+	for _, a := range r.calls[from:] {
+		all = append(all, a.method)
+	}
+	return strings.Join(all, " ")
+}
+
+func TestRegistrationIsKeptUpAndTakenBack(t *testing.T) {
+	f, b := newField(t), &book{}
+	r := f.registry("r", "10.0.0.1", b.script)
+	reg := Register(f.client.Machine(), registration(r))
+	f.after(second)
+	var sent struct {
+		Instance struct {
+			InstanceID, App, IPAddr, VIPAddress, Status, LastDirtyTimestamp string
+			Port                                                            struct {
+				Number  int    `json:"$"`
+				Enabled string `json:"@enabled"`
+			}
+			LeaseInfo struct{ RenewalIntervalInSecs, DurationInSecs int }
+		}
+	}
+	if err := json.Unmarshal([]byte(r.calls[0].body), &sent); err != nil {
+		t.Fatal(err)
+	}
+	if i := sent.Instance; i.InstanceID != "r 1" || i.App != "ROUTER" || i.IPAddr != "10.0.0.9" || i.VIPAddress != "router" ||
+		i.Status != "UP" || i.Port.Number != 7000 || i.Port.Enabled != "true" || i.LeaseInfo.RenewalIntervalInSecs != 30 ||
+		i.LeaseInfo.DurationInSecs != 90 || i.LastDirtyTimestamp != "1750000000000" {
+		t.Errorf("registered as %+v", i)
+	}
+	l, err := Parse([]byte(`{"application":{"name":"ROUTER","instance":`+strings.TrimSuffix(strings.TrimPrefix(r.calls[0].body, `{"instance":`), "}")+`}}`), names)
+	if err != nil || len(l.Faults) > 0 || l.Instances[0].Addr != "10.0.0.9:7000" {
+		t.Errorf("it reads as %+v, %v", l, err)
+	}
+	f.after(5 * minute)
+	if n := len(r.calls); n < 11 || n > 13 || b.status != "UP" {
+		t.Errorf("%d calls in 5 min: %s", n, r.methods(0))
+	}
+	b.status = "" // the registry has started anew
+	from := len(r.calls)
+	f.after(31 * second)
+	if got := r.methods(from); !strings.HasPrefix(got, "PUT POST") || b.status != "UP" {
+		t.Errorf("after it was forgotten: %s", got)
+	}
+	reg.Drain()
+	f.after(100 * millisecond)
+	if b.status != "OUT_OF_SERVICE" {
+		t.Errorf("while it drains it is %s", b.status)
+	}
+	f.after(minute)
+	ended := 0
+	reg.Cancel(func() { ended++ })
+	if ended > 0 {
+		t.Error("done was called from within Cancel")
+	}
+	f.after(100 * millisecond)
+	if b.status != "" || ended != 1 || f.client.Pending() != 0 || f.client.Descriptors() != 0 {
+		t.Errorf("status %q, ended %d times, %d timers, %d descriptors", b.status, ended, f.client.Pending(), f.client.Descriptors())
+	}
+	for _, a := range r.calls {
+		if a.path == "" {
+			t.Errorf("%v", a)
+		}
+	}
+	if len(f.log) > 0 {
+		t.Errorf("log %q", f.log)
+	}
+}
+
+func TestDrainingRouterIsNotRegisteredAnew(t *testing.T) {
+	f, b := newField(t), &book{}
+	r := f.registry("r", "10.0.0.1", b.script)
+	reg := Register(f.client.Machine(), registration(r))
+	f.after(second)
+	reg.Drain()
+	f.after(second)
+	b.status = ""
+	from := len(r.calls)
+	f.after(5 * minute)
+	if got := r.methods(from); got != "PUT" || b.status != "" {
+		t.Errorf("calls %s", got)
+	}
+	ended := false
+	reg.Cancel(func() { ended = true })
+	f.after(second)
+	if got := r.methods(from); got != "PUT DELETE" || !ended {
+		t.Errorf("calls %s, ended %v", got, ended)
+	}
+}
+
+func TestEndOfARegistrationWaitsForNobody(t *testing.T) {
+	for what, trouble := range map[string]func(r *registry, b *book){
+		"is silent":   func(_ *registry, b *book) { b.silent = true },
+		"answers 503": func(_ *registry, b *book) { b.down = true },
+		"vanishes":    func(r *registry, _ *book) { r.host.Vanish() },
+		"refuses":     func(r *registry, _ *book) { r.host.RefuseAll(true); r.host.DropIdleConns(false) },
+	} {
+		f, b := newField(t), &book{}
+		r := f.registry("r", "10.0.0.1", b.script)
+		reg := Register(f.client.Machine(), registration(r))
+		f.after(second)
+		trouble(r, b)
+		reg.Drain()
+		f.after(minute)
+		at := f.Now()
+		ended := 0
+		reg.Cancel(func() { ended++ })
+		reg.Cancel(func() { ended += 10 })
+		f.wait(second+millisecond, "the end, where the registry "+what, func() bool { return ended == 11 })
+		if f.client.Pending() != 0 || f.client.Descriptors() != 0 || f.Now()-at > second {
+			t.Errorf("%s: after %d ms, %d timers and %d descriptors", what, (f.Now()-at)/1000, f.client.Pending(), f.client.Descriptors())
+		}
+		if len(r.calls) > 60 || len(f.log) == 0 || len(f.log) > 3 {
+			t.Errorf("%s: %d calls, log %q", what, len(r.calls), f.log)
+		}
+	}
+}
+
+func TestRegistrationTurnsToTheNextServer(t *testing.T) {
+	f, b := newField(t), &book{}
+	other := &book{down: true}
+	r1, r2 := f.registry("r1", "10.0.0.1", other.script), f.registry("r2", "10.0.0.2", b.script)
+	Register(f.client.Machine(), registration(r1, r2))
+	f.after(second)
+	if b.status != "UP" || len(r1.calls) != 1 {
+		t.Errorf("status %q, calls to the first %v", b.status, r1.calls)
+	}
+	f.after(10 * minute)
+	if slices.ContainsFunc(r2.calls[1:], func(a asked) bool { return a.method != "PUT" }) {
+		t.Errorf("calls %v", r2.calls)
+	}
+}
+
+func TestStopOfARegistrationLeavesNothing(t *testing.T) {
+	for step := range 100 {
+		f, b := newField(t), &book{}
+		r := f.registry("r", "10.0.0.1", b.script)
+		reg := Register(f.client.Machine(), registration(r))
+		for range step {
+			f.Step()
+		}
+		if step%2 == 0 {
+			reg.Cancel(func() { t.Error("done was called after Stop") })
+		}
+		reg.Stop()
+		reg.Stop()
+		reg.Drain()
+		if d, p := f.client.Descriptors(), f.client.Pending(); d != 0 || p != 0 {
+			t.Fatalf("after %d events, %d descriptors and %d timers are left", step, d, p)
+		}
+		f.after(minute)
+	}
+}
+
+func TestInstanceHasAnIDOfItsOwn(t *testing.T) {
+	c := Default()
+	c.Register.IP, c.Register.Port = "::1", 80
+	if o := c.Registration(); o.Instance != "starlingwinch:[::1]:80" || o.Addr != netip.MustParseAddrPort("[::1]:80") {
+		t.Errorf("%+v", o)
+	}
+}
--- a/internal/eureka/server.go
+++ b/internal/eureka/server.go
@@ -81,6 +81,7 @@
 	listed bool // it has answered the list that is asked for
 	// Deltas are not asked for before noDelta: it refuses them, or they don't add up.
 	noDelta Time
+	took    [2]Time // what its answers take of late: whole lists, deltas
 }
 
 // headers of a call to this server.
