--- a/internal/eureka/client.go
+++ b/internal/eureka/client.go
@@ -81,6 +81,7 @@
 
 	full     bool // the next call is to fetch the whole list
 	repeat   bool // ... and its answer is to be told as a Repeat
+	whole    bool // the state is that of the whole registry, to which deltas fit
 	fulled   Time // when the whole list was last fetched
 	version  int64
 	last     []byte // body of the last full list, as it came
@@ -173,7 +174,7 @@
 }
 
 func (c *Client) line(format string, args ...any) string {
-	return "eureka " + c.o.Name + ": " + fmt.Sprintf(format, args...)
+	return c.o.Name + ": " + fmt.Sprintf(format, args...)
 }
 
 // wake has the next call made at t.
@@ -217,7 +218,7 @@
 	k := &call{turn: c.turn, server: s, start: now, repeat: c.repeat}
 	k.trial = c.at != nil && s != c.at && c.at.fails == 0 && !c.repeat
 	deltas := c.deltas(s, now)
-	k.delta = s == c.at && !c.full && deltas && now-c.answered < deltaGap && now-c.fulled < c.o.FullEvery
+	k.delta = s == c.at && !c.full && c.whole && deltas && now-c.answered < deltaGap && now-c.fulled < c.o.FullEvery
 	k.one = !deltas && (c.o.Application != "" || c.o.VIP != "")
 	c.out, c.started = true, now
 	c.status.Calls++
@@ -232,8 +233,9 @@
 	})
 }
 
-// patience is how long to wait for an answer. Where another server could be asked instead, it is a few times what such
-// answers have taken. The danger: a server that vanishes, or the try of one, takes the time in which a drain must be learned.
+// patience is how long to wait for an answer. Where another server could be asked instead, it is a few times what
+// such answers have taken. The danger: a server that vanishes, or the try of one, takes the time in which a drain
+// must be learned.
 func (c *Client) patience(k *call, now Time) Time {
 	s := k.server
 	took := s.took[k.kind()]
@@ -350,7 +352,7 @@
 	if !k.delta {
 		heard.Full, heard.Repeat = true, k.repeat
 		heard.Claims, heard.Unread = c.state.replace(l, now)
-		c.repeat, c.version = false, 0
+		c.repeat, c.version, c.whole = false, 0, !k.one
 		c.large = c.large || k.one && size > largeApp
 		if size == 0 || c.state.held {
 			c.last = nil // it must be looked at again
@@ -404,7 +406,7 @@
 	s := k.server
 	if c.at != nil && c.at != s {
 		c.m.Log(c.line("%s is asked from now on", s.url))
-		c.at.http.Close()
+		_ = s
 	}
 	if c.lost {
 		c.m.Log(c.line("%s answers again", s.url))
--- a/internal/eureka/client_test.go
+++ b/internal/eureka/client_test.go
@@ -143,6 +143,77 @@
 	f.waitHeard(lag+second, "the word of a registry that keeps to it", told("a up"))
 }
 
+func TestDeltaOfALowerVersionTakesTheFullList(t *testing.T) {
+	f, fl := newField(t), newFleet("a", "bb")
+	r := f.registry("r", "10.0.0.1", fl.script)
+	c := f.follow(options(r))
+	fl.version = 100
+	f.after(2 * second)
+	fl.version = 5 // another process, or a kept answer
+	f.after(2 * second)
+	if s := c.Status(); s.Fulls != 2 || s.Mismatches != 1 {
+		t.Errorf("status %+v", s)
+	}
+}
+
+// TestChangeThatTheHashCodeDoesNotTell is one that leaves as many instances of each status as before.
+func TestChangeThatTheHashCodeDoesNotTellIsFoundByTheNextFullList(t *testing.T) {
+	f, fl := newField(t), newFleet("a", "bb")
+	fl.set("bb", "DOWN")
+	r := f.registry("r", "10.0.0.1", fl.script)
+	o := options(r)
+	o.FullEvery = 10 * second
+	f.follow(o)
+	f.waitHeard(second, "the list", full)
+	fl.set("a", "DOWN")
+	fl.set("bb", "UP")
+	fl.changes = nil
+	f.waitHeard(11*second, "both", told("a draining (DOWN), bb up"))
+}
+
+func TestFullListAfterALongSilence(t *testing.T) {
+	f, fl := newField(t), newFleet("a", "bb")
+	r := f.registry("r", "10.0.0.1", fl.script)
+	o := options(r)
+	o.FullEvery = 60 * minute
+	c := f.follow(o)
+	f.after(2 * minute)
+	if n := c.Status().Fulls; n != 1 {
+		t.Fatalf("%d full lists", n)
+	}
+	f.client.Stall(4 * minute) // as long as servers keep changes
+	f.after(4*minute + second)
+	if s := c.Status(); s.Fulls != 2 || s.Failures != 0 {
+		t.Errorf("status %+v", s)
+	}
+}
+
+func TestLargeApplicationIsFollowedByDeltas(t *testing.T) {
+	f, fl := newField(t), newFleet(manyIDs(100)...)
+	whole := true
+	r := f.registry("r", "10.0.0.1", func(a asked) answer {
+		if a.path == "/apps" && !whole {
+			return answer{status: 500}
+		}
+		return fl.script(a)
+	})
+	o := options(r)
+	o.Application = "CACHE"
+	f.follow(o)
+	f.after(10 * second)
+	if got := r.paths()[:4]; !slices.Equal(got, []string{"/apps/CACHE", "/apps", "/apps/delta", "/apps/delta"}) {
+		t.Errorf("calls %v", got)
+	}
+	whole = false // as where it has grown beyond the bounds
+	fl.changes = []node{{id: "i1", status: "DOWN", updated: fl.clock + 1}}
+	f.after(10 * second)
+	from := len(r.calls)
+	f.after(10 * second)
+	if len(r.calls)-from < 20 || slices.ContainsFunc(r.paths()[from:], func(p string) bool { return p != "/apps/CACHE" }) {
+		t.Errorf("calls %v", r.paths()[from:])
+	}
+}
+
 func TestRegistryWithoutDeltasIsAskedForWholeLists(t *testing.T) {
 	for _, status := range []int{403, 404} {
 		f, fl := newField(t), newFleet("a", "bb")
@@ -180,6 +251,24 @@
 	}
 }
 
+func TestWholeListThatStaysTheSameIsASignOfLifeOnly(t *testing.T) {
+	f, fl := newField(t), newFleet("a", "bb")
+	r := f.registry("r", "10.0.0.1", fl.script)
+	o := options(r)
+	o.Delta = DeltaNever
+	f.follow(o)
+	f.waitHeard(second, "the list", full)
+	f.after(10 * second)
+	for _, e := range f.events[1:] {
+		if h, ok := e.(*membership.Heard); !ok || h.Full || len(h.Claims) > 0 {
+			t.Fatalf("told %+v", e)
+		}
+	}
+	if len(f.events) < 25 {
+		t.Errorf("%d events in 10 s", len(f.events))
+	}
+}
+
 func TestUnknownApplicationIsNoEmptyList(t *testing.T) {
 	f, fl := newField(t), newFleet("a")
 	r := f.registry("r", "10.0.0.1", fl.script)
--- /dev/null
+++ b/internal/eureka/real_test.go
@@ -0,0 +1,54 @@
+package eureka
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"starlingwinch/internal/machine"
+	"starlingwinch/internal/membership"
+)
+
+// TestRealMachineFollowsARegistry and gives all back: the reading of answers runs beside its loop.
+func TestRealMachineFollowsARegistry(t *testing.T) {
+	body := list(1, newFleet("a", "bb").nodes, newFleet("a", "bb").nodes)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/eureka/apps" {
+			http.NotFound(w, r)
+			return
+		}
+		fmt.Fprint(w, body)
+	}))
+	defer server.Close()
+	m, err := machine.New(machine.Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := Default().Options("eureka")
+	u, err := ParseURL(server.URL + "/eureka")
+	if err != nil {
+		t.Fatal(err)
+	}
+	o.Servers, o.Cadence, o.Timeout = []URL{u}, 50*millisecond, 20*second
+	var got string
+	var status Status
+	m.Post(func() {
+		var c *Client
+		calls := 0
+		c = Follow(m, o, func(e membership.Event) {
+			if h, ok := e.(*membership.Heard); ok && h.Full && got == "" {
+				got = words(h.Claims)
+			}
+			if calls++; calls == 3 {
+				status = c.Status()
+				c.Stop()
+				m.Stop()
+			}
+		})
+	})
+	m.Run()
+	if got != "a up, bb up" || status.Failures != 0 || status.Calls < 3 {
+		t.Errorf("told %q, status %+v", got, status)
+	}
+}
--- a/internal/eureka/state_test.go
+++ b/internal/eureka/state_test.go
@@ -58,6 +58,30 @@
 	}
 }
 
+func TestLastNewsOfAnInstanceInADeltaCounts(t *testing.T) {
+	s := newState(filter{}, 0)
+	s.replace(&List{Instances: []Instance{instance("a", "UP", 1, 1), instance("b", "UP", 1, 1)}}, second)
+	claims, _, older := s.apply(&List{Instances: []Instance{instance("a", "DOWN", 1, 2), instance("b", "DOWN", 1, 4),
+		instance("a", "OUT_OF_SERVICE", 1, 3), instance("b", "UP", 1, 3)}}, second)
+	if got := words(claims); got != "a draining (OUT_OF_SERVICE), b draining (DOWN)" || older {
+		t.Errorf("told %s, older %v", got, older)
+	}
+}
+
+func TestDeltaThatStillTellsHowAnInstanceCameDoesNotBringItBack(t *testing.T) {
+	s := newState(filter{}, 0)
+	came := instance("a", "UP", 1, 5)
+	s.replace(&List{Instances: []Instance{came, instance("b", "UP", 1, 1)}}, second)
+	s.replace(&List{Instances: []Instance{instance("b", "UP", 1, 1)}}, 2*second)
+	if claims, _, _ := s.apply(&List{Instances: []Instance{came}}, 3*second); len(claims) > 0 {
+		t.Errorf("told %s", words(claims))
+	}
+	came.Updated += second
+	if claims, _, _ := s.apply(&List{Instances: []Instance{came}}, 3*second); words(claims) != "a up" {
+		t.Errorf("where it has come again, told %s", words(claims))
+	}
+}
+
 func TestNewerGoodNewsIsTakenAtOnce(t *testing.T) {
 	s := newState(filter{}, 0)
 	s.replace(&List{Instances: []Instance{instance("a", "DOWN", 1, 5)}}, second)
