--- a/cmd/starlingwinch/main.go
+++ b/cmd/starlingwinch/main.go
@@ -59,10 +59,10 @@
 		SilenceErrors:     true,
 		SilenceUsage:      true,
 		CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true},
-		RunE:              func(*cobra.Command, []string) error { return sources{}.run() },
+		RunE:              func(*cobra.Command, []string) error { return inputs{}.run() },
 	}
 	cmd.SetFlagErrorFunc(flagError)
-	cmd.AddCommand(runCommand(), checkCommand(), versionCommand())
+	cmd.AddCommand(runCommand(), checkCommand(), membersCommand(), versionCommand())
 	cmd.SetHelpCommand(helpCommand())
 	return cmd
 }
@@ -104,11 +104,12 @@
 	for _, c := range append([]*cobra.Command{cmd}, cmd.Commands()...) {
 		c.Flags().VisitAll(func(f *pflag.Flag) {
 			flag := "--" + f.Name
-			if whole[flag] != "" {
+			if whole[flag] == "" {
+				known = append(known, flag)
+			} else if c.Name() != "run" { // which comes first: it is what most mean
 				return
 			}
-			known, whole[flag] = append(known, flag), flag
-			if c != cmd {
+			if whole[flag] = flag; c != cmd {
 				whole[flag] = c.Name() + " " + flag
 			}
 		})
--- a/cmd/starlingwinch/run.go
+++ b/cmd/starlingwinch/run.go
@@ -14,13 +14,14 @@
 	"starlingwinch/internal/fault"
 	"starlingwinch/internal/limits"
 	"starlingwinch/internal/machine"
+	"starlingwinch/internal/membership"
 	"starlingwinch/internal/opfile"
 	"starlingwinch/internal/router"
 	"starlingwinch/internal/settings"
 )
 
 // kinds are the operators' files that the program knows. A subsystem adds its own here.
-var kinds = opfile.Registry{limits.Kind, eureka.Kind}
+var kinds = opfile.Registry{limits.Kind, membership.Kind, eureka.Kind}
 
 const (
 	configVariable = "BALANCER_CONFIG"
@@ -28,14 +29,14 @@
 	mostWarnings   = 20       // lines of the log
 )
 
-// sources are the files that a router is started with.
-type sources struct {
+// inputs are the files that a router is started with.
+type inputs struct {
 	config   string   // the platform's file; "" for the one that BALANCER_CONFIG names
 	operator []string // the operators' files
 }
 
 func runCommand() *cobra.Command {
-	var s sources
+	var s inputs
 	cmd := &cobra.Command{
 		Use:   "run [--config FILE] [--operator FILE]...",
 		Short: "Serve",
@@ -49,15 +50,20 @@
 			return s.run()
 		},
 	}
+	s.flags(cmd)
+	return cmd
+}
+
+// flags has a command take them.
+func (s *inputs) flags(cmd *cobra.Command) {
 	cmd.Flags().StringVar(&s.config, "config", "", "the platform's `FILE` (JSON); without it, the one that "+
 		configVariable+" names")
 	cmd.Flags().StringArrayVar(&s.operator, "operator", nil, "an operators' `FILE` (TOML), such as deploy/limits.toml; "+
 		"may stand several times")
-	return cmd
 }
 
 // run serves until a signal ends it.
-func (s sources) run() error {
+func (s inputs) run() error {
 	cfg, warnings, err := s.load()
 	if err != nil {
 		return err
@@ -84,7 +90,7 @@
 }
 
 // reload reads the files again, beside the loop, and has the router take them over.
-func (s sources) reload(m machine.Machine, r *router.Router) {
+func (s inputs) reload(m machine.Machine, r *router.Router) {
 	var next *router.Config
 	var warnings []string
 	var err error
@@ -110,7 +116,7 @@
 }
 
 // load reads all files. The error names all that is wrong with any of them, a line each.
-func (s sources) load() (*router.Config, []string, error) {
+func (s inputs) load() (*router.Config, []string, error) {
 	var faults fault.List
 	cfg, warnings := s.platform(&faults)
 	var files []opfile.File
@@ -132,11 +138,13 @@
 		return nil, nil, err
 	}
 	cfg.Bounds = opfile.Get[limits.Limits](files, limits.Kind)
+	cfg.Membership = opfile.Get[membership.Config](files, membership.Kind)
+	cfg.Eureka = opfile.Get[eureka.Config](files, eureka.Kind)
 	return cfg, warnings, nil
 }
 
 // platform reads the platform's file. What the router can serve with is a warning, all else a fault.
-func (s sources) platform(faults *fault.List) (*router.Config, []string) {
+func (s inputs) platform(faults *fault.List) (*router.Config, []string) {
 	path := s.config
 	if path == "" {
 		path = os.Getenv(configVariable)
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -10,7 +10,9 @@
 	"starlingwinch/decide"
 	"starlingwinch/internal/books"
 	"starlingwinch/internal/discovery"
+	"starlingwinch/internal/eureka"
 	"starlingwinch/internal/limits"
+	"starlingwinch/internal/membership"
 	"starlingwinch/internal/settings"
 )
 
@@ -24,7 +26,11 @@
 	Known     discovery.List // the caches as last known; may be old
 	Settings  decide.Settings
 	Transport settings.Transport
-	Bounds    limits.Limits // the operators'
+
+	// The operators' files.
+	Bounds     limits.Limits
+	Membership membership.Config
+	Eureka     eureka.Config
 
 	// Wrap puts something between the books and the decision module; nil for nothing. It is there for
 	// tests that plant a defect.
@@ -63,7 +69,8 @@
 		return nil, fmt.Errorf("not JSON: %w", err)
 	}
 	c := &Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, Limits: in.Limits,
-		Known: discovery.List{Index: discovery.NoIndex}, Bounds: limits.Default()}
+		Known: discovery.List{Index: discovery.NoIndex}, Bounds: limits.Default(), Membership: membership.DefaultConfig(),
+		Eureka: eureka.Default()}
 	if _, err := netip.ParseAddrPort(c.Listen); err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -95,7 +95,7 @@
 	case decide.CloseIdle:
 		r.pool.CloseIdle(a.Cache)
 	case decide.Watch:
-		r.watch()
+		r.sources.Watch()
 	case decide.Log:
 		r.Log(a.Text)
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -1,5 +1,5 @@
 // Package router is the router's loop: it brings the decision module together with the clients' side
-// (package front), the caches' side (package upstream) and the list of caches (package discovery), and
+// (package front), the caches' side (package upstream) and the list of caches (package sources), and
 // carries out what the module says.
 //
 // All of it runs in the one loop of its machine (package machine), which may be a real or a virtual one.
@@ -11,10 +11,11 @@
 
 	"starlingwinch/decide"
 	"starlingwinch/internal/books"
-	"starlingwinch/internal/discovery"
+	"starlingwinch/internal/eureka"
 	"starlingwinch/internal/front"
 	"starlingwinch/internal/machine"
 	"starlingwinch/internal/membership"
+	"starlingwinch/internal/sources"
 	"starlingwinch/internal/upstream"
 )
 
@@ -42,12 +43,10 @@
 	lastID    int64
 	open      int             // requests that still want their final answer
 	caches    map[string]*hop // those listed
-	index     int64           // version of the list; NoIndex has the whole list asked for
-	members   *membership.Members
-	waking    machine.Timer        // for members
+	sources   *sources.Sources
 	lists     []membership.Publish // that are still to be taken over
-	watching  *discovery.Watch
-	longest   Time // patience of any client
+	enrolled  *eureka.Registration // of the router itself; nil for none
+	longest   Time                 // patience of any client
 	sweeping  machine.Timer
 	arrivals  Time // how long connections are still taken after SIGTERM
 	closed    bool
@@ -73,7 +72,7 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	r := &Router{m: m, cfg: cfg, requests: map[int64]*request{}, ids: map[string]struct{}{}, caches: map[string]*hop{},
-		index: cfg.Known.Index, arrivals: lastArrivals}
+		arrivals: lastArrivals}
 	hungAfter := Time(0)
 	for i, c := range cfg.Settings.Classes {
 		r.longest = max(r.longest, c.Limit)
@@ -92,10 +91,9 @@
 		Descriptors: upstreams, DialTimeout: cfg.Transport.DialTimeout, Keepalive: cfg.Transport.Keepalive,
 		HungAfter: hungAfter}, r)
 	// A PING must not be told that no caches are known when they are: the list comes before the listener.
-	if r.members, err = membership.New(membership.Options{Sources: []membership.SourceOptions{{Name: platform}}}); err != nil {
+	if r.sources, err = sources.New(m, SourcesOf(cfg), r); err != nil {
 		return nil, err
 	}
-	r.hear(&membership.Heard{Source: platform, Full: true, Stale: true, Claims: claims(&cfg.Known), Unread: cfg.Known.Unread})
 	r.front, err = front.Listen(m, front.Options{Listen: cfg.Listen, Bounds: cfg.Bounds.Clients,
 		Classes: cfg.Settings.Classes, Clients: clients, Memory: cfg.Limits.memory()}, r)
 	if err != nil {
@@ -103,12 +101,21 @@
 		return nil, err
 	}
 	r.Settle()
-	r.watch() // also where the settings say that lists are pushed: the agent that has them must be asked
+	r.sources.Start() // also where the settings say that lists are pushed: the agent that has them must be asked
+	if cfg.Eureka.Register.Enabled {
+		r.enrolled = eureka.Register(m, cfg.Eureka.Registration())
+	}
 	r.sweeping = m.At(m.Now()+sweepInterval, r.sweep)
 	r.Log("serving on " + r.front.Addr())
 	return r, nil
 }
 
+// SourcesOf says whom a router with that configuration asks for caches.
+func SourcesOf(cfg *Config) sources.Config {
+	return sources.Config{Discovery: cfg.Discovery, Bounds: cfg.Bounds.Discovery, Known: cfg.Known,
+		Membership: cfg.Membership, Eureka: cfg.Eureka}
+}
+
 // Addr is the address for clients.
 func (r *Router) Addr() string { return r.front.Addr() }
 
@@ -123,14 +130,24 @@
 	}
 	r.onDrained = done
 	r.Log("draining")
+	if r.enrolled != nil {
+		r.enrolled.Drain()
+	}
 	limit := r.m.At(r.m.Now()+r.longest+drainSlack, r.Close)
 	r.m.At(r.m.Now()+r.arrivals, func() {
 		if r.closed {
 			return
 		}
 		r.front.Retire(func() {
-			limit.Stop()
-			r.Close()
+			end := func() {
+				limit.Stop()
+				r.Close()
+			}
+			if r.enrolled == nil {
+				end()
+				return
+			}
+			r.enrolled.Cancel(end) // which takes a moment; the limit holds for it too
 		})
 	})
 }
@@ -141,11 +158,9 @@
 		return
 	}
 	r.closed = true
-	if r.watching != nil {
-		r.watching.Stop()
-	}
-	if r.waking != nil {
-		r.waking.Stop()
+	r.sources.Stop()
+	if r.enrolled != nil {
+		r.enrolled.Stop()
 	}
 	r.sweeping.Stop()
 	r.front.Close()
--- /dev/null
+++ b/internal/sources/sources.go
@@ -0,0 +1,242 @@
+// Package sources asks all that knows of caches (the platform's discovery, a Eureka registry, a fixed file), has
+// package membership merge what they say, and hands on the one list.
+//
+// It runs on a machine's loop and decides nothing: what the words mean together is membership's to say,
+// and when the platform is asked again after a failed call is its owner's.
+package sources
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+
+	"starlingwinch/decide"
+	"starlingwinch/internal/discovery"
+	"starlingwinch/internal/eureka"
+	"starlingwinch/internal/limits"
+	"starlingwinch/internal/machine"
+	"starlingwinch/internal/membership"
+)
+
+const (
+	mostFaults = 20      // bad entries of one list that are named in the log
+	mostFile   = 8 << 20 // bytes of a file with caches
+)
+
+// Config says whom to ask.
+type Config struct {
+	Discovery  string // address of the platform's discovery
+	Bounds     limits.Discovery
+	Known      discovery.List // the caches as last known; may be old
+	Membership membership.Config
+	Eureka     eureka.Config
+}
+
+// Owner takes the merged list. Its methods are called in the machine's loop.
+type Owner interface {
+	// Publish brings what has changed in the merged list, bad news first.
+	Publish(membership.Publish)
+	// Answered says that the platform's discovery has answered a call, and Failed that a call has failed: the
+	// owner says when to Watch again.
+	Answered()
+	Failed()
+	// Settle follows in the same turn.
+	Settle()
+	Log(line string)
+}
+
+// Sources follows them. Use New.
+type Sources struct {
+	m        machine.Machine
+	cfg      Config
+	owner    Owner
+	members  *membership.Members
+	waking   machine.Timer // for members
+	index    int64         // version of the platform's list; NoIndex has the whole one asked for
+	watching *discovery.Watch
+	registry *eureka.Client
+	over     bool
+}
+
+// New makes sources, and publishes the list as last known in the same call. Nobody is asked before Start.
+func New(m machine.Machine, cfg Config, owner Owner) (*Sources, error) {
+	s := &Sources{m: m, cfg: cfg, owner: owner, index: cfg.Known.Index}
+	var err error
+	if s.members, err = membership.New(cfg.Membership.Options(s.inUse())); err != nil {
+		return nil, err
+	}
+	if s.asks(membership.Discovery) {
+		s.hear(&membership.Heard{Source: membership.Discovery, Full: true, Stale: true, Claims: claims(&cfg.Known),
+			Unread: cfg.Known.Unread})
+	}
+	return s, nil
+}
+
+// inUse names the sources that the files switch on.
+func (s *Sources) inUse() (names []string) {
+	for _, name := range s.cfg.Membership.Order {
+		if name == membership.Discovery || name == membership.Eureka && s.cfg.Eureka.Enabled ||
+			name == membership.File && s.cfg.Membership.File != "" {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+func (s *Sources) asks(name string) bool { return slices.Contains(s.inUse(), name) }
+
+// Start asks all sources, and goes on following them until Stop.
+func (s *Sources) Start() {
+	s.Watch()
+	if s.asks(membership.Eureka) {
+		s.registry = eureka.Follow(s.m, s.cfg.Eureka.Options(membership.Eureka), func(ev membership.Event) {
+			s.hear(ev)
+			s.owner.Settle()
+		})
+	}
+	s.Reread()
+}
+
+// Stop ends all calls.
+func (s *Sources) Stop() {
+	s.over = true
+	if s.watching != nil {
+		s.watching.Stop()
+		s.watching = nil
+	}
+	if s.registry != nil {
+		s.registry.Stop()
+	}
+	if s.waking != nil {
+		s.waking.Stop()
+	}
+}
+
+// Table is every cache that is known, and Rows how things stand with each source.
+func (s *Sources) Table() ([]membership.Row, []membership.SourceRow) {
+	return s.members.Table(s.m.Now()), s.members.Sources(s.m.Now())
+}
+
+// hear gives a source's word to the module that merges them, and does what it says.
+func (s *Sources) hear(ev membership.Event) {
+	if s.over {
+		return
+	}
+	for _, a := range s.members.Handle(s.m.Now(), ev) {
+		switch a := a.(type) {
+		case membership.Publish:
+			s.owner.Publish(a)
+		case membership.Confirm:
+			// The platform and the file have one server, and their word is not checked.
+			if a.Source == membership.Eureka && s.registry != nil {
+				s.registry.Confirm()
+			}
+		case membership.Wake:
+			if s.waking != nil {
+				s.waking.Stop()
+			}
+			s.waking = s.m.At(a.At, func() {
+				s.waking = nil
+				s.hear(&membership.Tick{})
+				s.owner.Settle()
+			})
+		case membership.Log:
+			s.owner.Log("list of caches: " + a.Text)
+		}
+	}
+}
+
+// claims are what a list in the platform's form says.
+func claims(list *discovery.List) []membership.Claim {
+	c := make([]membership.Claim, len(list.Entries))
+	for i, e := range list.Entries {
+		c[i] = membership.Claim{Entry: e, Addr: list.Addrs[i], Reason: conditionWords[e.Condition]}
+	}
+	return c
+}
+
+var conditionWords = map[decide.Condition]string{decide.Up: "in_service", decide.Draining: "terminating",
+	decide.Removed: "terminated"}
+
+// sayFaults logs what could not be read of a list.
+func (s *Sources) sayFaults(list *discovery.List) {
+	for i, fault := range list.Faults {
+		if i == mostFaults {
+			s.owner.Log(fmt.Sprintf("list of caches: %d more faults", len(list.Faults)-i))
+			return
+		}
+		s.owner.Log("list of caches: " + fault)
+	}
+}
+
+// Watch follows the platform's discovery, unless it is followed already.
+func (s *Sources) Watch() {
+	if s.watching != nil || s.over || !s.asks(membership.Discovery) {
+		return
+	}
+	s.watching = discovery.Follow(s.m, s.cfg.Discovery, s.cfg.Bounds, s.index, s.Listed, s.lost)
+}
+
+// Listed takes an answer of the platform's discovery, however it came.
+func (s *Sources) Listed(list discovery.List) {
+	s.index = list.Index
+	s.sayFaults(&list)
+	s.hear(&membership.Heard{Source: membership.Discovery, Full: list.Full, Claims: claims(&list), Unread: list.Unread})
+	s.owner.Answered() // also where nothing has changed
+	s.owner.Settle()
+}
+
+// lost takes the news that a call has failed.
+func (s *Sources) lost(err error) {
+	s.watching = nil
+	if !errors.Is(err, discovery.ErrCrowded) {
+		// The danger: a discovery that has started anew counts its versions anew, and has
+		// nothing to say for long of what comes after the old ones.
+		s.index = discovery.NoIndex
+	}
+	s.hear(&membership.Lost{Source: membership.Discovery, Why: err.Error()})
+	s.owner.Failed()
+	s.owner.Settle()
+}
+
+// Move has the platform's discovery followed at another address. It is asked for its whole list at once, as its
+// versions need not go on from those of the old one.
+func (s *Sources) Move(addr string) {
+	s.cfg.Discovery = addr
+	if s.watching != nil {
+		// What the old one has yet to say is not heard: a late answer must not overwrite what the new one has told.
+		s.watching.Stop()
+		s.watching = nil
+	}
+	s.index = discovery.NoIndex
+	s.Watch()
+}
+
+// Reread takes the file with the fixed list over, beside the loop. One that can't be used changes nothing.
+func (s *Sources) Reread() {
+	if !s.asks(membership.File) {
+		return
+	}
+	name := s.cfg.Membership.File
+	raw, err := s.m.ReadFile(name, mostFile)
+	var list discovery.List
+	s.m.Work(func() {
+		if err != nil {
+			return
+		}
+		if list, err = discovery.Parse(raw); err != nil {
+			err = fmt.Errorf("%s: %w", name, err)
+		}
+	}, func() {
+		if s.over {
+			return
+		}
+		if err != nil {
+			s.hear(&membership.Lost{Source: membership.File, Why: err.Error()})
+		} else {
+			s.sayFaults(&list)
+			s.hear(&membership.Heard{Source: membership.File, Full: true, Claims: claims(&list), Unread: list.Unread})
+		}
+		s.owner.Settle()
+	})
+}
--- /dev/null
+++ b/internal/sources/sources_test.go
@@ -0,0 +1,145 @@
+package sources
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"starlingwinch/decide"
+	"starlingwinch/internal/discovery"
+	"starlingwinch/internal/limits"
+	"starlingwinch/internal/membership"
+	"starlingwinch/internal/routertest"
+)
+
+// owner keeps the merged list.
+type owner struct {
+	caches  map[string]decide.Entry
+	addrs   map[string]string
+	settled int
+	failed  int
+}
+
+func (o *owner) Publish(p membership.Publish) {
+	for i, e := range p.Entries {
+		o.caches[e.ID], o.addrs[e.ID] = e, p.Addrs[i]
+	}
+}
+func (o *owner) Answered()  {}
+func (o *owner) Failed()    { o.failed++ }
+func (o *owner) Settle()    { o.settled++ }
+func (o *owner) Log(string) {}
+
+// rig is sources that run on a machine of their own, with a file among them.
+type rig struct {
+	*routertest.Loop
+	t       *testing.T
+	sources *Sources
+	owner   *owner
+	path    string
+}
+
+func newRig(t *testing.T, order []string, discoveryAddr string) *rig {
+	t.Helper()
+	r := &rig{Loop: routertest.NewLoop(t, nil), t: t, path: filepath.Join(t.TempDir(), "caches.json"),
+		owner: &owner{caches: map[string]decide.Entry{}, addrs: map[string]string{}}}
+	cfg := Config{Discovery: discoveryAddr, Bounds: limits.Default().Discovery,
+		Known: discovery.List{Index: discovery.NoIndex}, Membership: membership.DefaultConfig()}
+	cfg.Membership.Order, cfg.Membership.File = order, r.path
+	r.Do(func() {
+		var err error
+		if r.sources, err = New(r.Real, cfg, r.owner); err != nil {
+			t.Error(err)
+		}
+	})
+	t.Cleanup(func() { r.Do(func() { r.sources.Stop() }) })
+	return r
+}
+
+func (r *rig) write(text string) {
+	r.t.Helper()
+	if err := os.WriteFile(r.path, []byte(text), 0o600); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+// want waits for what the merged list says of a cache.
+func (r *rig) want(name string, cond decide.Condition, addr string) {
+	r.t.Helper()
+	r.Until(name, func() bool {
+		e, known := r.owner.caches[name]
+		return known && e.Condition == cond && (addr == "" || r.owner.addrs[name] == addr)
+	})
+}
+
+func TestFileIsReadAtTheStartAndAgain(t *testing.T) {
+	r := newRig(t, []string{membership.File}, "127.0.0.1:1")
+	r.write(routertest.Hosts(1, true, routertest.Host("c1", "127.0.0.1:7001", "in_service"),
+		routertest.Host("c2", "127.0.0.1:7002", "in_service")))
+	r.Do(func() { r.sources.Start() })
+	r.want("c1", decide.Up, "127.0.0.1:7001")
+	r.write(routertest.Hosts(1, true, routertest.Host("c1", "127.0.0.1:7003", "in_service")))
+	r.Do(func() { r.sources.Reread() })
+	r.want("c1", decide.Up, "127.0.0.1:7003")
+	r.want("c2", decide.Removed, "")
+}
+
+// TestFileThatCannotBeUsedChangesNothing, whatever is wrong with it.
+func TestFileThatCannotBeUsedChangesNothing(t *testing.T) {
+	r := newRig(t, []string{membership.File}, "127.0.0.1:1")
+	r.write(routertest.Hosts(1, true, routertest.Host("c1", "127.0.0.1:7001", "in_service")))
+	r.Do(func() { r.sources.Start() })
+	r.want("c1", decide.Up, "127.0.0.1:7001")
+	for _, text := range []string{"", "{", `{"index":1,"endpoints":[{"name":""}]}`} {
+		r.write(text)
+		settled := 0
+		r.Do(func() {
+			settled = r.owner.settled
+			r.sources.Reread()
+		})
+		r.Until("the end of the reading", func() bool { return r.owner.settled > settled })
+		r.want("c1", decide.Up, "127.0.0.1:7001")
+		r.Do(func() {
+			if _, rows := r.sources.Table(); rows[0].LostFor < 0 {
+				t.Errorf("%q was taken", text)
+			}
+		})
+	}
+}
+
+// TestOneSourcesBadNewsKeepsWorkAway, and the first in the order says where a cache is.
+func TestOneSourcesBadNewsKeepsWorkAway(t *testing.T) {
+	addr, calls := routertest.Discovery(t)
+	r := newRig(t, []string{membership.Discovery, membership.File}, addr)
+	r.write(routertest.Hosts(1, true, routertest.Host("c1", "127.0.0.1:7009", "in_service"),
+		routertest.Host("c2", "127.0.0.1:7002", "terminating")))
+	r.Do(func() { r.sources.Start() })
+	first := routertest.Receive(t, calls, "call")
+	first.Reply <- routertest.Hosts(1, true, routertest.Host("c1", "127.0.0.1:7001", "in_service"),
+		routertest.Host("c2", "127.0.0.1:7002", "in_service"))
+	r.want("c1", decide.Up, "127.0.0.1:7001")
+	r.want("c2", decide.Draining, "")
+}
+
+// TestPlatformIsNotAskedWhereTheOrderLeavesItOut.
+func TestPlatformIsNotAskedWhereTheOrderLeavesItOut(t *testing.T) {
+	addr, calls := routertest.Discovery(t)
+	r := newRig(t, []string{membership.File}, addr)
+	r.write(routertest.Hosts(1, true, routertest.Host("c1", "127.0.0.1:7001", "in_service")))
+	r.Do(func() {
+		r.sources.Start()
+		r.sources.Watch()
+		r.sources.Move(addr)
+	})
+	r.want("c1", decide.Up, "127.0.0.1:7001")
+	select {
+	case c := <-calls:
+		t.Errorf("asked %s", c.Query)
+	default:
+	}
+	r.Do(func() {
+		if r.owner.failed > 0 {
+			t.Error("a call failed that nobody made")
+		}
+	})
+}
