--- /dev/null
+++ b/internal/lab/planted/planted_test.go
@@ -0,0 +1,31 @@
+package planted_test
+
+import (
+	"testing"
+	"time"
+
+	"starlingwinch/internal/lab"
+	"starlingwinch/internal/lab/bare"
+	"starlingwinch/internal/lab/planted"
+)
+
+const (
+	mostSeeds = 500
+	length    = 3 * time.Second
+)
+
+func TestPlantedDefectsAreFound(t *testing.T) {
+	for _, d := range planted.InModule() {
+		t.Run(d.Name, func(t *testing.T) {
+			runs, found, err := d.Find(t.Context(), lab.Options{Node: bare.Start}, mostSeeds, length)
+			switch {
+			case err != nil:
+				t.Fatal(err)
+			case !found:
+				t.Errorf("%q did not break in %d runs", d.Rule, runs)
+			default:
+				t.Logf("%q breaks in run %d", d.Rule, runs)
+			}
+		})
+	}
+}
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -131,6 +131,7 @@
 	for i := range all {
 		if all[i].Write {
 			all[i].Share *= s.Clients.Writes
+			all[i].Window = Time(float64(all[i].Window) * s.Fleet.KeyWindow)
 		}
 	}
 	if s.Clients.Unsafe > 0 {
