--- a/internal/lab/script/script_test.go
+++ b/internal/lab/script/script_test.go
@@ -1,7 +1,9 @@
 package script
 
 import (
+	"os"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -127,3 +129,16 @@
 		}
 	})
 }
+
+func TestOperatorsPageNamesEveryKind(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/operators/lab.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	words := strings.FieldsFunc(string(page), func(r rune) bool { return r == ' ' || r == ',' || r == '|' || r == '\n' })
+	for _, k := range Kinds() {
+		if !slices.Contains(words, k.Name) {
+			t.Errorf("%s is not on the page", k.Name)
+		}
+	}
+}
