--- a/internal/lab/script/draw.go
+++ b/internal/lab/script/draw.go
@@ -138,6 +138,9 @@
 		f.For = d.span(10*time.Millisecond, 2*time.Second)
 	case Double:
 		f.Delay = pick(d, []time.Duration{0, time.Millisecond, 200 * time.Millisecond})
+		if f.How == "same" {
+			f.Delay = 0 // on a connection in use nothing tells a late copy from the answer to the next request
+		}
 	}
 	return f
 }
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -184,6 +184,7 @@
 	set := rules.Settings{
 		Classes: map[string]rules.Class{}, MaxAttempts: w.s.Fleet.MaxAttempts, Slack: slack, Flight: 50 * millisecond,
 		Copies: w.s.Fleet.Copies || w.hidesCloses(), DrainGrace: second,
+		Remember:     w.longestHeld(),
 		FallMultiple: 3, FallFor: 3 * second, FallSlack: 0.05, StoreFallFor: 3 * second, StoreColdShare: 0.5,
 	}
 	for _, c := range w.classes {
@@ -194,6 +195,17 @@
 	return set
 }
 
+// longestHeld is how long a script may hold bytes back. The danger: an attempt that comes out of a cut after its request
+// was forgotten looks as if no client had ever asked for it.
+func (w *world) longestHeld() (most Time) {
+	for _, f := range w.s.Faults {
+		if f.Kind == script.Cut || f.Kind == script.Lag {
+			most = max(most, microseconds(f.Until(w.s.Length)-f.At)+microseconds(f.Delay))
+		}
+	}
+	return most
+}
+
 // hidesCloses reports whether caches may learn of a close any time after it: then nobody can tell from outside whether
 // two copies of a request were out at once.
 func (w *world) hidesCloses() bool {
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -46,6 +46,10 @@
 	// counts as sent this long before it came.
 	Flight Time
 
+	// Remember is how much longer than its class asks for a request is remembered after its deadline, for networks
+	// that hold bytes back.
+	Remember Time
+
 	DrainGrace Time // sends to a cache that drains or is gone must have ceased by then
 
 	// A cold cache is pushed over by more than FallMultiple times what it can do at the moment, summed
--- a/internal/rules/watcher.go
+++ b/internal/rules/watcher.go
@@ -108,7 +108,7 @@
 		w.classes[name] = &class{Class: c, tally: Tally{Class: name}}
 		w.keep = max(w.keep, c.Window, c.Deadline)
 	}
-	w.keep += forgetAfter + set.Slack + set.Flight
+	w.keep += forgetAfter + set.Slack + set.Flight + set.Remember
 	w.store.init(set.StoreFallFor)
 	return w
 }
