--- a/internal/lab/eyes.go
+++ b/internal/lab/eyes.go
@@ -39,12 +39,24 @@
 	}
 }
 
-// Listed is told to the watcher once the router can have read it. The danger: what discovery has written into a cut,
-// or to a router whose machine is stopped, would count against a router that can't know.
+// Listed is told to the watcher once the router can have read it. The danger: what discovery has written into a cut or
+// a long way, or to a router whose machine is stopped, would count against a router that can't know.
 func (e *eyes) Listed(now Time, router, cache string, takesWork bool) {
+	way := Time(0)
+	if r := e.w.routerNamed(router); r != nil && e.w.faults != nil {
+		way = e.w.faults.lag(centre(), r.zone)
+	}
+	if way == 0 {
+		e.listed(now, router, cache, takesWork)
+		return
+	}
+	e.w.sim.At(now+way, func() { e.listed(e.w.sim.Now(), router, cache, takesWork) })
+}
+
+func (e *eyes) listed(now Time, router, cache string, takesWork bool) {
 	r := e.w.routerNamed(router)
 	if at := e.w.readableBy(r); at > now {
-		e.w.sim.At(min(at, now+pollCut), func() { e.Listed(e.w.sim.Now(), router, cache, takesWork) })
+		e.w.sim.At(min(at, now+pollCut), func() { e.listed(e.w.sim.Now(), router, cache, takesWork) })
 		return
 	}
 	if takesWork {
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -335,6 +335,20 @@
 
 func wayOf(kind, from, to string) string { return kind + " " + from + ">" + to }
 
+// lag is how long the way from one zone to another takes at the most, where it is longer than usual; else 0.
+func (f *faults) lag(from, to string) Time {
+	all := f.lasting[wayOf(script.Lag, from, to)]
+	if len(all) == 0 {
+		return 0
+	}
+	n, x := f.w.s.Network, all[len(all)-1]
+	latency := n.Far
+	if from == to {
+		latency = n.Near
+	}
+	return Time(float64(microseconds(latency))*(x.Factor+n.Jitter)) + microseconds(x.Delay)
+}
+
 // apart reports whether nothing gets from one zone to another now, or back.
 func (f *faults) apart(a, b string) bool {
 	return len(f.lasting[wayOf(script.Cut, a, b)]) > 0 || len(f.lasting[wayOf(script.Cut, b, a)]) > 0
