--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -269,14 +269,14 @@
 		return c.reject(err.Error())
 	}
 	c.errors, c.asked = 0, true
-	if c.surplus {
-		c.say(AppendBusy(nil, f.o.Wait))
-		return false
+	if c.surplus && !c.retired {
+		// What it has sent behind this is refused too, and it is closed between requests.
+		c.retired, c.retireAt = true, f.m.Now()-lastReads-1
 	}
 	// The danger: a client that always has a request out keeps its connection open to the end of the
 	// drain, and what it has out then is lost. Refused, it comes to a moment between requests.
 	if c.retired && f.m.Now() > c.retireAt+lastReads || !f.memory.take(int64(len(raw))) {
-		c.say([]byte(BusyReply))
+		c.say(AppendBusy(nil, f.o.Wait))
 		return true
 	}
 	s := &Slot{client: c, charge: int64(len(raw)), asked: true}
--- a/internal/lab/loopback/witness.go
+++ b/internal/lab/loopback/witness.go
@@ -165,7 +165,13 @@
 	o.w.CacheDown(o.time(now), cache, fallen)
 }
 
-func (o *witness) Offered(now Time, cache string, work Time) { o.w.Offered(o.time(now), cache, work) }
+func (o *witness) Offered(now Time, cache, router string, work Time) {
+	o.w.Offered(o.time(now), cache, router, work)
+}
+
+func (o *witness) StartTold(now Time, router, cache string, start Time) {
+	o.w.StartTold(o.time(now), router, cache, start)
+}
 
 func (o *witness) StoreOffered(now Time, work Time, cold bool) {
 	o.w.StoreOffered(o.time(now), work, cold)
--- /dev/null
+++ b/internal/lab/planted/machine.go
@@ -0,0 +1,196 @@
+package planted
+
+import (
+	"bytes"
+	"time"
+
+	"starlingwinch/internal/lab"
+	"starlingwinch/internal/machine"
+)
+
+// InMachine are the defects that need no more than a stand between a router and its machine: what it sends, reads and
+// gives back is not what it should be.
+func InMachine() []Defect {
+	return []Defect{
+		tampered("every fortieth answer given twice", "answered twice", func(t *tamper) {
+			t.clientWrite = nth(40, func(c machine.Conn, b []byte) (int, error) {
+				if n, err := c.Write(b); n < len(b) || err != nil {
+					return n, err
+				}
+				c.Write(b)
+				return len(b), nil
+			})
+		}),
+		tampered("every fortieth answer not sent", "lost", func(t *tamper) {
+			t.clientWrite = nth(40, func(_ machine.Conn, b []byte) (int, error) { return len(b), nil })
+		}),
+		tampered("every fortieth value that of a request before", "wrong value", func(t *tamper) {
+			var before []byte
+			swap := nth(40, func(c machine.Conn, b []byte) (int, error) {
+				if b[0] != '$' || before == nil {
+					return c.Write(b)
+				}
+				if n, err := c.Write(before); n < len(before) || err != nil {
+					return n, err
+				}
+				return len(b), nil
+			})
+			t.clientWrite = func(c machine.Conn, b []byte) (int, error) {
+				n, err := swap(c, b)
+				if b[0] == '$' {
+					before = bytes.Clone(b)
+				}
+				return n, err
+			}
+		}),
+		tampered("every fortieth answer spoilt in its middle", "wrong value", func(t *tamper) {
+			t.clientWrite = nth(40, func(c machine.Conn, b []byte) (int, error) {
+				if b[0] == '$' && len(b) > 40 {
+					b = bytes.Clone(b)
+					b[len(b)/3] ^= 1
+				}
+				return c.Write(b)
+			})
+		}),
+		tampered("commands sent on with a letter changed", "bad command", func(t *tamper) {
+			t.cacheWrite = nth(60, func(c machine.Conn, b []byte) (int, error) {
+				b = bytes.Clone(b)
+				if i := bytes.IndexByte(b, ','); i > 0 {
+					b[i] = ';'
+				}
+				return c.Write(b)
+			})
+		}),
+		tampered("a client's connection not read after its twentieth event", "lost", func(t *tamper) { t.deafAfter = 20 }),
+		tampered("connections to caches never closed", "left behind", func(t *tamper) { t.keepsOpen = true }),
+		tampered("a timer more for each that is set", "left behind", func(t *tamper) { t.leaksTimers = true }),
+		long(12*time.Second, tampered("the list read once and never again", "late drain", func(t *tamper) { t.listOnce = true })),
+		{Name: "all dropped on SIGTERM", Rule: "lost", Apply: func(o *lab.Options) {
+			start := o.Node
+			o.Node = func(m machine.Machine, c lab.NodeConfig) (lab.Node, error) {
+				n, err := start(m, c)
+				return abrupt{n}, err
+			}
+		}},
+	}
+}
+
+// abrupt is a router that ends at once when it is asked to drain.
+type abrupt struct{ lab.Node }
+
+func (a abrupt) Drain(done func()) {
+	if c, ok := a.Node.(interface{ Close() }); ok {
+		c.Close()
+	}
+	done()
+}
+
+// write stands in for a connection's Write.
+type write func(c machine.Conn, b []byte) (int, error)
+
+// nth has every n-th write done otherwise.
+func nth(n int, other write) write {
+	count := 0
+	return func(c machine.Conn, b []byte) (int, error) {
+		if count++; count%n == 0 && len(b) > 0 {
+			return other(c, b)
+		}
+		return c.Write(b)
+	}
+}
+
+// tamper is a machine that does some things wrong. What is not set is done right.
+type tamper struct {
+	machine.Machine
+	clientWrite, cacheWrite write
+	deafAfter               int
+	keepsOpen               bool
+	leaksTimers             bool
+	listOnce                bool
+}
+
+// long is a defect that shows late.
+func long(length time.Duration, d Defect) Defect {
+	d.Length = length
+	return d
+}
+
+func tampered(name, rule string, with func(*tamper)) Defect {
+	return Defect{Name: name, Rule: rule, Apply: func(o *lab.Options) {
+		start := o.Node
+		o.Node = func(m machine.Machine, c lab.NodeConfig) (lab.Node, error) {
+			t := &tamper{Machine: m}
+			with(t)
+			return start(t, c)
+		}
+	}}
+}
+
+func (t *tamper) At(at machine.Time, f func()) machine.Timer {
+	if t.leaksTimers {
+		t.Machine.At(at+3_600_000_000, func() {})
+	}
+	return t.Machine.At(at, f)
+}
+
+func (t *tamper) Listen(addr string, accept func(machine.Conn) machine.Handler) (machine.Listener, error) {
+	return t.Machine.Listen(addr, func(c machine.Conn) machine.Handler {
+		k := &wrongConn{Conn: c, write: t.clientWrite}
+		h := accept(k)
+		if h == nil || t.deafAfter == 0 {
+			return h
+		}
+		return &deaf{Handler: h, left: t.deafAfter}
+	})
+}
+
+func (t *tamper) Dial(addr string, timeout machine.Time, done func(machine.Conn, error) machine.Handler) machine.Dialing {
+	return t.Machine.Dial(addr, timeout, func(c machine.Conn, err error) machine.Handler {
+		if err != nil {
+			return done(c, err)
+		}
+		return done(&wrongConn{Conn: c, write: t.cacheWrite, keepsOpen: t.keepsOpen, listOnce: t.listOnce}, nil)
+	})
+}
+
+// deaf is a handler that is told of so many events and of no more.
+type deaf struct {
+	machine.Handler
+	left int
+}
+
+func (d *deaf) Readable() {
+	if d.left--; d.left >= 0 {
+		d.Handler.Readable()
+	}
+}
+
+// wrongConn is a connection of a tampered machine.
+type wrongConn struct {
+	machine.Conn
+	write     write
+	keepsOpen bool
+	listOnce  bool
+	asked     int // calls for the list on it
+}
+
+var callForList = []byte("GET /discovery")
+
+func (c *wrongConn) Write(b []byte) (int, error) {
+	if bytes.HasPrefix(b, callForList) {
+		if c.asked++; c.listOnce && c.asked > 1 {
+			return len(b), nil // which nobody hears
+		}
+		return c.Conn.Write(b)
+	}
+	if c.write == nil {
+		return c.Conn.Write(b)
+	}
+	return c.write(c.Conn, b)
+}
+
+func (c *wrongConn) Close() {
+	if !c.keepsOpen || c.asked > 0 {
+		c.Conn.Close()
+	}
+}
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -26,6 +26,8 @@
 	Node Start // the router under test
 	// Wrap stands between each router and its decision module; see NodeConfig.
 	Wrap func(books.Module) books.Module
+	// Change, where it is not nil, changes each script before it is played.
+	Change func(*script.Script)
 	// Follow is the id of a request whose life the result is to hold.
 	Follow string
 	// Timeline is told what a person wants to know, in order.
@@ -44,6 +46,11 @@
 
 // Run plays a script. The error tells what kept it from being played; broken rules are in the result.
 func Run(s script.Script, o Options) (*Result, error) {
+	if o.Change != nil {
+		s.Faults = slices.Clone(s.Faults)
+		o.Change(&s)
+		s.Sort()
+	}
 	if err := s.Check(); err != nil {
 		return nil, err
 	}
--- a/internal/rules/events.go
+++ b/internal/rules/events.go
@@ -76,6 +76,8 @@
 	// Listed: discovery has written to a router what it says of a cache (or, for a list that must be
 	// asked for, the time has passed by which it counts as told).
 	Listed(now Time, router, cache string, takesWork bool)
+	// StartTold: discovery has written to a router when a cache last started.
+	StartTold(now Time, router, cache string, start Time)
 
 	// CacheUp: a cache's process has started, with the work it can do a second when warm (in µs of
 	// work), the share of that it starts with, and how long it takes to be warm; coldFor 0 stands for a
@@ -84,7 +86,7 @@
 	// a fetch, by a cache that is cold (or not), and StoreFell: it has stopped under its load.
 	CacheUp(now Time, cache string, capacity, coldShare float64, coldFor Time)
 	CacheDown(now Time, cache string, fallen bool)
-	Offered(now Time, cache string, work Time)
+	Offered(now Time, cache, router string, work Time)
 	StoreOffered(now Time, work Time, cold bool)
 	StoreFell(now Time)
 
--- a/internal/rules/load.go
+++ b/internal/rules/load.go
@@ -43,7 +43,8 @@
 	zone, cell string
 	life       *cacheLife
 	load       window
-	over       bool // its load was over the multiple when work last came
+	told       window // ... by routers that had been told of its start
+	over       bool   // its load was over the multiple when work last came
 }
 
 // cacheLife is one process of a cache. Attempts point to theirs, so its end ends them all at once.
@@ -54,7 +55,8 @@
 	capacity  float64 // work (µs) a second when warm; 0 where it was not told
 	coldShare float64
 	coldFor   Time
-	pushed    bool // has been reported
+	pushed    bool            // has been reported
+	told      map[string]bool // routers that have been told of its start
 }
 
 // warmth is the share of its capacity that it can do: it rises evenly from the cold share.
@@ -71,6 +73,7 @@
 	if c == nil {
 		c = &cache{name: name, life: &cacheLife{}}
 		c.load.init(w.set.FallFor)
+		c.told.init(w.set.FallFor)
 		w.caches[name] = c
 	}
 	return c
@@ -90,11 +93,20 @@
 	if !c.life.down {
 		c.life.down, c.life.downAt = true, now // its end was not told
 	}
-	c.life = &cacheLife{started: now, capacity: capacity, coldShare: coldShare, coldFor: coldFor}
+	c.life = &cacheLife{started: now, capacity: capacity, coldShare: coldShare, coldFor: coldFor, told: map[string]bool{}}
 	c.load.init(w.set.FallFor)
+	c.told.init(w.set.FallFor)
 	c.over = false
 }
 
+// StartTold implements Observer.
+func (w *Watcher) StartTold(now Time, router, cache string, start Time) {
+	w.advance(now)
+	if l := w.cache(cache).life; l.told != nil && start >= l.started-toldSlack {
+		l.told[router] = true
+	}
+}
+
 // CacheDown implements Observer.
 func (w *Watcher) CacheDown(now Time, name string, fallen bool) {
 	w.advance(now)
@@ -116,11 +128,14 @@
 
 // Offered implements Observer. The work is a budget for each window: a short heavy burst can spend it
 // before the window has passed.
-func (w *Watcher) Offered(now Time, name string, work Time) {
+func (w *Watcher) Offered(now Time, name, router string, work Time) {
 	w.advance(now)
 	c := w.cache(name)
-	c.load.add(now, work)
 	l := c.life
+	c.load.add(now, work)
+	if c.told.slide(now); router == "" || l.told[router] {
+		c.told.add(now, work)
+	}
 	if w.set.FallMultiple <= 0 || l.capacity <= 0 || l.down {
 		return
 	}
@@ -137,9 +152,18 @@
 	c.over = over
 }
 
-// pushedOver reports a cold cache once a life.
+// toldShare is the part of a load that has to come from routers that know of a cache's start, for it to be theirs to
+// answer for; toldSlack is what the list's time of a start may lie before it, as it counts in milliseconds.
+const (
+	toldShare = 2. / 3
+	toldSlack = 1000
+)
+
+// pushedOver reports a cold cache once a life. Who has not been told that a cache has started can't spare it.
 func (w *Watcher) pushedOver(c *cache, now Time, how string) {
-	if c.life.pushed {
+	c.told.slide(now)
+	c.load.slide(now)
+	if c.life.pushed || float64(c.told.total) < toldShare*float64(c.load.total) {
 		return
 	}
 	c.life.pushed = true
--- a/internal/standin/cache.go
+++ b/internal/standin/cache.go
@@ -219,9 +219,9 @@
 
 // sent books work that it was sent, and falls over where that was too much. It reports whether the
 // process still runs.
-func (c *Cache) sent(id string, work Time) bool {
+func (c *Cache) sent(id, router string, work Time) bool {
 	now := c.m.Now()
-	c.obs.Offered(now, c.o.Name, work)
+	c.obs.Offered(now, c.o.Name, router, work)
 	sum := c.offered.add(now, work)
 	o := &c.o.Capacity
 	if o.FallFor > 0 && o.FallMultiple > 0 && float64(sum) > o.FallMultiple*c.proc.able()*float64(o.FallFor) {
