--- a/internal/rules/attempts.go
+++ b/internal/rules/attempts.go
@@ -258,7 +258,9 @@
 		return
 	}
 	r.note(moment{at: now, kind: hasReplied, answer: kind, who: cacheName})
-	a := r.find(cacheName, isOut)
+	// What the present process says is not the answer to an attempt at one before.
+	here := w.cache(cacheName).life
+	a := r.find(cacheName, func(a *attempt) bool { return isOut(a) && a.life == here })
 	if a == nil {
 		a = r.find(cacheName, unreplied) // written to a connection that is closed by now
 	}
--- a/internal/standin/clientconn.go
+++ b/internal/standin/clientconn.go
@@ -193,6 +193,9 @@
 			r.resent++
 			r.tally.Resent++
 			t.move()
+		case now-t.sent <= c.o.Crossing: // as before: a fleet that ends all at once is no fault of the last router
+			t.left()
+			r.again(0, &r.tally.Failed)
 		default:
 			t.end()
 			c.obs.Broken(now, t.id)
