--- a/internal/standin/clientconn.go
+++ b/internal/standin/clientconn.go
@@ -99,8 +99,8 @@
 func (cc *clientConn) write(t *try) {
 	c := cc.c
 	now := c.m.Now()
-	if now >= t.deadline {
-		t.conn = nil // it was long in coming up; nobody waits for an answer any more
+	if now+hopeless >= t.deadline {
+		t.conn = nil // it was long in coming up; nobody waits long enough for an answer any more
 		return
 	}
 	cc.queue(t)
