--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"errors"
-	"strings"
 
 	"github.com/tidwall/redcon"
 
@@ -135,7 +134,7 @@
 	// The danger: an answer has found the connection broken and closed it; what a command asks for after that is
 	// asked by nobody, and never given back.
 	for !c.closed && *share > 0 && len(c.queue) < c.front.o.Bounds.Pipelined && used < len(b) {
-		args, n, err := resp.NextCommand(b[used:])
+		n, err := resp.CommandSize(b[used:])
 		if err == nil && n == 0 && len(b)-used > resp.MostCommand {
 			err = errors.New("too big a command")
 		}
@@ -148,9 +147,9 @@
 		}
 		*share--
 		c.consumed = true
-		raw := b[used : used+n]
+		raw := bytes.Clone(b[used : used+n]) // it outlives the buffer
 		used += n
-		if !c.command(args, raw) {
+		if !c.command(raw) {
 			c.finish()
 			return used
 		}
@@ -222,13 +221,16 @@
 }
 
 // command carries out one command. It reports whether the connection goes on.
-func (c *client) command(args [][]byte, raw []byte) bool {
-	if len(args) == 0 {
-		return true
+func (c *client) command(raw []byte) bool {
+	args, _, err := resp.NextCommand(raw)
+	if err != nil || len(args) == 0 {
+		return true // its size was told, so that it can be read
 	}
 	f := c.front
-	switch strings.ToUpper(string(args[0][:min(len(args[0]), 32)])) {
-	case "PING":
+	switch verb := args[0]; {
+	case bytes.EqualFold(verb, getVerb), bytes.EqualFold(verb, setVerb):
+		return c.request(args, raw)
+	case bytes.EqualFold(verb, pingVerb):
 		c.asked = true
 		switch {
 		case !f.desk.Serving():
@@ -239,11 +241,9 @@
 			c.say([]byte("+PONG\r\n"))
 		}
 		return true
-	case "QUIT":
+	case bytes.EqualFold(verb, quitVerb):
 		c.say([]byte("+OK\r\n"))
 		return false
-	case "C.GET", "C.SET":
-		return c.request(raw)
 	}
 	if raw[0] != '*' && isHTTP(args) {
 		// The danger: a web page has a browser send HTTP here, and a command in the body is carried out.
@@ -254,17 +254,12 @@
 }
 
 // request takes a request in. It reports whether the connection goes on.
-func (c *client) request(raw []byte) bool {
+func (c *client) request(args [][]byte, raw []byte) bool {
 	f := c.front
-	// The command outlives the buffer.
-	args, _, err := resp.NextCommand(bytes.Clone(raw))
-	if err == nil && raw[0] != '*' {
-		err = errors.New("an array is wanted")
-	}
-	var cmd Command
-	if err == nil {
-		cmd, err = ParseCommand(args, len(raw), f.o.Classes)
+	if raw[0] != '*' {
+		return c.reject("an array is wanted")
 	}
+	cmd, err := ParseCommand(args, len(raw), f.o.Classes)
 	if err != nil {
 		return c.reject(err.Error())
 	}
--- a/internal/front/command.go
+++ b/internal/front/command.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"hash/fnv"
 	"slices"
 	"strconv"
 	"strings"
@@ -17,6 +16,8 @@
 
 const idArg = 2 // place of the id in a command
 
+var getVerb, setVerb, pingVerb, quitVerb = []byte("C.GET"), []byte("C.SET"), []byte("PING"), []byte("QUIT")
+
 // Command is a client's request as it came.
 type Command struct {
 	Class  string
@@ -35,9 +36,12 @@
 
 // KeyHash is the number that places a key, by FNV-1a. All routers agree on it: another one would move all keys.
 func KeyHash(key []byte) uint64 {
-	h := fnv.New64a()
-	h.Write(key)
-	return h.Sum64()
+	const offset, prime = 14695981039346656037, 1099511628211
+	h := uint64(offset)
+	for _, c := range key {
+		h = (h ^ uint64(c)) * prime
+	}
+	return h
 }
 
 // ID is the request's id in the client's words.
@@ -46,7 +50,7 @@
 // ParseCommand reads a C.GET or C.SET of one of the classes. It keeps args, which took size bytes on the
 // wire. The error is worded for the client.
 func ParseCommand(args [][]byte, size int, classes []decide.Class) (Command, error) {
-	c := Command{args: args, size: size, Write: strings.EqualFold(string(args[0]), "C.SET")}
+	c := Command{args: args, size: size, Write: bytes.EqualFold(args[0], setVerb)}
 	want := resp.MetaArg + 1
 	if c.Write {
 		want++
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -100,6 +100,39 @@
 	return text, next, nil
 }
 
+// CommandSize is how many bytes the command at the front of b takes; 0 where it is not whole yet. It reads as NextCommand
+// does, and keeps nothing.
+func CommandSize(b []byte) (used int, err error) {
+	if len(b) == 0 || b[0] != '*' {
+		_, used, err = NextCommand(b)
+		return used, err
+	}
+	n, at, err := figure(b, 0, '*', mostArgs)
+	if err != nil || at == 0 {
+		return 0, err
+	}
+	if n < 0 {
+		return 0, errLength
+	}
+	for i := range n {
+		most := MostWord
+		if i > MetaArg {
+			most = MostValue
+		}
+		arg, next, err := bulk(b, at, most)
+		switch {
+		case err != nil:
+			return 0, err
+		case next == 0:
+			return 0, nil
+		case arg == nil:
+			return 0, errLength
+		}
+		at = next
+	}
+	return at, nil
+}
+
 // NextCommand takes one command off b: an array of bulk strings, or a line of words (used is 0 where
 // it is not whole yet). The arguments lie in b.
 func NextCommand(b []byte) (args [][]byte, used int, err error) {
@@ -117,6 +150,7 @@
 	if n < 0 {
 		return nil, 0, errLength
 	}
+	args = make([][]byte, 0, n)
 	for range n {
 		most := MostWord
 		if len(args) > MetaArg {
@@ -212,6 +246,9 @@
 // parseLoad reads a load report; what it does not know or can't read it skips.
 func parseLoad(s string) decide.Load {
 	l := decide.Load{Busy: -1}
+	if s == "" {
+		return l
+	}
 	for _, field := range strings.Split(s, ",") {
 		name, text, _ := strings.Cut(field, "=")
 		v, err := strconv.ParseFloat(text, 64)
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -58,6 +58,9 @@
 	}
 	f.Fuzz(func(t *testing.T, b []byte) {
 		args, used, err := NextCommand(b)
+		if size, serr := CommandSize(b); size != used && err == nil || (serr == nil) != (err == nil) {
+			t.Fatalf("its size is %d, %v; read, it takes %d, %v", size, serr, used, err)
+		}
 		if err != nil {
 			return
 		}
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -14,6 +14,7 @@
 // request is one command of a client that the module decides about.
 type request struct {
 	id       int64
+	name     string // as its client named it
 	cmd      front.Command
 	deadline Time
 	slot     *front.Slot
@@ -21,6 +22,7 @@
 	out      int  // attempts without an outcome
 	untold   int  // events about it that the module is still to be told
 	attempts []*sending
+	first    [1]*sending // room for the one that most need
 }
 
 // sending is an attempt of a request. It is what the upstream side sends.
@@ -132,7 +134,8 @@
 		cmd.Wait = min(cmd.Wait, r.longest) // of a class without a limit of its own
 	}
 	r.lastID++
-	q := &request{id: r.lastID, cmd: cmd, deadline: read + cmd.Wait, slot: s}
+	q := &request{id: r.lastID, name: name, cmd: cmd, deadline: read + cmd.Wait, slot: s}
+	q.attempts = q.first[:0]
 	s.ID = q.id
 	r.requests[q.id] = q
 	r.open++
@@ -192,7 +195,7 @@
 func (r *Router) forget(q *request) {
 	if q.over && q.out == 0 && q.untold == 0 && r.requests[q.id] == q {
 		delete(r.requests, q.id)
-		delete(r.ids, q.cmd.ID())
+		delete(r.ids, q.name)
 	}
 }
 
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -27,10 +27,11 @@
 	StopAt  Time // it is given up then
 	WriteBy Time // its last byte has to be written before then; 0 for no such bound
 
-	cache  *cache
-	state  attemptState
-	conn   *conn
-	timers [3]machine.Timer // to be stopped with it
+	cache     *cache
+	state     attemptState
+	conn      *conn
+	connectBy Time          // it has to have a connection by then
+	timer     machine.Timer // for the next of its times
 }
 
 // Cache is the name of the cache that it was sent to.
@@ -59,6 +60,33 @@
 	}
 }
 
+// arm sets the timer for what is due next.
+func (a *Attempt) arm() {
+	at := a.StopAt
+	if a.state == waiting {
+		at = min(at, a.connectBy)
+	}
+	if a.Unwritten() && a.WriteBy > 0 {
+		at = min(at, a.WriteBy)
+	}
+	a.timer = a.cache.pool.m.At(at, a.due)
+}
+
+// due is called at one of its times. What is written by then has only its end to wait for.
+func (a *Attempt) due() {
+	a.timer = nil
+	p := a.cache.pool
+	switch now := p.m.Now(); {
+	case now >= a.StopAt, a.Unwritten() && a.WriteBy > 0 && now >= a.WriteBy:
+		a.GiveUp(decide.NoAnswer)
+	case a.state == waiting && now >= a.connectBy:
+		a.end(decide.NoConnection, nil)
+	default:
+		a.arm()
+	}
+	p.owner.Settle()
+}
+
 // end gives the attempt its outcome.
 func (a *Attempt) end(result decide.Result, rep *resp.Reply) {
 	if a.state == over {
@@ -82,11 +110,9 @@
 		}
 	}
 	a.state = over
-	for i, t := range a.timers {
-		if t != nil {
-			t.Stop()
-			a.timers[i] = nil
-		}
+	if a.timer != nil {
+		a.timer.Stop()
+		a.timer = nil
 	}
 	if a.conn != nil {
 		a.conn.attempt, a.conn = nil, nil
--- a/internal/upstream/cache.go
+++ b/internal/upstream/cache.go
@@ -92,23 +92,12 @@
 	if a.Work != nil {
 		u.out++
 	}
-	a.timers[0] = p.later(a.StopAt, func() { a.GiveUp(decide.NoAnswer) })
-	if a.WriteBy > 0 && a.WriteBy < a.StopAt {
-		a.timers[1] = p.later(a.WriteBy, func() {
-			if a.Unwritten() {
-				a.GiveUp(decide.NoAnswer)
-			}
-		})
-	}
 	u.waiting = append(u.waiting, a)
 	u.pump()
-	if a.state == waiting {
+	if a.state != over {
 		// The danger: one that waits to the end has neither time for another attempt nor was it sent.
-		a.timers[2] = p.later(a.Sent+min(p.o.DialTimeout, (a.StopAt-a.Sent)*2/5), func() {
-			if a.state == waiting {
-				a.end(decide.NoConnection, nil)
-			}
-		})
+		a.connectBy = a.Sent + min(p.o.DialTimeout, (a.StopAt-a.Sent)*2/5)
+		a.arm()
 	}
 }
 
