--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -135,6 +135,10 @@
 	}
 	r.lastID++
 	q := &request{id: r.lastID, name: name, cmd: cmd, deadline: read + cmd.Wait, slot: s}
+	if r.endsBy > 0 {
+		// The danger: what is taken late in a drain has a deadline beyond its end, and is lost with the process.
+		q.deadline = min(q.deadline, r.endsBy-drainAnswers)
+	}
 	q.attempts = q.first[:0]
 	s.ID = q.id
 	r.requests[q.id] = q
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -24,6 +24,7 @@
 
 const (
 	lastArrivals  = 500_000   // new connections may still come so long after SIGTERM
+	drainAnswers  = 50_000    // before a drain's end, by which all is to be answered
 	drainSlack    = 650_000   // beyond the longest deadline, for the drain after SIGTERM: SIGKILL may follow 50 ms later
 	doorWait      = 500_000   // that a client is to stay away for which there is no descriptor, at most
 	sweepInterval = 1_000_000 // between looks for idle connections and what the books miss
@@ -52,6 +53,7 @@
 	longest   Time                 // patience of any client
 	sweeping  machine.Timer
 	arrivals  Time // how long connections are still taken after SIGTERM
+	endsBy    Time // the drain's end; 0 while there is none
 	closed    bool
 	onDrained func()
 }
@@ -138,7 +140,8 @@
 	if r.enrolled != nil {
 		r.enrolled.Drain()
 	}
-	limit := r.m.At(r.m.Now()+r.longest+drainSlack, r.Close)
+	r.endsBy = r.m.Now() + r.longest + drainSlack
+	limit := r.m.At(r.endsBy, r.Close)
 	r.m.At(r.m.Now()+r.arrivals, func() {
 		if r.closed {
 			return
