--- a/cmd/lab/run.go
+++ b/cmd/lab/run.go
@@ -5,7 +5,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
+	"os/signal"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -89,7 +92,7 @@
 			if len(args) > 0 {
 				if s, ok := lab.Find(args[0]); ok && !c.named() {
 					o.Out, o.Args = cmd.OutOrStdout(), args[1:]
-					return measure(cmd.Context(), s, o)
+					return measure(s, o)
 				}
 				if len(args) > 1 || c.file != "" || !slices.Contains(lab.Scripts(), args[0]) {
 					return usageError{fmt.Errorf("run: unknown name %q; `lab list` names those that there are", args[0])}
@@ -114,7 +117,10 @@
 }
 
 // measure makes a measurement.
-func measure(ctx context.Context, s lab.Scenario, o lab.RunOptions) error {
+func measure(s lab.Scenario, o lab.RunOptions) error {
+	// The danger: the measurement is interrupted, and the programs that it started run on.
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
 	line, ok, err := s.Run(ctx, o)
 	if err != nil {
 		return fmt.Errorf("%s: %w", s.Name, err)
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -250,6 +250,7 @@
 	asked   []Time // of the requests that are out, in order
 	idle    bool
 	skip    int // bytes of a value that are still to come
+	due     int // answers that what has come may still hold: requests that were out before it came
 }
 
 func (k *clientConn) ask(since Time) {
@@ -282,7 +283,7 @@
 	n, err := k.nc.Write(k.out)
 	if err != nil {
 		k.clients.Broken++
-		k.nc.Close()
+		k.end()
 		return
 	}
 	k.out = append(k.out[:0], k.out[n:]...)
@@ -298,17 +299,21 @@
 		}
 		if err != nil {
 			c.Broken++
-			k.nc.Close()
+			k.end()
 			return
 		}
 		if !k.idle {
 			k.take(k.in[:n])
 		}
+		if k.nc == nil {
+			return
+		}
 	}
 }
 
 func (k *clientConn) take(b []byte) {
-	for len(b) > 0 {
+	k.due = len(k.asked)
+	for len(b) > 0 && k.nc != nil {
 		if k.skip > 0 {
 			n := min(k.skip, len(b))
 			b = b[n:]
@@ -344,13 +349,22 @@
 	}
 }
 
+// end closes the connection; it asks no more.
+func (k *clientConn) end() {
+	k.nc.Close()
+	k.nc = nil
+}
+
 func (k *clientConn) answered(count *int64) {
 	c := k.clients
 	now := c.m.Now()
-	if len(k.asked) == 0 {
+	if k.due == 0 {
+		// The danger: more answers than requests, each of which asks again, grow without end.
 		c.Failed++
+		k.end()
 		return
 	}
+	k.due--
 	since := k.asked[0]
 	k.asked = append(k.asked[:0], k.asked[1:]...)
 	if now >= c.from && now < c.until {
--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,87 @@
+package load
+
+import (
+	"testing"
+
+	"starlingwinch/internal/machine"
+	"starlingwinch/internal/sim"
+)
+
+func TestHistogramTellsQuantilesWithinASixteenth(t *testing.T) {
+	var h Histogram
+	for v := Time(1); v <= 100_000; v++ {
+		h.Add(v)
+	}
+	for _, q := range []float64{.001, .5, .99, 1} {
+		want := Time(q * 100_000)
+		if got := h.Quantile(q); got < want || got > want+want/16+1 {
+			t.Errorf("quantile %g: %d, wanted %d to a sixteenth more", q, got, want)
+		}
+	}
+	if h.N() != 100_000 || h.Mean() != 50_000.5 {
+		t.Errorf("%d times of mean %g", h.N(), h.Mean())
+	}
+}
+
+// ask plays clients against a server on a virtual network for a virtual second.
+func ask(t *testing.T, o Options, serve func(m machine.Machine) (addr string)) *Clients {
+	t.Helper()
+	w := sim.New(1)
+	m := w.Host("all", "10.0.0.1", sim.HostOptions{}).Machine()
+	c := NewClients(m, serve(m), o)
+	ended := false
+	m.At(m.Now()+100_000, func() {
+		c.Run(0, 1_000_000, func() {
+			ended = true
+			c.Close()
+		})
+	})
+	w.Run(m.Now() + 2_000_000)
+	if !ended {
+		t.Fatal("the run has not ended")
+	}
+	return c
+}
+
+func TestClientsCountEachAnswerOnce(t *testing.T) {
+	var cache *Cache
+	open := Options{Connections: 4, Rate: 500, Keys: 10, Plain: true}
+	c := ask(t, open, func(m machine.Machine) string {
+		var err error
+		if cache, err = NewCache(m, "10.0.0.1:0", 100); err != nil {
+			t.Fatal(err)
+		}
+		return cache.Addr()
+	})
+	if c.Served < 495 || c.Served > cache.Served || c.Failed+c.Refused+c.Broken != 0 || c.Latency.N() != c.Served {
+		t.Errorf("500 wanted: served %d of %d, failed %d, refused %d, broken %d", c.Served, cache.Served, c.Failed,
+			c.Refused, c.Broken)
+	}
+}
+
+// chatter answers each read with two values.
+type chatter struct{ nc machine.Conn }
+
+func (h chatter) Readable() {
+	b := make([]byte, readSize)
+	for {
+		if _, err := h.nc.Read(b); err != nil {
+			return
+		}
+		h.nc.Write([]byte("$1\r\na\r\n$1\r\na\r\n"))
+	}
+}
+func (chatter) Writable() {}
+
+func TestMoreAnswersThanRequestsDoNotGrowTheLoad(t *testing.T) {
+	c := ask(t, Options{Connections: 2, Keys: 1, Plain: true}, func(m machine.Machine) string {
+		ln, err := m.Listen("10.0.0.1:0", func(nc machine.Conn) machine.Handler { return chatter{nc} })
+		if err != nil {
+			t.Fatal(err)
+		}
+		return ln.Addr()
+	})
+	if c.Failed != 2 || c.asked > 10 {
+		t.Errorf("failed %d, asked %d: wanted one failure for each connection, and its end", c.Failed, c.asked)
+	}
+}
