--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -9,6 +9,7 @@
 	"math"
 	"math/bits"
 	"strconv"
+	"sync/atomic"
 
 	"github.com/tidwall/redcon"
 
@@ -23,13 +24,15 @@
 
 // Cache is a cache server that holds every key, and answers at once.
 type Cache struct {
-	ln     machine.Listener
-	answer []byte // to a C.GET
-	plain  []byte // to a GET
-	// Served counts the commands that it has answered, Taken its connections.
-	Served, Taken int64
+	ln            machine.Listener
+	answer        []byte // to a C.GET
+	plain         []byte // to a GET
+	served, taken atomic.Int64
 }
 
+// Counts are the connections that it has taken and the commands that it has answered, for any goroutine.
+func (c *Cache) Counts() (taken, served int64) { return c.taken.Load(), c.served.Load() }
+
 // NewCache listens on a free port of an address. Each value has so many bytes.
 func NewCache(m machine.Machine, addr string, value int) (*Cache, error) {
 	c := &Cache{}
@@ -38,7 +41,7 @@
 	c.plain = redcon.AppendBulk(nil, make([]byte, value))
 	var err error
 	c.ln, err = m.Listen(addr, func(nc machine.Conn) machine.Handler {
-		c.Taken++
+		c.taken.Add(1)
 		return &cacheConn{cache: c, nc: nc, in: make([]byte, readSize)}
 	})
 	return c, err
@@ -86,7 +89,7 @@
 		} else {
 			c.out = append(c.out, c.cache.answer...)
 		}
-		c.cache.Served++
+		c.cache.served.Add(1)
 	}
 	c.part = append(c.part[:0], c.part[used:]...)
 	c.Writable()
@@ -161,6 +164,8 @@
 type Clients struct {
 	m     machine.Machine
 	o     Options
+	addr  string
+	idle  int // idle clients that were connected so far
 	conns []*clientConn
 	from  Time // answers before it are not counted
 	until Time
@@ -172,31 +177,48 @@
 	// Served, Refused and Failed count answers, Broken connections that ended.
 	Served, Refused, Failed, Broken int64
 	Up                              int
+	answered                        int // idle clients, by the one answer each is owed
 }
 
+// idleAtATime is how many idle clients come at once. The danger: more than a listener's queue holds are turned away.
+const idleAtATime = 256
+
 // NewClients connects clients to an address.
 func NewClients(m machine.Machine, addr string, o Options) *Clients {
-	c := &Clients{m: m, o: o, rng: 88172645463325252}
-	for i := range o.Connections + o.Idle {
-		k := &clientConn{clients: c, in: make([]byte, readSize), idle: i >= o.Connections}
-		c.conns = append(c.conns, k)
-		m.Dial(addr, 5_000_000, func(nc machine.Conn, err error) machine.Handler {
-			if err != nil {
-				c.Broken++
-				return nil
-			}
-			c.Up++
-			k.nc = nc
-			if k.idle {
-				k.in = make([]byte, 64)
-				k.nc.Write([]byte("PING\r\n"))
-			}
-			return k
-		})
+	c := &Clients{m: m, o: o, addr: addr, rng: 88172645463325252}
+	for range o.Connections {
+		c.dial(&clientConn{clients: c, in: make([]byte, readSize)})
+	}
+	for range min(o.Idle, idleAtATime) {
+		c.dialIdle()
 	}
 	return c
 }
 
+// dialIdle connects the next client that asks once.
+func (c *Clients) dialIdle() {
+	if c.idle < c.o.Idle {
+		c.idle++
+		c.dial(&clientConn{clients: c, in: make([]byte, 64), idle: true})
+	}
+}
+
+func (c *Clients) dial(k *clientConn) {
+	c.conns = append(c.conns, k)
+	c.m.Dial(c.addr, 5_000_000, func(nc machine.Conn, err error) machine.Handler {
+		if err != nil {
+			c.Broken++
+			return nil
+		}
+		c.Up++
+		k.nc = nc
+		if k.idle {
+			nc.Write([]byte("PING\r\n"))
+		}
+		return k
+	})
+}
+
 // Run has them ask for a span, after a time that is not counted, and then calls done.
 func (c *Clients) Run(warm, span Time, done func()) {
 	now := c.m.Now()
@@ -302,7 +324,10 @@
 			k.end()
 			return
 		}
-		if !k.idle {
+		if k.idle {
+			c.answered++
+			c.dialIdle()
+		} else {
 			k.take(k.in[:n])
 		}
 		if k.nc == nil {
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -53,8 +53,9 @@
 		}
 		return cache.Addr()
 	})
-	if c.Served < 495 || c.Served > cache.Served || c.Failed+c.Refused+c.Broken != 0 || c.Latency.N() != c.Served {
-		t.Errorf("500 wanted: served %d of %d, failed %d, refused %d, broken %d", c.Served, cache.Served, c.Failed,
+	_, answered := cache.Counts()
+	if c.Served < 495 || c.Served > answered || c.Failed+c.Refused+c.Broken != 0 || c.Latency.N() != c.Served {
+		t.Errorf("500 wanted: served %d of %d, failed %d, refused %d, broken %d", c.Served, answered, c.Failed,
 			c.Refused, c.Broken)
 	}
 }
--- a/internal/load/target.go
+++ b/internal/load/target.go
@@ -31,11 +31,13 @@
 	log  []string
 }
 
-// Limits are those that a router is told of its machine.
+// Limits are those that a router is told of its machine, and its place among so many routers.
 type Limits struct {
 	Cores    float64
 	MemoryMB int64
 	Sockets  int
+	Self     int // its number, from 0
+	Routers  int // of the tier; 0 where its place is not told
 }
 
 // Core is the processor that targets run on, where it is not below 0: one, so that their throughputs compare.
@@ -251,6 +253,13 @@
 		endpoints = append(endpoints, object{"name": fmt.Sprintf("c%04d", i), "address": addr, "zone": "a", "group": 1,
 			"status": "in_service", "weight": 1, "since_ms": 0})
 	}
+	if limits.Routers > 0 {
+		var peers []string
+		for i := range limits.Routers {
+			peers = append(peers, fmt.Sprintf("127.0.0.1:%d", i+1))
+		}
+		config["peers"], config["peer_listen"] = peers, peers[limits.Self]
+	}
 	config["known"] = object{"index": 1, "snapshot": true, "endpoints": endpoints}
 	raw, err := json.Marshal(config)
 	if err != nil {
@@ -299,3 +308,28 @@
 		CPU: float64((after.CPU - before.CPU).Microseconds()) / float64(n), P50: c.Latency.Quantile(.5),
 		P99: c.Latency.Quantile(.99), ResidentMB: after.ResidentMB, Refused: c.Refused, Failed: c.Failed}, nil
 }
+
+// Hold keeps so many clients connected that ask once and then never, calls from after warm and to a span later.
+// It is an error where one of them is not connected, or not answered, through to the end.
+func Hold(t *Target, idle int, warm, span Time, from, to func()) error {
+	m, err := machine.New(machine.Options{Log: io.Discard})
+	if err != nil {
+		return err
+	}
+	c := NewClients(m, t.Addr, Options{Idle: idle})
+	up := 0
+	m.At(m.Now()+warm, func() {
+		from()
+		m.At(m.Now()+span, func() {
+			to()
+			up = c.Up - int(c.Broken)
+			c.Close()
+			m.Stop()
+		})
+	})
+	m.Run()
+	if up != idle || c.answered != idle {
+		return fmt.Errorf("of %d idle clients %d came up, %d broke and %d were answered", idle, c.Up, c.Broken, c.answered)
+	}
+	return nil
+}
--- a/internal/router/limits.go
+++ b/internal/router/limits.go
@@ -27,9 +27,12 @@
 	debug.SetMemoryLimit(l.MemoryMB << 20 * 3 / 4)
 }
 
-// shares of the descriptors, so that neither side can take those of the other.
+// free is the descriptors for clients and caches.
+func (l Limits) free() int { return max(l.Sockets, leastSockets) - reserved }
+
+// shares of the descriptors that each side has for sure. What clients do not use is lent to idle connections to caches.
 func (l Limits) shares() (clients, upstreams int) {
-	free := max(l.Sockets, leastSockets) - reserved
+	free := l.free()
 	// Answers of all caches at once must fit into memory beside what is counted there.
 	return free * 3 / 5, min(free*2/5, int(max(1, l.memory()/resp.MostReply)))
 }
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -52,6 +52,9 @@
 		r.backlog = nil
 		return
 	}
+	if r.front != nil {
+		r.pool.Lend(r.spare - r.front.Clients())
+	}
 	r.telling = true
 	for len(r.backlog) > 0 {
 		ev := r.backlog[0]
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -54,6 +54,7 @@
 	sweeping  machine.Timer
 	arrivals  Time // how long connections are still taken after SIGTERM
 	endsBy    Time // the drain's end; 0 while there is none
+	spare     int  // descriptors that connections to caches may use while clients do not
 	closed    bool
 	onDrained func()
 }
@@ -92,6 +93,7 @@
 	r.books = books.New(behind, r.breach)
 	r.module = r.books
 	clients, upstreams := cfg.Limits.shares()
+	r.spare = cfg.Limits.free() - upstreams
 	r.pool = upstream.New(m, upstream.Options{Bounds: cfg.Bounds.Caches, Routers: cfg.Settings.Routers,
 		Descriptors: upstreams, DialTimeout: cfg.Transport.DialTimeout, Keepalive: cfg.Transport.Keepalive,
 		HungAfter: hungAfter}, r)
--- a/internal/upstream/cache.go
+++ b/internal/upstream/cache.go
@@ -7,6 +7,10 @@
 	"starlingwinch/decide"
 )
 
+// holdTime is how long an attempt waits for a connection that is out before another cache's is closed for it: a
+// little more than most answers take.
+const holdTime = 2_000
+
 // cache is one cache server: its connections and the attempts that wait for one.
 type cache struct {
 	pool    *Pool
@@ -16,6 +20,7 @@
 	gone    bool // the list does not name it any more
 	resting bool // a timer is set for the end of a connection's rest
 	waking  bool // ... for a look at what waits
+	held    bool // ... for the end of a wait before a dial
 	conns   []*conn
 	idle    []*conn // the one used last stands last
 	dialing int
@@ -129,6 +134,10 @@
 // copy of the answer, a moment behind the first, would be taken for the answer to the next request.
 func (u *cache) rested() *conn {
 	now := u.pool.m.Now()
+	if len(u.idle) > 0 && u.pool.busy() {
+		u.pool.starved = true
+		return nil
+	}
 	for len(u.idle) > 0 {
 		// The one used last of those that are fully rested, so that others can idle out; else the first.
 		i := sort.Search(len(u.idle), func(i int) bool { return u.idle[i].idleSince > now-u.fullRest })
@@ -139,6 +148,7 @@
 		}
 		if c.nc.Quiet() {
 			u.idle = slices.Delete(u.idle, i, i+1)
+			u.pool.idle--
 			return c
 		}
 		c.close()
@@ -174,6 +184,8 @@
 	c.idleSince = since
 	i := sort.Search(len(u.idle), func(i int) bool { return u.idle[i].idleSince > since })
 	u.idle = slices.Insert(u.idle, i, c)
+	u.pool.idle++
+	u.pool.feed()
 	u.pump()
 }
 
@@ -181,6 +193,9 @@
 // burst that dials one for each request fills the cache's table and takes its time.
 func (u *cache) dial() {
 	p := u.pool
+	if u.hold() {
+		return
+	}
 	for u.dialing < min(len(u.waiting)-len(u.idle), p.o.Bounds.DialsAtATime) && len(u.conns) < u.most && p.descriptor() {
 		c := &conn{cache: u, addr: u.addr}
 		u.conns = append(u.conns, c)
@@ -188,3 +203,26 @@
 		c.dialing = p.m.Dial(u.addr, p.o.DialTimeout, c.dialed)
 	}
 }
+
+// hold reports whether what waits is to wait a moment more for one of the cache's connections that is out. The
+// danger: where descriptors are all in use each dial closes a connection that another cache's next request wants, and a
+// fleet larger than the descriptors opens connections for one another.
+func (u *cache) hold() bool {
+	p := u.pool
+	out := len(u.conns) - len(u.idle) - u.dialing
+	if out == 0 || p.conns < p.o.Descriptors+p.lent {
+		return false
+	}
+	until := u.waiting[0].Sent + holdTime
+	if p.m.Now() >= until {
+		return false
+	}
+	if !u.held {
+		u.held = true
+		p.later(until, func() {
+			u.held = false
+			u.pump()
+		})
+	}
+	return true
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -51,7 +51,10 @@
 	c.closed = true
 	u := c.cache
 	u.conns = remove(u.conns, c)
-	u.idle = remove(u.idle, c)
+	if i := slices.Index(u.idle, c); i >= 0 {
+		u.idle = slices.Delete(u.idle, i, i+1)
+		u.pool.idle--
+	}
 	if c.dialing != nil {
 		c.dialing.Cancel()
 		c.dialing = nil
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -47,7 +47,7 @@
 type Options struct {
 	Bounds      limits.Caches
 	Routers     int  // that share each cache's connections
-	Descriptors int  // connections to all caches, those coming up included
+	Descriptors int  // connections to all caches that are not idle, those coming up included; with idle ones, but for Lend
 	DialTimeout Time // for a connection to come up
 	Keepalive   Time // a cache closes a connection that has stood idle so long
 	HungAfter   Time // an attempt that is called off after that long counts as not answered, for the log
@@ -61,6 +61,8 @@
 	caches  map[string]*cache
 	order   []*cache // the same by name: nothing may depend on a map's order
 	conns   int      // to all caches, those coming up included
+	idle    int      // of them
+	lent    int      // descriptors beyond its own, for idle ones alone
 	starved bool     // an attempt waits for a descriptor
 	in, out []byte   // what is read into, and written from, within one call
 
@@ -176,29 +178,53 @@
 	})
 }
 
+// Lend lets the pool keep idle connections beyond its own descriptors, so many of them. They are given back at once
+// where the figure falls. The danger: with many caches, each of which is asked now and then, those that wait for
+// the next request are closed for one another, and most requests open a connection.
+func (p *Pool) Lend(n int) {
+	p.lent = max(n, 0)
+	for p.conns > p.o.Descriptors+p.lent && p.closeOldest() {
+	}
+}
+
 // descriptor takes one for a connection to a cache. Where none is left, the connection that has
 // been idle for longest, at whichever cache, makes room.
 func (p *Pool) descriptor() bool {
-	if p.conns >= p.o.Descriptors {
-		var oldest *cache // the one used first stands first
-		for _, u := range p.order {
-			if len(u.idle) > 0 && (oldest == nil || u.idle[0].idleSince < oldest.idle[0].idleSince) {
-				oldest = u
-			}
-		}
-		if oldest == nil {
-			p.starved = true
-			return false
-		}
-		oldest.idle[0].close()
+	if p.busy() || p.conns >= p.o.Descriptors+p.lent && !p.closeOldest() {
+		p.starved = true
+		return false
 	}
 	p.conns++
 	return true
 }
 
+// busy reports whether as many connections as the pool has of its own are not idle. So what was lent can
+// be given back whenever it is asked for.
+func (p *Pool) busy() bool { return p.conns-p.idle >= p.o.Descriptors }
+
+// closeOldest closes the connection that has been idle for longest, at whichever cache.
+func (p *Pool) closeOldest() bool {
+	var oldest *cache // the one used first stands first
+	for _, u := range p.order {
+		if len(u.idle) > 0 && (oldest == nil || u.idle[0].idleSince < oldest.idle[0].idleSince) {
+			oldest = u
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	oldest.idle[0].close()
+	return true
+}
+
 // released takes a connection's descriptor back.
 func (p *Pool) released() {
 	p.conns--
+	p.feed()
+}
+
+// feed has all that waits looked at where something waited for a descriptor.
+func (p *Pool) feed() {
 	if p.starved {
 		p.starved = false
 		p.later(p.m.Now(), func() {
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -136,6 +136,67 @@
 	r.end(other)
 }
 
+// TestLentDescriptorsHoldIdleConnections: what clients do not use keeps a connection to each cache, no request uses it
+// beside the pool's own, and it is given back at once.
+func TestLentDescriptorsHoldIdleConnections(t *testing.T) {
+	cache, other := routertest.NewCache(t), routertest.NewCache(t)
+	r := newRig(t, cache.Addr(), func(o *Options) { o.Descriptors = 1 })
+	r.Do(func() { r.pool.Lend(1) })
+	r.list("c2", other.Addr(), true, false)
+	r.send(r.request(nil), long)
+	first := r.command(cache)
+	first.Reply(t, served)
+	r.want(decide.Served)
+	r.sendTo("c2", r.request(nil), long)
+	second := r.command(other)
+	r.send(r.request(nil), long)
+	r.Do(func() {
+		if r.pool.conns != 2 || r.pool.idle != 1 || !r.pool.starved {
+			t.Errorf("%d connections, %d idle, starved %v: wanted a request to wait for the pool's own", r.pool.conns,
+				r.pool.idle, r.pool.starved)
+		}
+	})
+	second.Reply(t, served)
+	r.want(decide.Served)
+	again := r.command(cache)
+	if again.Conn != first.Conn {
+		t.Error("the connection that was idle was not used again")
+	}
+	again.Reply(t, served)
+	r.want(decide.Served)
+	r.Do(func() {
+		if r.pool.Lend(0); r.pool.conns != 1 {
+			t.Errorf("%d connections where one is the pool's own", r.pool.conns)
+		}
+	})
+	r.end(other) // idle for longer
+}
+
+// TestConnectionThatIsOutIsWaitedForBeforeAnotherIsClosed: an attempt waits a moment for its own cache's connection
+// before it takes the descriptor of another cache's.
+func TestConnectionThatIsOutIsWaitedForBeforeAnotherIsClosed(t *testing.T) {
+	cache, other := routertest.NewCache(t), routertest.NewCache(t)
+	r := newRig(t, cache.Addr(), func(o *Options) { o.Descriptors = 2 })
+	r.list("c2", other.Addr(), true, false)
+	r.sendTo("c2", r.request(nil), long)
+	r.command(other).Reply(t, served)
+	r.want(decide.Served)
+	r.send(r.request(nil), long)
+	first := r.command(cache)
+	w := r.request(nil)
+	r.Do(func() {
+		r.pool.Start("c1", &Attempt{Work: w, Sent: r.Now(), StopAt: r.Now() + long.Microseconds()})
+		if r.pool.conns != 2 || r.pool.idle != 1 {
+			t.Errorf("%d connections, %d idle: another cache's was closed at once", r.pool.conns, r.pool.idle)
+		}
+	})
+	r.end(other) // the first one is out for longer than is waited for
+	r.command(cache).Reply(t, served)
+	r.want(decide.Served)
+	first.Reply(t, served)
+	r.want(decide.Served)
+}
+
 func TestIdleConnectionsAreClosedOnRequest(t *testing.T) {
 	cache := routertest.NewCache(t)
 	r := newRig(t, cache.Addr(), nil)
