--- a/internal/plugin/api.go
+++ b/internal/plugin/api.go
@@ -65,6 +65,7 @@
 // The hook keeps nothing of it.
 type Call struct {
 	Point Point
+	Now   Time // on a clock that never steps, with any zero; it stands still while a call lasts
 
 	// OnRequest and Answered.
 	Verb   string // C.GET
@@ -110,13 +111,6 @@
 	Log    []string // lines for the router's log
 }
 
-// Reset empties v and keeps its room.
-func (v *Verdict) Reset() {
-	clear(v.Tags)
-	clear(v.Log)
-	*v = Verdict{Tags: v.Tags[:0], Log: v.Log[:0]}
-}
-
 // Bounds of a verdict, whatever the budget: beyond them it is none.
 const (
 	MostWait   Time = 60_000_000
@@ -187,7 +181,8 @@
 	Name() string
 	Ending() string
 	// Load checks a hook, prepares it and asks it at the point Load. The error is a *Failure that names the cause.
-	// Load bounds nothing of its own time: who calls it watches it, and can end its process.
+	// The hook's own code is interrupted after the budget's LoadTime; what the engine needs to prepare code of a
+	// bounded size is not.
 	Load(name string, code []byte, b Budget) (Hook, error)
 }
 
--- /dev/null
+++ b/internal/plugin/plugintest/bench.go
@@ -0,0 +1,57 @@
+package plugintest
+
+import (
+	"testing"
+
+	"starlingwinch/internal/plugin"
+)
+
+// Bench measures an engine with the suite's hooks: a call that passes, a call that says something, a load, and an
+// instance that is thrown away and made anew.
+func Bench(b *testing.B, e plugin.Engine, hooks map[string][]byte) {
+	load := func(b *testing.B, name string, budget plugin.Budget) plugin.Hook {
+		h, err := e.Load(name, hooks[name], budget)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Cleanup(h.Close)
+		return h
+	}
+	calls := func(key string, budget plugin.Budget) func(b *testing.B) {
+		return func(b *testing.B) {
+			h := load(b, "judge", budget)
+			c, v := request(key), plugin.Verdict{}
+			b.ReportAllocs()
+			for b.Loop() {
+				if err := h.Call(&c, &v); err != nil {
+					b.Fatal(err)
+				}
+			}
+		}
+	}
+	open := plugin.Usual
+	open.Depth, open.Steps = 0, 0
+	b.Run("Pass", calls("P1", plugin.Usual))
+	b.Run("PassWithoutCounting", calls("P1", open))
+	b.Run("Tag", calls("T1", plugin.Usual))
+	b.Run("Load", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			h, err := e.Load("judge", hooks["judge"], plugin.Usual)
+			if err != nil {
+				b.Fatal(err)
+			}
+			h.Close()
+		}
+	})
+	b.Run("CrashAndNewInstance", func(b *testing.B) {
+		h := load(b, "count", plugin.Usual)
+		c, v := request("C"), plugin.Verdict{}
+		b.ReportAllocs()
+		for b.Loop() {
+			if err := h.Call(&c, &v); err == nil {
+				b.Fatal("no crash")
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/plugin/plugintest/plugintest.go
@@ -0,0 +1,326 @@
+// Package plugintest holds what every engine of package plugin must do: one suite of tests for all of them. An engine
+// brings the hooks that the suite asks for, written in its own way.
+package plugintest
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+	"unicode/utf8"
+
+	"starlingwinch/internal/plugin"
+)
+
+// Hooks are the hooks that an engine brings, by name. What a hook does where nothing is said is to pass.
+var Hooks = map[string]string{
+	"judge": "on_request, by the first byte of the key: R refuses with a wait of 250 ms; F fails with the text " +
+		`"no such call"; T tags "club" and "club", and names the tenant "guests"; L logs "seen"`,
+	"echo": "on_request fails with a text, by the first byte of the key: v its verb, c its class, t its tenant, k its " +
+		"key, V its value, if there is one; s refuses with a wait of as many ms as its size",
+	"count":         "on_request counts its calls since the load, and refuses with as many ms of wait; with C it counts and then crashes",
+	"crash":         `on_request tags "club" and logs "before", and then crashes`,
+	"looks":         `on_answered logs the outcome's first letter (s, r, f); on_list logs "list"; on_load logs nothing`,
+	"loop":          "on_request loops for ever where the key begins with L",
+	"recurse":       "on_request calls itself for ever, or the like",
+	"swell":         "on_request takes memory for ever",
+	"wordless":      "on_request gives back what is no verdict",
+	"judging look":  "on_answered refuses",
+	"tagging look":  `on_answered tags "club"`,
+	"long line":     "on_request logs a line of a megabyte",
+	"many lines":    "on_request logs 10,000 lines",
+	"long tag":      "on_request tags a name of 65 bytes",
+	"bad tag":       `on_request tags "a b"`,
+	"many tags":     "on_request tags nine names",
+	"long wait":     "on_request refuses with a wait of 60,001 ms",
+	"load crash":    "on_load crashes",
+	"load loop":     "on_load loops for ever",
+	"unload crash":  "on_request is there, and on_unload crashes",
+	"answer crash":  "on_answered crashes",
+	"alien":         "it is of version 2 of the contract",
+	"pointless":     "it has no point",
+	"versionless":   "it says no version",
+	"bad shape":     "its on_request takes no parameter",
+	"unknown words": "it uses a word that the contract does not have, such as send",
+}
+
+// Run checks an engine.
+func Run(t *testing.T, e plugin.Engine, hooks map[string][]byte) {
+	for name := range Hooks { // any order
+		if hooks[name] == nil {
+			t.Errorf("the engine brings no hook %q", name)
+		}
+	}
+	s := suite{e, hooks}
+	for _, test := range []struct {
+		name string
+		f    func(*testing.T, suite)
+	}{
+		{"SaysWhatTheHookSays", verdicts},
+		{"HandsOverAllFields", fields},
+		{"HidesTheValueUnlessAsked", hidesValue},
+		{"TakesOnlyWhatIsAVerdict", wordless},
+		{"CutsTheLog", cutsLog},
+		{"LooksOnly", looks},
+		{"ForgetsAnInstanceThatCrashed", forgets},
+		{"SaysNothingAfterACrash", saysNothing},
+		{"EndsWhatRunsWithoutEnd", ends},
+		{"RunsOnAfterAnInterrupt", runsOn},
+		{"InterruptBetweenCallsDoesNothing", idleInterrupt},
+		{"RefusesWhatIsNoHook", refuses},
+		{"UnloadCrashIsAnErrorAlone", unload},
+		{"LoadsNothingOutOfRubbish", rubbish},
+	} {
+		t.Run(test.name, func(t *testing.T) { test.f(t, s) })
+	}
+}
+
+type suite struct {
+	e     plugin.Engine
+	hooks map[string][]byte
+}
+
+// budget has room for a machine under load: what is tested is that things end, and not how soon.
+var budget = plugin.Budget{Time: 50_000, LoadTime: 200_000, Steps: 2_000_000, Depth: 64, Memory: 4 << 20, Lines: 4, LineSize: 40}
+
+func (s suite) load(t *testing.T, name string) *watched {
+	t.Helper()
+	h, err := s.e.Load(name, s.hooks[name], budget)
+	if err != nil {
+		t.Fatalf("%s: %v", name, err)
+	}
+	w := &watched{Hook: h}
+	t.Cleanup(h.Close)
+	return w
+}
+
+// watched is a hook whose calls are interrupted after the budget's time.
+type watched struct{ plugin.Hook }
+
+func (w *watched) ask(c plugin.Call) (plugin.Verdict, error) {
+	var v plugin.Verdict
+	defer time.AfterFunc(time.Duration(budget.Time)*time.Microsecond, w.Interrupt).Stop()
+	err := w.Call(&c, &v)
+	return v, err
+}
+
+func request(key string) plugin.Call {
+	return plugin.Call{Point: plugin.OnRequest, Verb: "C.GET", Class: "call-lookup", Tenant: "acme", Key: key, Size: 17, TimeLeft: 480_000}
+}
+
+func wants(t *testing.T, what string, v plugin.Verdict, err error, say plugin.Say, wait plugin.Time, text string) {
+	t.Helper()
+	if err != nil || v.Say != say || v.Wait != wait || v.Text != text {
+		t.Errorf("%s: %+v, %v; want %s, wait %d, text %q", what, v, err, say, wait, text)
+	}
+}
+
+// fails checks the kind of an error, and that its text is fit for a log.
+func fails(t *testing.T, what string, err error, kinds ...plugin.Kind) {
+	t.Helper()
+	var f *plugin.Failure
+	if !errors.As(err, &f) {
+		t.Errorf("%s: %v, want a failure of the kind %v", what, err, kinds)
+		return
+	}
+	found := false
+	for _, k := range kinds {
+		found = found || f.Kind == k
+	}
+	if !found {
+		t.Errorf("%s: %v, want the kind %v", what, err, kinds)
+	}
+	if f.Text == "" || len(f.Text) > 400 || strings.ContainsAny(f.Text, "\r\n\x1b\x00") || !utf8.ValidString(f.Text) {
+		t.Errorf("%s: the text %q is not fit for a log", what, f.Text)
+	}
+}
+
+func verdicts(t *testing.T, s suite) {
+	h := s.load(t, "judge")
+	if !h.Points().Has(plugin.OnRequest) || h.Points().Has(plugin.Answered) {
+		t.Errorf("points %b", h.Points())
+	}
+	for range 3 {
+		v, err := h.ask(request("P1"))
+		wants(t, "P", v, err, plugin.Pass, 0, "")
+		if v.Tenant != "" || len(v.Tags)+len(v.Log) > 0 {
+			t.Errorf("a pass says %+v", v)
+		}
+		v, err = h.ask(request("R1"))
+		wants(t, "R", v, err, plugin.Refuse, 250_000, "")
+		v, err = h.ask(request("F1"))
+		wants(t, "F", v, err, plugin.Fail, 0, "no such call")
+		v, err = h.ask(request("T1"))
+		wants(t, "T", v, err, plugin.Pass, 0, "")
+		if v.Tenant != "guests" || len(v.Tags) != 1 || v.Tags[0] != "club" {
+			t.Errorf("T says %+v", v)
+		}
+		v, err = h.ask(request("L1"))
+		wants(t, "L", v, err, plugin.Pass, 0, "")
+		if len(v.Log) != 1 || v.Log[0] != "seen" {
+			t.Errorf("L says %+v", v)
+		}
+	}
+	v, err := h.ask(request(""))
+	wants(t, "an empty key", v, err, plugin.Pass, 0, "")
+}
+
+func fields(t *testing.T, s suite) {
+	h := s.load(t, "echo")
+	long := strings.Repeat("x", 200)
+	for key, want := range map[string]string{ // any order
+		"v": "C.GET", "c": "call-lookup", "t": "acme", "k" + long: "k" + long,
+	} {
+		v, err := h.ask(request(key))
+		wants(t, key, v, err, plugin.Fail, 0, want)
+	}
+	v, err := h.ask(request("s"))
+	wants(t, "s", v, err, plugin.Refuse, 17_000, "")
+}
+
+func hidesValue(t *testing.T, s suite) {
+	h := s.load(t, "echo")
+	v, err := h.ask(request("V"))
+	wants(t, "without a value", v, err, plugin.Pass, 0, "")
+	c := request("V")
+	c.Value = []byte("de OE1XYZ 599")
+	v, err = h.ask(c)
+	wants(t, "with a value", v, err, plugin.Fail, 0, "de OE1XYZ 599")
+	v, err = h.ask(request("V"))
+	wants(t, "without one, after one that had one", v, err, plugin.Pass, 0, "")
+}
+
+func wordless(t *testing.T, s suite) {
+	for _, name := range []string{"wordless", "long tag", "bad tag", "many tags", "long wait"} {
+		v, err := s.load(t, name).ask(request("A"))
+		fails(t, name, err, plugin.Wordless)
+		if v.Say != plugin.Pass || len(v.Tags) > 0 || v.Tenant != "" || v.Wait != 0 {
+			t.Errorf("%s: says %+v all the same", name, v)
+		}
+	}
+	for _, name := range []string{"judging look", "tagging look"} {
+		_, err := s.load(t, name).ask(plugin.Call{Point: plugin.Answered})
+		fails(t, name, err, plugin.Wordless)
+	}
+}
+
+func cutsLog(t *testing.T, s suite) {
+	v, err := s.load(t, "long line").ask(request("A"))
+	wants(t, "long line", v, err, plugin.Pass, 0, "")
+	if len(v.Log) != 1 || len(v.Log[0]) != budget.LineSize {
+		t.Errorf("long line: %d lines, %.100q", len(v.Log), v.Log)
+	}
+	v, err = s.load(t, "many lines").ask(request("A"))
+	wants(t, "many lines", v, err, plugin.Pass, 0, "")
+	if len(v.Log) != budget.Lines || v.Log[budget.Lines-1] != "(9997 more lines dropped)" {
+		t.Errorf("many lines: %d lines, %.300q", len(v.Log), v.Log)
+	}
+}
+
+func looks(t *testing.T, s suite) {
+	h := s.load(t, "looks")
+	if h.Points().Has(plugin.OnRequest) || !h.Points().Has(plugin.Answered) || !h.Points().Has(plugin.ListChanged) {
+		t.Errorf("points %b", h.Points())
+	}
+	for outcome, want := range []string{"s", "r", "f"} {
+		v, err := h.ask(plugin.Call{Point: plugin.Answered, Class: "x", Outcome: plugin.Outcome(outcome), Took: 5})
+		if err != nil || len(v.Log) != 1 || v.Log[0] != want {
+			t.Errorf("outcome %d: %+v, %v", outcome, v, err)
+		}
+	}
+	v, err := h.ask(plugin.Call{Point: plugin.ListChanged, Caches: 9, TakeWork: 8})
+	if err != nil || len(v.Log) != 1 || v.Log[0] != "list" {
+		t.Errorf("list: %+v, %v", v, err)
+	}
+	v, err = h.ask(request("A"))
+	wants(t, "a point that it does not have", v, err, plugin.Pass, 0, "")
+}
+
+func forgets(t *testing.T, s suite) {
+	h := s.load(t, "count")
+	for i := range plugin.Time(3) {
+		v, err := h.ask(request("A"))
+		wants(t, "count", v, err, plugin.Refuse, (i+1)*1000, "")
+	}
+	for range 2 {
+		_, err := h.ask(request("C"))
+		fails(t, "C", err, plugin.Crashed)
+		v, err := h.ask(request("A"))
+		wants(t, "after a crash", v, err, plugin.Refuse, 1000, "")
+	}
+}
+
+func saysNothing(t *testing.T, s suite) {
+	v, err := s.load(t, "crash").ask(request("A"))
+	fails(t, "crash", err, plugin.Crashed)
+	if v.Say != plugin.Pass || len(v.Tags) != 0 || v.Tenant != "" {
+		t.Errorf("says %+v", v)
+	}
+	if len(v.Log) != 1 || v.Log[0] != "before" {
+		t.Errorf("its lines are lost: %q", v.Log)
+	}
+	_, err = s.load(t, "answer crash").ask(plugin.Call{Point: plugin.Answered})
+	fails(t, "answer crash", err, plugin.Crashed)
+}
+
+func ends(t *testing.T, s suite) {
+	_, err := s.load(t, "loop").ask(request("L"))
+	fails(t, "loop", err, plugin.Overran)
+	_, err = s.load(t, "recurse").ask(request("A"))
+	fails(t, "recurse", err, plugin.Overran, plugin.Crashed)
+	_, err = s.load(t, "swell").ask(request("A"))
+	fails(t, "swell", err, plugin.Overran, plugin.Crashed, plugin.Swollen)
+	_, err = s.e.Load("load loop", s.hooks["load loop"], budget)
+	fails(t, "load loop", err, plugin.Overran)
+}
+
+func runsOn(t *testing.T, s suite) {
+	h := s.load(t, "loop")
+	for range 2 {
+		_, err := h.ask(request("L"))
+		fails(t, "loop", err, plugin.Overran)
+		v, err := h.ask(request("A"))
+		wants(t, "after an interrupt", v, err, plugin.Pass, 0, "")
+	}
+}
+
+func idleInterrupt(t *testing.T, s suite) {
+	h := s.load(t, "count")
+	for i := range plugin.Time(3) {
+		h.Interrupt()
+		v, err := h.ask(request("A"))
+		wants(t, "count", v, err, plugin.Refuse, (i+1)*1000, "")
+	}
+}
+
+func refuses(t *testing.T, s suite) {
+	for name, kind := range map[string]plugin.Kind{ // any order
+		"load crash": plugin.Crashed, "alien": plugin.Alien, "pointless": plugin.Unloadable, "versionless": plugin.Unloadable,
+		"bad shape": plugin.Unloadable, "unknown words": plugin.Unloadable,
+	} {
+		h, err := s.e.Load(name, s.hooks[name], budget)
+		fails(t, name, err, kind)
+		if h != nil {
+			t.Errorf("%s: there is a hook with the error", name)
+		}
+	}
+}
+
+func unload(t *testing.T, s suite) {
+	h := s.load(t, "unload crash")
+	_, err := h.ask(plugin.Call{Point: plugin.Unload})
+	fails(t, "unload", err, plugin.Crashed)
+}
+
+func rubbish(t *testing.T, s suite) {
+	whole := s.hooks["judge"]
+	for _, code := range [][]byte{nil, []byte("x"), []byte("\x00asm"), []byte("def def"), whole[:len(whole)/2], whole[:len(whole)-1],
+		make([]byte, plugin.MostCode+1), []byte(strings.Repeat("(", 200_000))} {
+		h, err := s.e.Load("rubbish", code, budget)
+		if h != nil {
+			h.Close() // half a hook may be one
+			continue
+		}
+		fails(t, "rubbish", err, plugin.Unloadable)
+	}
+}
--- /dev/null
+++ b/internal/plugin/script/engine.go
@@ -0,0 +1,250 @@
+// Package script runs hooks that are Starlark scripts (github.com/bazelbuild/starlark, spec.md): a text file that needs
+// no tool chain. values.go is the contract in terms of a script.
+//
+// The language has no files, no clock, no chance and no threads, and is used without recursion and without while. What
+// it lacks is a bound on memory, and some of its built-ins can't be interrupted: a script belongs into a process that
+// can be killed.
+package script
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"go.starlark.net/starlark"
+	"go.starlark.net/syntax"
+
+	"starlingwinch/internal/plugin"
+)
+
+// mostSource is the longest script. The danger: the parser recurses, by a level for each bracket of the source.
+const mostSource = 256 << 10
+
+// Engine implements plugin.Engine.
+type Engine struct{}
+
+// Name implements plugin.Engine.
+func (Engine) Name() string { return "script" }
+
+// Ending implements plugin.Engine.
+func (Engine) Ending() string { return ".star" }
+
+// Load implements plugin.Engine.
+func (Engine) Load(name string, code []byte, b plugin.Budget) (plugin.Hook, error) {
+	if len(code) > mostSource {
+		return nil, bad("a file of %d bytes (wanted at most %d)", len(code), mostSource)
+	}
+	h := &hook{name: name, budget: b}
+	h.draft.Budget = b
+	h.names = h.words()
+	var err error
+	options := &syntax.FileOptions{Set: true, TopLevelControl: true}
+	if _, h.program, err = starlark.SourceProgramOptions(options, name, code, h.names.Has); err != nil {
+		return nil, bad("%s", plain(err))
+	}
+	var v plugin.Verdict
+	h.draft.Begin(plugin.Load, &v)
+	if err := h.renew(); err != nil {
+		return nil, err
+	}
+	return h, nil
+}
+
+// hook implements plugin.Hook.
+type hook struct {
+	name    string
+	budget  plugin.Budget
+	points  plugin.Points
+	draft   plugin.Draft
+	names   starlark.StringDict
+	program *starlark.Program
+	now     *instance // nil where the last one was thrown away
+	watch   plugin.Watch
+}
+
+// instance is a script that has run once, and what it keeps.
+type instance struct {
+	thread *starlark.Thread
+	calls  [len(functions)]*starlark.Function
+	stop   func()
+}
+
+// functions are those of the points.
+var functions = [...]string{
+	plugin.Load:        "on_load",
+	plugin.OnRequest:   "on_request",
+	plugin.Answered:    "on_answered",
+	plugin.ListChanged: "on_list",
+	plugin.Unload:      "on_unload",
+}
+
+// renew runs the script anew and asks it at the point Load. It has LoadTime for that, and a hundred times the steps.
+func (h *hook) renew() error {
+	in := &instance{thread: &starlark.Thread{Name: h.name, Print: func(_ *starlark.Thread, s string) { h.draft.Log(s) }}}
+	var late atomic.Bool
+	in.stop = func() { in.thread.Cancel("interrupted") }
+	timer := time.AfterFunc(time.Duration(h.budget.LoadTime)*time.Microsecond, func() {
+		late.Store(true)
+		in.stop()
+	})
+	defer timer.Stop()
+	in.thread.SetMaxExecutionSteps(uint64(100 * h.budget.Steps))
+	globals, err := h.program.Init(in.thread, h.names)
+	if err != nil {
+		return h.failure(err, in, late.Load(), 100*h.budget.Steps)
+	}
+	if err := h.find(in, globals); err != nil {
+		return err
+	}
+	if f := in.calls[plugin.Load]; f != nil {
+		got, err := starlark.Call(in.thread, f, nil, nil)
+		if err != nil {
+			return h.failure(err, in, late.Load(), 100*h.budget.Steps)
+		}
+		if err := h.end(got); err != nil {
+			return err
+		}
+	}
+	h.now = in
+	return nil
+}
+
+// find looks at the script's names.
+func (h *hook) find(in *instance, globals starlark.StringDict) error {
+	version, found := globals["version"]
+	if !found {
+		return bad("it does not set version: it is no hook of this contract")
+	}
+	n, err := starlark.AsInt32(version)
+	if err != nil {
+		return bad("its version is no number (%s)", plugin.Plain(version.String(), 40))
+	}
+	if n != plugin.Version {
+		return &plugin.Failure{Kind: plugin.Alien, Text: fmt.Sprintf(
+			"it was built for version %d of the contract, and this router has version %d", n, plugin.Version)}
+	}
+	points := plugin.Points(0)
+	for p, name := range functions {
+		value, found := globals[name]
+		if !found {
+			continue
+		}
+		f, ok := value.(*starlark.Function)
+		want := 1
+		if p := plugin.Point(p); p == plugin.Load || p == plugin.Unload {
+			want = 0
+		}
+		if !ok || f.NumParams() != want || f.HasVarargs() || f.HasKwargs() {
+			return bad("its %s is no function of %d parameters", name, want)
+		}
+		in.calls[p] = f
+		points = points.With(plugin.Point(p))
+	}
+	if !points.Has(plugin.OnRequest) && !points.Has(plugin.Answered) && !points.Has(plugin.ListChanged) {
+		return bad("it has none of on_request, on_answered and on_list")
+	}
+	h.points = points
+	return nil
+}
+
+// Points implements plugin.Hook.
+func (h *hook) Points() plugin.Points { return h.points }
+
+// Interrupt implements plugin.Hook.
+func (h *hook) Interrupt() { h.watch.Interrupt() }
+
+// Call implements plugin.Hook.
+func (h *hook) Call(c *plugin.Call, v *plugin.Verdict) error {
+	h.draft.Begin(c.Point, v)
+	if !h.points.Has(c.Point) {
+		return nil
+	}
+	if h.now == nil {
+		if err := h.renew(); err != nil {
+			h.draft.Broken()
+			return err
+		}
+	}
+	err := h.call(h.now, c)
+	if err != nil {
+		h.draft.Broken()
+		h.now = nil // its values are halfway through something
+	}
+	return err
+}
+
+func (h *hook) call(in *instance, c *plugin.Call) error {
+	var args starlark.Tuple
+	if c.Point != plugin.Load && c.Point != plugin.Unload {
+		args = starlark.Tuple{newRecord(c)}
+	}
+	in.thread.Steps = 0
+	in.thread.SetMaxExecutionSteps(uint64(h.budget.Steps))
+	h.watch.Begin(in.stop)
+	got, err := starlark.Call(in.thread, in.calls[c.Point], args, nil)
+	interrupted := h.watch.End()
+	if err != nil || interrupted {
+		return h.failure(err, in, interrupted, h.budget.Steps)
+	}
+	return h.end(got)
+}
+
+// end takes what a function has given back.
+func (h *hook) end(got starlark.Value) error {
+	switch got := got.(type) {
+	case starlark.NoneType:
+		return h.draft.End(int64(plugin.Pass))
+	case verdict:
+		if got.say == plugin.Refuse {
+			if err := h.draft.Wait(got.wait); err != nil {
+				return err
+			}
+		}
+		if got.say == plugin.Fail {
+			if err := h.draft.Text(got.text); err != nil {
+				return err
+			}
+		}
+		return h.draft.End(int64(got.say))
+	}
+	return &plugin.Failure{Kind: plugin.Wordless, Text: fmt.Sprintf("a value of the type %s (wanted None, refuse() or fail())",
+		plugin.Plain(got.Type(), 40))}
+}
+
+// Close implements plugin.Hook.
+func (h *hook) Close() { h.now = nil }
+
+// failure words what a script came to.
+func (h *hook) failure(err error, in *instance, interrupted bool, steps int64) error {
+	if interrupted {
+		return &plugin.Failure{Kind: plugin.Overran, Text: "it was interrupted"}
+	}
+	if steps > 0 && in.thread.Steps >= uint64(steps) {
+		return &plugin.Failure{Kind: plugin.Overran, Text: fmt.Sprintf("more than %d steps", steps)}
+	}
+	var own *plugin.Failure
+	if errors.As(err, &own) {
+		return own
+	}
+	return &plugin.Failure{Kind: plugin.Crashed, Text: plain(err)}
+}
+
+func bad(format string, args ...any) error {
+	return &plugin.Failure{Kind: plugin.Unloadable, Text: fmt.Sprintf(format, args...)}
+}
+
+// plain is an error in one line, with where it came from.
+func plain(err error) string {
+	var eval *starlark.EvalError
+	if errors.As(err, &eval) {
+		for i := len(eval.CallStack) - 1; i >= 0; i-- {
+			if pos := eval.CallStack[i].Pos; pos.Filename() != "<builtin>" {
+				return plugin.Plain(fmt.Sprintf("%s: %s", pos, eval.Msg), 200)
+			}
+		}
+	}
+	text, _, _ := strings.Cut(err.Error(), "\n")
+	return plugin.Plain(text, 200)
+}
--- /dev/null
+++ b/internal/plugin/script/values.go
@@ -0,0 +1,145 @@
+package script
+
+import (
+	"fmt"
+
+	"go.starlark.net/starlark"
+
+	"starlingwinch/internal/plugin"
+)
+
+// The contract in Starlark, version 1. A script sets `version = 1` and defines at least one of the points; a point
+// gets one record (but for on_load and on_unload, which get nothing):
+//
+//	def on_request(r)    gives back None (pass), refuse(wait_ms) or fail(text)
+//	def on_answered(r)   gives back None, as the others do
+//	def on_list(r)
+//	def on_load()
+//	def on_unload()
+//
+// A record has only what its point has: verb, request_class, tenant, key, size, time_left and value (None where the
+// operator has not set wants_value) of a request; the first five, outcome ("served", "refused" or "failed") and took
+// of an answer; caches and take_work of a list. now is in all of them. Times are in microseconds, but for wait_ms.
+//
+// Words, in any function but for the first line's:
+//
+//	tag(name), tenant(name)  in on_request alone
+//	log(text), print(...)
+//
+// What a script keeps in its own lists and dicts lasts from call to call, until one fails.
+
+// verdict is what refuse and fail give.
+type verdict struct {
+	say  plugin.Say
+	wait plugin.Time
+	text string
+}
+
+func (v verdict) String() string        { return v.say.String() }
+func (v verdict) Type() string          { return "verdict" }
+func (v verdict) Freeze()               {}
+func (v verdict) Truth() starlark.Bool  { return true }
+func (v verdict) Hash() (uint32, error) { return uint32(v.say), nil }
+
+// words are the names that a script finds.
+func (h *hook) words() starlark.StringDict {
+	text := func(name string, take func(string) error) *starlark.Builtin {
+		return starlark.NewBuiltin(name, func(_ *starlark.Thread, b *starlark.Builtin, args starlark.Tuple,
+			named []starlark.Tuple) (starlark.Value, error) {
+			var s string
+			if err := starlark.UnpackPositionalArgs(b.Name(), args, named, 1, &s); err != nil {
+				return nil, err
+			}
+			return starlark.None, take(s)
+		})
+	}
+	return starlark.StringDict{
+		"log":    text("log", func(s string) error { h.draft.Log(s); return nil }),
+		"tag":    text("tag", h.draft.Tag),
+		"tenant": text("tenant", h.draft.Tenant),
+		"refuse": starlark.NewBuiltin("refuse", refuse),
+		"fail":   starlark.NewBuiltin("fail", fail),
+	}
+}
+
+func refuse(_ *starlark.Thread, b *starlark.Builtin, args starlark.Tuple, named []starlark.Tuple) (starlark.Value, error) {
+	ms := 0
+	if err := starlark.UnpackArgs(b.Name(), args, named, "wait_ms?", &ms); err != nil {
+		return nil, err
+	}
+	if ms < 0 || plugin.Time(ms) > plugin.MostWait/1000 {
+		return nil, &plugin.Failure{Kind: plugin.Wordless, Text: fmt.Sprintf("a wait of %d ms (wanted 0 to %d)", ms,
+			plugin.MostWait/1000)}
+	}
+	return verdict{say: plugin.Refuse, wait: plugin.Time(ms) * 1000}, nil
+}
+
+func fail(_ *starlark.Thread, b *starlark.Builtin, args starlark.Tuple, named []starlark.Tuple) (starlark.Value, error) {
+	var text string
+	if err := starlark.UnpackArgs(b.Name(), args, named, "text", &text); err != nil {
+		return nil, err
+	}
+	return verdict{say: plugin.Fail, text: text}, nil
+}
+
+// record is what a point is handed. It is made anew for each call: a script may keep it.
+type record struct{ c plugin.Call }
+
+func newRecord(c *plugin.Call) *record { return &record{*c} }
+
+func (r *record) String() string        { return r.c.Point.String() }
+func (r *record) Type() string          { return "record" }
+func (r *record) Freeze()               {}
+func (r *record) Truth() starlark.Bool  { return true }
+func (r *record) Hash() (uint32, error) { return 0, fmt.Errorf("a record has no hash") }
+
+// fields are the names of what a point has.
+var fields = [...][]string{
+	plugin.OnRequest:   {"key", "now", "request_class", "size", "tenant", "time_left", "value", "verb"},
+	plugin.Answered:    {"key", "now", "outcome", "request_class", "size", "took", "tenant", "verb"},
+	plugin.ListChanged: {"caches", "now", "take_work"},
+	plugin.Unload:      nil,
+}
+
+// AttrNames implements starlark.HasAttrs.
+func (r *record) AttrNames() []string { return fields[r.c.Point] }
+
+// Attr implements starlark.HasAttrs. An unknown name is nil, of which the language makes an error.
+func (r *record) Attr(name string) (starlark.Value, error) {
+	c := &r.c
+	known := false
+	for _, field := range fields[c.Point] {
+		known = known || field == name
+	}
+	if !known {
+		return nil, nil
+	}
+	switch name {
+	case "verb":
+		return starlark.String(c.Verb), nil
+	case "request_class":
+		return starlark.String(c.Class), nil
+	case "tenant":
+		return starlark.String(c.Tenant), nil
+	case "key":
+		return starlark.String(c.Key), nil
+	case "size":
+		return starlark.MakeInt(c.Size), nil
+	case "time_left":
+		return starlark.MakeInt64(c.TimeLeft), nil
+	case "value":
+		if c.Value == nil {
+			return starlark.None, nil
+		}
+		return starlark.Bytes(c.Value), nil
+	case "outcome":
+		return starlark.String(c.Outcome.String()), nil
+	case "took":
+		return starlark.MakeInt64(c.Took), nil
+	case "caches":
+		return starlark.MakeInt(c.Caches), nil
+	case "take_work":
+		return starlark.MakeInt(c.TakeWork), nil
+	}
+	return starlark.MakeInt64(c.Now), nil
+}
--- /dev/null
+++ b/internal/plugin/wasm/check.go
@@ -0,0 +1,197 @@
+package wasm
+
+import (
+	"bytes"
+	"fmt"
+
+	"starlingwinch/internal/plugin"
+)
+
+// Bounds of a module, beyond those of package plugin. A module that a compiler made for this contract is far below.
+const (
+	mostMemories  = 1
+	mostTables    = 16
+	mostEntries   = 1 << 16 // of a table
+	mostFunctions = 1 << 16
+	mostLocals    = 4096 // of a function: they are what a frame of the stack is made of
+	mostImports   = 256
+	mostExports   = 4096
+	pageSize      = 64 << 10
+)
+
+// Sections of a module (WebAssembly Core Specification, 5.5.2).
+const (
+	sectionImport   = 2
+	sectionFunction = 3
+	sectionTable    = 4
+	sectionMemory   = 5
+	sectionExport   = 7
+	sectionCode     = 10
+	sectionLast     = 13
+)
+
+var header = []byte("\x00asm\x01\x00\x00\x00")
+
+// check looks at a module's form and sizes before an engine gets it.
+//
+// The danger: a few bytes may ask for a table of a gigabyte, or for frames of the stack that make a depth that is
+// bounded cost as much as one that is not; an engine takes the memory before any hook runs.
+func check(code []byte, b plugin.Budget) error {
+	if len(code) > plugin.MostCode {
+		return bad("a file of %d bytes (wanted at most %d)", len(code), plugin.MostCode)
+	}
+	if !bytes.HasPrefix(code, header) {
+		return bad("not a WebAssembly module of version 1")
+	}
+	r := &reader{b: code, at: len(header)}
+	for r.left() > 0 {
+		id := r.byte()
+		size := r.uint("size of a section")
+		if r.err != nil {
+			return r.err
+		}
+		if int64(size) > int64(r.left()) {
+			return bad("byte %d: section %d is cut off (%d bytes of %d)", r.at, id, r.left(), size)
+		}
+		if id > sectionLast {
+			return bad("byte %d: unknown section %d", r.at, id)
+		}
+		body := &reader{b: code[:r.at+int(size)], at: r.at}
+		if err := section(id, body, b); err != nil {
+			return err
+		}
+		r.at += int(size)
+	}
+	return r.err
+}
+
+func section(id byte, r *reader, b plugin.Budget) error {
+	count := func(what string, most uint32) uint32 {
+		n := r.uint(what)
+		if n > most && r.err == nil {
+			r.err = bad("%d %s (wanted at most %d)", n, what, most)
+		}
+		return n
+	}
+	switch id {
+	case sectionImport:
+		count("imports", mostImports)
+	case sectionExport:
+		count("exports", mostExports)
+	case sectionFunction:
+		count("functions", mostFunctions)
+	case sectionTable:
+		for range count("tables", mostTables) {
+			if r.byte() == 0x40 { // with an initial value: its form is the engine's to refuse
+				return r.err
+			}
+			if least := r.limits(); least > mostEntries {
+				return bad("a table of %d entries (wanted at most %d)", least, mostEntries)
+			}
+			if r.err != nil {
+				return r.err
+			}
+		}
+	case sectionMemory:
+		for range count("memories", mostMemories) {
+			least := r.limits()
+			if most := uint64(b.Memory) / pageSize; r.err == nil && least > most {
+				return &plugin.Failure{Kind: plugin.Unloadable, Text: fmt.Sprintf(
+					"it asks for %d KiB of memory (its budget is %d KiB)", least*pageSize>>10, b.Memory>>10)}
+			}
+		}
+	case sectionCode:
+		return functions(r, count("functions", mostFunctions))
+	}
+	return r.err
+}
+
+// functions looks at the locals of each function.
+func functions(r *reader, n uint32) error {
+	for i := uint32(0); i < n && r.err == nil; i++ {
+		size := r.uint("size of a function")
+		if r.err == nil && int64(size) > int64(r.left()) {
+			return bad("byte %d: function %d is cut off", r.at, i)
+		}
+		end := r.at + int(size)
+		total := uint64(0)
+		for range r.uint("groups of locals") {
+			total += uint64(r.uint("locals"))
+			r.byte()
+			if r.err != nil {
+				return r.err
+			}
+			if total > mostLocals {
+				return bad("function %d has more than %d locals", i, mostLocals)
+			}
+		}
+		if r.err == nil && r.at > end {
+			return bad("byte %d: the locals of function %d are longer than it", r.at, i)
+		}
+		r.at = end
+	}
+	return r.err
+}
+
+func bad(format string, args ...any) error {
+	return &plugin.Failure{Kind: plugin.Unloadable, Text: fmt.Sprintf(format, args...)}
+}
+
+// reader reads the numbers of a module. After an error it gives zeros.
+type reader struct {
+	b   []byte
+	at  int
+	err error
+}
+
+func (r *reader) left() int { return len(r.b) - r.at }
+
+func (r *reader) byte() byte {
+	if r.err != nil {
+		return 0
+	}
+	if r.left() < 1 {
+		r.err = bad("byte %d: the module is cut off", r.at)
+		return 0
+	}
+	r.at++
+	return r.b[r.at-1]
+}
+
+// uint reads a u32 in LEB128.
+func (r *reader) uint(what string) uint32 {
+	n := r.long(what, 32)
+	return uint32(n)
+}
+
+func (r *reader) long(what string, bits uint) uint64 {
+	var n uint64
+	for shift := uint(0); ; shift += 7 {
+		c := r.byte()
+		if r.err != nil {
+			return 0
+		}
+		if shift >= bits || shift+7 > bits && c&0x7f>>(bits-shift) != 0 {
+			r.err = bad("byte %d: %s: a number is too large", r.at, what)
+			return 0
+		}
+		n |= uint64(c&0x7f) << shift
+		if c&0x80 == 0 {
+			return n
+		}
+	}
+}
+
+// limits reads the bounds of a memory or a table, and gives the lower one.
+func (r *reader) limits() uint64 {
+	flags := r.byte()
+	bits := uint(32)
+	if flags&4 != 0 {
+		bits = 64
+	}
+	least := r.long("lower bound", bits)
+	if flags&1 != 0 {
+		r.long("upper bound", bits)
+	}
+	return least
+}
--- /dev/null
+++ b/internal/plugin/wasmfile/wasmfile.go
@@ -0,0 +1,201 @@
+// Package wasmfile writes small WebAssembly modules (Core Specification, chapter 5) for tests, examples and scaffolds,
+// without a tool chain. It knows only what those need, and checks nothing: a module that makes no sense is what some
+// tests want.
+package wasmfile
+
+// Code is a sequence of instructions.
+type Code []byte
+
+// Seq joins them.
+func Seq(parts ...Code) Code {
+	var all Code
+	for _, p := range parts {
+		all = append(all, p...)
+	}
+	return all
+}
+
+// Instructions without an operand.
+var (
+	Unreachable = Code{0x00}
+	Return      = Code{0x0f}
+	Drop        = Code{0x1a}
+	I32Eqz      = Code{0x45}
+	I32Eq       = Code{0x46}
+	I32Ne       = Code{0x47}
+	I32LtU      = Code{0x49}
+	I32GtU      = Code{0x4b}
+	I32GeU      = Code{0x4f}
+	I32Add      = Code{0x6a}
+	I32Sub      = Code{0x6b}
+	I32Mul      = Code{0x6c}
+	I32DivU     = Code{0x6e}
+	I32And      = Code{0x71}
+	I32Or       = Code{0x72}
+	I64Sub      = Code{0x7d}
+	I64GtU      = Code{0x56}
+	MemoryGrow  = Code{0x40, 0x00}
+)
+
+// I32Const is a number.
+func I32Const(n int32) Code { return append(Code{0x41}, signed(int64(n))...) }
+
+// I64Const is a number.
+func I64Const(n int64) Code { return append(Code{0x42}, signed(n)...) }
+
+// LocalGet, LocalSet and LocalTee are of a parameter or a local.
+func LocalGet(i uint32) Code { return append(Code{0x20}, unsigned(i)...) }
+func LocalSet(i uint32) Code { return append(Code{0x21}, unsigned(i)...) }
+func LocalTee(i uint32) Code { return append(Code{0x22}, unsigned(i)...) }
+
+// I32Load and the others are at an offset from the address on the stack.
+func I32Load(at uint32) Code   { return append(Code{0x28, 0x00}, unsigned(at)...) }
+func I64Load(at uint32) Code   { return append(Code{0x29, 0x00}, unsigned(at)...) }
+func I32Load8U(at uint32) Code { return append(Code{0x2d, 0x00}, unsigned(at)...) }
+func I32Store(at uint32) Code  { return append(Code{0x36, 0x00}, unsigned(at)...) }
+func I64Store(at uint32) Code  { return append(Code{0x37, 0x00}, unsigned(at)...) }
+func I32Store8(at uint32) Code { return append(Code{0x3a, 0x00}, unsigned(at)...) }
+
+// Call calls a function by its index: imports come first.
+func Call(f uint32) Code { return append(Code{0x10}, unsigned(f)...) }
+
+// If does then where the top of the stack is not 0.
+func If(then ...Code) Code { return Seq(Code{0x04, 0x40}, Seq(then...), Code{0x0b}) }
+
+// Loop is a block to whose begin Br(0) goes; Block one whose end it goes to.
+func Loop(body ...Code) Code  { return Seq(Code{0x03, 0x40}, Seq(body...), Code{0x0b}) }
+func Block(body ...Code) Code { return Seq(Code{0x02, 0x40}, Seq(body...), Code{0x0b}) }
+
+// Br and BrIf go to the block so many levels out.
+func Br(level uint32) Code   { return append(Code{0x0c}, unsigned(level)...) }
+func BrIf(level uint32) Code { return append(Code{0x0d}, unsigned(level)...) }
+
+// I32 is the kind of a value.
+const I32 = 0x7f
+
+// Module is a module in the making.
+type Module struct {
+	imports [][]byte
+	types   [][]byte
+	funcs   [][]byte // the index of the type of each
+	exports [][]byte
+	bodies  [][]byte
+	data    [][]byte
+
+	Pages     uint32 // of memory; 0 for none
+	PagesMost uint32 // 0 for no bound
+	Table     uint32 // entries; 0 for no table
+	Start     int    // the index of the start function; 0 for none
+}
+
+// Import adds a function of another module, with parameters and results of the kind I32, and gives its index. All imports
+// come before the first Func.
+func (m *Module) Import(from, name string, params, results int) uint32 {
+	b := append(text(from), text(name)...)
+	m.imports = append(m.imports, append(append(b, 0x00), m.kind(params, results)...))
+	return uint32(len(m.imports) - 1)
+}
+
+// Func adds a function, exported where it has a name, and gives its index. locals come after the parameters.
+func (m *Module) Func(name string, params, results int, locals uint32, body ...Code) uint32 {
+	i := uint32(len(m.imports) + len(m.funcs))
+	m.funcs = append(m.funcs, m.kind(params, results))
+	if name != "" {
+		m.exports = append(m.exports, append(append(text(name), 0x00), unsigned(i)...))
+	}
+	var b []byte
+	if locals > 0 {
+		b = append(append(append(b, 1), unsigned(locals)...), I32)
+	} else {
+		b = append(b, 0)
+	}
+	b = append(append(b, Seq(body...)...), 0x0b)
+	m.bodies = append(m.bodies, append(unsigned(uint32(len(b))), b...))
+	return i
+}
+
+// Data puts bytes into memory.
+func (m *Module) Data(at int32, b []byte) {
+	d := append([]byte{0x00}, I32Const(at)...)
+	d = append(append(d, 0x0b), unsigned(uint32(len(b)))...)
+	m.data = append(m.data, append(d, b...))
+}
+
+// Bytes is the file.
+func (m *Module) Bytes() []byte {
+	out := []byte("\x00asm\x01\x00\x00\x00")
+	section := func(id byte, items [][]byte) {
+		if len(items) == 0 {
+			return
+		}
+		body := unsigned(uint32(len(items)))
+		for _, item := range items {
+			body = append(body, item...)
+		}
+		out = append(append(append(out, id), unsigned(uint32(len(body)))...), body...)
+	}
+	exports := m.exports
+	section(1, m.types)
+	section(2, m.imports)
+	section(3, m.funcs)
+	if m.Table > 0 {
+		section(4, [][]byte{append([]byte{0x70, 0x00}, unsigned(m.Table)...)})
+	}
+	if m.Pages > 0 {
+		limits := append([]byte{0x00}, unsigned(m.Pages)...)
+		if m.PagesMost > 0 {
+			limits = append(append([]byte{0x01}, unsigned(m.Pages)...), unsigned(m.PagesMost)...)
+		}
+		section(5, [][]byte{limits})
+		exports = append(exports, append(text("memory"), 0x02, 0x00))
+	}
+	section(7, exports)
+	if m.Start > 0 {
+		out = append(append(out, 8, byte(len(unsigned(uint32(m.Start))))), unsigned(uint32(m.Start))...)
+	}
+	section(10, m.bodies)
+	section(11, m.data)
+	return out
+}
+
+// kind is the index of a type of function, which is added where there is none like it.
+func (m *Module) kind(params, results int) []byte {
+	t := []byte{0x60}
+	for _, n := range []int{params, results} {
+		t = append(t, unsigned(uint32(n))...)
+		for range n {
+			t = append(t, I32)
+		}
+	}
+	for i, known := range m.types {
+		if string(known) == string(t) {
+			return unsigned(uint32(i))
+		}
+	}
+	m.types = append(m.types, t)
+	return unsigned(uint32(len(m.types) - 1))
+}
+
+func text(s string) []byte { return append(unsigned(uint32(len(s))), s...) }
+
+// unsigned and signed are numbers in LEB128.
+func unsigned(n uint32) []byte {
+	var b []byte
+	for n >= 0x80 {
+		b = append(b, byte(n)|0x80)
+		n >>= 7
+	}
+	return append(b, byte(n))
+}
+
+func signed(n int64) []byte {
+	var b []byte
+	for {
+		c := byte(n & 0x7f)
+		n >>= 7
+		if n == 0 && c&0x40 == 0 || n == -1 && c&0x40 != 0 {
+			return append(b, c)
+		}
+		b = append(b, c|0x80)
+	}
+}
