--- a/internal/machine/bench_test.go
+++ b/internal/machine/bench_test.go
@@ -18,6 +18,9 @@
 // TestMain is also the other side of the benchmarks: a process of its own, so that its processor time is not
 // counted, which echoes until its standard input ends.
 func TestMain(m *testing.M) {
+	if PlayWorker(os.Args) {
+		return
+	}
 	if os.Getenv(echoChild) == "" {
 		os.Exit(m.Run())
 	}
--- a/internal/machine/contract_test.go
+++ b/internal/machine/contract_test.go
@@ -20,6 +20,7 @@
 		}
 		t.Cleanup(m.Stop)
 		return machinetest.Rig{
+			Workers:  true,
 			A:        m,
 			B:        m,
 			IPA:      "127.0.0.1",
--- a/internal/machine/export_test.go
+++ b/internal/machine/export_test.go
@@ -9,3 +9,9 @@
 
 // FullAddress is where no connection comes up.
 var FullAddress = fullAddress
+
+// PlayWorker plays the worker that a command line names, if it names one.
+var PlayWorker func(args []string) bool
+
+// Held is how many descriptors are counted.
+func (m *Real) Held() int { return m.conns }
--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -15,7 +15,10 @@
 // ErrClosed and io.EOF come bare.
 package machine
 
-import "errors"
+import (
+	"errors"
+	"io"
+)
 
 // Time is an instant or a span in microseconds; instants are Unix time as the machine had it at
 // its start, counted on from there without the steps that its clock may make.
@@ -30,6 +33,9 @@
 // ErrDescriptors says that the process holds as many descriptors as it may.
 var ErrDescriptors = errors.New("machine: no descriptor is left")
 
+// ErrNoWorker says that this machine starts no workers.
+var ErrNoWorker = errors.New("machine: no workers here")
+
 // ErrRefused says that nobody listens at the address.
 var ErrRefused = errors.New("machine: connection refused")
 
@@ -75,6 +81,12 @@
 	// ListenPacket has got called with each datagram that comes to the address. got must not keep b.
 	ListenPacket(addr string, got func(from string, b []byte)) (PacketConn, error)
 
+	// Spawn starts a worker: a process of this program's own, beside the loop, to which there is one
+	// connection and nothing else. done is called once: with the connection, whose handler it names (nil kills
+	// the worker), or with the reason why none came up. That the worker has ended, for whatever cause, is told
+	// as the end of the connection. Until Kill, it holds two descriptors.
+	Spawn(w Worker, done func(Conn, error) Handler) Process
+
 	// ReadFile is a regular file's content; one that is longer than most bytes is an error. It takes as
 	// long as the disk does.
 	ReadFile(name string, most int64) ([]byte, error)
@@ -101,7 +113,7 @@
 	Writable()
 }
 
-// Conn is a stream connection over TCP that is up.
+// Conn is a stream connection that is up: over TCP, or to a worker.
 type Conn interface {
 	// Read takes what has come, without waiting: ErrWait where that is nothing, io.EOF at the end,
 	// ErrReset where the connection broke.
@@ -118,7 +130,7 @@
 	// Close ends the connection and gives its descriptor back. Where bytes that have come were not read, the
 	// other side may see a reset instead of the end. A second call does nothing.
 	Close()
-	// Local and Remote are the two addresses.
+	// Local and Remote are the two addresses. To a worker there are none.
 	Local() string
 	Remote() string
 }
@@ -140,6 +152,26 @@
 	Cancel()
 }
 
+// Worker says what a worker is to be.
+type Worker struct {
+	// Args is its command line, without the program's name. It finds its end of the connection, a stream that
+	// blocks, as its standard input; what it prints is lost.
+	Args []string
+	// Env is all of its environment.
+	Env []string
+	// Inside, where it is set, is run in a goroutine of this process instead, with the other end of the connection,
+	// which it closes. A Kill only closes the connection: what does not come back from a loop is there for ever.
+	Inside func(io.ReadWriteCloser)
+}
+
+// Process is a worker.
+type Process interface {
+	// Kill ends it at once, whatever it does, and closes its connection; where it has not come up yet, done is
+	// not called any more. It is for workers that have ended too: it gives the descriptors back, soon. A
+	// second call does nothing.
+	Kill()
+}
+
 // PacketConn sends datagrams, and takes them in. They get lost, late, twice or out of order.
 type PacketConn interface {
 	Addr() string
--- a/internal/machine/machinetest/machinetest.go
+++ b/internal/machine/machinetest/machinetest.go
@@ -20,6 +20,8 @@
 	PutFile func(content []byte) string
 	// Signal sends A's process a signal. Nil leaves those tests out.
 	Signal func(machine.Signal)
+	// Workers says that A plays the workers of the suite.
+	Workers bool
 	// Nowhere is an address that gives no answer of any kind. Empty leaves those tests out.
 	Nowhere string
 }
@@ -61,6 +63,11 @@
 	{"DatagramsCanBeAnswered", datagrams},
 	{"FilesAreReadUpToABound", files},
 	{"SignalsWaitForTheirHandler", signals},
+	{"AWorkerIsTalkedTo", workerEchoes},
+	{"AWorkersEndIsTheEndOfItsConnection", workerEnds},
+	{"AKilledWorkerSaysNothingMore", workerKilled},
+	{"AWorkerThatIsKilledBeforeItIsUpIsNotTold", workerKilledEarly},
+	{"AWorkerWithoutAHandlerEnds", workerUnwanted},
 }
 
 // bench is a rig with the helpers of the tests.
--- /dev/null
+++ b/internal/machine/machinetest/worker.go
@@ -0,0 +1,171 @@
+package machinetest
+
+import (
+	"errors"
+	"io"
+
+	"starlingwinch/internal/machine"
+)
+
+// Workers that a rig plays: the one word of the command line after WorkerWord says which.
+const (
+	WorkerWord = "machinetest-worker"
+	EchoWorker = "echo" // sends back what comes, up to the end
+	DeafWorker = "deaf" // does nothing, for ever
+	EndWorker  = "end"  // says "bye" and ends
+)
+
+// PlayWorker plays one in a process or a goroutine of its own.
+func PlayWorker(which string, conn io.ReadWriter) {
+	switch which {
+	case EchoWorker:
+		b := make([]byte, 4096)
+		for {
+			n, err := conn.Read(b)
+			if n > 0 {
+				conn.Write(b[:n])
+			}
+			if err != nil {
+				return
+			}
+		}
+	case EndWorker:
+		conn.Write([]byte("bye"))
+	case DeafWorker:
+		select {}
+	}
+}
+
+// VirtualWorker plays one as a handler.
+func VirtualWorker(args []string, c machine.Conn) machine.Handler {
+	switch args[1] {
+	case EchoWorker:
+		return &echo{c}
+	case EndWorker:
+		c.Write([]byte("bye"))
+		return nil
+	}
+	return &deaf{}
+}
+
+type deaf struct{}
+
+func (deaf) Readable() {}
+func (deaf) Writable() {}
+
+type echo struct{ c machine.Conn }
+
+func (e *echo) Writable() {}
+func (e *echo) Readable() {
+	var b [4096]byte
+	for {
+		n, err := e.c.Read(b[:])
+		if n > 0 {
+			e.c.Write(b[:n])
+		}
+		if err != nil {
+			if err != machine.ErrWait {
+				e.c.Close()
+			}
+			return
+		}
+	}
+}
+
+// spawn starts a worker at A.
+func (b *bench) spawn(which string, then func(*end)) (*end, machine.Process) {
+	e := &end{b: b, reads: true}
+	var p machine.Process
+	b.call(func() {
+		p = b.A.Spawn(machine.Worker{Args: []string{WorkerWord, which}}, func(c machine.Conn, err error) machine.Handler {
+			defer b.turn()()
+			e.conn, e.err = c, err
+			if err != nil {
+				return nil
+			}
+			if then != nil {
+				then(e)
+			}
+			return e
+		})
+	})
+	return e, p
+}
+
+func workerEchoes(b *bench) {
+	if !b.Workers {
+		b.Skip("no workers in this rig")
+	}
+	e, p := b.spawn(EchoWorker, func(e *end) { e.write("early") })
+	b.wait("the echo", func() bool { return string(e.got) == "early" })
+	b.call(func() { e.write(" and late") })
+	b.wait("the second echo", func() bool { return string(e.got) == "early and late" })
+	b.call(p.Kill)
+}
+
+func workerEnds(b *bench) {
+	if !b.Workers {
+		b.Skip("no workers in this rig")
+	}
+	e, p := b.spawn(EndWorker, nil)
+	b.wait("the end", func() bool { return e.err != nil })
+	if string(e.got) != "bye" || e.err != io.EOF {
+		b.Errorf("got %q, %v; want what the worker said, and its end", e.got, e.err)
+	}
+	b.call(p.Kill)
+}
+
+func workerKilled(b *bench) {
+	if !b.Workers {
+		b.Skip("no workers in this rig")
+	}
+	e, p := b.spawn(DeafWorker, nil)
+	b.wait("the worker", func() bool { return e.conn != nil })
+	told := e.told
+	b.call(func() {
+		p.Kill()
+		p.Kill()
+		if _, err := e.conn.Write([]byte("x")); !errors.Is(err, machine.ErrClosed) {
+			b.Errorf("a Write after the Kill gave %v", err)
+		}
+	})
+	b.settle()
+	if e.told != told {
+		b.Error("the handler was called after the Kill")
+	}
+}
+
+func workerKilledEarly(b *bench) {
+	if !b.Workers {
+		b.Skip("no workers in this rig")
+	}
+	e, p := b.spawn(EchoWorker, nil)
+	b.call(p.Kill)
+	b.settle()
+	if e.conn != nil || e.err != nil {
+		b.Errorf("done was called after the Kill: %v, %v", e.conn, e.err)
+	}
+}
+
+func workerUnwanted(b *bench) {
+	if !b.Workers {
+		b.Skip("no workers in this rig")
+	}
+	told := false
+	b.call(func() {
+		b.A.Spawn(machine.Worker{Args: []string{WorkerWord, DeafWorker}}, func(c machine.Conn, err error) machine.Handler {
+			defer b.turn()()
+			told = true
+			return nil
+		})
+	})
+	b.wait("the worker", func() bool { return told })
+	b.settle()
+}
+
+// settle has another worker come up and end, by when all that was under way before has happened.
+func (b *bench) settle() {
+	e, p := b.spawn(EndWorker, nil)
+	b.wait("another worker's end", func() bool { return e.err != nil })
+	b.call(p.Kill)
+}
--- a/internal/machine/real.go
+++ b/internal/machine/real.go
@@ -37,6 +37,8 @@
 	conns  int // open ones and those coming up
 	most   int // that may be; 0 is no bound
 
+	workers map[*process]bool // those that run
+
 	inbox   inbox
 	work    work
 	signals signals
@@ -60,7 +62,7 @@
 
 // New gives a machine whose loop does not run yet. Signals are taken from here on.
 func New(opts Options) (*Real, error) {
-	m := &Real{start: time.Now(), most: opts.Descriptors}
+	m := &Real{start: time.Now(), most: opts.Descriptors, workers: map[*process]bool{}}
 	m.base = m.start.UnixMicro()
 	m.now = m.base
 	var err error
@@ -183,6 +185,9 @@
 	m.signals.end()
 	m.work.end()
 	m.inbox.close()
+	for p := range m.workers { // any order
+		p.end()
+	}
 	m.poll.shut()
 	m.timers = timers{}
 	m.log.end()
--- /dev/null
+++ b/internal/machine/worker.go
@@ -0,0 +1,158 @@
+package machine
+
+import (
+	"os"
+	"os/exec"
+	"runtime"
+	"sync"
+	"syscall"
+)
+
+// perWorker is how many descriptors a worker takes: the connection, and the one by which the runtime waits for
+// the process to end.
+const perWorker = 2
+
+// program is this program's file, also where its name has come to stand for another one since the start.
+const program = "/proc/self/exe"
+
+// process is a worker. The loop has all of it but what mu guards.
+type process struct {
+	m    *Real
+	conn *conn
+	done func(Conn, error) Handler // nil once it was told, or is not to be
+
+	mu     sync.Mutex
+	os     *os.Process
+	killed bool
+}
+
+// Spawn implements Machine.
+func (m *Real) Spawn(w Worker, done func(Conn, error) Handler) Process {
+	p := &process{m: m, done: done}
+	far, err := p.connect()
+	switch {
+	case err != nil:
+		m.Post(func() { p.up(err) })
+	case w.Inside != nil:
+		go w.Inside(far)
+		m.roused.Store(true)
+		m.Post(func() { p.up(nil) })
+	default:
+		m.conns++
+		m.workers[p] = true
+		go p.run(w, far)
+		m.roused.Store(true)
+	}
+	return p
+}
+
+// connect opens the connection, and gives its other end, which blocks.
+func (p *process) connect() (*os.File, error) {
+	m := p.m
+	if m.most > 0 && m.conns+perWorker > m.most {
+		return nil, ErrDescriptors
+	}
+	ends, err := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, failure("socketpair", err)
+	}
+	syscall.SetNonblock(ends[0], true)
+	c := &conn{m: m, fd: ends[0], h: nobody{}}
+	if c.at, err = m.poll.add(c.fd, onEdges, c); err != nil {
+		syscall.Close(ends[0])
+		syscall.Close(ends[1])
+		return nil, err
+	}
+	m.conns++
+	p.conn = c
+	return os.NewFile(uintptr(ends[1]), "worker"), nil
+}
+
+// nobody is the handler of a connection whose worker has not come up.
+type nobody struct{}
+
+func (nobody) Readable() {}
+func (nobody) Writable() {}
+
+// run is the life of the process. It is a goroutine with a thread of its own, for the kernel kills the worker when
+// the thread that started it ends.
+//
+// The danger: a router that is killed would leave a worker behind that loops for ever.
+func (p *process) run(w Worker, far *os.File) {
+	runtime.LockOSThread()
+	cmd := exec.Command(program)
+	cmd.Args = append([]string{os.Args[0]}, w.Args...)
+	cmd.Env = append([]string{}, w.Env...)
+	cmd.Stdin = far
+	// In a group of its own: an interrupt from the terminal is the router's to act on.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
+	err := cmd.Start()
+	far.Close()
+	if err != nil {
+		p.m.Post(func() {
+			p.gone()
+			p.up(failure("start", err))
+		})
+		return
+	}
+	p.mu.Lock()
+	p.os = cmd.Process
+	if p.killed {
+		p.os.Kill()
+	}
+	p.mu.Unlock()
+	p.m.Post(func() { p.up(nil) })
+	cmd.Wait()
+	p.m.Post(p.gone)
+}
+
+// up tells how the start went.
+func (p *process) up(err error) {
+	done := p.done
+	p.done = nil
+	if done == nil {
+		return
+	}
+	if err != nil {
+		p.Kill()
+		done(nil, err)
+		return
+	}
+	c := p.conn
+	h := done(c, nil)
+	if h == nil {
+		p.Kill()
+		return
+	}
+	if c.fd < 0 {
+		return
+	}
+	c.h = h
+	p.m.tick()
+	h.Readable() // what came before was told to nobody
+}
+
+// gone is called once the process has ended and left no zombie.
+func (p *process) gone() {
+	p.m.conns--
+	delete(p.m.workers, p)
+}
+
+// Kill implements Process.
+func (p *process) Kill() {
+	p.done = nil
+	p.end()
+	if p.conn != nil {
+		p.conn.Close()
+	}
+}
+
+// end has the kernel end the process. It reaches no other that has its number by now: the runtime knows.
+func (p *process) end() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.killed = true
+	if p.os != nil {
+		p.os.Kill()
+	}
+}
--- a/internal/sim/contract_test.go
+++ b/internal/sim/contract_test.go
@@ -20,8 +20,10 @@
 	w.ShuffleTies = ties
 	a := w.Host("a", "10.0.0.1", HostOptions{Zone: "a"})
 	b := w.Host("b", "10.0.0.2", HostOptions{Zone: "b"})
+	a.Worker = machinetest.VirtualWorker
 	return machinetest.Rig{
-		A: a.Machine(), B: b.Machine(),
+		Workers: true,
+		A:       a.Machine(), B: b.Machine(),
 		IPA: "10.0.0.1", IPB: "10.0.0.2",
 		RunUntil: func(until func() bool) bool { return w.RunUntil(w.Now()+100*Second, until) },
 		PutFile: func(content []byte) string {
--- a/internal/sim/host.go
+++ b/internal/sim/host.go
@@ -24,6 +24,10 @@
 type Host struct {
 	// Logged is called with each line of the log.
 	Logged func(line string)
+	// Worker plays the workers that the process starts: it gets a worker's command line and its end of the connection, and
+	// names the handler, in the process's own loop (nil ends the worker at once). A worker that closes its end has
+	// ended. Nil refuses all.
+	Worker func(args []string, c machine.Conn) machine.Handler
 
 	w         *World
 	id        uint64
