--- a/internal/plugin/script/engine.go
+++ b/internal/plugin/script/engine.go
@@ -9,6 +9,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -90,7 +91,7 @@
 		in.stop()
 	})
 	defer timer.Stop()
-	in.thread.SetMaxExecutionSteps(uint64(100 * h.budget.Steps))
+	in.limit(100 * h.budget.Steps)
 	globals, err := h.program.Init(in.thread, h.names)
 	if err != nil {
 		return h.failure(err, in, late.Load(), 100*h.budget.Steps)
@@ -111,6 +112,15 @@
 	return nil
 }
 
+// limit bounds the steps from here on; 0 is no bound.
+func (in *instance) limit(steps int64) {
+	in.thread.Steps = 0
+	if steps == 0 {
+		steps = math.MaxInt64
+	}
+	in.thread.SetMaxExecutionSteps(uint64(steps))
+}
+
 // find looks at the script's names.
 func (h *hook) find(in *instance, globals starlark.StringDict) error {
 	version, found := globals["version"]
@@ -180,8 +190,7 @@
 	if c.Point != plugin.Load && c.Point != plugin.Unload {
 		args = starlark.Tuple{newRecord(c)}
 	}
-	in.thread.Steps = 0
-	in.thread.SetMaxExecutionSteps(uint64(h.budget.Steps))
+	in.limit(h.budget.Steps)
 	h.watch.Begin(in.stop)
 	got, err := starlark.Call(in.thread, in.calls[c.Point], args, nil)
 	interrupted := h.watch.End()
--- /dev/null
+++ b/internal/plugin/worker/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package worker
+
+const raceEnabled = false
--- /dev/null
+++ b/internal/plugin/worker/worker_test.go
@@ -0,0 +1,327 @@
+package worker
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+
+	"starlingwinch/internal/plugin"
+	"starlingwinch/internal/plugin/wire"
+)
+
+const workerWord = "hook-worker"
+
+// TestMain is also the process of a worker.
+func TestMain(m *testing.M) {
+	if len(os.Args) == 2 && os.Args[1] == workerWord {
+		if Main() != nil {
+			os.Exit(1)
+		}
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// peer is the router's end of a connection to a worker.
+type peer struct {
+	t    testing.TB
+	conn io.ReadWriteCloser
+	in   []byte
+	cmd  *exec.Cmd
+}
+
+// inside runs a worker in a goroutine.
+func inside(t testing.TB) *peer {
+	near, far := net.Pipe()
+	done := make(chan error, 1)
+	go func() {
+		done <- Serve(far, nil)
+		far.Close()
+	}()
+	t.Cleanup(func() {
+		near.Close()
+		<-done
+	})
+	return &peer{t: t, conn: near}
+}
+
+// process runs one in a process of its own.
+func process(t testing.TB) *peer {
+	ends, err := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	near, far := os.NewFile(uintptr(ends[0]), "near"), os.NewFile(uintptr(ends[1]), "far")
+	cmd := exec.Command(os.Args[0], workerWord)
+	cmd.Env = []string{"GOMAXPROCS=1", "GOTRACEBACK=none"}
+	cmd.Stdin = far
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	far.Close()
+	t.Cleanup(func() {
+		near.Close()
+		cmd.Process.Kill()
+		cmd.Wait()
+	})
+	return &peer{t: t, conn: near, cmd: cmd}
+}
+
+func (p *peer) send(b []byte) {
+	p.t.Helper()
+	if _, err := p.conn.Write(b); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// next is the next frame; kind 0 stands for the end.
+func (p *peer) next() (byte, []byte) {
+	p.t.Helper()
+	for {
+		kind, body, rest, err := wire.Next(p.in, wire.MostToRouter)
+		if err != nil {
+			p.t.Fatal(err)
+		}
+		if kind != 0 {
+			p.in = rest
+			return kind, body
+		}
+		b := make([]byte, 4096)
+		n, err := p.conn.Read(b)
+		p.in = append(p.in, b[:n]...)
+		if n == 0 && err != nil {
+			return 0, nil
+		}
+	}
+}
+
+func (p *peer) load(engine, code string, b plugin.Budget) {
+	p.t.Helper()
+	p.send(wire.AppendLoad(nil, &wire.Load{Name: "test", Engine: engine, Budget: b, Code: []byte(code)}))
+	if kind, body := p.next(); kind != wire.KindLoaded {
+		f, _ := wire.ParseRefused(body)
+		p.t.Fatalf("the load gave kind %d, %v", kind, f)
+	}
+}
+
+func (p *peer) ask(seq uint64, key string) {
+	p.t.Helper()
+	p.send(wire.AppendCall(nil, seq, &plugin.Call{Point: plugin.OnRequest, Key: key}))
+}
+
+func (p *peer) reply() wire.Reply {
+	p.t.Helper()
+	var r wire.Reply
+	kind, body := p.next()
+	if kind != wire.KindReply {
+		p.t.Fatalf("kind %d, want a reply", kind)
+	}
+	if err := wire.ParseReply(body, &r); err != nil {
+		p.t.Fatal(err)
+	}
+	return r
+}
+
+const moody = `
+version = 1
+def on_request(r):
+    if r.key == "loop":
+        for i in range(1 << 40):
+            pass
+    if r.key == "crash":
+        return [][1]
+    if r.key == "swell":
+        s = "x"
+        for i in range(40):
+            s += s
+    if r.key == "sort":
+        return refuse(len(sorted(range(1 << 28))))
+    if r.key == "list":
+        x = []
+        for i in range(1 << 40):
+            x.append("%d" % i)
+    return refuse(7)
+`
+
+// patient has room for a machine under load.
+var patient = plugin.Budget{Time: 100_000, LoadTime: 2_000_000, Steps: 1 << 40, Depth: 64, Memory: 8 << 20, Lines: 4, LineSize: 100}
+
+func TestWorkerAnswersEachCallInOrder(t *testing.T) {
+	for name, p := range map[string]*peer{"inside": inside(t), "process": process(t)} { // any order
+		p.load("script", moody, patient)
+		var batch []byte
+		for seq := range uint64(300) {
+			batch = wire.AppendCall(batch, seq, &plugin.Call{Point: plugin.OnRequest, Key: "A"})
+		}
+		go p.send(batch)
+		for seq := range uint64(300) {
+			r := p.reply()
+			if r.Seq != seq || r.Failed || r.Verdict.Say != plugin.Refuse || r.Verdict.Wait != 7000 {
+				t.Fatalf("%s: call %d got %+v", name, seq, r)
+			}
+		}
+	}
+}
+
+func TestWorkerInterruptsALoopAndGoesOn(t *testing.T) {
+	for name, p := range map[string]*peer{"inside": inside(t), "process": process(t)} { // any order
+		b := patient
+		b.Time = 20_000
+		p.load("script", moody, b)
+		for seq, key := range []string{"A", "loop", "A", "crash", "A"} {
+			p.ask(uint64(seq), key)
+			r := p.reply()
+			want := map[string]plugin.Kind{"loop": plugin.Overran, "crash": plugin.Crashed}
+			if kind, fails := want[key]; r.Failed != fails || fails && r.Kind != kind || r.Seq != uint64(seq) {
+				t.Errorf("%s: %s got %+v", name, key, r)
+			}
+		}
+	}
+}
+
+func TestVerdictsDoNotWaitForTheCallThatIsStuck(t *testing.T) {
+	p := process(t)
+	b := patient
+	b.Time = 30_000_000
+	p.load("script", moody, b)
+	p.ask(1, "A")
+	p.ask(2, "loop") // for as long as this test lasts
+	if r := p.reply(); r.Seq != 1 {
+		t.Errorf("got %+v", r)
+	}
+}
+
+func TestWorkerEndsBeforeItsMemoryPassesTheBound(t *testing.T) {
+	if raceEnabled {
+		t.Skip("with the race detector a process takes address space as it likes")
+	}
+	for _, key := range []string{"swell", "sort", "list"} {
+		for _, memory := range []int64{1 << 20, 16 << 20, 60 << 20} {
+			b := patient
+			b.Memory, b.Time = memory, 60_000_000
+			p := process(t)
+			p.load("script", moody, b)
+			base := peak(t, p)
+			p.ask(1, "A")
+			p.reply()
+			p.ask(2, key)
+			kind, _ := p.next()
+			p.cmd.Wait()
+			most := p.cmd.ProcessState.SysUsage().(*syscall.Rusage).Maxrss << 10
+			if kind != 0 || most > base+memory+own+4<<20 {
+				t.Errorf("%s with %d MiB: frame %d, peak %d KiB after %d KiB", key, memory>>20, kind, most>>10, base>>10)
+			}
+			t.Logf("%s with %d MiB: peak %d KiB after %d KiB", key, memory>>20, most>>10, base>>10)
+		}
+	}
+}
+
+// peak is the most memory that the worker has taken (proc(5), VmHWM).
+func peak(t testing.TB, p *peer) int64 { return status(t, p, "VmHWM:") }
+
+func status(t testing.TB, p *peer, field string) int64 {
+	t.Helper()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, rest, _ := strings.Cut(string(text), field)
+	n, err := strconv.ParseInt(strings.Fields(rest)[0], 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n << 10
+}
+
+func TestWorkerRefusesWhatIsNoHookAndEnds(t *testing.T) {
+	for want, l := range map[string]wire.Load{ // any order
+		"there is no engine lua":                {Engine: "lua"},
+		"not a WebAssembly module of version 1": {Engine: "wasm", Code: []byte("x")},
+		"it does not set version":               {Engine: "script"},
+	} {
+		l.Budget = patient
+		p := process(t)
+		p.send(wire.AppendLoad(nil, &l))
+		kind, body := p.next()
+		if kind != wire.KindRefused {
+			t.Fatalf("%s: kind %d", want, kind)
+		}
+		f, err := wire.ParseRefused(body)
+		if err != nil || !strings.Contains(f.Error(), want) {
+			t.Errorf("%v, %v; want %s", f, err, want)
+		}
+		if kind, _ := p.next(); kind != 0 {
+			t.Errorf("%s: a frame of kind %d after it", want, kind)
+		}
+	}
+}
+
+func TestWorkerEndsAtFramesOutOfPlace(t *testing.T) {
+	call := wire.AppendCall(nil, 1, &plugin.Call{Point: plugin.Unload})
+	for what, b := range map[string][]byte{ // any order
+		"a call before the load": call, "rubbish": []byte("GET / HTTP/1.1\r\n\r\n"), "an empty frame": make([]byte, 8),
+	} {
+		p := process(t)
+		p.conn.Write(b)
+		if kind, _ := p.next(); kind != 0 {
+			t.Errorf("%s: kind %d", what, kind)
+		}
+	}
+}
+
+func BenchmarkWorker(b *testing.B) {
+	for _, c := range []struct {
+		name  string
+		peer  func(testing.TB) *peer
+		batch int
+	}{{"Process", process, 1}, {"ProcessBatchOf8", process, 8}} {
+		b.Run(c.name, func(b *testing.B) {
+			p := c.peer(b)
+			p.load("script", "version = 1\ndef on_request(r):\n    pass\n", plugin.Usual)
+			frame := wire.AppendCall(nil, 1, &plugin.Call{Point: plugin.OnRequest, Verb: "C.GET", Key: "7f3a9c21e0b4d655"})
+			var batch []byte
+			for range c.batch {
+				batch = append(batch, frame...)
+			}
+			before := cpu(b, p)
+			calls := 0
+			for b.Loop() {
+				p.send(batch)
+				for range c.batch {
+					p.next()
+				}
+				calls += c.batch
+			}
+			b.ReportMetric(float64(cpu(b, p)-before)/float64(calls), "worker-ns/call")
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(calls), "ns/call")
+			b.ReportMetric(float64(status(b, p, "VmRSS:")>>10), "RSS-KiB")
+			b.ReportMetric(float64(status(b, p, "RssAnon:")>>10), "own-KiB")
+		})
+	}
+	b.Run("Start", func(b *testing.B) {
+		for b.Loop() {
+			p := process(b)
+			p.load("script", "version = 1\ndef on_request(r):\n    pass\n", plugin.Usual)
+			p.conn.Close()
+			p.cmd.Wait()
+		}
+	})
+}
+
+// cpu is the processor time of the worker in ns, as far as the kernel counts: 10 ms.
+func cpu(b *testing.B, p *peer) int64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	if err != nil {
+		b.Fatal(err)
+	}
+	f := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
+	user, _ := strconv.ParseInt(f[11], 10, 64)
+	system, _ := strconv.ParseInt(f[12], 10, 64)
+	return (user + system) * 10_000_000
+}
