--- a/internal/hooks/policy/api.go
+++ b/internal/hooks/policy/api.go
@@ -24,7 +24,8 @@
 // Hook is what an operator says of one hook.
 type Hook struct {
 	Name       string
-	Classes    []string // it is asked for these alone; empty for all
+	Classes    []string      // it is asked for these alone; empty for all
+	Points     plugin.Points // it is asked at these alone, load and unload aside; 0 for all
 	OnFailure  OnFailure
 	RefuseWait Time // what a refusal on failure advises
 	Time       Time // budget of a call
@@ -54,7 +55,7 @@
 	scoreLost    = 2.0     // that a worker which was lost adds; another failure adds 1
 	firstRest    = 1 << 20 // of suspensions, which double ...
 	mostRest     = 300 << 20
-	burst        = 200_000 // of a hook's part of the core that it may save up
+	burst        = 200_000 // of a hook's part of the core that it may save up; three calls, where they are longer
 	linesBurst   = 20      // of a hook's lines in the log, and as many a second
 	mostTags     = 64      // names that are counted for a hook; the others are counted together
 )
--- a/internal/hooks/policy/hook.go
+++ b/internal/hooks/policy/hook.go
@@ -67,7 +67,7 @@
 func (h *hook) hasShare(now Time) bool {
 	h.used = max(0, h.used-float64(now-h.usedAt)*h.Share)
 	h.usedAt = now
-	return h.used <= burst*h.Share
+	return h.used <= max(burst*h.Share, 3*float64(h.Time))
 }
 
 func (h *hook) spend(now, spent Time) {
--- a/internal/hooks/policy/set.go
+++ b/internal/hooks/policy/set.go
@@ -77,6 +77,10 @@
 	w.deadline = 0
 	h := w.hook
 	h.points = points
+	if h.Points != 0 {
+		h.points &= h.Points.With(plugin.Unload)
+	}
+	points = h.points
 	if !points.Has(plugin.OnRequest) {
 		h.abandonRequests(p)
 	}
--- /dev/null
+++ b/internal/hooks/real_test.go
@@ -0,0 +1,349 @@
+package hooks
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"runtime"
+	"strings"
+	"syscall"
+	"testing"
+
+	"starlingwinch/internal/hooks/policy"
+	"starlingwinch/internal/machine"
+	"starlingwinch/internal/plugin"
+	"starlingwinch/internal/plugin/wasmfile"
+	"starlingwinch/internal/plugin/worker"
+)
+
+// TestMain is also the process of a worker.
+func TestMain(m *testing.M) {
+	if len(os.Args) == 2 && os.Args[1] == CommandName {
+		if worker.Main() != nil {
+			os.Exit(1)
+		}
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// patient is a budget of time that a machine under load leaves to a call that is good.
+const patient = 200_000
+
+// rig is a router's place on the real machine.
+type rig struct {
+	t     testing.TB
+	m     *machine.Real
+	h     *Hooks
+	lines []string
+	last  int64
+}
+
+func newRig(t testing.TB, cfg Config) *rig {
+	t.Helper()
+	m, err := machine.New(machine.Options{Log: io.Discard})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{t: t, m: m}
+	cfg.Inside = func(c io.ReadWriteCloser) {
+		defer c.Close()
+		worker.Serve(c, nil)
+	}
+	if r.h, err = New(m, cfg, func(line string) { r.lines = append(r.lines, line) }); err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// run runs the loop with f in it, until f's done is called.
+func (r *rig) run(f func(done func())) {
+	r.t.Helper()
+	late := false
+	r.m.At(r.m.Now()+60_000_000, func() {
+		late = true
+		r.m.Stop()
+	})
+	r.m.Post(func() {
+		f(func() {
+			r.h.Close(r.m.Stop)
+		})
+	})
+	r.m.Run()
+	if late {
+		r.t.Fatalf("it never came to an end: %v, %q", r.h.Left(), r.lines)
+	}
+}
+
+// ready calls f once all hooks are up.
+func (r *rig) ready(f func()) {
+	if r.h.Ready() {
+		f()
+		return
+	}
+	r.m.At(r.m.Now()+1000, func() { r.ready(f) })
+}
+
+func (r *rig) ask(class, key string, done func(Verdict, Time)) {
+	r.last++
+	began := r.m.Now()
+	taken := r.h.Ask(Request{ID: r.last, Verb: "C.GET", Class: class, Key: key, TimeLeft: 10_000_000}, func(v Verdict) {
+		done(v, r.m.Now()-began)
+	})
+	if !taken {
+		r.m.Post(func() { done(Verdict{}, 0) })
+	}
+}
+
+func (r *rig) logged(text string) {
+	r.t.Helper()
+	for _, line := range r.lines {
+		if strings.Contains(line, text) {
+			return
+		}
+	}
+	r.t.Errorf("no line says %q: %q", text, r.lines)
+}
+
+func script(name, code string) Hook {
+	h := one(name)
+	h.Code = []byte("version = 1\n" + code)
+	return h
+}
+
+// moody does what a key says.
+const moody = `
+def on_request(r):
+    if r.key == "loop":
+        for i in range(1 << 40):
+            pass
+    if r.key == "sort":
+        return refuse(len(sorted(range(20 << 20))))
+    if r.key == "swell":
+        s = "x"
+        for i in range(40):
+            s += s
+    if r.key == "crash":
+        return [][1]
+    if r.key == "log":
+        for i in range(500):
+            log("x" * 1024)
+    if r.key == "nothing":
+        return 7
+    return refuse(5)
+def on_answered(r):
+    return [][1]
+def on_unload():
+    return [][1]
+`
+
+// trap is a module that recurses without end.
+func trap() []byte {
+	m := &wasmfile.Module{Pages: 1}
+	m.Func("hook_version", 0, 1, 0, wasmfile.I32Const(1))
+	m.Func("hook_room", 1, 1, 0, wasmfile.I32Const(1024))
+	m.Func("on_request", 1, 1, 0, wasmfile.LocalGet(0), wasmfile.Call(2))
+	return m.Bytes()
+}
+
+func TestEachKindOfBrokenHookCostsItsRequestABoundedTime(t *testing.T) {
+	h := script("moody", moody)
+	h.OnFailure, h.RefuseWait = policy.RefuseOn, 1000
+	h.Budget.Steps = 1 << 40
+	h.Time, h.Budget.Time = patient, patient
+	deep := Hook{Hook: h.Hook, Engine: "wasm", Code: trap(), Budget: h.Budget}
+	deep.Name, deep.Classes = "deep", []string{"deep"}
+	deep.Budget.Depth, deep.Budget.Steps = 0, 0 // what is left is the end of its process
+	h.Classes = []string{"moody"}
+	cfg := set(h, deep)
+	cfg.WaitShare, cfg.WaitMost = 0.5, 5_000_000
+	r := newRig(t, cfg)
+	r.run(func(done func()) {
+		keys := []string{"ok", "loop", "ok", "crash", "ok", "nothing", "log", "ok"}
+		var next func()
+		next = func() {
+			if len(keys) == 0 {
+				done()
+				return
+			}
+			key := keys[0]
+			keys = keys[1:]
+			r.ask("moody", key, func(v Verdict, took Time) {
+				want := Time(1000)
+				if key == "ok" || key == "log" {
+					want = 5000
+				}
+				if v.Say != plugin.Refuse || v.Wait != want {
+					t.Errorf("%s: %+v, want a refusal with %d", key, v, want)
+				}
+				t.Logf("%s took %d us", key, took)
+				next()
+			})
+		}
+		r.ready(next)
+	})
+	r.logged("its budget") // by the worker itself, or with its process where it came too late to that
+	r.logged("hook moody: crashed: moody:")
+	r.logged("hook moody: gave no verdict: a value of the type int")
+	r.logged("hook moody: says: (497 more lines dropped)")
+	r.logged("hook moody: crashed: moody:24:14") // at unload
+}
+
+func TestWhatCanNotBeInterruptedIsEndedWithItsProcess(t *testing.T) {
+	for _, key := range []string{"sort", "swell", "recurse"} {
+		h := script("moody", moody)
+		h.Classes = []string{"moody"}
+		h.OnFailure, h.RefuseWait = policy.RefuseOn, 1000
+		h.Budget.Steps = 1 << 40
+		h.Time, h.Budget.Time = patient, patient
+		if key == "sort" {
+			h.Budget.Memory = 1 << 30 // time is what ends it
+		}
+		if key == "recurse" {
+			h.Engine, h.Code = "wasm", trap()
+			h.Budget.Depth, h.Budget.Steps = 0, 0
+		}
+		cfg := set(h)
+		cfg.WaitShare, cfg.WaitMost = 0.5, 5_000_000
+		r := newRig(t, cfg)
+		r.run(func(done func()) {
+			r.ready(func() {
+				r.ask("moody", key, func(v Verdict, took Time) {
+					if v.Say != plugin.Refuse || v.Wait != 1000 {
+						t.Errorf("%s: %+v", key, v)
+					}
+					t.Logf("%s took %d us, budget %d us", key, took, h.Time)
+					if h.Engine == "wasm" {
+						done()
+						return
+					}
+					r.ask("moody", "ok", func(v Verdict, took Time) { // waits for the next worker
+						if v.Say != plugin.Refuse || v.Wait != 5000 {
+							t.Errorf("%s: after it %+v", key, v)
+						}
+						t.Logf("after %s: %d us", key, took)
+						done()
+					})
+				})
+			})
+		})
+		if left := r.h.Left(); left["workers"]+left["worker processes"]+left["requests"] > 0 {
+			t.Errorf("left %v", left)
+		}
+	}
+}
+
+func TestHooksThatAreNoneAreNamedAndTheOldSetServes(t *testing.T) {
+	good := script("good", "def on_request(r):\n    return refuse(5)\n")
+	for want, code := range map[string]string{ // any order
+		"hook bad: does not load: bad:2:5: got end of file, want primary expression": "x = ",
+		"hook bad: other contract: it was built for version 2":                       "version = 2\n",
+		"hook bad: crashed: bad:3:14: floored division by zero":                      "def on_load():\n    return 1 // 0\ndef on_request(r):\n    pass\n",
+		"hook bad: overran its budget":                                               "def on_load():\n    for i in range(1 << 40):\n        pass\ndef on_request(r):\n    pass\n",
+	} {
+		bad := script("bad", code)
+		bad.LoadTime, bad.Budget.LoadTime = 200_000, 200_000
+		r := newRig(t, set(good))
+		r.run(func(done func()) {
+			r.ready(func() {
+				if strings.HasPrefix(code, "version") {
+					bad.Code = []byte(code + "def on_request(r):\n    pass\n")
+				}
+				r.h.Reload(set(good, bad))
+				var look func()
+				look = func() {
+					if len(r.lines) == 0 {
+						r.m.At(r.m.Now()+1000, look)
+						return
+					}
+					r.ask("read", "k", func(v Verdict, _ Time) {
+						if v.Say != plugin.Refuse {
+							t.Errorf("the old set says %+v", v)
+						}
+						done()
+					})
+				}
+				look()
+			})
+		})
+		r.logged(want)
+	}
+}
+
+// BenchmarkPass measures a pass verdict as the router sees it: processor time of this process and of all for each request,
+// requests coming one by one or eight in a turn.
+func BenchmarkPass(b *testing.B) {
+	pass := &wasmfile.Module{Pages: 1}
+	pass.Func("hook_version", 0, 1, 0, wasmfile.I32Const(1))
+	pass.Func("hook_room", 1, 1, 0, wasmfile.I32Const(1024))
+	pass.Func("on_request", 1, 1, 0, wasmfile.I32Const(0))
+	engines := map[string]Hook{
+		"Wasm":   {Hook: one("x").Hook, Engine: "wasm", Code: pass.Bytes(), Budget: plugin.Usual},
+		"Script": script("x", "def on_request(r):\n    pass\n"),
+	}
+	for _, engine := range []string{"Wasm", "Script"} {
+		for _, inside := range []bool{false, true} {
+			for _, hooks := range []int{1, 3} {
+				for _, atOnce := range []int{1, 8} {
+					if engine == "Script" && inside {
+						continue
+					}
+					h := engines[engine]
+					h.Inside = inside
+					name := fmt.Sprintf("%s/inside=%v/hooks=%d/atOnce=%d", engine, inside, hooks, atOnce)
+					b.Run(name, func(b *testing.B) { benchPass(b, h, hooks, atOnce) })
+				}
+			}
+		}
+	}
+}
+
+func benchPass(b *testing.B, h Hook, hooks, atOnce int) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	cfg := set()
+	for i := range hooks {
+		own := h
+		own.Name = fmt.Sprint("h", i)
+		cfg.Hooks = append(cfg.Hooks, own)
+	}
+	r := newRig(b, cfg)
+	b.ReportAllocs()
+	r.run(func(done func()) {
+		n, open := 0, 0
+		var before int64
+		var turn func()
+		verdict := func(Verdict) {
+			if open--; open > 0 {
+				return
+			}
+			if n >= b.N {
+				b.StopTimer()
+				b.ReportMetric(float64(cpu(b)-before)/float64(n), "router-ns/request")
+				done()
+				return
+			}
+			r.m.Post(turn)
+		}
+		turn = func() {
+			open = atOnce
+			for range atOnce {
+				n++
+				r.h.Ask(Request{ID: int64(n), Verb: "C.GET", Class: "read", Tenant: "acme", Key: "7f3a9c21e0b4d655", TimeLeft: 10_000_000}, verdict)
+			}
+		}
+		r.ready(func() {
+			b.ResetTimer()
+			before = cpu(b)
+			turn()
+		})
+	})
+}
+
+// cpu is the processor time of this process in ns.
+func cpu(b *testing.B) int64 {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return u.Utime.Nano() + u.Stime.Nano()
+}
--- /dev/null
+++ b/internal/hooks/virtual_test.go
@@ -0,0 +1,344 @@
+package hooks
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"starlingwinch/internal/hooks/hookstest"
+	"starlingwinch/internal/hooks/policy"
+	"starlingwinch/internal/machine"
+	"starlingwinch/internal/plugin"
+	"starlingwinch/internal/sim"
+)
+
+// field is a router's place on a virtual host.
+type field struct {
+	t        *testing.T
+	w        *sim.World
+	host     *sim.Host
+	m        machine.Machine
+	h        *Hooks
+	verdicts map[int64][]Verdict
+	at       map[int64]Time
+	lines    []string
+}
+
+func newField(t *testing.T, seed uint64, s *hookstest.Script, cfg Config) *field {
+	t.Helper()
+	f := &field{t: t, w: sim.New(seed), verdicts: map[int64][]Verdict{}, at: map[int64]Time{}}
+	f.host = f.w.Host("router", "10.0.0.1", sim.HostOptions{})
+	f.m = f.host.Machine()
+	f.host.Worker = s.Worker(f.host.Machine)
+	var err error
+	if f.h, err = New(f.m, cfg, func(line string) { f.lines = append(f.lines, line) }); err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+func (f *field) pass(d Time) { f.w.Run(f.w.Now() + d) }
+
+func (f *field) ask(id int64, class string) bool {
+	inside := true
+	defer func() { inside = false }()
+	return f.h.Ask(Request{ID: id, Class: class, TimeLeft: sim.Second}, func(v Verdict) {
+		if inside {
+			f.t.Error("a verdict came from within Ask")
+		}
+		f.verdicts[id] = append(f.verdicts[id], v)
+		f.at[id] = f.w.Now()
+	})
+}
+
+func (f *field) logged(text string) {
+	f.t.Helper()
+	for _, line := range f.lines {
+		if strings.Contains(line, text) {
+			return
+		}
+	}
+	f.t.Errorf("no line says %q: %q", text, f.lines)
+}
+
+// empty fails where something is left.
+func (f *field) empty() {
+	f.t.Helper()
+	for name, n := range f.h.Left() { // any order
+		if n > 0 {
+			f.t.Errorf("left over: %d %s", n, name)
+		}
+	}
+	if n := f.host.Descriptors(); n > 0 {
+		f.t.Errorf("left over: %d descriptors", n)
+	}
+	if n := f.host.Pending(); n > 0 {
+		f.t.Errorf("left over: %d timers", n)
+	}
+}
+
+func (f *field) close() {
+	f.t.Helper()
+	closed := Time(0)
+	began := f.w.Now()
+	f.h.Close(func() { closed = f.w.Now() })
+	f.pass(sim.Second)
+	if closed == 0 || closed-began > 400*sim.Millisecond {
+		f.t.Errorf("closed after %d ms", (closed-began)/1000)
+	}
+	f.empty()
+}
+
+func one(name string) Hook {
+	h := Hook{Hook: policy.Hook{Name: name, Time: 5000, LoadTime: sim.Second, Queue: 64, Share: 1}, Engine: "script"}
+	h.Budget = plugin.Usual
+	return h
+}
+
+func set(hooks ...Hook) Config {
+	return Config{Hooks: hooks, WaitShare: 0.1, WaitMost: 50 * sim.Millisecond}
+}
+
+func TestVerdictsComeBackInALaterTurn(t *testing.T) {
+	s := &hookstest.Script{Call: func(_ string, c *plugin.Call) hookstest.Act {
+		return hookstest.Act{Verdict: Verdict{Say: plugin.Refuse, Wait: 7000}}
+	}}
+	f := newField(t, 1, s, set(one("a")))
+	if f.h.Ready() {
+		t.Error("ready before its worker is up")
+	}
+	f.pass(20 * sim.Millisecond)
+	if !f.h.Ready() || !f.ask(1, "read") {
+		t.Fatal("not ready, or not taken")
+	}
+	f.pass(sim.Millisecond)
+	if got := f.verdicts[1]; len(got) != 1 || got[0].Say != plugin.Refuse || got[0].Wait != 7000 {
+		t.Errorf("%+v", got)
+	}
+	f.close()
+}
+
+func TestWithoutHooksNothingIsHeldOrAllocated(t *testing.T) {
+	f := newField(t, 1, &hookstest.Script{}, Config{})
+	n := testing.AllocsPerRun(100, func() {
+		if f.h.Ask(Request{ID: 1, Class: "read"}, nil) {
+			t.Error("taken")
+		}
+		f.h.Answered(Answer{})
+		f.h.ListChanged(9, 9)
+		f.h.Gone(1)
+	})
+	if n > 0 {
+		t.Errorf("%v allocations", n)
+	}
+	f.empty()
+	f.close()
+}
+
+func TestAHookThatHangsCostsItsRequestABoundedTime(t *testing.T) {
+	s := &hookstest.Script{Call: func(_ string, c *plugin.Call) hookstest.Act {
+		return hookstest.Act{Hang: c.Class == "bad"}
+	}}
+	f := newField(t, 1, s, set(one("a")))
+	f.pass(20 * sim.Millisecond)
+	began := f.w.Now()
+	f.ask(1, "bad")
+	f.ask(2, "good") // behind it, at the same hook
+	f.pass(100 * sim.Millisecond)
+	for id, most := range map[int64]Time{1: 20 * sim.Millisecond, 2: 50 * sim.Millisecond} { // any order
+		if len(f.verdicts[id]) != 1 || f.verdicts[id][0].Say != plugin.Pass || f.at[id]-began > most {
+			t.Errorf("request %d: %+v after %d us", id, f.verdicts[id], f.at[id]-began)
+		}
+	}
+	f.logged("a call went on beyond its budget")
+	f.close()
+}
+
+func TestAWorkerThatSaysRubbishIsEnded(t *testing.T) {
+	for name, act := range map[string]hookstest.Act{ // any order
+		"rubbish": {Say: []byte("HTTP/1.1 200 OK\r\n\r\n")}, "twice": {Twice: true}, "dies": {Die: true},
+		"no verdict": {Verdict: Verdict{Say: 9}},
+	} {
+		s := &hookstest.Script{Call: func(string, *plugin.Call) hookstest.Act { return act }}
+		f := newField(t, 1, s, set(one("a")))
+		f.pass(20 * sim.Millisecond)
+		f.ask(1, "read")
+		f.pass(100 * sim.Millisecond)
+		if len(f.verdicts[1]) != 1 || f.verdicts[1][0].Say != plugin.Pass {
+			t.Errorf("%s: %+v", name, f.verdicts[1])
+		}
+		if f.h.Status()[0].Counts.Restarts == 0 {
+			t.Errorf("%s: the worker was kept", name)
+		}
+		f.close()
+	}
+}
+
+func TestLooksReachTheirHooks(t *testing.T) {
+	var seen []plugin.Call
+	s := &hookstest.Script{
+		Load: func(string) (plugin.Points, hookstest.Act) {
+			return plugin.Points(0).With(plugin.Answered).With(plugin.ListChanged).With(plugin.Unload), hookstest.Act{}
+		},
+		Call: func(_ string, c *plugin.Call) hookstest.Act {
+			seen = append(seen, *c)
+			return hookstest.Act{}
+		},
+	}
+	f := newField(t, 1, s, set(one("a")))
+	f.pass(20 * sim.Millisecond)
+	f.h.Answered(Answer{Class: "read", Outcome: plugin.WasFailed, Took: 9})
+	f.h.ListChanged(9, 8)
+	f.pass(20 * sim.Millisecond)
+	f.close()
+	if len(seen) != 3 || seen[0].Outcome != plugin.WasFailed || seen[1].TakeWork != 8 || seen[2].Point != plugin.Unload {
+		t.Errorf("%+v", seen)
+	}
+}
+
+func TestTheValueIsHandedOverWhereItIsWanted(t *testing.T) {
+	var seen [][]byte
+	s := &hookstest.Script{Call: func(_ string, c *plugin.Call) hookstest.Act {
+		seen = append(seen, append([]byte(nil), c.Value...))
+		return hookstest.Act{}
+	}}
+	a, b := one("a"), one("b")
+	b.WantsValue = true
+	f := newField(t, 1, s, set(a, b))
+	f.pass(20 * sim.Millisecond)
+	f.h.Ask(Request{ID: 1, TimeLeft: sim.Second, Value: func() []byte { return []byte("59 for OE1XYZ") }}, func(Verdict) {})
+	f.pass(20 * sim.Millisecond)
+	if len(seen) != 2 || len(seen[0]) > 0 || string(seen[1]) != "59 for OE1XYZ" {
+		t.Errorf("%q", seen)
+	}
+	f.close()
+}
+
+func TestReloadAndCloseWhileEveryWorkerIsStuck(t *testing.T) {
+	s := &hookstest.Script{Call: func(string, *plugin.Call) hookstest.Act { return hookstest.Act{Hang: true} }}
+	f := newField(t, 1, s, set(one("a"), one("b")))
+	f.pass(20 * sim.Millisecond)
+	for id := range int64(40) {
+		f.ask(id, "read")
+	}
+	f.pass(sim.Millisecond)
+	if err := f.h.Reload(set(one("c"))); err != nil {
+		t.Fatal(err)
+	}
+	f.pass(6 * sim.Millisecond)
+	f.ask(99, "read")
+	f.close()
+	for id := range int64(40) {
+		if len(f.verdicts[id]) != 1 {
+			t.Errorf("request %d has %d verdicts", id, len(f.verdicts[id]))
+		}
+	}
+}
+
+func TestASetThatDoesNotLoadIsNamed(t *testing.T) {
+	s := &hookstest.Script{Load: func(hook string) (plugin.Points, hookstest.Act) {
+		a := hookstest.Act{}
+		if hook == "bad" {
+			a.Fail = &plugin.Failure{Kind: plugin.Alien, Text: "it was built for version 2"}
+		}
+		return plugin.Points(0).With(plugin.OnRequest), a
+	}}
+	f := newField(t, 1, s, set(one("a")))
+	f.pass(20 * sim.Millisecond)
+	f.h.Reload(set(one("b"), one("bad")))
+	f.pass(20 * sim.Millisecond)
+	f.logged("hook bad: other contract: it was built for version 2; the hooks before stay")
+	if rows := f.h.Status(); len(rows) != 1 || rows[0].Name != "a" || !f.h.Ready() {
+		t.Errorf("%+v", rows)
+	}
+	f.close()
+}
+
+func TestAMachineWithoutWorkersLeavesOnFailureToDecide(t *testing.T) {
+	h := one("a")
+	h.OnFailure = policy.RefuseOn
+	f := newField(t, 1, &hookstest.Script{}, set(h))
+	f.host.Worker = nil
+	f.pass(20 * sim.Millisecond)
+	f.ask(1, "read")
+	f.pass(100 * sim.Millisecond)
+	if len(f.verdicts[1]) != 1 || f.verdicts[1][0].Say != plugin.Refuse {
+		t.Errorf("%+v", f.verdicts[1])
+	}
+	f.close()
+}
+
+// broken plays hooks by chance.
+func broken(r *rand.Rand) *hookstest.Script {
+	return &hookstest.Script{
+		Load: func(string) (plugin.Points, hookstest.Act) {
+			a := hookstest.Act{After: r.Int64N(3000), Die: r.IntN(20) == 0, Hang: r.IntN(30) == 0}
+			if r.IntN(20) == 0 {
+				a.Fail = &plugin.Failure{Kind: plugin.Crashed, Text: "in load"}
+			}
+			return plugin.Points(0).With(plugin.OnRequest).With(plugin.Answered).With(plugin.Unload), a
+		},
+		Call: func(string, *plugin.Call) hookstest.Act {
+			a := hookstest.Act{After: r.Int64N(200), Verdict: Verdict{Say: plugin.Say(r.IntN(3))}}
+			switch r.IntN(60) {
+			case 0:
+				a.Hang = true
+			case 1:
+				a.Die = true
+			case 2:
+				a.Say = []byte{1, 0, 0, 0, 99}
+			case 3:
+				a.Twice = true
+			case 4:
+				a.Fail = &plugin.Failure{Kind: plugin.Overran}
+			case 5:
+				a.After = r.Int64N(30_000)
+			}
+			return a
+		},
+	}
+}
+
+// TestBrokenHooksFromSeeds holds each run to one verdict a request, in time, and nothing left over; and equal seeds to equal
+// runs.
+func TestBrokenHooksFromSeeds(t *testing.T) {
+	play := func(seed uint64) uint64 {
+		r := rand.New(rand.NewPCG(seed, 2))
+		strict := one("strict")
+		strict.OnFailure = policy.RefuseOn
+		f := newField(t, seed, broken(r), set(one("a"), strict))
+		began, gone := map[int64]Time{}, map[int64]bool{}
+		for id := range int64(300) {
+			if f.ask(id, "read") {
+				began[id] = f.w.Now()
+			}
+			f.h.Answered(Answer{Class: "read"})
+			if r.IntN(20) == 0 {
+				x := r.Int64N(id + 1)
+				gone[x] = gone[x] || len(f.verdicts[x]) == 0
+				f.h.Gone(x)
+			}
+			if r.IntN(100) == 0 {
+				f.h.Reload(set(one("c"), one("d")))
+			}
+			f.pass(r.Int64N(4000))
+		}
+		f.close()
+		for id, at := range began { // any order
+			n := len(f.verdicts[id])
+			if n > 1 || n == 0 && !gone[id] || n == 1 && (gone[id] || f.at[id]-at > 51*sim.Millisecond) {
+				t.Errorf("seed %d: request %d has %d verdicts, after %d us; client gone: %v", seed, id, n, f.at[id]-at, gone[id])
+			}
+		}
+		return f.w.TraceHash()
+	}
+	for seed := range uint64(100) {
+		if a, b := play(seed), play(seed); a != b {
+			t.Errorf("seed %d gives two runs", seed)
+		}
+		if t.Failed() {
+			t.Fatal(fmt.Sprint("seed ", seed))
+		}
+	}
+}
--- a/internal/machine/machinetest/machinetest.go
+++ b/internal/machine/machinetest/machinetest.go
@@ -20,8 +20,8 @@
 	PutFile func(content []byte) string
 	// Signal sends A's process a signal. Nil leaves those tests out.
 	Signal func(machine.Signal)
-	// Workers says that A plays the workers of the suite.
-	Workers bool
+	// Worker is how A starts one of the workers of the suite. Nil leaves those tests out.
+	Worker func(which string) machine.Worker
 	// Nowhere is an address that gives no answer of any kind. Empty leaves those tests out.
 	Nowhere string
 }
@@ -64,6 +64,7 @@
 	{"FilesAreReadUpToABound", files},
 	{"SignalsWaitForTheirHandler", signals},
 	{"AWorkerIsTalkedTo", workerEchoes},
+	{"AMegabyteComesBackFromAWorker", workerMegabyte},
 	{"AWorkersEndIsTheEndOfItsConnection", workerEnds},
 	{"AKilledWorkerSaysNothingMore", workerKilled},
 	{"AWorkerThatIsKilledBeforeItIsUpIsNotTold", workerKilledEarly},
--- a/internal/machine/machinetest/worker.go
+++ b/internal/machine/machinetest/worker.go
@@ -7,7 +7,7 @@
 	"starlingwinch/internal/machine"
 )
 
-// Workers that a rig plays: the one word of the command line after WorkerWord says which.
+// Workers that a rig plays: in a command line, the word after WorkerWord says which.
 const (
 	WorkerWord = "machinetest-worker"
 	EchoWorker = "echo" // sends back what comes, up to the end
@@ -32,15 +32,22 @@
 	case EndWorker:
 		conn.Write([]byte("bye"))
 	case DeafWorker:
-		select {}
+		for b := make([]byte, 1); ; {
+			if _, err := conn.Read(b); err != nil { // where it runs inside a process, that is all of a Kill
+				return
+			}
+		}
 	}
 }
 
+// ByCommand is how a rig starts one by its command line.
+func ByCommand(which string) machine.Worker { return machine.Worker{Args: []string{WorkerWord, which}} }
+
 // VirtualWorker plays one as a handler.
 func VirtualWorker(args []string, c machine.Conn) machine.Handler {
 	switch args[1] {
 	case EchoWorker:
-		return &echo{c}
+		return &echo{c: c}
 	case EndWorker:
 		c.Write([]byte("bye"))
 		return nil
@@ -53,20 +60,28 @@
 func (deaf) Readable() {}
 func (deaf) Writable() {}
 
-type echo struct{ c machine.Conn }
+// echo sends back what comes, as soon as that is taken.
+type echo struct {
+	c    machine.Conn
+	left []byte
+}
 
-func (e *echo) Writable() {}
+func (e *echo) Writable() { e.Readable() }
 func (e *echo) Readable() {
-	var b [4096]byte
 	for {
-		n, err := e.c.Read(b[:])
-		if n > 0 {
-			e.c.Write(b[:n])
+		n, err := e.c.Write(e.left)
+		e.left = e.left[n:]
+		if err != nil || len(e.left) > 0 {
+			return
+		}
+		b := make([]byte, 4096)
+		n, err = e.c.Read(b)
+		e.left = b[:n]
+		if err == machine.ErrWait {
+			return
 		}
 		if err != nil {
-			if err != machine.ErrWait {
-				e.c.Close()
-			}
+			e.c.Close()
 			return
 		}
 	}
@@ -77,7 +92,7 @@
 	e := &end{b: b, reads: true}
 	var p machine.Process
 	b.call(func() {
-		p = b.A.Spawn(machine.Worker{Args: []string{WorkerWord, which}}, func(c machine.Conn, err error) machine.Handler {
+		p = b.A.Spawn(b.Worker(which), func(c machine.Conn, err error) machine.Handler {
 			defer b.turn()()
 			e.conn, e.err = c, err
 			if err != nil {
@@ -93,7 +108,7 @@
 }
 
 func workerEchoes(b *bench) {
-	if !b.Workers {
+	if b.Worker == nil {
 		b.Skip("no workers in this rig")
 	}
 	e, p := b.spawn(EchoWorker, func(e *end) { e.write("early") })
@@ -103,8 +118,46 @@
 	b.call(p.Kill)
 }
 
+// workerMegabyte has a megabyte go there and back through short writes.
+func workerMegabyte(b *bench) {
+	if b.Worker == nil {
+		b.Skip("no workers in this rig")
+	}
+	const most = 1 << 20
+	chunk := make([]byte, 50_021)
+	for i := range chunk {
+		chunk[i] = byte(i * 7 >> 3)
+	}
+	put := 0
+	var e *end
+	push := func() {
+		for put < most {
+			left := chunk[put%len(chunk):]
+			n, err := e.conn.Write(left)
+			if err != nil {
+				b.Fatalf("Write: %v", err)
+			}
+			put += n
+			if n < len(left) {
+				return
+			}
+		}
+	}
+	e, p := b.spawn(EchoWorker, func(*end) {})
+	e.writable = push
+	b.wait("the worker", func() bool { return e.conn != nil })
+	b.call(push)
+	b.wait("all of it", func() bool { return put >= most && len(e.got) == put })
+	for i, c := range e.got {
+		if c != chunk[i%len(chunk)] {
+			b.Fatalf("byte %d is not what was sent", i)
+		}
+	}
+	b.call(p.Kill)
+}
+
 func workerEnds(b *bench) {
-	if !b.Workers {
+	if b.Worker == nil {
 		b.Skip("no workers in this rig")
 	}
 	e, p := b.spawn(EndWorker, nil)
@@ -116,7 +169,7 @@
 }
 
 func workerKilled(b *bench) {
-	if !b.Workers {
+	if b.Worker == nil {
 		b.Skip("no workers in this rig")
 	}
 	e, p := b.spawn(DeafWorker, nil)
@@ -136,7 +189,7 @@
 }
 
 func workerKilledEarly(b *bench) {
-	if !b.Workers {
+	if b.Worker == nil {
 		b.Skip("no workers in this rig")
 	}
 	e, p := b.spawn(EchoWorker, nil)
@@ -148,12 +201,12 @@
 }
 
 func workerUnwanted(b *bench) {
-	if !b.Workers {
+	if b.Worker == nil {
 		b.Skip("no workers in this rig")
 	}
 	told := false
 	b.call(func() {
-		b.A.Spawn(machine.Worker{Args: []string{WorkerWord, DeafWorker}}, func(c machine.Conn, err error) machine.Handler {
+		b.A.Spawn(b.Worker(DeafWorker), func(c machine.Conn, err error) machine.Handler {
 			defer b.turn()()
 			told = true
 			return nil
--- a/internal/machine/real.go
+++ b/internal/machine/real.go
@@ -187,6 +187,7 @@
 	m.inbox.close()
 	for p := range m.workers { // any order
 		p.end()
+		p.conn.Close()
 	}
 	m.poll.shut()
 	m.timers = timers{}
--- a/internal/machine/worker.go
+++ b/internal/machine/worker.go
@@ -18,8 +18,9 @@
 // process is a worker. The loop has all of it but what mu guards.
 type process struct {
 	m    *Real
-	conn *conn
+	conn handled                   // nil where none could be opened
 	done func(Conn, error) Handler // nil once it was told, or is not to be
+	over bool                      // Kill was called
 
 	mu     sync.Mutex
 	os     *os.Process
@@ -29,23 +30,44 @@
 // Spawn implements Machine.
 func (m *Real) Spawn(w Worker, done func(Conn, error) Handler) Process {
 	p := &process{m: m, done: done}
+	if w.Inside != nil {
+		c := newInsideConn(m)
+		p.conn = c
+		m.workers[p] = true
+		go w.Inside(insideEnd{c})
+		m.Post(func() { p.up(nil) })
+		return p
+	}
 	far, err := p.connect()
-	switch {
-	case err != nil:
+	if err != nil {
 		m.Post(func() { p.up(err) })
-	case w.Inside != nil:
-		go w.Inside(far)
-		m.roused.Store(true)
-		m.Post(func() { p.up(nil) })
-	default:
-		m.conns++
-		m.workers[p] = true
-		go p.run(w, far)
-		m.roused.Store(true)
+		return p
 	}
+	m.conns++
+	m.workers[p] = true
+	go p.run(w, far)
+	m.roused.Store(true)
 	return p
 }
 
+// handled is a connection whose handler can be named.
+type handled interface {
+	Conn
+	handle(Handler)
+}
+
+func (c *conn) handle(h Handler) {
+	if c.fd >= 0 {
+		c.h = h
+	}
+}
+
+func (c *insideConn) handle(h Handler) {
+	if c.h != nil {
+		c.h = h
+	}
+}
+
 // connect opens the connection, and gives its other end, which blocks.
 func (p *process) connect() (*os.File, error) {
 	m := p.m
@@ -124,12 +146,15 @@
 		p.Kill()
 		return
 	}
-	if c.fd < 0 {
-		return
+	c.handle(h)
+	p.m.Post(func() { p.early(h) })
+}
+
+// early tells of what came before there was a handler, in a turn of its own.
+func (p *process) early(h Handler) {
+	if !p.over {
+		h.Readable()
 	}
-	c.h = h
-	p.m.tick()
-	h.Readable() // what came before was told to nobody
 }
 
 // gone is called once the process has ended and left no zombie.
@@ -141,10 +166,14 @@
 // Kill implements Process.
 func (p *process) Kill() {
 	p.done = nil
+	p.over = true
 	p.end()
 	if p.conn != nil {
 		p.conn.Close()
 	}
+	if _, inside := p.conn.(*insideConn); inside {
+		delete(p.m.workers, p)
+	}
 }
 
 // end has the kernel end the process. It reaches no other that has its number by now: the runtime knows.
--- a/internal/plugin/worker/confine.go
+++ b/internal/plugin/worker/confine.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// own is what the worker itself takes beside a hook's memory: the engine, and a module while it is compiled.
-	own = 12 << 20
+	// Own is what the worker itself takes beside a hook's memory: the engine, and a module while it is compiled.
+	Own = 12 << 20
 	// arena is how much address space the runtime asks for at a time, for its heap.
 	arena = 64 << 20
 	// chunk is the step in which it maps that.
@@ -48,7 +48,7 @@
 // and then the next one up to the bound, by bytes that are never touched and cost nothing; and the collector is told
 // of the bound, so that it runs before the bound is reached rather than at twice the size.
 func Confine(b plugin.Budget) {
-	allowed := b.Memory + own
+	allowed := b.Memory + Own
 	arenas := (allowed + arena - 1) / arena
 	debug.SetGCPercent(-1)
 	if !fillArena() {
@@ -57,7 +57,7 @@
 	ballast = append(ballast, make([]byte, arenas*arena-allowed))
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
-	debug.SetMemoryLimit(int64(m.Sys-m.HeapReleased) + allowed - own/3)
+	debug.SetMemoryLimit(int64(m.Sys-m.HeapReleased) + allowed - Own/3)
 	debug.SetGCPercent(max(1, int(garbage*100/m.HeapAlloc))) // of which nearly all is ballast
 	space, err := addressSpace()
 	if err != nil {
