--- /dev/null
+++ b/cmd/starlingwinch/hook.go
@@ -0,0 +1,276 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"starlingwinch/internal/fault"
+	"starlingwinch/internal/hooks"
+	"starlingwinch/internal/opfile"
+	"starlingwinch/internal/plugin"
+	"starlingwinch/internal/plugin/wire"
+	"starlingwinch/internal/plugin/worker"
+)
+
+// runWorker runs as a worker of a router where the command line says so. It comes before all else that a command
+// does: a worker has nothing to log, and is to start fast.
+func runWorker(args []string) bool {
+	if len(args) != 2 || args[1] != hooks.CommandName {
+		return false
+	}
+	if worker.Main() != nil {
+		os.Exit(exitFault)
+	}
+	return true
+}
+
+// hooksOf is the configuration of hooks in the files of a start, with the hooks' files read.
+func hooksOf(files []opfile.File) (hooks.Config, error) {
+	cfg, err := opfile.Get[hooks.File](files, hooks.Kind).Read()
+	cfg.Inside = func(c io.ReadWriteCloser) {
+		defer c.Close()
+		worker.Serve(c, nil)
+	}
+	return cfg, err
+}
+
+func hookCommand() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "hook new|check|run|bench",
+		Short: "Help to write hooks: a scaffold, a check, a dry run, a measurement",
+		Long: "Hooks are small programs of an operator's own that judge requests before the router does. These commands\n" +
+			"help to write them; deploy/hooks.toml switches them on. Each runs a hook as a router does, in a process of its\n" +
+			"own with the budget that the flags say.",
+		Args: func(cmd *cobra.Command, args []string) error {
+			if len(args) == 0 {
+				return usageError{cmd.CommandPath() + ": a command is wanted; see " + cmd.CommandPath() + " --help"}
+			}
+			return knownWords(cmd, args)
+		},
+		RunE: func(*cobra.Command, []string) error { return nil },
+	}
+	cmd.AddCommand(hookNewCommand(), hookCheckCommand(), hookRunCommand(), hookBenchCommand())
+	return cmd
+}
+
+// oneWord wants one argument.
+func oneWord(what string) cobra.PositionalArgs {
+	return func(cmd *cobra.Command, args []string) error {
+		if len(args) != 1 {
+			return usageError{fmt.Sprintf("%s: one %s is wanted; see %s --help", cmd.CommandPath(), what, cmd.CommandPath())}
+		}
+		return nil
+	}
+}
+
+// trial is a hook that is tried, and its budget.
+type trial struct {
+	time   time.Duration
+	load   time.Duration
+	memory string
+	steps  int64
+
+	name   string
+	code   []byte
+	budget plugin.Budget
+	client *worker.Client
+	points plugin.Points
+	loaded time.Duration
+}
+
+func (t *trial) flags(cmd *cobra.Command) {
+	u := hooks.DefaultFile().Each
+	cmd.Flags().DurationVar(&t.time, "time", u.Time, "budget of a call, as `SPAN`")
+	cmd.Flags().DurationVar(&t.load, "load-time", u.LoadTime, "budget of load, as `SPAN`")
+	cmd.Flags().StringVar(&t.memory, "memory", u.Memory.String(), "bound of its memory, as `SIZE`")
+	cmd.Flags().Int64Var(&t.steps, "steps", int64(u.Steps), "budget of steps; 0 for no bound")
+}
+
+// start reads a hook and loads it in a worker.
+func (t *trial) start(cmd *cobra.Command, path string) error {
+	usage := func(flag, text string) error {
+		return usageError{fmt.Sprintf("%s: --%s: %s", cmd.CommandPath(), flag, text)}
+	}
+	memory, err := opfile.ParseSize(t.memory)
+	switch {
+	case err != nil || memory < 1<<20 || memory > 1<<30:
+		return usage("memory", fmt.Sprintf("out of range (%s, wanted 1MiB to 1GiB)", fault.Quote(t.memory)))
+	case t.time < 100*time.Microsecond || t.time > time.Second:
+		return usage("time", fmt.Sprintf("out of range (%s, wanted 100us to 1s)", t.time))
+	case t.load < 10*time.Millisecond || t.load > 30*time.Second:
+		return usage("load-time", fmt.Sprintf("out of range (%s, wanted 10ms to 30s)", t.load))
+	case t.steps < 0:
+		return usage("steps", "below 0")
+	}
+	var engine plugin.Engine
+	for _, e := range worker.Engines {
+		if filepath.Ext(path) == e.Ending() {
+			engine = e
+		}
+	}
+	if engine == nil {
+		return fmt.Errorf("%s: unknown ending (wanted .wasm or .star)", fault.Plain(path))
+	}
+	if t.code, err = opfile.Read(path, plugin.MostCode); err != nil {
+		return err
+	}
+	t.name = strings.TrimSuffix(filepath.Base(path), filepath.Ext(path))
+	t.budget = plugin.Usual
+	t.budget.Time, t.budget.LoadTime = t.time.Microseconds(), t.load.Microseconds()
+	t.budget.Memory, t.budget.Steps = int64(memory), t.steps
+	if t.client, err = worker.NewClient(hooks.CommandName); err != nil {
+		return err
+	}
+	began := time.Now()
+	t.points, err = t.client.Load(wire.Load{Name: t.name, Engine: engine.Name(), Budget: t.budget, Code: t.code})
+	t.loaded = time.Since(began)
+	if err != nil {
+		t.client.Close()
+		return fmt.Errorf("%s: %w", fault.Plain(path), err)
+	}
+	return nil
+}
+
+// pointsOf words a set of points.
+func pointsOf(s plugin.Points) string {
+	var all []string
+	for _, p := range []plugin.Point{plugin.Load, plugin.OnRequest, plugin.Answered, plugin.ListChanged, plugin.Unload} {
+		if s.Has(p) {
+			all = append(all, p.String())
+		}
+	}
+	return strings.Join(all, ", ")
+}
+
+func hookCheckCommand() *cobra.Command {
+	var t trial
+	cmd := &cobra.Command{
+		Use:   "check FILE",
+		Short: "Load a hook as a router does, and name what is wrong with it",
+		Args:  oneWord("FILE"),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if err := t.start(cmd, args[0]); err != nil {
+				return err
+			}
+			defer t.client.Close()
+			if err := t.tryPoints(); err != nil {
+				return fmt.Errorf("%s: %w", fault.Plain(args[0]), err)
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "%s: good (contract %d; points: %s; %d bytes; loaded in %.1f ms)\n",
+				fault.Plain(args[0]), plugin.Version, pointsOf(t.points), len(t.code), float64(t.loaded.Microseconds())/1000)
+			return nil
+		},
+	}
+	t.flags(cmd)
+	return cmd
+}
+
+// tryPoints asks the hook once at each of its points, with a call that has all texts empty.
+func (t *trial) tryPoints() error {
+	for _, p := range []plugin.Point{plugin.OnRequest, plugin.Answered, plugin.ListChanged, plugin.Unload} {
+		if !t.points.Has(p) {
+			continue
+		}
+		budget := t.budget.Time
+		if p == plugin.Unload {
+			budget = t.budget.LoadTime
+		}
+		if _, err := t.client.Ask(&plugin.Call{Point: p, TimeLeft: 1_000_000}, budget); err != nil {
+			return fmt.Errorf("at the point %s, with nothing but empty texts: %w", p, err)
+		}
+	}
+	return nil
+}
+
+func hookRunCommand() *cobra.Command {
+	var t trial
+	var path string
+	var value bool
+	cmd := &cobra.Command{
+		Use:   "run FILE --requests FILE",
+		Short: "Ask a hook about recorded requests, and tell what it says",
+		Long: "Asks a hook about each line of a file of recorded requests (JSON, one object a line: point, verb, class,\n" +
+			"tenant, key, time_left_ms, size, value, outcome, took_ms, caches, take_work, now_ms; what is left out is empty) and\n" +
+			"tells its verdicts. Nothing is sent anywhere. Exits 1 where a call gave no verdict.",
+		Args: oneWord("FILE"),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if path == "" {
+				return usageError{cmd.CommandPath() + ": --requests: a FILE is wanted; see " + cmd.CommandPath() + " --help"}
+			}
+			calls, err := readRequests(path, value)
+			if err != nil {
+				return err
+			}
+			if err := t.start(cmd, args[0]); err != nil {
+				return err
+			}
+			defer t.client.Close()
+			return t.dryRun(cmd.OutOrStdout(), calls)
+		},
+	}
+	t.flags(cmd)
+	cmd.Flags().StringVar(&path, "requests", "", "the `FILE` of recorded requests")
+	cmd.Flags().BoolVar(&value, "wants-value", false, "hand the values over")
+	return cmd
+}
+
+// dryRun asks and prints.
+func (t *trial) dryRun(out io.Writer, calls []plugin.Call) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "LINE\tPOINT\tKEY\tVERDICT\tTOOK\tWORDS")
+	said := map[string]int{}
+	for i := range calls {
+		c := &calls[i]
+		if !t.points.Has(c.Point) {
+			said["not asked"]++
+			continue
+		}
+		r, err := t.client.Ask(c, t.budget.Time)
+		say, words := r.Verdict.Say.String(), wordsOf(&r.Verdict)
+		if err != nil {
+			say, words = "none", err.Error()
+		}
+		said[say]++
+		fmt.Fprintf(table, "%d\t%s\t%s\t%s\t%d us\t%s\n", i+1, c.Point, fault.Plain(c.Key), say, r.Spent, words)
+		if err != nil && r.Seq == 0 { // the worker is lost
+			break
+		}
+	}
+	table.Flush()
+	fmt.Fprintf(out, "%s: calls %d pass %d refuse %d fail %d none %d not_asked %d\n", t.name, len(calls), said["pass"],
+		said["refuse"], said["fail"], said["none"], said["not asked"])
+	if said["none"] > 0 {
+		return errors.New(t.name + ": a call gave no verdict")
+	}
+	return nil
+}
+
+// wordsOf words what a verdict says beside its kind.
+func wordsOf(v *plugin.Verdict) string {
+	var words []string
+	add := func(format string, args ...any) { words = append(words, fmt.Sprintf(format, args...)) }
+	if v.Wait > 0 {
+		add("wait %d ms", v.Wait/1000)
+	}
+	if v.Text != "" {
+		add("text %q", v.Text)
+	}
+	if v.Tenant != "" {
+		add("tenant %s", v.Tenant)
+	}
+	for _, tag := range v.Tags {
+		add("tag %s", tag)
+	}
+	for _, line := range v.Log {
+		add("log %q", line)
+	}
+	return strings.Join(words, "; ")
+}
--- a/cmd/starlingwinch/main.go
+++ b/cmd/starlingwinch/main.go
@@ -29,6 +29,9 @@
 func (e usageError) Error() string { return e.text }
 
 func main() {
+	if runWorker(os.Args) {
+		return
+	}
 	// From the first moment on: a SIGHUP that nobody takes would end the program.
 	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 	stderr := newOutlet(os.Stderr)
@@ -62,7 +65,7 @@
 		RunE:              func(*cobra.Command, []string) error { return inputs{}.run() },
 	}
 	cmd.SetFlagErrorFunc(flagError)
-	cmd.AddCommand(runCommand(), checkCommand(), membersCommand(), versionCommand())
+	cmd.AddCommand(runCommand(), checkCommand(), membersCommand(), hookCommand(), versionCommand())
 	cmd.SetHelpCommand(helpCommand())
 	return cmd
 }
--- a/cmd/starlingwinch/run.go
+++ b/cmd/starlingwinch/run.go
@@ -12,6 +12,7 @@
 
 	"starlingwinch/internal/eureka"
 	"starlingwinch/internal/fault"
+	"starlingwinch/internal/hooks"
 	"starlingwinch/internal/limits"
 	"starlingwinch/internal/machine"
 	"starlingwinch/internal/membership"
@@ -21,7 +22,7 @@
 )
 
 // kinds are the operators' files that the program knows. A subsystem adds its own here.
-var kinds = opfile.Registry{limits.Kind, membership.Kind, eureka.Kind}
+var kinds = opfile.Registry{limits.Kind, membership.Kind, eureka.Kind, hooks.Kind}
 
 const (
 	configVariable = "BALANCER_CONFIG"
