--- a/cmd/starlingwinch/documents_test.go
+++ b/cmd/starlingwinch/documents_test.go
@@ -55,8 +55,11 @@
 		stand := map[string]string{}
 		table, before := "", ""
 		for _, line := range strings.Split(string(raw), "\n") {
+			line = strings.TrimPrefix(line, "#: ") // an entry of a list, of which there is none by default
 			name, value, isKey := strings.Cut(line, " = ")
 			switch {
+			case strings.HasPrefix(line, "[["):
+				table = strings.Trim(line, "[]") + "[]."
 			case strings.HasPrefix(line, "["):
 				table = strings.Trim(line, "[]") + "."
 			case isKey && !strings.HasPrefix(line, "#") && name != "kind":
--- /dev/null
+++ b/cmd/starlingwinch/hook_test.go
@@ -0,0 +1,136 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// hookIn runs a hook command in a folder of its own.
+func hookIn(t *testing.T, dir string, args ...string) (code int, stdout, stderr string) {
+	t.Helper()
+	t.Chdir(dir)
+	return outcome(t, append([]string{"hook"}, args...)...)
+}
+
+func TestScaffoldsAreHooks(t *testing.T) {
+	dir := t.TempDir()
+	if code, out, errs := hookIn(t, dir, "new", "club"); code != 0 || !strings.HasPrefix(out, "club.star: written; next:\n") {
+		t.Fatalf("code %d, %s%s", code, out, errs)
+	}
+	code, out, errs := hookIn(t, dir, "check", "club.star")
+	if want := "club.star: good (contract 1; points: request; "; code != 0 || !strings.HasPrefix(out, want) {
+		t.Errorf("code %d, %s%s", code, out, errs)
+	}
+	if code, _, errs := hookIn(t, dir, "new", "club"); code != 1 || errs != "club.star: is there already, and stays as it is\n" {
+		t.Errorf("code %d, %s", code, errs)
+	}
+	if code, out, errs := hookIn(t, dir, "new", "club", "--engine", "wasm"); code != 0 || !strings.Contains(out, "-o club.wasm club.c") {
+		t.Errorf("code %d, %s%s", code, out, errs)
+	}
+	text, err := os.ReadFile(filepath.Join(dir, "club.c"))
+	if err != nil || strings.Contains(string(text), "NAME") || !strings.Contains(string(text), "The hook club.") {
+		t.Errorf("%v\n%s", err, text)
+	}
+}
+
+func TestHookCommandLinesThatAreWrongAreNamed(t *testing.T) {
+	for line, want := range map[string]string{ // any order
+		"":                            "starlingwinch hook: a command is wanted; see starlingwinch hook --help",
+		"chekc":                       `starlingwinch hook: unknown command "chekc" (did you mean "check"?)`,
+		"new":                         "starlingwinch hook new: one NAME is wanted",
+		"new ../x":                    `starlingwinch hook new: "../x" is no name for a hook`,
+		"new a --engine lua":          `starlingwinch hook new: --engine: unknown word "lua" (wanted script or wasm)`,
+		"check":                       "starlingwinch hook check: one FILE is wanted",
+		"check a.star --memory 1B":    `starlingwinch hook check: --memory: out of range ("1B", wanted 1MiB to 1GiB)`,
+		"check a.star --time 2s":      "starlingwinch hook check: --time: out of range (2s, wanted 100us to 1s)",
+		"run a.star":                  "starlingwinch hook run: --requests: a FILE is wanted",
+		"bench a.star --for 1ns":      "starlingwinch hook bench: --for: out of range (1ns, wanted 10ms to 10m)",
+		"check a.star --load-time 1m": "starlingwinch hook check: --load-time: out of range (1m0s, wanted 10ms to 30s)",
+	} {
+		code, _, errs := outcome(t, append([]string{"hook"}, strings.Fields(line)...)...)
+		if code != exitUsage || !strings.HasPrefix(errs, want) {
+			t.Errorf("%s: code %d, %s\nwant %s", line, code, errs, want)
+		}
+	}
+}
+
+func TestCheckNamesWhatIsWrongWithAHook(t *testing.T) {
+	for want, text := range map[string]string{ // any order
+		"does not load: a.star:":                                            "version = 1\ndef",
+		"other contract: it was built for version 9":                        "version = 9\ndef on_request(r):\n    pass\n",
+		"at the point request, with nothing but empty texts: crashed: a:3:": "version = 1\ndef on_request(r):\n    return r.key[0]\n",
+		"at the point unload, with nothing but empty texts: crashed":        "version = 1\ndef on_request(r):\n    pass\ndef on_unload():\n    return 1 // 0\n",
+		"overran its budget":                                                "version = 1\ndef on_request(r):\n    for i in range(1 << 40):\n        pass\n",
+	} {
+		path := file(t, "a.star", text)
+		code, _, errs := outcome(t, "hook", "check", path)
+		want = strings.Replace(want, "a.star:", "a:", 1)
+		if code != exitFault || !strings.Contains(errs, want) {
+			t.Errorf("code %d, %s\nwant %s", code, errs, want)
+		}
+	}
+	if code, _, errs := outcome(t, "hook", "check", file(t, "a.lua", "")); code != 1 || !strings.Contains(errs, "unknown ending") {
+		t.Errorf("code %d, %s", code, errs)
+	}
+}
+
+func TestRunTellsWhatAHookSays(t *testing.T) {
+	hook := file(t, "a.star", `version = 1
+def on_request(r):
+    if r.key == "R":
+        return refuse(250)
+    if r.key == "F":
+        log("seen")
+        return fail("no such call")
+    if r.key == "V":
+        return fail(str(r.value))
+    tag("club")
+    tenant("guests")
+`)
+	requests := file(t, "r.jsonl", `{"key":"P","class":"call-lookup"}
+
+{"key":"R"}
+{"key":"F","time_left_ms":480}
+{"point":"answered","outcome":"failed"}
+{"key":"V","value":"59"}
+`)
+	code, out, errs := outcome(t, "hook", "run", hook, "--requests", requests, "--wants-value", "--time", "1s")
+	if code != 0 {
+		t.Fatalf("code %d, %s", code, errs)
+	}
+	for _, want := range []string{"tenant guests; tag club", "wait 250 ms", `text "no such call"; log "seen"`, `text "59"`,
+		"a: calls 5 pass 1 refuse 1 fail 2 none 0 not_asked 1\n"} {
+		if !strings.Contains(out, want) {
+			t.Errorf("%s\nis not in\n%s", want, out)
+		}
+	}
+	crash := file(t, "b.star", "version = 1\ndef on_request(r):\n    return [][1]\n")
+	if code, out, errs := outcome(t, "hook", "run", crash, "--requests", requests); code != 1 || !strings.Contains(out, "none 4") {
+		t.Errorf("code %d, %s%s", code, out, errs)
+	}
+	bad := file(t, "bad.jsonl", "{\"key\":\"P\"}\n{\"kye\":\"P\"}\n")
+	if code, _, errs := outcome(t, "hook", "run", hook, "--requests", bad); code != 1 || !strings.Contains(errs, `bad.jsonl:2: json: unknown field "kye"`) {
+		t.Errorf("code %d, %s", code, errs)
+	}
+}
+
+func TestBenchTellsWhatAHookCosts(t *testing.T) {
+	hook := file(t, "a.star", "version = 1\ndef on_request(r):\n    pass\n")
+	code, out, errs := outcome(t, "hook", "bench", hook, "--for", "50ms", "--time", "1s")
+	if code != 0 || !strings.HasPrefix(out, "a: calls ") || !strings.Contains(out, " none 0 load_ms ") || !strings.Contains(out, " worker_MiB ") {
+		t.Errorf("code %d, %s%s", code, out, errs)
+	}
+}
+
+func FuzzRecordedRequest(f *testing.F) {
+	f.Add([]byte(`{"point":"request","class":"x","key":"k","time_left_ms":480,"size":3,"value":"abc"}`))
+	f.Add([]byte(`{"point":"answered","outcome":"refused","took_ms":1.5,"now_ms":1e9}`))
+	f.Fuzz(func(t *testing.T, line []byte) {
+		c, err := parseRequest(line, true)
+		if err == nil && (c.Size < 0 || c.TimeLeft < 0 || c.Took < 0 || c.Now < 0 || c.Outcome.String() == "no outcome" || c.Point.String() == "no point") {
+			t.Errorf("%+v", c)
+		}
+	})
+}
--- /dev/null
+++ b/internal/hooks/overrun_test.go
@@ -0,0 +1,73 @@
+package hooks
+
+import (
+	"slices"
+	"testing"
+
+	"starlingwinch/internal/hooks/policy"
+	"starlingwinch/internal/plugin"
+	"starlingwinch/internal/plugin/wasmfile"
+)
+
+// BenchmarkOverrun measures how long after its budget a request of a hook that does not come back has its verdict, and how long
+// the next request of that hook waits.
+func BenchmarkOverrun(b *testing.B) {
+	loop := &wasmfile.Module{Pages: 1}
+	loop.Func("hook_version", 0, 1, 0, wasmfile.I32Const(1))
+	loop.Func("hook_room", 1, 1, 0, wasmfile.I32Const(1024))
+	loop.Func("on_request", 1, 1, 0, wasmfile.LocalGet(0), wasmfile.I32Load(28), // the key's length
+		wasmfile.If(wasmfile.Loop(wasmfile.Br(0))), wasmfile.I32Const(0))
+	open := plugin.Usual
+	open.Steps = 1 << 40
+	bare := open
+	bare.Depth, bare.Steps = 0, 0
+	for _, c := range []struct {
+		name, key string
+		hook      Hook
+	}{
+		{"ScriptLoop", "loop", script("x", moody)},
+		{"ScriptBuiltIn", "sort", script("x", moody)},
+		{"ScriptMemory", "swell", script("x", moody)},
+		{"ModuleLoop", "loop", Hook{Engine: "wasm", Code: loop.Bytes()}},
+		{"ModuleLoopInside", "loop", Hook{Engine: "wasm", Code: loop.Bytes(), Inside: true}},
+		{"ModuleRecursion", "x", Hook{Engine: "wasm", Code: trap()}},
+		{"ModuleRecursionUncounted", "x", Hook{Engine: "wasm", Code: trap()}},
+		{"ModuleRecursionInside", "x", Hook{Engine: "wasm", Code: trap(), Inside: true}},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			h := c.hook
+			h.Hook = one("x").Hook
+			h.OnFailure = policy.RefuseOn
+			h.Budget = open
+			if c.name == "ModuleRecursionUncounted" {
+				h.Budget = bare
+			}
+			if c.key == "sort" {
+				h.Budget.Memory = 1 << 30
+			}
+			cfg := set(h)
+			cfg.WaitShare, cfg.WaitMost = 0.9, 9_000_000
+			var over, after []Time
+			for range b.N {
+				r := newRig(b, cfg)
+				r.run(func(done func()) {
+					r.ready(func() {
+						r.ask("a", c.key, func(_ Verdict, took Time) {
+							over = append(over, took-h.Time)
+							r.ask("a", "", func(_ Verdict, took Time) {
+								after = append(after, took)
+								done()
+							})
+						})
+					})
+				})
+			}
+			slices.Sort(over)
+			slices.Sort(after)
+			b.ReportMetric(0, "ns/op")
+			b.ReportMetric(float64(over[len(over)/2])/1000, "over-p50-ms")
+			b.ReportMetric(float64(over[len(over)-1])/1000, "over-max-ms")
+			b.ReportMetric(float64(after[len(after)/2])/1000, "next-p50-ms")
+		})
+	}
+}
--- a/internal/machine/worker.go
+++ b/internal/machine/worker.go
@@ -54,16 +54,20 @@
 type handled interface {
 	Conn
 	handle(Handler)
+	open() bool
 }
 
+func (c *conn) open() bool       { return c.fd >= 0 }
+func (c *insideConn) open() bool { return c.h != nil }
+
 func (c *conn) handle(h Handler) {
-	if c.fd >= 0 {
+	if c.open() {
 		c.h = h
 	}
 }
 
 func (c *insideConn) handle(h Handler) {
-	if c.h != nil {
+	if c.open() {
 		c.h = h
 	}
 }
@@ -152,7 +156,7 @@
 
 // early tells of what came before there was a handler, in a turn of its own.
 func (p *process) early(h Handler) {
-	if !p.over {
+	if !p.over && p.conn.open() {
 		h.Readable()
 	}
 }
--- a/internal/plugin/worker/confine.go
+++ b/internal/plugin/worker/confine.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"strconv"
@@ -32,7 +33,11 @@
 var ballast [][]byte
 
 // Main is the program of a worker process: it serves its standard input, and returns when that ends.
+//
+// The danger: what stops a service sends its signal to all of its processes. The router drains then, and needs its
+// hooks until it has.
 func Main() error {
+	signal.Ignore(syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	yieldTo()
 	debug.SetMaxStack(stack)
 	return Serve(os.Stdin, Confine)
--- a/internal/plugin/worker/worker_test.go
+++ b/internal/plugin/worker/worker_test.go
@@ -239,6 +239,20 @@
 	return n << 10
 }
 
+func TestSignalsForTheRouterDoNotEndAWorker(t *testing.T) {
+	p := process(t)
+	p.load("script", moody, patient)
+	for _, sig := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGINT} {
+		if err := p.cmd.Process.Signal(sig); err != nil {
+			t.Fatal(err)
+		}
+	}
+	p.ask(1, "A")
+	if r := p.reply(); r.Failed {
+		t.Errorf("%+v", r)
+	}
+}
+
 func TestWorkerRefusesWhatIsNoHookAndEnds(t *testing.T) {
 	for want, l := range map[string]wire.Load{ // any order
 		"there is no engine lua":                {Engine: "lua"},
