--- a/cmd/starlingwinch/hook.go
+++ b/cmd/starlingwinch/hook.go
@@ -32,12 +32,15 @@
 	return true
 }
 
-// hooksOf is the configuration of hooks in the files of a start, with the hooks' files read.
-func hooksOf(files []opfile.File) (hooks.Config, error) {
+// hooksOf is the configuration of hooks in the files of a start, with the hooks' files read, for a router with so many
+// processors.
+func hooksOf(files []opfile.File, processors int) (hooks.Config, error) {
 	cfg, err := opfile.Get[hooks.File](files, hooks.Kind).Read()
-	cfg.Inside = func(c io.ReadWriteCloser) {
-		defer c.Close()
-		worker.Serve(c, nil)
+	if processors > 1 {
+		cfg.Inside = func(c io.ReadWriteCloser) {
+			defer c.Close()
+			worker.Serve(c, nil)
+		}
 	}
 	return cfg, err
 }
--- a/cmd/starlingwinch/hook_test.go
+++ b/cmd/starlingwinch/hook_test.go
@@ -5,6 +5,8 @@
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"starlingwinch/internal/opfile"
 )
 
 // hookIn runs a hook command in a folder of its own.
@@ -124,6 +126,20 @@
 	}
 }
 
+func TestHooksOfAStartAreReadWithTheirCode(t *testing.T) {
+	dir := filepath.Dir(file(t, "club.star", "version = 1\n"))
+	set, err := kinds.Parse("hooks.toml", []byte("kind = \"hooks\"\nfolder = \""+dir+"\"\n[[hook]]\nfile = \"club.star\"\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, processors := range []int{1, 2} {
+		cfg, err := hooksOf([]opfile.File{set}, processors)
+		if err != nil || len(cfg.Hooks) != 1 || string(cfg.Hooks[0].Code) != "version = 1\n" || (cfg.Inside != nil) != (processors > 1) {
+			t.Errorf("%d processors: %+v, %v", processors, cfg, err)
+		}
+	}
+}
+
 func FuzzRecordedRequest(f *testing.F) {
 	f.Add([]byte(`{"point":"request","class":"x","key":"k","time_left_ms":480,"size":3,"value":"abc"}`))
 	f.Add([]byte(`{"point":"answered","outcome":"refused","took_ms":1.5,"now_ms":1e9}`))
--- a/internal/hooks/hooks.go
+++ b/internal/hooks/hooks.go
@@ -5,7 +5,7 @@
 package hooks
 
 import (
-	"errors"
+	"fmt"
 	"io"
 
 	"starlingwinch/internal/hooks/policy"
@@ -29,7 +29,10 @@
 	// Command is the command line of this program that runs a worker: its standard input is worker.Main's. Empty
 	// stands for CommandName.
 	Command []string
-	// Inside is worker.Serve, for hooks that run inside the router. Nil where none may.
+	// Inside is worker.Serve, for hooks that run inside the router. Nil where none may; then they have processes.
+	//
+	// The danger: with one processor, a module that loops keeps the router's loop from running for some 30 ms,
+	// until the scheduler comes in between.
 	Inside func(io.ReadWriteCloser)
 }
 
@@ -97,14 +100,15 @@
 // Reload has a set of hooks take over in one step, once all of it has loaded. Where one does not load, the log names it
 // and the set before stays. The error says why cfg is no set at all.
 func (h *Hooks) Reload(cfg Config) error {
-	for _, hook := range cfg.Hooks {
-		if hook.Inside && cfg.Inside == nil {
-			return errors.New("hooks: " + hook.Name + ": no hook runs inside of this router")
-		}
+	if len(cfg.Hooks) > mostHooks {
+		return fmt.Errorf("hooks: %d of them (wanted at most %d)", len(cfg.Hooks), mostHooks)
 	}
 	s := policy.Settings{WaitShare: cfg.WaitShare, WaitMost: cfg.WaitMost}
 	for _, hook := range cfg.Hooks {
 		s.Hooks = append(s.Hooks, hook.Hook)
+		if hook.Inside && cfg.Inside == nil {
+			h.log("hook " + hook.Name + ": runs in a process, as none may run inside of this router")
+		}
 	}
 	h.sets[h.p.Load(h.m.Now(), s)] = cfg
 	h.later()
--- a/internal/hooks/virtual_test.go
+++ b/internal/hooks/virtual_test.go
@@ -269,6 +269,18 @@
 	f.close()
 }
 
+func TestWhereNoHookRunsInsideItHasAProcess(t *testing.T) {
+	h := one("a")
+	h.Inside = true
+	f := newField(t, 1, &hookstest.Script{}, set(h))
+	f.pass(20 * sim.Millisecond)
+	f.logged("hook a: runs in a process, as none may run inside of this router")
+	if !f.h.Ready() {
+		t.Error("it does not run")
+	}
+	f.close()
+}
+
 // broken plays hooks by chance.
 func broken(r *rand.Rand) *hookstest.Script {
 	return &hookstest.Script{
