--- a/cmd/starlingwinch/hook_bench.go
+++ b/cmd/starlingwinch/hook_bench.go
@@ -20,6 +20,16 @@
 // mostSamples bounds the calls of a measurement.
 const mostSamples = 1 << 20
 
+// lookup is what a hook is asked about where nothing was recorded.
+var lookup = plugin.Call{
+	Point:    plugin.OnRequest,
+	Verb:     "C.GET",
+	Class:    "call-lookup",
+	Tenant:   "acme",
+	Key:      "OE1XYZ",
+	TimeLeft: 480_000,
+}
+
 func hookBenchCommand() *cobra.Command {
 	var t trial
 	var path string
@@ -33,7 +43,7 @@
 			if span < 10*time.Millisecond || span > 10*time.Minute {
 				return usageError{fmt.Sprintf("%s: --for: out of range (%s, wanted 10ms to 10m)", cmd.CommandPath(), span)}
 			}
-			calls := []plugin.Call{{Point: plugin.OnRequest, Verb: "C.GET", Class: "call-lookup", Tenant: "acme", Key: "OE1XYZ", TimeLeft: 480_000}}
+			calls := []plugin.Call{lookup}
 			if path != "" {
 				var err error
 				if calls, err = readRequests(path, value); err != nil {
@@ -78,9 +88,10 @@
 		slices.Sort(all)
 		return float64(all[int(part*float64(len(all)-1))].Nanoseconds()) / 1000
 	}
-	fmt.Fprintf(out, "%s: calls %d none %d load_ms %.1f call_p50_us %.0f call_p99_us %.0f trip_p50_us %.0f trip_p99_us %.0f worker_MiB %.1f\n",
-		t.name, len(trip), none, float64(t.loaded.Microseconds())/1000, us(spent, 0.5), us(spent, 0.99), us(trip, 0.5), us(trip, 0.99),
-		float64(ownMemory(t.client.Pid()))/(1<<20))
+	fmt.Fprintf(out, "%s: calls %d none %d load_ms %.1f ", t.name, len(trip), none,
+		float64(t.loaded.Microseconds())/1000)
+	fmt.Fprintf(out, "call_p50_us %.0f call_p99_us %.0f trip_p50_us %.0f trip_p99_us %.0f worker_MiB %.1f\n", us(spent, 0.5),
+		us(spent, 0.99), us(trip, 0.5), us(trip, 0.99), float64(ownMemory(t.client.Pid()))/(1<<20))
 	return nil
 }
 
--- a/internal/hooks/config.go
+++ b/internal/hooks/config.go
@@ -88,7 +88,11 @@
 // Kind is the kind of file that sets it.
 var Kind = opfile.Define("hooks", "the operators' own hooks, and what they may use", DefaultFile(), checkFile)
 
-var pointNames = map[string]plugin.Point{"request": plugin.OnRequest, "answered": plugin.Answered, "list": plugin.ListChanged}
+var pointNames = map[string]plugin.Point{
+	"request":  plugin.OnRequest,
+	"answered": plugin.Answered,
+	"list":     plugin.ListChanged,
+}
 
 // checkFile looks at what no single range tells.
 func checkFile(f File, bad opfile.Bad) {
--- a/internal/hooks/hooks.go
+++ b/internal/hooks/hooks.go
@@ -89,7 +89,14 @@
 // New begins with a set of hooks. Their workers come up meanwhile; until then, requests wait for them as they do for
 // hooks that are slow.
 func New(m machine.Machine, cfg Config, log func(string)) (*Hooks, error) {
-	h := &Hooks{m: m, log: log, p: policy.New(), done: map[int64]func(Verdict){}, sets: map[int]Config{}, workers: map[int]*link{}}
+	h := &Hooks{
+		m:       m,
+		log:     log,
+		p:       policy.New(),
+		done:    map[int64]func(Verdict){},
+		sets:    map[int]Config{},
+		workers: map[int]*link{},
+	}
 	h.turned, h.ticked = h.turn, h.tick
 	if len(cfg.Hooks) == 0 {
 		return h, nil
--- /dev/null
+++ b/internal/hooks/policy/chance_test.go
@@ -0,0 +1,84 @@
+package policy
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"starlingwinch/internal/plugin"
+)
+
+// TestEachRequestHasOneVerdictInTimeWhateverHappens plays workers, clients and operators by chance.
+func TestEachRequestHasOneVerdictInTimeWhateverHappens(t *testing.T) {
+	for seed := range uint64(400) {
+		f := newField(t)
+		r := rand.New(rand.NewPCG(seed, 1))
+		due, gone := map[int64]Time{}, map[int64]bool{}
+		set := func() Settings {
+			var hooks []Hook
+			for i := range r.IntN(4) {
+				h := hookNamed(fmt.Sprint("h", i))
+				h.Queue = 1 + r.IntN(40)
+				h.OnFailure = OnFailure(r.IntN(2))
+				h.Share = []float64{0.01, 1}[r.IntN(2)]
+				hooks = append(hooks, h)
+			}
+			return settings(hooks...)
+		}
+		id := int64(0)
+		for step := range 600 {
+			ids := f.running()
+			pick := func() int { return ids[r.IntN(len(ids))] }
+			switch n := r.IntN(100); {
+			case n < 40:
+				id++
+				left := Time(r.IntN(800 * ms))
+				if f.p.Ask(f.now, Request{ID: id, Call: plugin.Call{Point: plugin.OnRequest, TimeLeft: left}}) {
+					due[id] = f.now + min(50*ms, left/10)
+				}
+			case n < 45 && id > 0:
+				x := 1 + r.Int64N(id)
+				if len(f.verdicts[x]) == 0 {
+					gone[x] = true
+				}
+				f.p.Gone(f.now, x)
+			case n < 48:
+				f.p.Look(f.now, plugin.Call{Point: plugin.Answered})
+			case n < 52 && len(ids) > 0:
+				f.p.Ended(f.now, pick(), "crashed")
+			case n < 54:
+				f.p.Load(f.now, set())
+			case n < 60:
+				f.pass(Time(r.IntN(30 * ms)))
+			case n < 62 && step > 500:
+				f.p.Close(f.now)
+			case n < 72:
+				f.up(requestPoint.With(plugin.Answered).With(plugin.Unload))
+			case len(ids) > 0:
+				if w := pick(); len(f.asked[w]) > 0 {
+					say := []plugin.Say{plugin.Pass, plugin.Pass, plugin.Refuse, plugin.Fail}[r.IntN(4)]
+					f.reply(w, Reply{Failed: r.IntN(8) == 0, Verdict: &plugin.Verdict{Say: say}})
+				}
+			}
+			f.carry()
+			for x, at := range due { // any order
+				n := len(f.verdicts[x])
+				if n > 1 || n > 0 && gone[x] || n == 0 && !gone[x] && at < f.now {
+					t.Fatalf("seed %d, step %d: request %d, due at %d, has %d verdicts at %d, client gone: %v", seed, step, x, at, n, f.now, gone[x])
+				}
+			}
+		}
+		f.p.Close(f.now)
+		f.carry()
+		f.pass(1000 * ms)
+		left := f.p.Left()
+		if f.closed != 1 || left["requests"]+left["workers"]+left["calls"]+left["old sets"] > 0 || len(f.running()) > 0 {
+			t.Fatalf("seed %d: closed %d, left %v, running %v", seed, f.closed, left, f.running())
+		}
+		for x := range due { // any order
+			if n := len(f.verdicts[x]); n != 1 && !gone[x] {
+				t.Fatalf("seed %d: request %d has %d verdicts", seed, x, n)
+			}
+		}
+	}
+}
--- a/internal/hooks/policy/policy.go
+++ b/internal/hooks/policy/policy.go
@@ -321,5 +321,10 @@
 	for _, h := range p.hooks() {
 		waiting += len(h.waiting)
 	}
-	return map[string]int{"requests": len(p.requests), "workers": len(p.workers), "calls": out + waiting, "old sets": len(p.old)}
+	return map[string]int{
+		"requests": len(p.requests),
+		"workers":  len(p.workers),
+		"calls":    out + waiting,
+		"old sets": len(p.old),
+	}
 }
