--- a/internal/standin/lab_test.go
+++ b/internal/standin/lab_test.go
@@ -144,6 +144,10 @@
 func (l *lab) ListenPacket(string, func(string, []byte)) (machine.PacketConn, error) {
 	return nil, errors.New("the lab has no datagrams")
 }
+func (l *lab) Spawn(machine.Worker, func(machine.Conn, error) machine.Handler) machine.Process {
+	panic("the lab has no workers")
+}
+
 func (l *lab) ReadFile(string, int64) ([]byte, error) { return nil, errors.New("the lab has no files") }
 func (l *lab) Signals(func(machine.Signal))           {}
 func (l *lab) Log(string)                             {}
