--- /dev/null
+++ b/internal/hooks/policy/policy_test.go
@@ -0,0 +1,356 @@
+package policy
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"starlingwinch/internal/plugin"
+)
+
+func TestWithoutHooksNothingIsTaken(t *testing.T) {
+	f := newField(t)
+	if f.ask(1, "read") || !f.p.Idle() {
+		t.Error("taken")
+	}
+	h := hookNamed("a")
+	h.Classes = []string{"put"}
+	f.load(h)
+	if f.ask(2, "read") {
+		t.Error("taken by a hook for another class")
+	}
+	if n := testing.AllocsPerRun(100, func() { f.p.Ask(f.now, Request{Call: plugin.Call{Class: "read"}}) }); n > 0 {
+		t.Errorf("%v allocations", n)
+	}
+}
+
+func TestHooksAreAskedInTheirOrderAndTheirWordsAddUp(t *testing.T) {
+	f := newField(t)
+	f.load(hookNamed("a"), hookNamed("b"))
+	f.ask(1, "read")
+	if len(f.asked[f.of(1)]) > 0 {
+		t.Error("the second hook is asked with the first")
+	}
+	f.reply(f.of(0), Reply{Verdict: &plugin.Verdict{Tenant: "club", Tags: []string{"x"}}})
+	f.hasNone(1)
+	calls := f.asked[f.of(1)]
+	if len(calls) != 1 || calls[0].Call().Tenant != "club" {
+		t.Fatalf("the second hook is asked %+v", calls)
+	}
+	f.reply(f.of(1), Reply{Verdict: &plugin.Verdict{Tags: []string{"y"}, Log: []string{"seen"}}})
+	f.has(1, plugin.Pass, 0)
+	if v := f.verdicts[1][0]; v.Tenant != "club" || !slices.Equal(v.Tags, []string{"x", "y"}) {
+		t.Errorf("%+v", v)
+	}
+	f.logged("hook b: says: seen")
+}
+
+func TestARefusalAsksNobodyElse(t *testing.T) {
+	f := newField(t)
+	f.load(hookNamed("a"), hookNamed("b"))
+	f.ask(1, "read")
+	f.reply(f.of(0), Reply{Verdict: &plugin.Verdict{Say: plugin.Refuse, Wait: 9}})
+	f.has(1, plugin.Refuse, 9)
+	f.ask(2, "read")
+	f.reply(f.of(0), Reply{Verdict: &plugin.Verdict{Say: plugin.Fail, Text: "no such call"}})
+	f.has(2, plugin.Fail, 0)
+	if len(f.asked[f.of(1)]) > 0 {
+		t.Error("the second hook was asked")
+	}
+}
+
+func TestOnFailureDecidesWhereACallFails(t *testing.T) {
+	f := newField(t)
+	strict := hookNamed("strict")
+	strict.OnFailure, strict.RefuseWait = RefuseOn, 700
+	f.load(hookNamed("lax"), strict)
+	f.ask(1, "read")
+	f.reply(f.of(0), Reply{Failed: true, Kind: plugin.Crashed, Text: "unreachable"})
+	f.hasNone(1)
+	f.reply(f.of(1), Reply{Failed: true, Kind: plugin.Overran})
+	f.has(1, plugin.Refuse, 700)
+	f.logged("hook lax: crashed: unreachable")
+}
+
+func TestARequestWaitsNoLongerThanItsPart(t *testing.T) {
+	f := newField(t)
+	strict := hookNamed("strict")
+	strict.OnFailure = RefuseOn
+	strict.Time = 1000 * ms // slower than the client waits
+	f.load(strict)
+	f.ask(1, "read")
+	f.pass(49 * ms)
+	f.hasNone(1)
+	f.pass(1 * ms)
+	f.has(1, plugin.Refuse, 0)
+	f.reply(f.of(0), Reply{}) // too late
+	f.has(1, plugin.Refuse, 0)
+
+	f.p.Ask(f.now, Request{ID: 2, Call: plugin.Call{TimeLeft: 100 * ms}})
+	f.carry()
+	f.pass(10 * ms)
+	f.has(2, plugin.Refuse, 0)
+}
+
+func TestAStuckWorkerIsEndedWithinItsGraceAndTheOthersAreAskedAgain(t *testing.T) {
+	f := newField(t)
+	f.load(hookNamed("a"))
+	for id := range int64(3) {
+		f.ask(id, "read")
+	}
+	first := f.of(0)
+	f.pass(13 * ms)
+	if f.of(0) == first {
+		t.Fatal("the worker runs on")
+	}
+	f.has(0, plugin.Pass, 0)
+	f.hasNone(1)
+	f.up(requestPoint)
+	f.reply(f.of(0), Reply{Verdict: &plugin.Verdict{Say: plugin.Refuse}})
+	f.has(1, plugin.Refuse, 0)
+	f.pass(13 * ms) // lost a second time
+	f.has(2, plugin.Pass, 0)
+}
+
+func TestAMachineThatStoodStillLosesNoWorker(t *testing.T) {
+	f := newField(t)
+	f.load(hookNamed("a"))
+	f.ask(1, "read")
+	worker := f.of(0)
+	f.now += 40 * ms
+	f.p.Tick(f.now)
+	f.carry()
+	if f.of(0) != worker {
+		t.Fatal("the worker was ended")
+	}
+	for range 20 { // it stands still again and again: the worker is stuck all the same
+		f.now += 40 * ms
+		f.p.Tick(f.now)
+		f.carry()
+	}
+	if f.of(0) == worker {
+		t.Error("the worker is never ended")
+	}
+}
+
+func TestAFullQueueDecidesAtOnce(t *testing.T) {
+	f := newField(t)
+	h := hookNamed("a")
+	h.Queue = 20
+	f.load(h)
+	for id := range int64(20) {
+		if !f.ask(id, "read") {
+			t.Fatalf("request %d is not taken", id)
+		}
+	}
+	if n := len(f.asked[f.of(0)]); n != flight {
+		t.Errorf("%d calls are out", n)
+	}
+	if f.ask(20, "read") {
+		t.Error("one more is taken")
+	}
+	h.OnFailure = RefuseOn
+	f = newField(t)
+	f.load(h)
+	for id := range int64(21) {
+		f.ask(id, "read")
+	}
+	f.has(20, plugin.Refuse, 0)
+	f.hasNone(19)
+}
+
+func TestAHookThatKeepsFailingIsSuspendedForSpansThatDouble(t *testing.T) {
+	f := newField(t)
+	f.load(hookNamed("a"))
+	id := int64(0)
+	for _, seconds := range []Time{1, 2, 4, 8} {
+		for f.ask(id, "read") {
+			f.reply(f.of(0), Reply{Failed: true, Kind: plugin.Crashed, Text: "x"})
+			f.has(id, plugin.Pass, 0)
+			id++
+		}
+		if id > 100 || len(f.running()) > 0 {
+			t.Fatalf("after %d failures there are %d workers", id, len(f.running()))
+		}
+		f.logged(fmt.Sprintf("suspended for %d s: crashed: x", seconds))
+		f.pass(seconds<<20 + ms)
+		f.up(requestPoint)
+	}
+	for range 300 { // good conduct wins it back
+		f.ask(id, "read")
+		f.reply(f.of(0), Reply{})
+		id++
+	}
+	if h := f.p.present.hooks[0]; h.rest != 0 || h.score != 0 {
+		t.Errorf("rest %d, score %v", h.rest, h.score)
+	}
+}
+
+func TestAHookThatFailsOnceInAHundredGoesOn(t *testing.T) {
+	f := newField(t)
+	f.load(hookNamed("a"))
+	for id := range int64(5000) {
+		if !f.ask(id, "read") {
+			t.Fatalf("request %d is not taken", id)
+		}
+		f.reply(f.of(0), Reply{Failed: id%100 == 0})
+		f.now += ms
+	}
+}
+
+func TestAHookGetsItsShareOfTheCoreAndNoMore(t *testing.T) {
+	f := newField(t)
+	h := hookNamed("a")
+	h.Share = 0.1
+	f.load(h)
+	taken := 0
+	for id := range int64(4000) { // 4 ms of work every 5 ms
+		if f.ask(id, "read") {
+			taken++
+			calls := f.asked[f.of(0)]
+			f.asked[f.of(0)] = calls[1:]
+			f.p.Replied(f.now, f.of(0), Reply{Seq: calls[0].Seq, Spent: 4 * ms, Verdict: &plugin.Verdict{}})
+			f.carry()
+		}
+		f.now += 5 * ms
+	}
+	if share := float64(taken) * 4 / (4000 * 5); share < 0.09 || share > 0.11 {
+		t.Errorf("it had %v of the core", share)
+	}
+}
+
+func TestAClientThatLeavesIsForgotten(t *testing.T) {
+	f := newField(t)
+	f.load(hookNamed("a"))
+	value := 0
+	for id := range int64(flight + 2) {
+		f.p.Ask(f.now, Request{ID: id, Call: plugin.Call{TimeLeft: 1000 * ms}, Value: func() []byte { value++; return nil }})
+	}
+	f.p.Gone(f.now, 0)
+	f.p.Gone(f.now, flight+1) // waits in the queue
+	f.p.Gone(f.now, 99)
+	f.carry()
+	if a := f.asked[f.of(0)][0]; a.Value() != nil || value != 0 {
+		t.Error("the value of a client that has left is asked for")
+	}
+	for range flight + 1 {
+		f.reply(f.of(0), Reply{})
+	}
+	f.hasNone(0)
+	f.hasNone(flight + 1)
+	f.has(1, plugin.Pass, 0)
+	if left := f.p.Left(); left["requests"]+left["calls"] != 0 {
+		t.Errorf("left %v", left)
+	}
+}
+
+func TestLooksAreBoundedAndLeaveRoomForRequests(t *testing.T) {
+	f := newField(t)
+	h := hookNamed("a")
+	h.Classes = []string{"read"}
+	f.p.Load(f.now, settings(h))
+	f.carry()
+	f.up(requestPoint.With(plugin.Answered).With(plugin.ListChanged))
+	for range 100 {
+		f.p.Look(f.now, plugin.Call{Point: plugin.Answered, Class: "read"})
+		f.p.Look(f.now, plugin.Call{Point: plugin.Answered, Class: "put"})
+		f.p.Look(f.now, plugin.Call{Point: plugin.ListChanged})
+	}
+	f.carry()
+	if c := f.p.Status()[0].Counts; c.Asked != 16 || c.Unseen != 184 {
+		t.Errorf("%+v", c)
+	}
+	if !f.ask(1, "read") {
+		t.Error("there is no room for a request")
+	}
+	for range 15 {
+		f.reply(f.of(0), Reply{Verdict: &plugin.Verdict{Log: []string{"seen"}}})
+	}
+	f.reply(f.of(0), Reply{Failed: true, Kind: plugin.Crashed, Text: "in a look"})
+	f.reply(f.of(0), Reply{})
+	f.has(1, plugin.Pass, 0)
+	f.logged("crashed: in a look")
+}
+
+func TestAHookWithoutTheRequestPointIsNotAsked(t *testing.T) {
+	f := newField(t)
+	f.p.Load(f.now, settings(hookNamed("a"), hookNamed("b")))
+	f.carry()
+	f.ask(1, "read") // waits for the first, of which nothing is known yet
+	f.p.Up(f.now, f.of(0), plugin.Points(0).With(plugin.Answered))
+	f.carry()
+	f.p.Up(f.now, f.of(1), requestPoint)
+	f.carry()
+	f.reply(f.of(1), Reply{})
+	f.has(1, plugin.Pass, 0)
+}
+
+func TestAReplyOutOfPlaceEndsTheWorker(t *testing.T) {
+	f := newField(t)
+	f.load(hookNamed("a"))
+	f.ask(1, "read")
+	f.p.Replied(f.now, f.of(0), Reply{Seq: 77, Verdict: &plugin.Verdict{}})
+	f.carry()
+	f.has(1, plugin.Pass, 0)
+	f.logged("gave an answer to nothing")
+	f.up(requestPoint)
+	f.p.Replied(f.now, f.of(0), Reply{Seq: 1, Verdict: &plugin.Verdict{}})
+	f.p.Replied(f.now, 12345, Reply{Seq: 1, Verdict: &plugin.Verdict{}})
+	f.carry()
+	f.has(1, plugin.Pass, 0)
+}
+
+func TestLinesAreBounded(t *testing.T) {
+	f := newField(t)
+	f.load(hookNamed("a"))
+	for id := range int64(100) {
+		f.ask(id, "read")
+		f.reply(f.of(0), Reply{Verdict: &plugin.Verdict{Log: []string{"a", "b", "c"}}})
+	}
+	if len(f.lines) != linesBurst {
+		t.Errorf("%d lines", len(f.lines))
+	}
+	f.now += 1000 * ms
+	f.ask(100, "read")
+	f.reply(f.of(0), Reply{Verdict: &plugin.Verdict{Log: []string{"last"}}})
+	f.logged("hook a: says: last (and 280 lines before it that were too many)")
+}
+
+func TestTagsAreCountedUpToABound(t *testing.T) {
+	f := newField(t)
+	f.load(hookNamed("a"))
+	for id := range int64(mostTags + 10) {
+		f.ask(id, "read")
+		f.reply(f.of(0), Reply{Verdict: &plugin.Verdict{Tags: []string{"club", fmt.Sprintf("t%03d", id)}}})
+	}
+	tags := f.p.Status()[0].Tags
+	if len(tags) != mostTags+1 || tags[0] != (Tag{Others, 11}) || tags[1] != (Tag{"club", mostTags + 10}) {
+		t.Errorf("%d tags, %v", len(tags), tags)
+	}
+}
+
+func TestAPassAllocatesNothing(t *testing.T) {
+	f := newField(t)
+	f.load(hookNamed("a"), hookNamed("b"))
+	v := &plugin.Verdict{}
+	id := int64(0)
+	once := func() {
+		id++
+		f.p.Ask(f.now, Request{ID: id, Call: plugin.Call{Point: plugin.OnRequest, Class: "read", TimeLeft: 1000 * ms}})
+		for {
+			a, ok := f.p.Next()
+			if !ok {
+				break
+			}
+			if a.Do == Ask {
+				f.p.Replied(f.now, a.Worker, Reply{Seq: a.Seq, Spent: 1, Verdict: v})
+			}
+		}
+	}
+	for range 100 {
+		once()
+	}
+	if n := testing.AllocsPerRun(1000, once); n > 0 {
+		t.Errorf("%v allocations", n)
+	}
+}
--- a/internal/machine/machinetest/machinetest.go
+++ b/internal/machine/machinetest/machinetest.go
@@ -20,6 +20,8 @@
 	PutFile func(content []byte) string
 	// Signal sends A's process a signal. Nil leaves those tests out.
 	Signal func(machine.Signal)
+	// Worker is how A starts one of the workers of the suite. Nil leaves those tests out.
+	Worker func(which string) machine.Worker
 	// Nowhere is an address that gives no answer of any kind. Empty leaves those tests out.
 	Nowhere string
 }
@@ -61,6 +63,12 @@
 	{"DatagramsCanBeAnswered", datagrams},
 	{"FilesAreReadUpToABound", files},
 	{"SignalsWaitForTheirHandler", signals},
+	{"AWorkerIsTalkedTo", workerEchoes},
+	{"AMegabyteComesBackFromAWorker", workerMegabyte},
+	{"AWorkersEndIsTheEndOfItsConnection", workerEnds},
+	{"AKilledWorkerSaysNothingMore", workerKilled},
+	{"AWorkerThatIsKilledBeforeItIsUpIsNotTold", workerKilledEarly},
+	{"AWorkerWithoutAHandlerEnds", workerUnwanted},
 }
 
 // bench is a rig with the helpers of the tests.
