--- a/cmd/starlingwinch/run.go
+++ b/cmd/starlingwinch/run.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log"
+	"math"
 	"os"
 	"strings"
 
@@ -141,6 +142,14 @@
 	cfg.Bounds = opfile.Get[limits.Limits](files, limits.Kind)
 	cfg.Membership = opfile.Get[membership.Config](files, membership.Kind)
 	cfg.Eureka = opfile.Get[eureka.Config](files, eureka.Kind)
+	var err error
+	if cfg.Hooks, err = hooksOf(files, int(math.Ceil(cfg.Limits.Cores))); err == nil {
+		cfg.Limits, err = cfg.Limits.Without(cfg.Hooks)
+	}
+	if err != nil {
+		collect(&faults, err)
+		return nil, nil, faults.Err()
+	}
 	return cfg, warnings, nil
 }
 
--- a/internal/front/command.go
+++ b/internal/front/command.go
@@ -47,6 +47,25 @@
 // ID is the request's id in the client's words.
 func (c *Command) ID() string { return string(c.args[idArg]) }
 
+// Verb is C.GET or C.SET.
+func (c *Command) Verb() string {
+	if c.Write {
+		return "C.SET"
+	}
+	return "C.GET"
+}
+
+// Key is what is asked for, in the client's words.
+func (c *Command) Key() string { return string(c.args[1]) }
+
+// Value is what a write sets; nil for a read.
+func (c *Command) Value() []byte {
+	if !c.Write {
+		return nil
+	}
+	return c.args[resp.MetaArg+1]
+}
+
 // ParseCommand reads a C.GET or C.SET of one of the classes. It keeps args, which took size bytes on the
 // wire. The error is worded for the client.
 func ParseCommand(args [][]byte, size int, classes []decide.Class) (Command, error) {
--- a/internal/front/slot.go
+++ b/internal/front/slot.go
@@ -33,6 +33,19 @@
 	return append(b, "\r\n"...)
 }
 
+// AppendFailed words an answer that promises nothing, with a text that stays one line.
+func AppendFailed(b []byte, text string) []byte {
+	b = append(b, "-ERR "...)
+	for i := range len(text) {
+		if c := text[i]; c < ' ' || c == 0x7f {
+			b = append(b, ' ')
+		} else {
+			b = append(b, c)
+		}
+	}
+	return append(b, "\r\n"...)
+}
+
 // Slot is the place of an answer in its connection's order.
 type Slot struct {
 	ID int64 // the desk's, for a request
--- a/internal/hooks/hooks.go
+++ b/internal/hooks/hooks.go
@@ -122,6 +122,9 @@
 	return nil
 }
 
+// Idle reports whether there are no hooks: then nothing is asked of them, and what is said to them goes nowhere.
+func (h *Hooks) Idle() bool { return h.p.Idle() }
+
 // Ask has hooks judge a request. It reports false where none is to: then the request goes on at once. Else done is called
 // once, in a later turn of the loop, unless the request is Gone before.
 func (h *Hooks) Ask(r Request, done func(Verdict)) bool {
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -12,6 +12,7 @@
 	"starlingwinch/internal/books"
 	"starlingwinch/internal/discovery"
 	"starlingwinch/internal/eureka"
+	"starlingwinch/internal/hooks"
 	"starlingwinch/internal/limits"
 	"starlingwinch/internal/membership"
 	"starlingwinch/internal/settings"
@@ -34,6 +35,7 @@
 	Bounds     limits.Limits
 	Membership membership.Config
 	Eureka     eureka.Config
+	Hooks      hooks.Config
 
 	// Wrap puts something between the books and the decision module; nil for nothing. It is there for
 	// tests that plant a defect.
--- a/internal/router/list.go
+++ b/internal/router/list.go
@@ -75,6 +75,7 @@
 		h.entry, h.told = e, told[i]
 		r.pool.Update(e.ID, h.addr, e.Condition == decide.Up, false)
 	}
+	r.showList()
 	if served && !r.Serving() {
 		r.Log("list of caches: none is left that takes work")
 	}
@@ -113,6 +114,7 @@
 		!reflect.DeepEqual(cfg.Membership, r.cfg.Membership) || !reflect.DeepEqual(cfg.Eureka, r.cfg.Eureka) {
 		r.Log("SIGHUP: new addresses for clients, limits, settings and operators' files wait for a restart")
 	}
+	r.reloadHooks(cfg.Hooks)
 	r.sources.Reread()
 	if cfg.Discovery == r.cfg.Discovery {
 		r.Log("SIGHUP: discovery stays at " + cfg.Discovery)
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -7,6 +7,7 @@
 	"starlingwinch/decide"
 	"starlingwinch/internal/books"
 	"starlingwinch/internal/front"
+	"starlingwinch/internal/plugin"
 	"starlingwinch/internal/resp"
 	"starlingwinch/internal/upstream"
 )
@@ -16,8 +17,10 @@
 	id       int64
 	name     string // as its client named it
 	cmd      front.Command
+	came     Time
 	deadline Time
 	slot     *front.Slot
+	judged   bool // hooks have it, and the module has not heard of it
 	over     bool // the final answer is given, or nobody waits for it
 	out      int  // attempts without an outcome
 	untold   int  // events about it that the module is still to be told
@@ -83,11 +86,11 @@
 		}
 	case decide.Refuse:
 		if q := r.requests[a.ID]; q != nil {
-			r.finish(q, front.AppendBusy(nil, a.Wait))
+			r.finish(q, front.AppendBusy(nil, a.Wait), plugin.WasRefused)
 		}
 	case decide.Fail:
 		if q := r.requests[a.ID]; q != nil {
-			r.finish(q, []byte(front.FailedReply))
+			r.finish(q, []byte(front.FailedReply), plugin.WasFailed)
 		}
 	case decide.SetTimer:
 		r.timers[a.Token] = r.m.At(a.At, func() {
@@ -137,7 +140,7 @@
 		cmd.Wait = min(cmd.Wait, r.longest) // of a class without a limit of its own
 	}
 	r.lastID++
-	q := &request{id: r.lastID, name: name, cmd: cmd, deadline: read + cmd.Wait, slot: s}
+	q := &request{id: r.lastID, name: name, cmd: cmd, came: read, deadline: read + cmd.Wait, slot: s}
 	if r.endsBy > 0 {
 		// The danger: what is taken late in a drain has a deadline beyond its end, and is lost with the process.
 		q.deadline = min(q.deadline, r.endsBy-drainAnswers)
@@ -146,8 +149,9 @@
 	s.ID = q.id
 	r.requests[q.id] = q
 	r.open++
-	r.backlog = append(r.backlog, &decide.Request{ID: q.id, Class: cmd.Class, Tenant: cmd.Tenant, Key: cmd.Hash,
-		HasKey: true, Deadline: q.deadline, Cost: cmd.Cost, Write: cmd.Write})
+	if !r.judge(q) {
+		r.submit(q)
+	}
 }
 
 // Departed notes that a client has closed its connection.
@@ -156,11 +160,16 @@
 	for _, s := range slots {
 		if q := r.requests[s.ID]; q != nil && !q.over {
 			gone = append(gone, q)
-			r.say(q, &decide.Departed{ID: q.id})
+			if q.judged {
+				r.hooks.Gone(q.id)
+				q.judged = false
+			} else {
+				r.say(q, &decide.Departed{ID: q.id})
+			}
 		}
 	}
 	for _, q := range gone { // all departures are told before what ends with them
-		r.finish(q, nil)
+		r.finish(q, nil, plugin.WasFailed)
 	}
 }
 
@@ -181,7 +190,7 @@
 
 // finish gives the final answer, once. Attempts that are not written whole end here, before
 // the answer leaves: nothing may go out for a request after it.
-func (r *Router) finish(q *request, answer []byte) {
+func (r *Router) finish(q *request, answer []byte, o plugin.Outcome) {
 	if q.over {
 		return
 	}
@@ -194,6 +203,7 @@
 	}
 	if answer != nil {
 		q.slot.Answer(answer)
+		r.answered(q, o)
 	}
 	r.forget(q)
 }
@@ -258,7 +268,7 @@
 	if rep != nil {
 		ev.Miss = rep.Miss
 		if result == decide.Served {
-			r.finish(q, rep.Value)
+			r.finish(q, rep.Value, plugin.Served)
 		}
 	}
 	ev.Last = q.over
@@ -280,7 +290,7 @@
 		case *decide.Departed:
 			if q := r.requests[ev.ID]; q != nil {
 				q.untold++
-				r.finish(q, []byte(front.FailedReply))
+				r.finish(q, []byte(front.FailedReply), plugin.WasFailed)
 			}
 		}
 		r.backlog = append(r.backlog, ev)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -13,6 +13,7 @@
 	"starlingwinch/internal/books"
 	"starlingwinch/internal/eureka"
 	"starlingwinch/internal/front"
+	"starlingwinch/internal/hooks"
 	"starlingwinch/internal/machine"
 	"starlingwinch/internal/membership"
 	"starlingwinch/internal/sources"
@@ -49,6 +50,7 @@
 	sources   *sources.Sources
 	narrowed  *narrowed            // nil where all caches are used, whatever their number
 	lists     []membership.Publish // that are still to be taken over
+	hooks     *hooks.Hooks
 	enrolled  *eureka.Registration // of the router itself; nil for none
 	longest   Time                 // patience of any client
 	sweeping  machine.Timer
@@ -109,6 +111,11 @@
 		r.pool.Close()
 		return nil, err
 	}
+	if r.hooks, err = hooks.New(m, cfg.Hooks, r.Log); err != nil {
+		r.front.Close()
+		r.pool.Close()
+		return nil, err
+	}
 	r.Settle()
 	r.sources.Start() // also where the settings say that lists are pushed: the agent that has them must be asked
 	if cfg.Eureka.Register.Enabled {
@@ -153,11 +160,13 @@
 				limit.Stop()
 				r.Close()
 			}
-			if r.enrolled == nil {
-				end()
-				return
-			}
-			r.enrolled.Cancel(end) // which takes a moment; the limit holds for it too
+			r.hooks.Close(func() { // which takes a moment; the limit holds for it too
+				if r.enrolled == nil {
+					end()
+					return
+				}
+				r.enrolled.Cancel(end)
+			})
 		})
 	})
 }
@@ -173,6 +182,7 @@
 		r.enrolled.Stop()
 	}
 	r.sweeping.Stop()
+	r.hooks.Close(func() {})
 	r.front.Close()
 	r.pool.Close()
 	if r.onDrained != nil {
@@ -183,7 +193,7 @@
 // Left is what the router holds, by what it is. All but connections is 0 once nothing is asked.
 func (r *Router) Left() map[string]int {
 	return map[string]int{"requests": len(r.requests), "ids": len(r.ids), "open": r.open, "attempts": r.pool.Attempts(),
-		"bytes": int(r.front.Held()), "events": len(r.backlog), "lists": len(r.lists), "breaches": r.books.Breaches(),
+		"bytes": int(r.front.Held()), "events": len(r.backlog), "lists": len(r.lists), "breaches": r.books.Breaches(), "verdicts": r.hooks.Left()["verdicts owed"],
 		"connections": r.pool.Conns() + r.front.Clients()}
 }
 
