--- a/internal/router/hooks.go
+++ b/internal/router/hooks.go
@@ -110,7 +110,7 @@
 		return
 	}
 	up := 0
-	for _, h := range r.caches {
+	for _, h := range r.caches { // any order: they are only counted
 		if h.entry.Condition == decide.Up {
 			up++
 		}
