--- a/cmd/lab/throughput.go
+++ b/cmd/lab/throughput.go
@@ -28,7 +28,7 @@
 
 func init() {
 	lab.Register(lab.Scenario{Name: "throughput", Run: throughput,
-		Doc: "requests a second and processor time, beside HAProxy, twemproxy and another router (--against)"})
+		Doc: "requests a second and processor time, beside HAProxy, twemproxy and another router (--against); words choose cases"})
 }
 
 // contender is a program that is measured.
@@ -79,6 +79,12 @@
 		hot.HotShare = .25
 		cases = append(cases, loadCase{"closed, 64 connections, a quarter on one key, 2000 caches", hot, 100, 2000})
 	}
+	if len(o.Args) > 0 { // those alone that the words name
+		cases = slices.DeleteFunc(cases, func(c loadCase) bool { return !strings.Contains(c.name, strings.Join(o.Args, " ")) })
+	}
+	if len(cases) == 0 {
+		return "", false, fmt.Errorf("no case is named %q", strings.Join(o.Args, " "))
+	}
 	var first []*contender
 	for _, c := range cases {
 		all, err := measureCase(ctx, o, program, c, rounds, span)
--- a/internal/upstream/cache.go
+++ b/internal/upstream/cache.go
@@ -11,6 +11,9 @@
 // little more than most answers take.
 const holdTime = 2_000
 
+// soonTime is within how long a connection's rest must end so that none is opened in its place: about as long as that takes.
+const soonTime = 1_000
+
 // cache is one cache server: its connections and the attempts that wait for one.
 type cache struct {
 	pool    *Pool
@@ -196,7 +199,10 @@
 	if u.hold() {
 		return
 	}
-	for u.dialing < min(len(u.waiting)-len(u.idle), p.o.Bounds.DialsAtATime) && len(u.conns) < u.most && p.descriptor() {
+	// The danger: connections that rest for long count as free, and what waits for them is late.
+	soon := p.m.Now() - u.rest + soonTime
+	ready := sort.Search(len(u.idle), func(i int) bool { return u.idle[i].idleSince > soon })
+	for u.dialing < min(len(u.waiting)-ready, p.o.Bounds.DialsAtATime) && len(u.conns) < u.most && p.descriptor() {
 		c := &conn{cache: u, addr: u.addr}
 		u.conns = append(u.conns, c)
 		u.dialing++
--- a/internal/upstream/harness_test.go
+++ b/internal/upstream/harness_test.go
@@ -77,6 +77,7 @@
 	t.Helper()
 	o := Options{Bounds: limits.Default().Caches, Routers: 1, Descriptors: 400, DialTimeout: 20_000_000,
 		Keepalive: 600_000_000, HungAfter: 2_500_000}
+	o.Bounds.RestTime = 0 // so that which connection comes next is no matter of time
 	if edit != nil {
 		edit(&o)
 	}
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -93,9 +93,26 @@
 }
 
 // TestConnectionRests before it is used again, so that a copy right behind an answer has come by then.
+// TestConnectionThatRestsForLongIsNotWaitedFor: another one is opened beside it.
+func TestConnectionThatRestsForLongIsNotWaitedFor(t *testing.T) {
+	cache := routertest.NewCache(t)
+	r := newRig(t, cache.Addr(), func(o *Options) { o.Bounds.RestTime = time.Hour })
+	r.send(r.request(nil), long)
+	first := r.command(cache)
+	first.Reply(t, served)
+	r.want(decide.Served)
+	r.send(r.request(nil), long)
+	second := r.command(cache)
+	if second.Conn == first.Conn {
+		t.Error("a connection was used that rests")
+	}
+	second.Reply(t, served)
+	r.want(decide.Served)
+}
+
 func TestConnectionRests(t *testing.T) {
 	cache := routertest.NewCache(t)
-	r := newRig(t, cache.Addr(), nil)
+	r := newRig(t, cache.Addr(), func(o *Options) { o.Bounds.RestTime = 4 * time.Millisecond })
 	r.send(r.request(nil), long)
 	r.command(cache).Reply(t, served)
 	r.want(decide.Served)
