--- a/cmd/lab/hunt.go
+++ b/cmd/lab/hunt.go
@@ -16,10 +16,11 @@
 	"github.com/spf13/cobra"
 
 	"starlingwinch/internal/lab"
+	"starlingwinch/internal/lab/script"
 )
 
 func huntCommand() *cobra.Command {
-	seeds, jobs, length := "1-200", runtime.NumCPU(), 10*time.Second
+	seeds, jobs, length, registry := "1-200", runtime.NumCPU(), 10*time.Second, false
 	cmd := &cobra.Command{
 		Use:   "hunt",
 		Short: "Play the scripts of many seeds and tell the rules that break",
@@ -36,6 +37,9 @@
 			defer stop()
 			bar := newBar(cmd.ErrOrStderr(), to-from+1)
 			h := lab.Hunt{From: from, To: to, Length: length, Jobs: jobs, Options: lab.Options{Node: router}, Done: bar.done}
+			if registry {
+				h.Draw = script.DrawRegistry
+			}
 			begin := time.Now()
 			sum, err := h.Run(ctx)
 			bar.clear()
@@ -51,6 +55,7 @@
 	cmd.Flags().StringVar(&seeds, "seeds", seeds, "`first-last`")
 	cmd.Flags().IntVar(&jobs, "jobs", jobs, "runs side by side")
 	cmd.Flags().DurationVar(&length, "length", length, "`length` of each script")
+	cmd.Flags().BoolVar(&registry, "registry", false, "draw worlds with a Eureka registry")
 	return cmd
 }
 
--- a/cmd/lab/run.go
+++ b/cmd/lab/run.go
@@ -20,6 +20,8 @@
 	file   string
 	length time.Duration
 	faults []string
+	// registry has the script drawn with a registry.
+	registry bool
 }
 
 // unset is no seed.
@@ -29,6 +31,7 @@
 	cmd.Flags().Int64Var(&c.seed, "seed", unset, "draw the script from this `seed`; with a script, its seed")
 	cmd.Flags().StringVar(&c.file, "script", "", "read the script from a `file`, or the name of a hard case")
 	cmd.Flags().DurationVar(&c.length, "length", 10*time.Second, "`length` of a script that is drawn")
+	cmd.Flags().BoolVar(&c.registry, "registry", false, "a world with a Eureka registry")
 	cmd.Flags().StringArrayVar(&c.faults, "fault", nil, "add a fault, as `hang:c2@3s+2s`")
 }
 
@@ -68,11 +71,14 @@
 		return s, err
 	case c.file != "":
 		return script.Load(c.file)
+	case c.seed != unset && c.registry:
+		return script.DrawRegistry(uint64(c.seed), c.length), nil
 	case c.seed != unset:
 		return script.DrawOf(uint64(c.seed), c.length), nil
 	}
 	s := script.Default()
 	s.Length = c.length
+	s.Registry.Enabled = c.registry
 	return s, nil
 }
 
--- a/internal/lab/eyes.go
+++ b/internal/lab/eyes.go
@@ -43,17 +43,28 @@
 // a long way, or to a router whose machine is stopped, would count against a router that can't know.
 func (e *eyes) Listed(now Time, router, cache string, takesWork bool) {
 	e.onceRead(now, router, func(now Time) {
-		if takesWork {
-			e.sayf("%s is told that %s takes work", router, cache)
-		} else {
-			e.sayf("%s is told that %s takes no work", router, cache)
+		if r := e.w.registry; r != nil {
+			r.known.byDiscovery(now, router, cache, takesWork)
+			return
 		}
-		e.Watcher.Listed(now, router, cache, takesWork)
+		e.listed(now, router, cache, takesWork)
 	})
 }
 
+func (e *eyes) listed(now Time, router, cache string, takesWork bool) {
+	if takesWork {
+		e.sayf("%s is told that %s takes work", router, cache)
+	} else {
+		e.sayf("%s is told that %s takes no work", router, cache)
+	}
+	e.Watcher.Listed(now, router, cache, takesWork)
+}
+
 // StartTold likewise.
 func (e *eyes) StartTold(now Time, router, cache string, start Time) {
+	if r := e.w.registry; r != nil && !r.known.asksDiscovery() {
+		return
+	}
 	e.onceRead(now, router, func(now Time) { e.Watcher.StartTold(now, router, cache, start) })
 }
 
@@ -105,6 +116,9 @@
 
 // Began implements rules.Observer.
 func (e *eyes) Began(now Time, a rules.Attempt) {
+	if r := e.w.registry; r != nil {
+		r.known.sends(a.Router)
+	}
 	e.Watcher.Began(now, a)
 	e.follow(a.ID)
 }
@@ -114,6 +128,9 @@
 	if e.asked != nil {
 		e.asked[a.ID] = now
 	}
+	if r := e.w.registry; r != nil {
+		r.known.asks(a.Router, now)
+	}
 	e.Watcher.Asked(now, a)
 	e.follow(a.ID)
 }
@@ -157,6 +174,7 @@
 	for _, p := range w.caches {
 		if p.cache.Name() == cache {
 			p.gone = true
+			w.registry.died(p.cache)
 		}
 	}
 	w.fleet.Discovery.Remove(cache)
@@ -171,6 +189,9 @@
 // RouterUp implements rules.Observer.
 func (e *eyes) RouterUp(now Time, router string) {
 	e.sayf("%s starts", router)
+	if r := e.w.registry; r != nil {
+		r.known.started(now, router)
+	}
 	e.Watcher.RouterUp(now, router)
 }
 
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -7,6 +7,7 @@
 	"starlingwinch/internal/lab/script"
 	"starlingwinch/internal/sim"
 	"starlingwinch/internal/standin"
+	"starlingwinch/internal/standin/registry"
 )
 
 // faults carries the faults of a script out.
@@ -70,6 +71,13 @@
 		for _, i := range script.RoutersOf(x.Target, len(f.w.routers)) {
 			f.router(x, f.w.routers[i])
 		}
+	case script.RegistrySilent, script.RegistryStale, script.Registry5xx, script.RegistryTruncate,
+		script.RegistryMalform, script.RegistryHash, script.RegistryEmpty, script.RegistryDisagree,
+		script.RegistryDeltaLost, script.RegistryDeltaRepeat, script.RegistryDeltaOld, script.RegistrySlow,
+		script.RegistryRestart:
+		for _, i := range script.ReplicasOf(x.Target, len(f.w.registry.servers)) {
+			f.registry(x, i)
+		}
 	default:
 		for _, i := range script.CachesOf(x.Target, f.w.s.Caches) {
 			f.cache(x, i)
@@ -149,21 +157,37 @@
 	switch x.Kind {
 	case script.RestartCold, script.PowerCut:
 		w.fail(w.fleet.Restart(p.cache))
+		w.registry.restarted(p.cache)
 	case script.Replace:
 		w.replace(p, x.How == "same-address")
 	case script.Drain:
 		drained := p.cache
 		w.fleet.Discovery.SetStatus(drained.Name(), standin.Terminating)
+		w.registry.put(drained, registry.OutOfService)
 		f.until(x, func() {
 			if p.cache == drained && !p.gone {
-				p.gone = true
-				drained.Stop()
-				w.fleet.Discovery.Remove(drained.Name())
+				w.end(p)
+				w.registry.left(drained)
 			}
 		})
+	case script.Depart:
+		w.end(p)
+		w.registry.left(p.cache)
+	case script.CacheKill:
+		w.end(p)
+		w.registry.died(p.cache)
+	case script.RegistryFlap:
+		f.flap(x, p.cache)
 	}
 }
 
+// end ends a cache for good.
+func (w *world) end(p *place) {
+	p.gone = true
+	p.cache.Stop()
+	w.fleet.Discovery.Remove(p.cache.Name())
+}
+
 func (w *world) replace(p *place, sameAddress bool) {
 	old, start := p.cache, w.fleet.Replace
 	if sameAddress {
@@ -174,6 +198,8 @@
 		w.fail(err)
 		return
 	}
+	w.registry.left(old)
+	w.registry.enrol(c, w.sim.Now())
 	p.cache = c
 	if sameAddress {
 		w.hosts[c.Name()] = w.hosts[old.Name()]
@@ -243,8 +269,10 @@
 	w := f.w
 	switch x.Kind {
 	case script.Add:
-		_, err := w.fleet.AddCache(true)
-		w.fail(err)
+		c, err := w.fleet.AddCache(true)
+		if w.fail(err); err == nil {
+			w.registry.enrol(c, w.sim.Now())
+		}
 	case script.HotKey:
 		f.during(x.Kind, x, func(x *script.Fault) {
 			if x == nil {
--- a/internal/lab/hunt.go
+++ b/internal/lab/hunt.go
@@ -19,6 +19,8 @@
 	Length   time.Duration
 	Jobs     int // runs side by side
 	Options  Options
+	// Draw makes the script of a seed; nil stands for script.DrawOf.
+	Draw func(seed uint64, length time.Duration) script.Script
 	// Done is told after each run, one at a time.
 	Done func(seed uint64, r *Result)
 }
@@ -101,6 +103,10 @@
 			h.Done(seed, r)
 		}
 	}
+	draw := h.Draw
+	if draw == nil {
+		draw = script.DrawOf
+	}
 	for range max(1, h.Jobs) {
 		all.Go(func() {
 			for {
@@ -108,7 +114,7 @@
 				if !ok {
 					return
 				}
-				r, err := Run(script.DrawOf(seed, h.Length), h.Options)
+				r, err := Run(draw(seed, h.Length), h.Options)
 				put(seed, r, err)
 			}
 		})
--- /dev/null
+++ b/internal/lab/known.go
@@ -0,0 +1,297 @@
+package lab
+
+import (
+	"slices"
+	"strconv"
+
+	"starlingwinch/internal/lab/script"
+	"starlingwinch/internal/standin/registry"
+)
+
+// What a router can know of a registry is not told by the registry's sockets alone: it may ask either server, be on its
+// way from one to the other, or be cut off. knowledge makes out, every tick, what each router must have learned.
+//
+// A cache is told to take no work once every server that the router can be following shows it so, and has been fit to
+// be followed for as long as the way back to it takes. What is told within the time of a poll before a server fails is
+// taken back: the router need not have asked in between.
+type knowledge struct {
+	r       *registries
+	routers []*learner
+	ended   map[string]map[string]bool // by discovery, for each router: caches that take no work
+}
+
+// faultState is what a server's word is worth to a router.
+type faultState uint8
+
+const (
+	sound faultState = iota // what it shows is what the router gets
+	blind                   // nobody can say what the router gets, or when
+	dead                    // the router gets nothing
+	faultStates
+)
+
+const (
+	// afterFault is how long a router may take to follow a server again that has failed: a wait, a call that fails, and
+	// one that does not.
+	afterFault = backoffMost + 1500*millisecond
+	// afterStart is how long one that has just started may take.
+	afterStart = second
+	// afterEnd is how long one may take to turn to another server.
+	afterEnd = 2 * second
+	// pollTime is how long a router may leave a registry unasked that is well.
+	pollTime = 600 * millisecond
+)
+
+// learner is what is known of one router.
+type learner struct {
+	*router
+	servers []following
+	caches  map[string]*lesson
+	asked   int  // requests since it last sent an attempt
+	askedAt Time // the first of those
+	idle    bool // that was told
+}
+
+// following is how a router and a server stand to each other.
+type following struct {
+	state faultState
+	since Time
+}
+
+// lesson is what a router was told of a cache by the registry.
+type lesson struct {
+	shown  bool // it stood in the registry's lists
+	out    bool
+	outAt  Time
+	stated Time // the start that it was told
+	start  Time // the start that all servers show ...
+	since  Time // ... since then
+	steady bool // it has been shown as taking work from the beginning on, by a server that was sound
+}
+
+func newKnowledge(r *registries) *knowledge {
+	k := &knowledge{r: r, ended: map[string]map[string]bool{}}
+	for _, rt := range r.w.routers {
+		k.routers = append(k.routers, &learner{router: rt, caches: map[string]*lesson{}})
+	}
+	return k
+}
+
+// look brings what the routers know up to date.
+func (k *knowledge) look(now Time) {
+	for _, l := range k.routers {
+		if l.node == nil {
+			continue
+		}
+		k.follow(l, now)
+		for _, e := range k.r.enrolled {
+			k.learn(l, e, now)
+		}
+		k.deserted(l, now)
+	}
+}
+
+// started: a process of a router starts, and knows nothing.
+func (k *knowledge) started(now Time, router string) {
+	l := k.learner(router)
+	*l = learner{router: l.router, caches: map[string]*lesson{}}
+	delete(k.ended, router)
+	l.servers = make([]following, len(k.r.servers))
+	for i := range l.servers {
+		l.servers[i] = following{sound, now - afterFault + afterStart}
+	}
+}
+
+// follow makes out how a router stands to each server.
+func (k *knowledge) follow(l *learner, now Time) {
+	for i, p := range k.r.servers {
+		is := sound
+		f := k.r.w.faults
+		switch {
+		case l.resumes() > now, f.lag(l.zone, p.zone) > 0, f.lag(p.zone, l.zone) > 0, p.wrong[blind] > 0:
+			is = blind
+		case f.apart(l.zone, p.zone), p.wrong[dead] > 0:
+			is = dead
+		}
+		s := &l.servers[i]
+		if is == s.state {
+			continue
+		}
+		if s.state == sound {
+			k.unlearn(l, now)
+		}
+		*s = following{is, now}
+	}
+}
+
+// unlearn takes back what the router need not have asked for.
+func (k *knowledge) unlearn(l *learner, now Time) {
+	for _, e := range k.r.enrolled {
+		if c := l.caches[e.cache.Name()]; c != nil && c.out && now-c.outAt < pollTime {
+			k.tell(l, e.cache.Name(), c, now, false)
+		}
+	}
+}
+
+// settled reports whether a router's ways to a server have had their time.
+func (s following) settled(now Time) bool {
+	switch s.state {
+	case sound:
+		return now-s.since >= afterFault
+	case dead:
+		return now-s.since >= afterEnd
+	}
+	return false
+}
+
+// learn makes out what a router must know, or may have got, of a cache.
+func (k *knowledge) learn(l *learner, e *enrolment, now Time) {
+	name := e.cache.Name()
+	c := l.caches[name]
+	if c == nil {
+		c = &lesson{steady: true}
+		l.caches[name] = c
+	}
+	settled, any, all, up, followed := true, false, true, false, false
+	start := Time(-1)
+	for i, p := range k.r.servers {
+		s := l.servers[i]
+		in, listed := p.Shows(name)
+		works := listed && in.Status == registry.Up
+		settled = settled && s.settled(now)
+		up = up || s.state == sound && works
+		followed = followed || s.state == sound
+		if s.state == dead && s.settled(now) {
+			continue
+		}
+		c.shown = c.shown || listed
+		any = any || works
+		all = all && s.state == sound
+		this := Time(0)
+		if listed {
+			ms, _ := strconv.ParseInt(in.Metadata["start"], 10, 64) // none counts as 0
+			this = ms * millisecond
+		}
+		if start >= 0 && start != this {
+			this = 0
+		}
+		start = this
+	}
+	c.steady = c.steady && (up || !followed)
+	if start <= 0 || !all || !settled {
+		c.since = now
+	}
+	if start != c.start {
+		c.start, c.since = start, now
+	}
+	if c.start > c.stated && now-c.since >= pollTime {
+		c.stated = c.start
+		k.r.w.eyes.Watcher.StartTold(now, l.name, name, c.start)
+	}
+	switch {
+	case any && c.out:
+		k.tell(l, name, c, now, false)
+	case !any && !c.out && c.shown && settled && all && followed:
+		k.tell(l, name, c, now, true)
+	}
+}
+
+// tell tells the watcher.
+func (k *knowledge) tell(l *learner, cache string, c *lesson, now Time, out bool) {
+	before := c.out || k.ended[l.name][cache]
+	c.out, c.outAt = out, now
+	k.pass(l.name, cache, now, before)
+}
+
+// byDiscovery takes in what discovery has told a router.
+func (k *knowledge) byDiscovery(now Time, router, cache string, takesWork bool) {
+	if !k.asksDiscovery() {
+		return
+	}
+	if k.ended[router] == nil {
+		k.ended[router] = map[string]bool{}
+	}
+	before := k.out(router, cache)
+	k.ended[router][cache] = !takesWork
+	k.pass(router, cache, now, before)
+}
+
+func (k *knowledge) asksDiscovery() bool {
+	return slices.Contains(k.r.w.s.Registry.Sources(), "discovery")
+}
+
+func (k *knowledge) out(router, cache string) bool {
+	c := k.learner(router).caches[cache]
+	return c != nil && c.out || k.ended[router][cache]
+}
+
+// pass hands a change of what a router was told on. One source's bad news is enough.
+func (k *knowledge) pass(router, cache string, now Time, before bool) {
+	if after := k.out(router, cache); after != before {
+		k.r.w.eyes.listed(now, router, cache, !after)
+	}
+}
+
+// Deserted is a rule of the lab's own: a router that sends nothing, though caches take work and have been shown to it
+// as doing so from the beginning on, by a server of the registry that answers. It is looked at only in scripts in which
+// nothing else keeps a router from sending.
+const Deserted = "deserted"
+
+const (
+	desertedAfter = 1500 * millisecond
+	desertedAsks  = 8
+	desertedLeast = 4 // such caches
+)
+
+func (k *knowledge) deserted(l *learner, now Time) {
+	if l.idle || l.ending || l.asked < desertedAsks || now-l.askedAt < desertedAfter || k.r.w.hindered() {
+		return
+	}
+	followed := slices.ContainsFunc(l.servers, func(s following) bool { return s.state == sound && s.settled(now) })
+	n := 0
+	for _, e := range k.r.enrolled {
+		if c := l.caches[e.cache.Name()]; c != nil && c.steady && !c.out && e.cache.Up() {
+			n++
+		}
+	}
+	if !followed || n < desertedLeast {
+		return
+	}
+	l.idle = true
+	k.r.w.breaks(Broken{Rule: Deserted, At: k.r.w.now(), Router: l.name,
+		Text: strconv.Itoa(l.asked) + " requests and no attempt, while " + strconv.Itoa(n) + " caches take work"})
+}
+
+// hindered reports whether the script holds what may keep a router from caches that the registry shows.
+func (w *world) hindered() bool {
+	return slices.ContainsFunc(w.s.Faults, func(f script.Fault) bool {
+		return slices.Contains([]string{script.Cut, script.Lag, script.Stall, script.Hang, script.Silence, script.Busy,
+			script.Slow, script.Errors, script.Spoil, script.Double, script.ResetAccept, script.ResetInside, script.ResetAfter,
+			script.SwallowDials, script.PowerCut, script.Burst}, f.Kind)
+	})
+}
+
+func (k *knowledge) learner(router string) *learner {
+	for _, l := range k.routers {
+		if l.name == router {
+			return l
+		}
+	}
+	return nil
+}
+
+// asks: a router was asked. sends: it has sent an attempt.
+func (k *knowledge) asks(router string, now Time) {
+	if l := k.learner(router); l != nil {
+		if l.asked == 0 {
+			l.askedAt = now
+		}
+		l.asked++
+	}
+}
+
+func (k *knowledge) sends(router string) {
+	if l := k.learner(router); l != nil {
+		l.asked = 0
+	}
+}
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -20,9 +20,14 @@
 // NodeConfig is what a router is started with.
 type NodeConfig struct {
 	JSON []byte // the platform's configuration
+	// Operator are operators' files, by the names of their kinds.
+	Operator []OperatorFile
 	// Wrap, where it is not nil, stands between the router and its decision module: this is how a defect is planted.
 	Wrap func(books.Module) books.Module
 }
 
+// OperatorFile is a file of the operators, as `run --operator` takes it.
+type OperatorFile struct{ Kind, Text string }
+
 // Start starts a router on a machine.
 type Start func(m machine.Machine, c NodeConfig) (Node, error)
--- a/internal/lab/node/node.go
+++ b/internal/lab/node/node.go
@@ -2,8 +2,11 @@
 package node
 
 import (
+	"starlingwinch/internal/eureka"
 	"starlingwinch/internal/lab"
 	"starlingwinch/internal/machine"
+	"starlingwinch/internal/membership"
+	"starlingwinch/internal/opfile"
 	"starlingwinch/internal/router"
 )
 
@@ -13,16 +16,32 @@
 	if err != nil {
 		return nil, err
 	}
+	var files []opfile.File
+	for _, f := range c.Operator {
+		file, err := kinds.Parse(f.Kind, []byte(f.Text))
+		if err != nil {
+			return nil, err
+		}
+		files = append(files, file)
+	}
+	cfg.Membership = opfile.Get[membership.Config](files, membership.Kind)
+	cfg.Eureka = opfile.Get[eureka.Config](files, eureka.Kind)
 	cfg.Wrap = c.Wrap
 	r, err := router.Start(m, cfg)
 	if err != nil {
 		return nil, err
 	}
-	return node{r}, nil
+	return node{r, cfg}, nil
 }
 
+// kinds are the operators' files that the lab sets.
+var kinds = opfile.Registry{membership.Kind, eureka.Kind}
+
 // node is a router as the lab sees it.
-type node struct{ *router.Router }
+type node struct {
+	*router.Router
+	cfg *router.Config
+}
 
 // Reload implements lab.Node.
 func (n node) Reload(config []byte) error {
@@ -30,6 +49,7 @@
 	if err != nil {
 		return err
 	}
+	cfg.Membership, cfg.Eureka = n.cfg.Membership, n.cfg.Eureka // these files stay as they are
 	n.Router.Reload(cfg)
 	return nil
 }
--- /dev/null
+++ b/internal/lab/operator.go
@@ -0,0 +1,42 @@
+package lab
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+
+	"starlingwinch/internal/lab/script"
+)
+
+// RegistryFiles are the operators' files of a router that follows a registry with these servers. It serves at self, and
+// registers itself where the script says so.
+func RegistryFiles(r script.Registry, servers []string, self string) []OperatorFile {
+	var m, e strings.Builder
+	m.WriteString("kind = \"membership\"\norder = " + list(r.Sources()) + "\n")
+	if r.Undamped {
+		// A figure that no flap brings above what holds a cache down.
+		m.WriteString("[damping]\npenalty = 1\nsuppress = 1000000\nreuse = 900000\n")
+	}
+	fmt.Fprintf(&e, "kind = \"eureka\"\nenabled = true\nurls = %s\napplication = %q\ndelta = %q\n", list(servers),
+		r.Application, r.Delta)
+	fmt.Fprintf(&e, "backoff_most = \"%dms\"\n", backoffMost/millisecond)
+	if r.Register {
+		at := netip.MustParseAddrPort(self)
+		fmt.Fprintf(&e, "[register]\nenabled = true\nip = %q\nport = %d\nrenewal = \"2s\"\nduration = \"6s\"\n",
+			at.Addr().String(), at.Port())
+	}
+	return []OperatorFile{{"membership", m.String()}, {"eureka", e.String()}}
+}
+
+// backoffMost is how long a router waits at the most before it asks a registry again that fails: with the usual 5 s,
+// scripts of 10 s would end before much comes of a fault.
+const backoffMost = 2 * second
+
+// list words a list of texts in TOML.
+func list(all []string) string {
+	quoted := make([]string, len(all))
+	for i, text := range all {
+		quoted[i] = fmt.Sprintf("%q", text)
+	}
+	return "[" + strings.Join(quoted, ", ") + "]"
+}
--- /dev/null
+++ b/internal/lab/registry.go
@@ -0,0 +1,292 @@
+package lab
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"strconv"
+
+	"starlingwinch/internal/lab/script"
+	"starlingwinch/internal/sim"
+	"starlingwinch/internal/standin"
+	"starlingwinch/internal/standin/registry"
+)
+
+// registries are the servers of a run's registry, and the caches that are registered there. A nil one is that of a run
+// without a registry: it does nothing.
+type registries struct {
+	w        *world
+	rand     *rand.Rand
+	servers  []*replica
+	enrolled []*enrolment // in the order in which they came
+	known    *knowledge
+}
+
+// replica is one server of the registry.
+type replica struct {
+	*registry.Registry
+	host  *sim.Host
+	zone  string
+	url   string
+	wrong [faultStates]int // faults that last, by what they make of its word
+}
+
+// enrolment is a cache with its registration. A small agent beside the cache renews it, and comes again where the
+// registry has forgotten it.
+type enrolment struct {
+	cache *standin.Cache
+	at    netip.AddrPort
+	start Time // 0 for long ago
+	over  bool // it renews no more
+}
+
+// leaseEvict is how often the registry looks for leases that are over.
+const leaseEvict = second
+
+func newRegistries(w *world) (*registries, error) {
+	o := w.s.Registry
+	if !o.Enabled {
+		return nil, nil
+	}
+	r := &registries{w: w, rand: w.sim.Rand("registry")}
+	r.known = newKnowledge(r)
+	var all []*registry.Registry
+	for i := range o.Replicas {
+		zone := script.Zones()[(1+i)%len(script.Zones())]
+		name := fmt.Sprintf("registry-%d", i+1)
+		p := &replica{host: w.host(name, zone), zone: zone}
+		p.Registry = registry.New(p.host.Machine(), registry.Options{EvictEvery: leaseEvict, NoPreservation: !o.Preserve,
+			RenewEvery: microseconds(o.Renewal), CacheTime: microseconds(o.CacheDelay),
+			ReplicaDelay: microseconds(o.CopyDelay)})
+		addr, err := p.Open(p.host.IP() + ":8761")
+		if err != nil {
+			return nil, err
+		}
+		p.url = "http://" + addr + p.Base()
+		r.servers = append(r.servers, p)
+		all = append(all, p.Registry)
+	}
+	registry.Join(all...)
+	return r, nil
+}
+
+// files are the operators' files of a router.
+func (r *registries) files(self string) []OperatorFile {
+	if r == nil {
+		return nil
+	}
+	var urls []string
+	for _, p := range r.servers {
+		urls = append(urls, p.url)
+	}
+	return RegistryFiles(r.w.s.Registry, urls, self)
+}
+
+// begin registers the caches that run at the start: they have been there for long, and stand in the answers.
+func (r *registries) begin(caches []*standin.Cache) {
+	if r == nil {
+		return
+	}
+	for _, c := range caches {
+		r.enrol(c, 0)
+	}
+	for _, p := range r.servers {
+		for _, e := range r.enrolled {
+			r.w.fail(p.Register(r.instance(e)))
+		}
+		p.Disagree() // with nobody: its answers are made anew
+	}
+}
+
+// enrol registers a cache that has just come.
+func (r *registries) enrol(c *standin.Cache, start Time) {
+	if r == nil {
+		return
+	}
+	e := &enrolment{cache: c, at: netip.MustParseAddrPort(c.Address("")), start: start}
+	r.enrolled = append(r.enrolled, e)
+	r.register(e)
+	r.renewLater(e)
+}
+
+// of is the registration of a cache, nil for none.
+func (r *registries) of(c *standin.Cache) *enrolment {
+	for _, e := range r.enrolled {
+		if e.cache == c {
+			return e
+		}
+	}
+	return nil
+}
+
+// server is one that answers now, the first one for most: nil where none does.
+func (r *registries) server() *replica {
+	for _, p := range r.servers {
+		if p.wrong[dead] == 0 {
+			return p
+		}
+	}
+	return nil
+}
+
+// register has a server take it, where one answers.
+func (r *registries) register(e *enrolment) {
+	p := r.server()
+	if p != nil {
+		r.w.fail(p.Register(r.instance(e)))
+	}
+}
+
+// instance is a cache as it registers.
+func (r *registries) instance(e *enrolment) registry.Instance {
+	ip := e.at.Addr().String()
+	o := r.w.s.Registry
+	in := registry.Instance{
+		ID: e.cache.Name(), App: script.Application, HostName: ip, IPAddr: ip, Port: int(e.at.Port()), PortOn: true,
+		Metadata:   map[string]string{"zone": e.cache.Zone(), "group": strconv.Itoa(e.cache.Group()), "weight": "1"},
+		RenewEvery: int(o.Renewal.Seconds()), LeaseTime: int(o.Lease.Seconds()),
+	}
+	if e.start > 0 {
+		in.Metadata["start"] = strconv.FormatInt(e.start/millisecond, 10)
+	}
+	return in
+}
+
+// renewLater has the lease renewed when it is time, up to a tenth earlier.
+func (r *registries) renewLater(e *enrolment) {
+	span := microseconds(r.w.s.Registry.Renewal)
+	r.w.sim.At(r.w.sim.Now()+span-Time(r.rand.Float64()*0.1*float64(span)), func() {
+		if e.over {
+			return
+		}
+		if p := r.server(); p != nil && p.Renew(e.cache.Name()) != nil {
+			r.register(e)
+		}
+		r.renewLater(e)
+	})
+}
+
+// restarted has a cache that has started anew register once more.
+func (r *registries) restarted(c *standin.Cache) {
+	if r == nil {
+		return
+	}
+	if e := r.of(c); e != nil {
+		e.start = r.w.sim.Now()
+		r.register(e)
+	}
+}
+
+// died: a cache ends and says nothing. Its lease runs out.
+func (r *registries) died(c *standin.Cache) {
+	if r == nil {
+		return
+	}
+	if e := r.of(c); e != nil {
+		e.over = true
+	}
+}
+
+// left: a cache is taken off the registry.
+func (r *registries) left(c *standin.Cache) {
+	if r == nil {
+		return
+	}
+	r.died(c)
+	if p := r.server(); p != nil {
+		p.Cancel(c.Name()) // where it is not known any more, that is as well
+	}
+}
+
+// put has an operator set the status of a cache. Where no server answers nothing comes of it.
+func (r *registries) put(c *standin.Cache, status string) {
+	if r == nil {
+		return
+	}
+	if p := r.server(); p != nil {
+		p.SetStatus(c.Name(), status) // where it is not known any more there is nothing to set
+	}
+}
+
+// registry has a fault strike a server of the registry.
+func (f *faults) registry(x script.Fault, i int) {
+	p := f.w.registry.servers[i]
+	// lasting switches a fault on and off, and books what the server's word is worth meanwhile.
+	lasting := func(is faultState, set func(x *script.Fault)) {
+		p.wrong[is]++
+		f.during(fmt.Sprintf("%s %d", x.Kind, i), x, set)
+		f.until(x, func() { p.wrong[is]-- })
+	}
+	switch x.Kind {
+	case script.RegistrySilent:
+		lasting(dead, func(x *script.Fault) { p.Silent(lasts(x)) })
+	case script.Registry5xx:
+		lasting(dead, func(x *script.Fault) {
+			status := 0
+			if x != nil {
+				status = 503
+			}
+			p.Error(status)
+		})
+	case script.RegistryTruncate:
+		lasting(dead, func(x *script.Fault) { p.Truncate(lasts(x)) })
+	case script.RegistryMalform:
+		lasting(dead, func(x *script.Fault) { p.Malform(lasts(x)) })
+	case script.RegistryRestart:
+		lasting(dead, func(x *script.Fault) { p.Refuse(lasts(x)) })
+	case script.RegistrySlow:
+		lasting(blind, func(x *script.Fault) {
+			if x == nil {
+				p.Slow(0)
+				return
+			}
+			p.Slow(microseconds(x.Delay))
+		})
+	case script.RegistryDeltaOld:
+		lasting(blind, func(x *script.Fault) { p.DeltaOld(lasts(x)) })
+	case script.RegistryStale:
+		lasting(sound, func(x *script.Fault) { p.Stale(lasts(x)) })
+	case script.RegistryHash:
+		lasting(sound, func(x *script.Fault) { p.WrongHash(lasts(x)) })
+	case script.RegistryDeltaRepeat:
+		lasting(sound, func(x *script.Fault) { p.DeltaRepeat(lasts(x)) })
+	case script.RegistryDisagree:
+		lasting(sound, func(x *script.Fault) { p.Disagree(f.w.registry.share(chanceOf(x))...) })
+	case script.RegistryDeltaLost:
+		p.DeltaLost(x.Keys)
+	case script.RegistryEmpty:
+		p.Empty()
+	}
+}
+
+// share is the first part of the caches that are registered, by name.
+func (r *registries) share(part float64) (ids []string) {
+	n := int(part*float64(len(r.enrolled)) + 0.5)
+	for _, e := range r.enrolled[:n] {
+		ids = append(ids, e.cache.Name())
+	}
+	return ids
+}
+
+// flap has a cache stand as down and as up in turns.
+func (f *faults) flap(x script.Fault, c *standin.Cache) {
+	w := f.w
+	over := false
+	var turn func(down bool)
+	turn = func(down bool) {
+		if over {
+			return
+		}
+		status := registry.Up
+		if down {
+			status = registry.OutOfService
+		}
+		w.registry.put(c, status)
+		w.sim.At(w.sim.Now()+microseconds(x.Delay), func() { turn(!down) })
+	}
+	turn(true)
+	f.until(x, func() {
+		over = true
+		w.registry.put(c, registry.Up)
+	})
+}
--- a/internal/lab/router.go
+++ b/internal/lab/router.go
@@ -64,7 +64,7 @@
 }
 
 func (r *router) config() NodeConfig {
-	return NodeConfig{JSON: r.w.routerSettings(r).JSON(), Wrap: r.w.o.Wrap}
+	return NodeConfig{JSON: r.w.routerSettings(r).JSON(), Wrap: r.w.o.Wrap, Operator: r.w.registry.files(r.addr)}
 }
 
 // end ends the process. A clean end is one after a SIGTERM, whether it came by itself or not.
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -97,6 +97,9 @@
 			return false
 		}
 		now := w.sim.Now()
+		if w.registry != nil {
+			w.registry.known.look(now)
+		}
 		w.watcher.Tick(now)
 		if now%usageEvery == 0 {
 			w.usage()
--- a/internal/lab/script/draw.go
+++ b/internal/lab/script/draw.go
@@ -98,7 +98,11 @@
 }
 
 func (d drawer) fault(s *Script) Fault {
-	k := pick(d, kinds)
+	return d.draw(pick(d, kinds), s)
+}
+
+// draw draws a fault of a kind.
+func (d drawer) draw(k Kind, s *Script) Fault {
 	f := Fault{Kind: k.Name, Target: d.target(k, s)}
 	f.At = d.span(s.Length/20, s.Length*8/10)
 	if !k.Instant {
@@ -132,6 +136,12 @@
 		f.Factor = d.figure(1.5, 4)
 	case ClockStep:
 		f.Delay = pick(d, []time.Duration{-time.Hour, -time.Second, 500 * time.Millisecond, time.Hour})
+	case RegistrySlow:
+		f.Delay = d.span(10*time.Millisecond, 2*time.Second)
+	case RegistryFlap:
+		f.Delay = d.span(50*time.Millisecond, time.Second)
+	case RegistryDisagree:
+		f.Chance = pick(d, []float64{0.2, 0.5, 1, 1})
 	case HotKey:
 		f.Chance = d.figure(0.035, 0.5)
 	case Stall:
@@ -155,6 +165,11 @@
 			return "all"
 		}
 		return fmt.Sprintf("router:%d", 1+d.IntN(s.Routers))
+	case OnRegistry:
+		if n := s.Registry.Replicas; n > 1 && d.IntN(3) > 0 {
+			return fmt.Sprintf("registry:%d", 1+d.IntN(n))
+		}
+		return "registry"
 	case OnLink:
 		zones := Zones()
 		from := d.IntN(len(zones))
--- a/internal/lab/script/kinds.go
+++ b/internal/lab/script/kinds.go
@@ -22,6 +22,7 @@
 	OnStore                       // store
 	OnClients                     // clients
 	OnLink                        // surat>rajkot (that way alone) or surat<>rajkot
+	OnRegistry                    // registry:1 or registry, which is all its replicas
 )
 
 // Kind is a kind of fault.
@@ -30,12 +31,14 @@
 	On       Place
 	Instant  bool // lasts no time: it takes no `for`
 	NeedsFor bool // is nothing without a `for`
-	Factor   *Range
-	Chance   *Range
-	Keys     *Range
-	Delay    *Range // in seconds
-	How      []string
-	Doc      string
+	// Registered tells that it needs a registry.
+	Registered bool
+	Factor     *Range
+	Chance     *Range
+	Keys       *Range
+	Delay      *Range // in seconds
+	How        []string
+	Doc        string
 }
 
 // Range is what a figure may be. A figure that a fault does not name has the usual value.
@@ -135,11 +138,14 @@
 	for i := range kinds {
 		all[kinds[i].Name] = &kinds[i]
 	}
+	for i := range registryKinds {
+		all[registryKinds[i].Name] = &registryKinds[i]
+	}
 	return all
 }()
 
 // Kinds lists all kinds of faults.
-func Kinds() []Kind { return slices.Clone(kinds) }
+func Kinds() []Kind { return slices.Concat(kinds, registryKinds) }
 
 // Usual is the fault with the usual figures of its kind where it names none, and its target where that is the only one.
 func (f Fault) Usual() Fault {
@@ -198,6 +204,9 @@
 		k.checkTimes(f, s.Length, at, bad)
 		k.checkTarget(f.Usual().Target, s, at, bad)
 		k.checkFigures(f, at, bad)
+		if k.Registered && !s.Registry.Enabled {
+			bad(at+".kind", "%s needs a registry (registry.enabled = true)", k.Name)
+		}
 	}
 }
 
@@ -263,6 +272,8 @@
 		return "router:1 or all"
 	case k.On == OnLink:
 		return "NAME>NAME or NAME<>NAME"
+	case k.On == OnRegistry:
+		return "registry or registry:1"
 	}
 	return "store"
 }
@@ -276,6 +287,8 @@
 	case k.On == OnLink:
 		_, _, _, ok := LinkOf(target)
 		return ok
+	case k.On == OnRegistry:
+		return len(ReplicasOf(target, s.Registry.Replicas)) > 0
 	}
 	return target == k.only()
 }
--- a/internal/lab/script/script.go
+++ b/internal/lab/script/script.go
@@ -28,7 +28,9 @@
 	Clients Clients       `toml:"clients"`
 	Fleet   Fleet         `toml:"fleet"`
 	Network Network       `toml:"network"`
-	Faults  []Fault       `toml:"fault" max:"64"`
+	// Registry is not drawn by Draw, but by DrawRegistry.
+	Registry Registry `toml:"registry"`
+	Faults   []Fault  `toml:"fault" max:"64"`
 }
 
 // Clients says how clients behave.
@@ -92,7 +94,8 @@
 			TryShare: 0.75, Writes: 1, Front: 2 * time.Second},
 		Fleet: Fleet{Sockets: 1024, MaxAttempts: 3, Copies: true, Cancel: "all", Probes: true,
 			ListDelay: 1500 * time.Millisecond, Speed: 1, KeyWindow: 1},
-		Network: Network{Near: 230 * time.Microsecond, Far: 7 * time.Millisecond, Jitter: 0.4, Split: 0.05},
+		Network:  Network{Near: 230 * time.Microsecond, Far: 7 * time.Millisecond, Jitter: 0.4, Split: 0.05},
+		Registry: defaultRegistry(),
 	}
 }
 
--- a/internal/lab/script/script_test.go
+++ b/internal/lab/script/script_test.go
@@ -11,8 +11,14 @@
 
 func TestDrawnScriptsAreLegalAndReadBackTheSame(t *testing.T) {
 	seen := map[string]bool{}
-	for seed := range uint64(2000) {
-		s := Draw(seed)
+	draw := func(n uint64) Script {
+		if n < 2000 {
+			return Draw(n)
+		}
+		return DrawRegistry(n, 10*time.Second)
+	}
+	for seed := range uint64(4000) {
+		s := draw(seed)
 		if err := s.Check(); err != nil {
 			t.Fatalf("seed %d: %v\n%s", seed, err, Text(s))
 		}
@@ -23,7 +29,7 @@
 		if !reflect.DeepEqual(s, back) {
 			t.Fatalf("seed %d reads back as\n%+v\nand was\n%+v", seed, back, s)
 		}
-		if !reflect.DeepEqual(s, Draw(seed)) {
+		if !reflect.DeepEqual(s, draw(seed)) {
 			t.Fatalf("seed %d was drawn twice, with two results", seed)
 		}
 		for _, f := range s.Faults {
@@ -70,6 +76,10 @@
 		{"[[fault]]\nat = \"1s\"\nkind = \"list-down\"\ntarget = \"c1\"\n", "fault[0].target: no target of list-down"},
 		{"[[fault]]\nat = \"-1s\"\nkind = \"list-down\"\n", "s.toml:5:1: fault[0].at: out of range"},
 		{"[[fault]]\nwhen = \"1s\"\n", "s.toml:5:1: fault[0].when: unknown key"},
+		{"[[fault]]\nat = \"1s\"\nkind = \"registry-5xx\"\ntarget = \"registry\"\n", "registry-5xx needs a registry"},
+		{"[registry]\nenabled = true\n[[fault]]\nat = \"1s\"\nkind = \"registry-5xx\"\ntarget = \"registry:2\"\n",
+			"fault[0].target: no target of registry-5xx"},
+		{"[registry]\norder = \"file\"\n", "registry.order: unknown word"},
 		{"rate = nan\n", "s.toml:4:1: rate: out of range"},
 		{"routers = 0\n", "s.toml:4:1: routers: out of range"},
 		{"[clients]\nwait = \"never\"\n", "s.toml:5:1: clients.wait: unknown word"},
@@ -85,12 +95,14 @@
 	for _, text := range []string{
 		"hang:c2@3s+2s", "slow:zone:surat@1s+500ms,factor=4", "cut:surat<>rajkot@1s", "burst@1s+1s,factor=2.5",
 		"clock-step:router:1@2s,delay=-1m", "spoil:all@1s+1s,chance=0.2,how=noise", "hot-key@1s,chance=0.1,keys=3",
+		"registry-slow:registry:1@1s+1s,delay=200ms",
 	} {
 		f, err := ParseFault(text)
 		if err != nil || f.String() != text {
 			t.Errorf("%q reads as %q, %v", text, f, err)
 		}
 		s := Default()
+		s.Registry.Enabled = true
 		s.Faults = []Fault{f}
 		if err := s.Check(); err != nil {
 			t.Errorf("%q: %v", text, err)
@@ -114,6 +126,7 @@
 func FuzzParse(f *testing.F) {
 	f.Add(Text(Draw(1)))
 	f.Add(Text(Draw(7)))
+	f.Add(Text(DrawRegistry(7, time.Minute)))
 	f.Add("kind = \"faults\"\n[[fault]]\nat = \"1s\"\nkind = \"cut\"\ntarget = \"a>b\"\n")
 	f.Fuzz(func(t *testing.T, text string) {
 		s, err := Parse("fuzz", []byte(text))
--- a/internal/lab/script/text.go
+++ b/internal/lab/script/text.go
@@ -24,6 +24,10 @@
 		fmt.Fprintf(&b, "\n[%s]\n", part.name)
 		writeTable(&b, reflect.ValueOf(part.v), false)
 	}
+	if s.Registry != defaultRegistry() {
+		b.WriteString("\n[registry]\n")
+		writeTable(&b, reflect.ValueOf(s.Registry), false)
+	}
 	for _, f := range s.Faults {
 		b.WriteString("\n[[fault]]\n")
 		writeTable(&b, reflect.ValueOf(f), true)
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"starlingwinch/internal/lab/script"
@@ -42,10 +43,12 @@
 	front   *front
 	caches  []*place
 	faults  *faults
-	broken  []Broken
-	more    int
-	excused int
-	err     error // of what the lab itself could not do
+	// registry is nil where the script has none.
+	registry *registries
+	broken   []Broken
+	more     int
+	excused  int
+	err      error // of what the lab itself could not do
 }
 
 // place is one place in the fleet: the cache that stands there now.
@@ -77,6 +80,10 @@
 		w.caches = append(w.caches, &place{cache: c})
 	}
 	w.faults = newFaults(w)
+	if w.registry, err = newRegistries(w); err != nil {
+		return nil, err
+	}
+	w.registry.begin(w.fleet.Caches)
 	for _, r := range w.routers {
 		if r.start(); w.err != nil {
 			return nil, w.err
@@ -148,6 +155,9 @@
 	o.Cache.Probes, o.Cache.Reports = s.Fleet.Probes, s.Fleet.Reports
 	o.Cache.Cancel = map[string]standin.Cancel{"none": standin.CancelNone, "queued": standin.CancelQueued,
 		"all": standin.CancelAll}[s.Fleet.Cancel]
+	if s.Registry.Enabled {
+		o.Cache.RouterOf = w.routerAt
+	}
 	o.Discovery.Delay = microseconds(s.Fleet.ListDelay)
 	o.Clients = s.Clients.Groups
 	c := &o.Client
@@ -166,6 +176,16 @@
 	return o
 }
 
+// routerAt names the router at a remote address.
+func (w *world) routerAt(remote string) string {
+	for _, r := range w.routers {
+		if strings.HasPrefix(remote, r.host.IP()+":") {
+			return r.name
+		}
+	}
+	return ""
+}
+
 // routerSettings are what a router is told at its start.
 func (w *world) routerSettings(r *router) standin.RouterSettings {
 	s := standin.DefaultRouterSettings()
--- a/internal/standin/cache.go
+++ b/internal/standin/cache.go
@@ -116,8 +116,11 @@
 	return d.addr, nil
 }
 
-// address is the one that was opened for a router.
-func (c *Cache) address(router string) string {
+// Group is the number of the group that it belongs to.
+func (c *Cache) Group() int { return c.o.Group }
+
+// Address is the one that was opened for a router; "" stands for all routers.
+func (c *Cache) Address(router string) string {
 	for _, d := range c.doors {
 		if d.router == router {
 			return d.addr
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -203,10 +203,14 @@
 	}
 	c := NewCache(m, o, CacheParts{f.Workload, f.Store, f.Repeats, f.obs}, f.part())
 	e := Entry{Name: o.Name, Zone: o.Zone, Type: "std-6", Group: o.Group, Weight: 1, Addresses: map[string]string{}}
-	for _, r := range f.o.Routers {
+	routers := f.o.Routers
+	if o.RouterOf != nil {
+		routers = append([]string{""}, routers...) // an address for all of them, as a registry tells
+	}
+	for _, r := range routers {
 		at := ""
 		if sameAddress {
-			at = old.address(r)
+			at = old.Address(r)
 		} else {
 			at = f.listen(o.Name, r)
 		}
--- a/internal/standin/registry/faults.go
+++ b/internal/standin/registry/faults.go
@@ -50,6 +50,9 @@
 // Error has all calls answered with a status such as 503, and do nothing; 0 ends that.
 func (r *Registry) Error(status int) { r.faults.status = status }
 
+// Refuse ends all connections, and each that comes from now on; or not any more. The state stays.
+func (r *Registry) Refuse(on bool) { r.http.Refuse(on) }
+
 // Slow has all answers come so much later; 0 ends that.
 func (r *Registry) Slow(d Time) { r.faults.slow = d }
 
--- a/internal/standin/registry/view.go
+++ b/internal/standin/registry/view.go
@@ -20,6 +20,7 @@
 	all     []item // by app and id
 	delta   []item // what changed of late, each instance once, in the order of their last changes
 	bodies  map[string]rendered
+	byID    map[string]*Instance // nil until it is asked for
 }
 
 // rendered is an answer's body; packed is nil until it is asked for.
@@ -61,6 +62,22 @@
 	return r.view()
 }
 
+// Shows is an instance as a whole list has it now; false where it does not stand there.
+func (r *Registry) Shows(id string) (Instance, bool) {
+	v := r.shown()
+	if v.byID == nil {
+		v.byID = make(map[string]*Instance, len(v.all))
+		for _, i := range v.all {
+			v.byID[i.ID] = i.Instance
+		}
+	}
+	in := v.byID[id]
+	if in == nil {
+		return Instance{}, false
+	}
+	return *in, true
+}
+
 // one is what callers see of a single instance; the response cache does not hold those.
 func (r *Registry) one(match func(*Instance) bool) (item, bool) {
 	v := r.faults.stale
