--- a/internal/lab/planted/machine.go
+++ b/internal/lab/planted/machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strings"
 	"time"
 
 	"starlingwinch/internal/lab"
@@ -107,6 +108,8 @@
 	keepsOpen               bool
 	leaksTimers             bool
 	listOnce                bool
+	// registryRead changes what was read of a registry.
+	registryRead func(now machine.Time, b []byte)
 }
 
 // long is a defect that shows late.
@@ -149,6 +152,9 @@
 		if err != nil {
 			return done(c, err)
 		}
+		if t.registryRead != nil && strings.HasSuffix(addr, registryPort) {
+			return done(&wrongRegistry{Conn: c, t: t}, nil)
+		}
 		return done(&wrongConn{Conn: c, write: t.cacheWrite, keepsOpen: t.keepsOpen, listOnce: t.listOnce}, nil)
 	})
 }
--- a/internal/lab/planted/planted.go
+++ b/internal/lab/planted/planted.go
@@ -12,6 +12,7 @@
 	"starlingwinch/decide"
 	"starlingwinch/internal/books"
 	"starlingwinch/internal/lab"
+	"starlingwinch/internal/lab/script"
 )
 
 // Defect is one defect.
@@ -23,6 +24,8 @@
 	Masked bool
 	// Length of the scripts that it shows in, where those of the search are too short; 0 where any will do.
 	Length time.Duration
+	// Registry tells that it shows in worlds with a registry only.
+	Registry bool
 	// Apply plants it.
 	Apply func(o *lab.Options)
 }
@@ -36,6 +39,9 @@
 	const batch = 8
 	for from := 1; from <= most && !found; from += batch {
 		h := lab.Hunt{From: uint64(from), To: uint64(min(from+batch-1, most)), Length: length, Jobs: 2, Options: o}
+		if d.Registry {
+			h.Draw = script.DrawRegistry
+		}
 		sum, err := h.Run(ctx)
 		if err != nil || ctx.Err() != nil {
 			return runs, false, err
