--- /dev/null
+++ b/internal/lab/registry_test.go
@@ -0,0 +1,112 @@
+package lab_test
+
+import (
+	"regexp"
+	"runtime"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"starlingwinch/internal/lab"
+	"starlingwinch/internal/lab/node"
+	"starlingwinch/internal/lab/script"
+)
+
+// TestRegistrySeedsBreakNoRule is the hunt of worlds with a registry that every change has to pass.
+func TestRegistrySeedsBreakNoRule(t *testing.T) {
+	h := lab.Hunt{From: 1, To: 60, Length: 6 * time.Second, Jobs: runtime.GOMAXPROCS(0), Draw: script.DrawRegistry,
+		Options: lab.Options{Node: node.Start}}
+	sum, err := h.Run(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range sum.Found {
+		t.Errorf("seed %d: %v", f.Seed, f.Broken[0])
+	}
+	if sum.Seeds != 60 || sum.Steps < 100_000 {
+		t.Errorf("%d seeds, %d steps", sum.Seeds, sum.Steps)
+	}
+}
+
+// timeline plays a hard case and returns what was told.
+func timeline(t *testing.T, name string) (lines []string) {
+	t.Helper()
+	s, _, err := lab.Script(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := mustRun(t, s, lab.Options{Node: node.Start, Timeline: func(_ lab.Time, line string) { lines = append(lines, line) }})
+	for _, b := range r.Broken {
+		t.Errorf("%s: %v", name, b)
+	}
+	return lines
+}
+
+// count is how many lines fit.
+func count(lines []string, pattern string) (n int) {
+	fits := regexp.MustCompile(pattern)
+	for _, line := range lines {
+		if fits.MatchString(line) {
+			n++
+		}
+	}
+	return n
+}
+
+func TestCachesThatOneServerAloneLeavesOutStay(t *testing.T) {
+	for _, name := range []string{"registry-comes-back-empty", "registry-half-hidden"} {
+		lines := timeline(t, name)
+		if n := count(lines, "leaves out"); n < 3 {
+			t.Errorf("%s: %d routers of 3 have asked again", name, n)
+		}
+		if n := count(lines, "has gone"); n > 0 {
+			t.Errorf("%s: caches were taken away %d times", name, n)
+		}
+	}
+}
+
+func TestCachesThatAreTrulyGoneAreTakenAwayByAll(t *testing.T) {
+	lines := timeline(t, "registry-half-gone")
+	if n := count(lines, "^r-.*has gone"); n != 3*5 {
+		t.Errorf("5 caches were taken away %d times by 3 routers", n)
+	}
+	if n := count(lines, "^r-. is told that .* takes no work"); n != 3*5 {
+		t.Errorf("the watcher was told %d times", n)
+	}
+}
+
+func TestSilentRegistryTakesNothingAwayAndItsDeadCacheIsFound(t *testing.T) {
+	lines := timeline(t, "registry-silent-while-stale")
+	end := slices.IndexFunc(lines, func(line string) bool { return strings.HasPrefix(line, "fault registry-silent") })
+	if n := count(lines[:end], "has gone"); n > 0 {
+		t.Errorf("a registry that says nothing has taken caches away %d times", n)
+	}
+	if n := count(lines[:end], "serves nothing"); n != 3 {
+		t.Errorf("%d routers of 3 have found the dead cache by themselves", n)
+	}
+	if n := count(lines[end:], "has gone"); n != 3 {
+		t.Errorf("%d routers of 3 have learned of its end", n)
+	}
+}
+
+func TestFlappingCacheIsHeldDownAfterThreeFlaps(t *testing.T) {
+	lines := timeline(t, "registry-flaps")
+	if n := count(lines, "^r-1: list of caches: .* drains"); n == 0 || n > 3 {
+		t.Errorf("it was taken away %d times in 20 s", n)
+	}
+}
+
+func TestNewCacheAtAnOldAddressIsAnotherOne(t *testing.T) {
+	lines := timeline(t, "registry-address-reused")
+	if gone, new := count(lines, "^r-.*has gone"), count(lines, "^cache .* starts"); gone != 3 || new != 1 {
+		t.Errorf("the old one went %d times, %d have started", gone, new)
+	}
+}
+
+func TestLostDeltaIsMadeGoodByAWholeList(t *testing.T) {
+	lines := timeline(t, "registry-deltas-go-wrong")
+	if n := count(lines, "^r-.*drains .eureka: OUT_OF_SERVICE"); n != 3*3 {
+		t.Errorf("3 drains were learned %d times by 3 routers", n)
+	}
+}
