--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -178,6 +178,10 @@
 		w.registry.died(p.cache)
 	case script.RegistryFlap:
 		f.flap(x, p.cache)
+	case script.RegistryOut:
+		c := p.cache
+		w.registry.put(c, registry.OutOfService)
+		f.until(x, func() { w.registry.put(c, registry.Up) })
 	}
 }
 
--- a/internal/lab/known.go
+++ b/internal/lab/known.go
@@ -42,6 +42,12 @@
 	pollTime = 600 * millisecond
 )
 
+// HidesRegistry reports whether, with a fault of that kind, what a registry holds is not what a router gets of it.
+func HidesRegistry(kind string) bool {
+	return slices.Contains([]string{script.RegistryStale, script.RegistryDisagree, script.RegistryEmpty}, kind) ||
+		worthOf(kind) != sound
+}
+
 // learner is what is known of one router.
 type learner struct {
 	*router
--- a/internal/lab/loopback/faults.go
+++ b/internal/lab/loopback/faults.go
@@ -5,6 +5,7 @@
 
 	"starlingwinch/internal/lab/script"
 	"starlingwinch/internal/standin"
+	"starlingwinch/internal/standin/registry"
 )
 
 // faults switches the faults of a script on and off.
@@ -117,6 +118,20 @@
 		script.HangUp: {begin: func(fs *faults, x script.Fault) {
 			fs.routers(x, func(rt *router) { rt.signal(syscall.SIGHUP) })
 		}},
+
+		script.RegistryOut:  {begin: (*faults).setOut, end: (*faults).setUp},
+		script.RegistryFlap: {begin: (*faults).flap, end: (*faults).setUp},
+		script.CacheKill:    {begin: (*faults).killCache},
+		script.Depart:       {begin: (*faults).depart},
+	}
+	for _, kind := range script.Kinds() {
+		switch {
+		case kind.On != script.OnRegistry:
+		case kind.Instant:
+			doers[kind.Name] = doer{begin: (*faults).registryBegins}
+		default:
+			doers[kind.Name] = doer{begin: (*faults).registryBegins, end: (*faults).registryEnds}
+		}
 	}
 }
 
@@ -195,7 +210,11 @@
 		if fs.states[c] == gone {
 			continue
 		}
-		if err := fs.r.fleet.Restart(c); err != nil {
+		err := fs.r.fleet.Restart(c)
+		if err == nil && fs.r.registry != nil {
+			err = fs.r.registry.enrol(c, fs.r.m.Now())
+		}
+		if err != nil {
 			fs.r.fail("%s: %w", x, err)
 		}
 	}
@@ -204,6 +223,10 @@
 func (fs *faults) replace(x script.Fault) {
 	for _, i := range script.CachesOf(x.Target, len(fs.places)) {
 		c, err := fs.r.fleet.Replace(fs.places[i])
+		fs.r.registry.left(fs.places[i])
+		if err == nil && fs.r.registry != nil {
+			err = fs.r.registry.enrol(c, fs.r.m.Now())
+		}
 		if err != nil {
 			fs.r.fail("%s: %w", x, err)
 			return
@@ -223,6 +246,9 @@
 	for _, c := range fs.caches(x) {
 		fs.states[c] = leaving
 		fs.r.fleet.Discovery.SetStatus(c.Name(), standin.Terminating)
+		if fs.r.registry != nil {
+			fs.r.registry.put(c, registry.OutOfService)
+		}
 	}
 }
 
@@ -231,14 +257,17 @@
 		if fs.states[c] != leaving {
 			continue
 		}
-		fs.states[c] = gone
-		fs.r.fleet.Discovery.Remove(c.Name())
-		c.Stop()
+		fs.endCache(c)
+		fs.r.registry.left(c)
 	}
 }
 
 func (fs *faults) add(x script.Fault) {
-	if _, err := fs.r.fleet.AddCache(true); err != nil {
+	c, err := fs.r.fleet.AddCache(true)
+	if err == nil && fs.r.registry != nil {
+		err = fs.r.registry.enrol(c, fs.r.m.Now())
+	}
+	if err != nil {
 		fs.r.fail("%s: %w", x, err)
 	}
 }
--- a/internal/lab/loopback/loopback.go
+++ b/internal/lab/loopback/loopback.go
@@ -61,6 +61,16 @@
 	Interrupted bool
 	// Classes are the clients'.
 	Classes []standin.Class
+	Outs    []Out // in the order of their marks
+}
+
+// Out is one time that a cache was marked as out of service in the registry.
+type Out struct {
+	Cache  string
+	At     Time   // when the registry showed it, since the clients' start
+	Sent   int    // requests that reached it from then on, until it was up again
+	Last   Time   // how long after the mark the last of them came; 0 for none
+	Router string // who sent that one
 }
 
 // Finding is a broken rule with the life of its request.
--- a/internal/lab/loopback/router.go
+++ b/internal/lab/loopback/router.go
@@ -46,6 +46,7 @@
 	name, zone string
 	port       *port
 	config     string // path
+	args       []string
 	set        standin.RouterSettings
 
 	state  state
@@ -66,6 +67,10 @@
 	rt.report.Name = name
 	rt.set.Name, rt.set.Listen = name, p.addr
 	rt.set.Seed = fmt.Sprintf("%x", uint64(r.o.Script.Seed)<<8+uint64(len(r.routers)))
+	if err := rt.operators(); err != nil {
+		p.release()
+		return nil, err
+	}
 	if err := rt.configure(r.fleet.Lists[name]); err != nil {
 		p.release()
 		return nil, err
@@ -83,6 +88,22 @@
 	return os.Rename(next, rt.config)
 }
 
+// operators writes the operators' files, where there are any, and has the program take them.
+func (rt *router) operators() error {
+	if rt.r.registry == nil {
+		return nil
+	}
+	rt.args = []string{"run"}
+	for _, f := range rt.r.registry.files(rt.name, rt.port.addr) {
+		path := filepath.Join(rt.r.dir, rt.name+"-"+f.Kind+".toml")
+		if err := os.WriteFile(path, []byte(f.Text), 0o600); err != nil {
+			return err
+		}
+		rt.args = append(rt.args, "--operator", path)
+	}
+	return nil
+}
+
 // start starts a process.
 func (rt *router) start() {
 	r := rt.r
@@ -96,7 +117,7 @@
 	r.fleet.Discovery.Forget(rt.name)
 	r.seen.RouterUp(r.m.Now(), rt.name)
 
-	cmd := exec.Command(r.program)
+	cmd := exec.Command(r.program, rt.args...)
 	cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+rt.config)
 	line := func(text string) { r.m.Post(func() { rt.line(life, text) }) }
 	ended := func(s *os.ProcessState) { r.m.Post(func() { rt.ended(life, s) }) }
--- a/internal/lab/loopback/run.go
+++ b/internal/lab/loopback/run.go
@@ -43,6 +43,7 @@
 	seen      *witness
 	routers   []*router
 	faults    faults
+	registry  *registries // nil where the script has none
 
 	phase  phase
 	start  Time // of the clients
@@ -107,6 +108,11 @@
 		return err
 	}
 	r.faults.init(r)
+	if s.Registry.Enabled {
+		if r.registry, err = newRegistries(r); err != nil {
+			return err
+		}
+	}
 	for i, name := range fo.Routers {
 		rt, err := newRouter(r, name, fo.Zones[i%len(fo.Zones)])
 		if err != nil {
@@ -263,6 +269,9 @@
 	for _, rt := range r.routers {
 		r.report.Routers = append(r.report.Routers, rt.report)
 	}
+	if r.registry != nil {
+		r.report.Outs = r.registry.outs
+	}
 	r.fleet.Close()
 	r.m.Stop()
 }
--- a/internal/lab/loopback/witness.go
+++ b/internal/lab/loopback/witness.go
@@ -17,6 +17,8 @@
 	misses   Misses
 	caches   map[string]*answering
 	start    Time
+	// began is told of each attempt, at the time of the steady clock; may be nil.
+	began func(at Time, a rules.Attempt)
 }
 
 var _ rules.Observer = (*witness)(nil)
@@ -110,6 +112,9 @@
 		return
 	}
 	o.cache(a.Cache).began[a.ID] = at
+	if o.began != nil {
+		o.began(at, a)
+	}
 	o.w.Began(at, o.attempt(a))
 }
 
--- a/internal/lab/loopback/world.go
+++ b/internal/lab/loopback/world.go
@@ -24,6 +24,10 @@
 	if err := s.Check(); err != nil {
 		return err
 	}
+	// The danger: what the two sources tell a router is judged as one in virtual worlds only.
+	if r := s.Registry; r.Enabled && (r.Order != script.Default().Registry.Order || r.Replicas != 1) {
+		return errors.New("registry: on loopback sockets it has one server and is the only source")
+	}
 	var impossible []string
 	for _, f := range s.Faults {
 		if doers[f.Kind].begin == nil {
@@ -51,6 +55,9 @@
 	o.Cache.Cancel = map[string]standin.Cancel{"none": standin.CancelNone, "queued": standin.CancelQueued,
 		"all": standin.CancelAll}[s.Fleet.Cancel]
 	o.Discovery.Delay = span(s.Fleet.ListDelay)
+	if s.Registry.Enabled {
+		o.Discovery.AskEvery = 0 // nobody asks it, and nothing counts as told
+	}
 	o.Clients = s.Clients.Groups
 	o.Client.Rate, o.Client.Retries, o.Client.Honour = s.Rate, s.Clients.Retries, s.Clients.Honour
 	o.Client.Wait = map[string]standin.RetryWait{"at-once": standin.AtOnce, "fixed": standin.FixedWait,
--- a/internal/lab/registry.go
+++ b/internal/lab/registry.go
@@ -211,51 +211,76 @@
 // registry has a fault strike a server of the registry.
 func (f *faults) registry(x script.Fault, i int) {
 	p := f.w.registry.servers[i]
-	// lasting switches a fault on and off, and books what the server's word is worth meanwhile.
-	lasting := func(is faultState, set func(x *script.Fault)) {
-		p.wrong[is]++
-		f.during(fmt.Sprintf("%s %d", x.Kind, i), x, set)
-		f.until(x, func() { p.wrong[is]-- })
+	if RegistryOnce(p.Registry, x) {
+		return
+	}
+	is := worthOf(x.Kind)
+	p.wrong[is]++
+	f.during(fmt.Sprintf("%s %d", x.Kind, i), x, func(now *script.Fault) {
+		RegistryDuring(p.Registry, x.Kind, now, f.w.registry.share(chanceOf(now)))
+	})
+	f.until(x, func() { p.wrong[is]-- })
+}
+
+// worthOf is what a server's word is worth while it has a fault.
+func worthOf(kind string) faultState {
+	switch kind {
+	case script.RegistrySilent, script.Registry5xx, script.RegistryTruncate, script.RegistryMalform,
+		script.RegistryRestart:
+		return dead
+	case script.RegistrySlow, script.RegistryDeltaOld:
+		return blind
 	}
+	return sound
+}
+
+// RegistryOnce carries a fault out that lasts no time, and reports whether it is such a one.
+func RegistryOnce(p *registry.Registry, x script.Fault) bool {
 	switch x.Kind {
+	case script.RegistryDeltaLost:
+		p.DeltaLost(x.Keys)
+	case script.RegistryEmpty:
+		p.Empty()
+	default:
+		return false
+	}
+	return true
+}
+
+// RegistryDuring switches a fault of a kind on, or off where x is nil. hidden are the caches that it is to hide.
+func RegistryDuring(p *registry.Registry, kind string, x *script.Fault, hidden []string) {
+	on := lasts(x)
+	switch kind {
 	case script.RegistrySilent:
-		lasting(dead, func(x *script.Fault) { p.Silent(lasts(x)) })
+		p.Silent(on)
 	case script.Registry5xx:
-		lasting(dead, func(x *script.Fault) {
-			status := 0
-			if x != nil {
-				status = 503
-			}
-			p.Error(status)
-		})
+		status := 0
+		if on {
+			status = 503
+		}
+		p.Error(status)
 	case script.RegistryTruncate:
-		lasting(dead, func(x *script.Fault) { p.Truncate(lasts(x)) })
+		p.Truncate(on)
 	case script.RegistryMalform:
-		lasting(dead, func(x *script.Fault) { p.Malform(lasts(x)) })
+		p.Malform(on)
 	case script.RegistryRestart:
-		lasting(dead, func(x *script.Fault) { p.Refuse(lasts(x)) })
+		p.Refuse(on)
 	case script.RegistrySlow:
-		lasting(blind, func(x *script.Fault) {
-			if x == nil {
-				p.Slow(0)
-				return
-			}
-			p.Slow(microseconds(x.Delay))
-		})
+		delay := Time(0)
+		if on {
+			delay = microseconds(x.Delay)
+		}
+		p.Slow(delay)
 	case script.RegistryDeltaOld:
-		lasting(blind, func(x *script.Fault) { p.DeltaOld(lasts(x)) })
+		p.DeltaOld(on)
 	case script.RegistryStale:
-		lasting(sound, func(x *script.Fault) { p.Stale(lasts(x)) })
+		p.Stale(on)
 	case script.RegistryHash:
-		lasting(sound, func(x *script.Fault) { p.WrongHash(lasts(x)) })
+		p.WrongHash(on)
 	case script.RegistryDeltaRepeat:
-		lasting(sound, func(x *script.Fault) { p.DeltaRepeat(lasts(x)) })
+		p.DeltaRepeat(on)
 	case script.RegistryDisagree:
-		lasting(sound, func(x *script.Fault) { p.Disagree(f.w.registry.share(chanceOf(x))...) })
-	case script.RegistryDeltaLost:
-		p.DeltaLost(x.Keys)
-	case script.RegistryEmpty:
-		p.Empty()
+		p.Disagree(hidden...)
 	}
 }
 
--- a/internal/lab/script/registry.go
+++ b/internal/lab/script/registry.go
@@ -51,6 +51,7 @@
 	RegistrySlow        = "registry-slow"
 	RegistryRestart     = "registry-restart"
 	RegistryFlap        = "registry-flap"
+	RegistryOut         = "registry-out"
 	CacheKill           = "cache-kill"
 	Depart              = "depart"
 )
@@ -75,6 +76,8 @@
 	{Name: RegistryRestart, On: OnRegistry, Registered: true, NeedsFor: true, Doc: "takes no calls, and is then as it was"},
 	{Name: RegistryFlap, On: OnCaches, Registered: true, NeedsFor: true, Delay: &Range{0.01, 60, 0.25},
 		Doc: "stands as down for so long, then as up for so long, and so on"},
+	{Name: RegistryOut, On: OnCaches, Registered: true, NeedsFor: true,
+		Doc: "stands as out of service, and is then up again"},
 	{Name: CacheKill, On: OnCaches, Registered: true, Instant: true, Doc: "ends without a word, and renews no more"},
 	{Name: Depart, On: OnCaches, Registered: true, Instant: true, Doc: "ends, and is taken off the registry at once"},
 }
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -244,6 +244,9 @@
 	f.Clients = append(f.Clients, NewClient(m, o, f.Workload, f.part(), f.obs))
 }
 
+// Routers are the names of the routers.
+func (f *Fleet) Routers() []string { return f.o.Routers }
+
 // Start has the clients begin.
 func (f *Fleet) Start() {
 	for _, c := range f.Clients {
