--- a/internal/lab/loopback/registry.go
+++ b/internal/lab/loopback/registry.go
@@ -177,7 +177,7 @@
 	switch _, is := all.open[id]; {
 	case status == registry.OutOfService && !is:
 		all.open[id] = len(all.outs)
-		all.outs = append(all.outs, Out{Cache: id, At: all.r.seen.time(at)})
+		all.outs = append(all.outs, Out{Cache: id, At: all.r.seen.time(at) - all.r.seen.start})
 	case status != registry.OutOfService && is:
 		delete(all.open, id)
 	}
@@ -191,7 +191,7 @@
 	}
 	o := &all.outs[i]
 	o.Sent++
-	o.Last, o.Router = at-o.At, a.Router
+	o.Last, o.Router = at-all.r.seen.start-o.At, a.Router
 }
 
 // The registry's faults.
--- a/internal/lab/registry.go
+++ b/internal/lab/registry.go
@@ -29,6 +29,8 @@
 	zone  string
 	url   string
 	wrong [faultStates]int // faults that last, by what they make of its word
+	// lost tells that a change of a start may have been lost, which leaves the hash code as it was.
+	lost bool
 }
 
 // enrolment is a cache with its registration. A small agent beside the cache renews it, and comes again where the
@@ -212,6 +214,9 @@
 func (f *faults) registry(x script.Fault, i int) {
 	p := f.w.registry.servers[i]
 	if RegistryOnce(p.Registry, x) {
+		if x.Kind == script.RegistryDeltaLost && f.w.s.Registry.FollowsDeltas() {
+			p.loses(x.Keys)
+		}
 		return
 	}
 	is := worthOf(x.Kind)
@@ -222,6 +227,15 @@
 	f.until(x, func() { p.wrong[is]-- })
 }
 
+// loses: so many changes never stand in deltas. The hash code counts instances by status, so that a new start is lost
+// without a trace, and so are two changes that make up for one another: nobody who follows deltas can know then.
+func (p *replica) loses(changes int) {
+	p.lost = true
+	if changes > 1 {
+		p.wrong[blind]++ // up to the next whole list, which is farther off than a run is long
+	}
+}
+
 // worthOf is what a server's word is worth while it has a fault.
 func worthOf(kind string) faultState {
 	switch kind {
--- a/internal/lab/script/registry.go
+++ b/internal/lab/script/registry.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 )
@@ -35,6 +36,11 @@
 // Sources are the names of the sources that routers ask, in order.
 func (r Registry) Sources() []string { return strings.Split(r.Order, "+") }
 
+// FollowsDeltas reports whether routers ask for changes alone. One application of the lab's size is asked for whole.
+func (r Registry) FollowsDeltas() bool {
+	return r.Delta == "always" || r.Delta == "auto" && r.Application == ""
+}
+
 // What goes wrong with a registry.
 const (
 	RegistrySilent      = "registry-silent"
@@ -100,8 +106,12 @@
 // registryStream keeps the draws of DrawRegistry apart from all others of the same seed.
 const registryStream = 0x5c12_9f02
 
-// otherTroubles are what a registry's faults come together with.
-var otherTroubles = []string{Drain, Drain, Drain, RestartCold, Replace, Add, RouterRestart, RouterTerm, Stall, Cut, Lag, Hang}
+// What a registry's faults come together with: what happens to the fleet, and in half of the scripts also what keeps a
+// router from caches or from the registry.
+var (
+	fleetTroubles = []string{Drain, Drain, Drain, RestartCold, Replace, Add, RouterRestart, RouterTerm}
+	wayTroubles   = []string{Stall, Cut, Lag, Hang}
+)
 
 // DrawRegistry is a legal script of a world with a registry that the seed decides. It begins with a drain and has one to
 // five faults more, of which about half are the registry's.
@@ -113,8 +123,12 @@
 	d.world(&s)
 	d.registry(&s.Registry, length)
 	s.Faults = append(s.Faults, d.draw(*byName[Drain], &s))
+	others := fleetTroubles
+	if d.IntN(2) == 0 {
+		others = slices.Concat(others, wayTroubles)
+	}
 	for n := 2 + d.IntN(mostDrawn); len(s.Faults) < n; {
-		k := byName[pick(d, otherTroubles)]
+		k := byName[pick(d, others)]
 		if d.IntN(2) == 0 {
 			k = &registryKinds[d.IntN(len(registryKinds))]
 		}
