--- a/internal/lab/deserted.go
+++ b/internal/lab/deserted.go
@@ -13,7 +13,7 @@
 const Deserted = "deserted"
 
 const (
-	desertedAfter = 1500 * millisecond
+	desertedAfter = second
 	desertedAsks  = 8
 	desertedLeast = 4 // such caches
 )
--- a/internal/lab/loopback/registry.go
+++ b/internal/lab/loopback/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"strconv"
 
 	"starlingwinch/internal/lab"
@@ -167,7 +168,8 @@
 
 // marked is called when a change of a cache can be seen by a router.
 func (all *registries) marked(router, id, status string, at Time) {
-	if !all.judged {
+	// The danger: routers register themselves too, and are no caches.
+	if !all.judged || !slices.ContainsFunc(all.enrolled, func(e *enrolment) bool { return e.cache.Name() == id }) {
 		return
 	}
 	all.r.seen.Listed(at, router, id, status == registry.Up)
--- a/internal/lab/script/draw.go
+++ b/internal/lab/script/draw.go
@@ -141,7 +141,7 @@
 	case RegistryFlap:
 		f.Delay = d.span(50*time.Millisecond, time.Second)
 	case RegistryDisagree:
-		f.Chance = pick(d, []float64{0.2, 0.5, 1, 1})
+		f.Chance = pick(d, []float64{0.2, 0.5, 1, 1, 1})
 	case HotKey:
 		f.Chance = d.figure(0.035, 0.5)
 	case Stall:
@@ -166,7 +166,9 @@
 		}
 		return fmt.Sprintf("router:%d", 1+d.IntN(s.Routers))
 	case OnRegistry:
-		if n := s.Registry.Replicas; n > 1 && d.IntN(3) > 0 {
+		// Servers that disagree, and one that has come back empty, tell nothing where the other does the same.
+		apart := k.Name == RegistryDisagree || k.Name == RegistryEmpty
+		if n := s.Registry.Replicas; n > 1 && (apart || d.IntN(3) > 0) {
 			return fmt.Sprintf("registry:%d", 1+d.IntN(n))
 		}
 		return "registry"
--- a/internal/lab/script/registry.go
+++ b/internal/lab/script/registry.go
@@ -113,6 +113,15 @@
 	wayTroubles   = []string{Stall, Cut, Lag, Hang}
 )
 
+// registryTroubles are the registry's own, by how often they are drawn.
+var registryTroubles = func() (all []string) {
+	for _, k := range registryKinds {
+		all = append(all, k.Name)
+	}
+	// What only some worlds can show comes more often.
+	return append(all, RegistryDisagree, RegistryDisagree, RegistryEmpty, RegistryDeltaLost)
+}()
+
 // DrawRegistry is a legal script of a world with a registry that the seed decides. It begins with a drain and has one to
 // five faults more, of which about half are the registry's.
 func DrawRegistry(seed uint64, length time.Duration) Script {
@@ -130,7 +139,7 @@
 	for n := 2 + d.IntN(mostDrawn); len(s.Faults) < n; {
 		k := byName[pick(d, others)]
 		if d.IntN(2) == 0 {
-			k = &registryKinds[d.IntN(len(registryKinds))]
+			k = byName[pick(d, registryTroubles)]
 		}
 		f := d.draw(*k, &s)
 		if d.Float64() < 0.5 {
@@ -146,7 +155,7 @@
 func (d drawer) registry(r *Registry, length time.Duration) {
 	r.Enabled = true
 	r.Order = pick(d, []string{"eureka", "eureka", "eureka+discovery", "discovery+eureka"})
-	r.Replicas = 1 + d.IntN(2)
+	r.Replicas = pick(d, []int{1, 2, 2})
 	r.CacheDelay = pick(d, []time.Duration{0, 0, 250 * time.Millisecond, length / 10})
 	r.CopyDelay = pick(d, []time.Duration{0, 50 * time.Millisecond, 500 * time.Millisecond})
 	r.Renewal = pick(d, []time.Duration{time.Second, 2 * time.Second, 5 * time.Second})
