--- a/internal/eureka/client.go
+++ b/internal/eureka/client.go
@@ -351,7 +351,7 @@
 	heard := &membership.Heard{Source: c.o.Name}
 	if !k.delta {
 		heard.Full, heard.Repeat = true, k.repeat
-		heard.Claims, heard.Unread = c.state.replace(l, now)
+		heard.Claims, heard.Unread = c.state.replace(l, now, k.repeat)
 		c.repeat, c.version, c.whole = false, 0, !k.one
 		c.large = c.large || k.one && size > largeApp
 		if size == 0 || c.state.held {
--- a/internal/eureka/parse_test.go
+++ b/internal/eureka/parse_test.go
@@ -238,7 +238,7 @@
 			t.Errorf("%d faults", len(l.Faults))
 		}
 		s := newState(filter{}, 0)
-		s.replace(&l, second)
+		s.replace(&l, second, false)
 		if claims, _, _ := s.apply(&l, second); len(claims) > len(l.Instances) {
 			t.Errorf("%d claims of %d instances", len(claims), len(l.Instances))
 		}
--- a/internal/eureka/state.go
+++ b/internal/eureka/state.go
@@ -37,6 +37,7 @@
 	Instance
 	heard Time // when its news came, by the router's clock
 	late  bool // up, but its renewals have ceased
+	left  bool // departed, as a whole list has left it out
 }
 
 // state is a server's list as it has been applied, and what of it was told. It does no I/O.
@@ -65,8 +66,10 @@
 		(k.Change == Deleted || k.Word != statusUp && i.Word == statusUp)
 }
 
-// replace takes a full list over. It returns all that is to be told.
-func (s *state) replace(l *List, now Time) (claims []membership.Claim, unread []string) {
+// replace takes a full list over. It returns all that is to be told. A repeat was asked for as the list before has left out
+// too much to be believed: that list's word on what it left out is not held against this one. The danger: a server that has
+// come back empty is confirmed by one that knows all, since its own times are a little later.
+func (s *state) replace(l *List, now Time, repeat bool) (claims []membership.Claim, unread []string) {
 	before, gone := s.all, s.gone
 	s.all, s.gone = make(map[string]known, len(l.Instances)), map[string]known{}
 	s.counts, s.newest, s.held = map[string]int{}, 0, false
@@ -95,7 +98,7 @@
 		if had && old.behind(i, now) {
 			next, s.held = old, true
 		}
-		if k, left := gone[key]; left && k.behind(i, now) {
+		if k, left := gone[key]; left && !(repeat && k.left) && k.behind(i, now) {
 			s.gone[key], s.held = k, true
 			continue
 		}
@@ -103,7 +106,7 @@
 	}
 	for key, k := range before { // any order: each one by itself
 		if _, stays := s.all[key]; !stays && s.gone[key].ID == "" {
-			k.Change, k.heard = Deleted, now
+			k.Change, k.heard, k.left = Deleted, now, true
 			s.gone[key] = k
 		}
 	}
--- a/internal/eureka/state_test.go
+++ b/internal/eureka/state_test.go
@@ -21,7 +21,7 @@
 		s := newState(filter{}, grace)
 		out := instance("out", "OUT_OF_SERVICE", 100, 1)
 		l := &List{Instances: []Instance{instance("late", "UP", 819, 1), instance("soon", "UP", 820, 1), instance("new", "UP", 1000, 1), out}}
-		claims, _ := s.replace(l, second)
+		claims, _ := s.replace(l, second, false)
 		if got := words(claims); got != want {
 			t.Errorf("grace %d: told %s, want %s", grace, got, want)
 		}
@@ -35,7 +35,7 @@
 
 func TestListOfWhichNothingIsRenewedDrainsNothing(t *testing.T) {
 	s := newState(filter{}, 1)
-	claims, _ := s.replace(&List{Instances: []Instance{instance("a", "UP", 5, 1), instance("b", "UP", 90, 1)}}, 1e6*second)
+	claims, _ := s.replace(&List{Instances: []Instance{instance("a", "UP", 5, 1), instance("b", "UP", 90, 1)}}, 1e6*second, false)
 	if got := words(claims); got != "a up, b up" {
 		t.Errorf("told %s", got)
 	}
@@ -43,24 +43,46 @@
 
 func TestServerThatIsBehindTakesNoBadNewsBackForAWhile(t *testing.T) {
 	s := newState(filter{}, 0)
-	s.replace(&List{Instances: []Instance{instance("a", "UP", 1, 1), instance("b", "UP", 1, 1), instance("c", "UP", 1, 1)}}, second)
+	s.replace(&List{Instances: []Instance{instance("a", "UP", 1, 1), instance("b", "UP", 1, 1), instance("c", "UP", 1, 1)}}, second, false)
 	gone := instance("b", "UP", 1, 10)
 	gone.Change = Deleted
 	s.apply(&List{Instances: []Instance{instance("a", "OUT_OF_SERVICE", 1, 10), gone}}, 2*second)
 	behind := &List{Instances: []Instance{instance("a", "UP", 1, 1), instance("b", "UP", 1, 1), instance("c", "UP", 1, 1)}}
-	claims, _ := s.replace(behind, 3*second)
+	claims, _ := s.replace(behind, 3*second, false)
 	if got := words(claims); got != "a draining (OUT_OF_SERVICE), c up" || !s.held {
 		t.Errorf("told %s, held %v", got, s.held)
 	}
-	claims, _ = s.replace(behind, 3*second+lag)
+	claims, _ = s.replace(behind, 3*second+lag, false)
 	if got := words(claims); got != "a up, b up, c up" || s.held {
 		t.Errorf("told %s, held %v", got, s.held)
 	}
 }
 
+func TestRepeatIsNotReadByTheListThatItIsToCheck(t *testing.T) {
+	both := &List{Instances: []Instance{instance("a", "UP", 1, 5), instance("b", "UP", 1, 5)}}
+	older := &List{Instances: []Instance{instance("a", "UP", 1, 4), instance("b", "UP", 1, 4)}} // of the other server
+	deleted := instance("b", "UP", 1, 6)
+	deleted.Change = Deleted
+	for _, c := range []struct {
+		repeat, inWords bool
+		want            string
+	}{{true, false, "a up, b up"}, {false, false, ""}, {true, true, "a up"}} {
+		s := newState(filter{}, 0)
+		s.replace(both, second, false)
+		if c.inWords {
+			s.apply(&List{Instances: []Instance{deleted}}, second)
+		}
+		s.replace(&List{}, 2*second, false)
+		claims, _ := s.replace(older, 3*second, c.repeat)
+		if got := words(claims); got != c.want {
+			t.Errorf("%+v: told %q", c, got)
+		}
+	}
+}
+
 func TestLastNewsOfAnInstanceInADeltaCounts(t *testing.T) {
 	s := newState(filter{}, 0)
-	s.replace(&List{Instances: []Instance{instance("a", "UP", 1, 1), instance("b", "UP", 1, 1)}}, second)
+	s.replace(&List{Instances: []Instance{instance("a", "UP", 1, 1), instance("b", "UP", 1, 1)}}, second, false)
 	claims, _, older := s.apply(&List{Instances: []Instance{instance("a", "DOWN", 1, 2), instance("b", "DOWN", 1, 4),
 		instance("a", "OUT_OF_SERVICE", 1, 3), instance("b", "UP", 1, 3)}}, second)
 	if got := words(claims); got != "a draining (OUT_OF_SERVICE), b draining (DOWN)" || older {
@@ -71,8 +93,8 @@
 func TestDeltaThatStillTellsHowAnInstanceCameDoesNotBringItBack(t *testing.T) {
 	s := newState(filter{}, 0)
 	came := instance("a", "UP", 1, 5)
-	s.replace(&List{Instances: []Instance{came, instance("b", "UP", 1, 1)}}, second)
-	s.replace(&List{Instances: []Instance{instance("b", "UP", 1, 1)}}, 2*second)
+	s.replace(&List{Instances: []Instance{came, instance("b", "UP", 1, 1)}}, second, false)
+	s.replace(&List{Instances: []Instance{instance("b", "UP", 1, 1)}}, 2*second, false)
 	if claims, _, _ := s.apply(&List{Instances: []Instance{came}}, 3*second); len(claims) > 0 {
 		t.Errorf("told %s", words(claims))
 	}
@@ -84,8 +106,8 @@
 
 func TestNewerGoodNewsIsTakenAtOnce(t *testing.T) {
 	s := newState(filter{}, 0)
-	s.replace(&List{Instances: []Instance{instance("a", "DOWN", 1, 5)}}, second)
-	claims, _ := s.replace(&List{Instances: []Instance{instance("a", "UP", 1, 6)}}, second)
+	s.replace(&List{Instances: []Instance{instance("a", "DOWN", 1, 5)}}, second, false)
+	claims, _ := s.replace(&List{Instances: []Instance{instance("a", "UP", 1, 6)}}, second, false)
 	if got := words(claims); got != "a up" {
 		t.Errorf("told %s", got)
 	}
@@ -104,7 +126,7 @@
 			i.App, i.Addr = app, "10.0.0.1:"+map[string]string{"A": "1", "B": "2"}[app]
 			l.Instances = append(l.Instances, i)
 		}
-		claims, _ := s.replace(&l, second)
+		claims, _ := s.replace(&l, second, false)
 		if words(claims) != "x up" || claims[0].Addr != "10.0.0.1:1" {
 			t.Errorf("told %+v", claims)
 		}
@@ -124,14 +146,14 @@
 
 func TestInstanceThatTurnsUnreadStaysUntilItGoes(t *testing.T) {
 	s := newState(filter{}, 0)
-	s.replace(&List{Instances: []Instance{instance("a", "UP", 1, 1), instance("b", "UP", 1, 1)}}, second)
+	s.replace(&List{Instances: []Instance{instance("a", "UP", 1, 1), instance("b", "UP", 1, 1)}}, second, false)
 	odd := instance("a", "UP", 1, 2)
 	odd.Addr, odd.Unread = "", true
 	claims, unread, _ := s.apply(&List{Instances: []Instance{odd}}, second)
 	if len(claims) > 0 || fmt.Sprint(unread) != "[a]" {
 		t.Errorf("told %s, unread %v", words(claims), unread)
 	}
-	claims, unread = s.replace(&List{Instances: []Instance{odd}}, second)
+	claims, unread = s.replace(&List{Instances: []Instance{odd}}, second, false)
 	if len(claims) > 0 || fmt.Sprint(unread) != "[a]" {
 		t.Errorf("told %s, unread %v", words(claims), unread)
 	}
