--- a/internal/lab/known.go
+++ b/internal/lab/known.go
@@ -76,7 +76,8 @@
 	stated  Time // the start that it was told
 	start   Time // the start that it can read ...
 	since   Time // ... since then
-	steady  bool // it has been shown as taking work from the beginning on, by a server that was sound
+	// steady tells that a sound server has shown it as taking work from the beginning on, and none has told bad news of it.
+	steady bool
 }
 
 func newKnowledge(r *registries) *knowledge {
@@ -160,6 +161,8 @@
 	readable bool // all that it may be following are sound, and there is one
 	works    bool // one that it may be following shows the cache as taking work
 	up       bool // a sound one does
+	followed bool // there is a sound one
+	told     bool // one of them tells bad news of the cache in so many words
 	stands   bool // the cache is in the list of one that it follows
 	start    Time // the one that all of them show; 0 for none, or several
 }
@@ -167,14 +170,15 @@
 // sightOf looks at all servers.
 func (k *knowledge) sightOf(l *learner, cache string, now Time) sight {
 	v := sight{settled: true, readable: true, start: -1}
-	followed, lost := false, false
+	lost := false
 	for i, p := range k.r.servers {
 		s := l.servers[i]
 		in, listed := p.Shows(cache)
 		works, sound := listed && in.Status == registry.Up, s.state == sound
 		v.settled = v.settled && s.settled(now)
 		v.up = v.up || sound && works
-		followed = followed || sound
+		v.followed = v.followed || sound
+		v.told = v.told || listed && !works
 		if s.state == dead && s.settled(now) {
 			continue // the router has turned to another one
 		}
@@ -191,7 +195,7 @@
 		}
 		v.start = start
 	}
-	v.readable = v.readable && followed
+	v.readable = v.readable && v.followed
 	if lost || !v.readable || !v.settled {
 		v.start = 0
 	}
@@ -211,7 +215,7 @@
 		c.shownAt = now
 	}
 	c.shown = c.shown || now-c.shownAt >= pollTime
-	c.steady = c.steady && (v.up || !v.readable)
+	c.steady = c.steady && !v.told && (v.up || !v.followed)
 	if v.start != c.start {
 		c.start, c.since = v.start, now
 	}
