--- a/cmd/lab/eurekacost.go
+++ b/cmd/lab/eurekacost.go
@@ -13,8 +13,8 @@
 	"starlingwinch/internal/standin/registry"
 )
 
-// The marks of eureka-cost: one call at each cadence of 300 ms, give or take, and deltas of a registry in which nothing
-// happens cost a fifth of whole lists at 100 instances, and a twentieth at 1,000, at the most.
+// The marks of eureka-cost: one call at each cadence of 300 ms, give or take, and deltas of a registry in which
+// nothing happens cost a fifth of whole lists at 100 instances, and a twentieth at 1,000, at the most.
 const (
 	costCalls  = 4.0
 	costAt100  = 0.2
@@ -59,13 +59,14 @@
 			line += " "
 		}
 		line += fmt.Sprintf("instances %d calls %.2f whole %.0f delta %.0f busy %.0f", n, deltaCalls, whole, delta, busy)
-		ok = ok && max(calls, deltaCalls) <= costCalls && !(n == 100 && share > costAt100) && !(n == 1000 && share > costAt1000)
+		ok = ok && max(calls, deltaCalls) <= costCalls
+		ok = ok && !(n == 100 && share > costAt100) && !(n == 1000 && share > costAt1000)
 	}
 	return line, ok, nil
 }
 
-// costOf has one router's client follow a registry of so many instances, in a virtual world, and returns the calls and the
-// bytes of answers' bodies a second. In a busy one the status of an instance changes so often; 0 is never.
+// costOf has one router's client follow a registry of so many instances, in a virtual world, and returns the calls
+// and the bytes of answers' bodies a second. In a busy one the status of an instance changes so often; 0 is never.
 func costOf(n int, delta string, span, busy time.Duration) (calls, bytes float64, err error) {
 	w := sim.New(1)
 	far := sim.Link{Latency: 7 * time.Millisecond.Microseconds()}
--- a/cmd/lab/eurekadrain.go
+++ b/cmd/lab/eurekadrain.go
@@ -12,15 +12,15 @@
 	"starlingwinch/internal/lab/script"
 )
 
-// The marks of eureka-drain are the operators': nothing new reaches a cache later than 1 s after the registry has marked it,
-// and they aim at 400 ms for 99 of 100.
+// The marks of eureka-drain are the operators': nothing new reaches a cache later than 1 s after the registry has
+// marked it, and they aim at 400 ms for 99 of 100.
 const (
 	drainMost = time.Second
 	drainAim  = 400 * time.Millisecond
 )
 
-// The run of eureka-drain. Caches drain in turn, one each drainEvery; each is drained every 10 s, which is too seldom for
-// it to be held down as one that flaps.
+// The run of eureka-drain. Caches drain in turn, one each drainEvery; each is drained every 10 s, which is too
+// seldom for it to be held down as one that flaps.
 const (
 	drains      = 200
 	drainCaches = 40
--- a/cmd/lab/eurekaflap.go
+++ b/cmd/lab/eurekaflap.go
@@ -11,8 +11,8 @@
 	"starlingwinch/internal/lab/script"
 )
 
-// flapMoves is how often a router may give a flapping cache its keys back within 20 s: it is held down from its third flap
-// on (docs/design/membership.md).
+// flapMoves is how often a router may give a flapping cache its keys back within 20 s: it is held down from its
+// third flap on (docs/design/membership.md).
 const flapMoves = 3
 
 // The run of eureka-flap.
@@ -39,7 +39,8 @@
 	return s
 }
 
-// moves counts how often lists that reach a router's decision module bring a cache back: each time its keys move to it.
+// moves counts how often lists that reach a router's decision module bring a cache back: each time its keys move
+// to it.
 type moves struct {
 	books.Module
 	n    *int
--- a/cmd/lab/eurekasilent.go
+++ b/cmd/lab/eurekasilent.go
@@ -10,9 +10,9 @@
 	"starlingwinch/internal/rules"
 )
 
-// silentCost is what a registry that says nothing for 30 s, while a cache dies, may cost of the share served in time, beside
-// the same run with the registry well. No paper sets it: the dead cache is found either way by the calls to it, so the two
-// are to be alike.
+// silentCost is what a registry that says nothing for 30 s, while a cache dies, may cost of the share served in
+// time, beside the same run with the registry well. No paper sets it: the dead cache is found either way by the
+// calls to it, so the two are to be alike.
 const silentCost = 0.01
 
 // The run of eureka-silent.
--- a/internal/lab/known.go
+++ b/internal/lab/known.go
@@ -76,7 +76,8 @@
 	stated  Time // the start that it was told
 	start   Time // the start that it can read ...
 	since   Time // ... since then
-	// steady tells that a sound server has shown it as taking work from the beginning on, and none has told bad news of it.
+	// steady tells that a sound server has shown it as taking work from the beginning on, and none has told bad news
+	// of it.
 	steady bool
 }
 
--- a/internal/lab/planted/registry.go
+++ b/internal/lab/planted/registry.go
@@ -9,8 +9,8 @@
 	"starlingwinch/internal/machine"
 )
 
-// InRegistry are the defects of how a registry is followed. They change what a router reads of it, or what it is told of how
-// to merge lists, as a router with such a defect would have it.
+// InRegistry are the defects of how a registry is followed. They change what a router reads of it, or what it is
+// told of how to merge lists, as a router with such a defect would have it.
 func InRegistry() []Defect {
 	return registered(10*time.Second,
 		// Bad news held down like good news: a status that is not UP counts only once it has stood for three seconds.
--- a/internal/lab/script/registry.go
+++ b/internal/lab/script/registry.go
@@ -8,8 +8,8 @@
 	"time"
 )
 
-// Registry says whether there is a Eureka registry, what it is like and how routers follow it. Caches register there and
-// renew their leases; a drain is then an operator's OUT_OF_SERVICE.
+// Registry says whether there is a Eureka registry, what it is like and how routers follow it. Caches register
+// there and renew their leases; a drain is then an operator's OUT_OF_SERVICE.
 type Registry struct {
 	Enabled     bool          `toml:"enabled" doc:"there is a registry, and routers follow it"`
 	Order       string        `toml:"order" words:"eureka,eureka+discovery,discovery+eureka" doc:"whom routers ask, in order"`
@@ -62,8 +62,8 @@
 	Depart              = "depart"
 )
 
-// registryKinds are the kinds of faults of a world with a registry. They stand apart so that Draw, which knows nothing of
-// them, draws what it always has.
+// registryKinds are the kinds of faults of a world with a registry. They stand apart so that Draw, which knows
+// nothing of them, draws what it always has.
 var registryKinds = []Kind{
 	{Name: RegistrySilent, On: OnRegistry, Registered: true, Doc: "takes calls and answers none"},
 	{Name: RegistryStale, On: OnRegistry, Registered: true, Doc: "shows what it knew at the beginning"},
@@ -106,8 +106,8 @@
 // registryStream keeps the draws of DrawRegistry apart from all others of the same seed.
 const registryStream = 0x5c12_9f02
 
-// What a registry's faults come together with: what happens to the fleet, and in half of the scripts also what keeps a
-// router from caches or from the registry.
+// What a registry's faults come together with: what happens to the fleet, and in half of the scripts also what
+// keeps a router from caches or from the registry.
 var (
 	fleetTroubles = []string{Drain, Drain, Drain, RestartCold, Replace, Add, RouterRestart, RouterTerm}
 	wayTroubles   = []string{Stall, Cut, Lag, Hang}
@@ -122,8 +122,8 @@
 	return append(all, RegistryDisagree, RegistryDisagree, RegistryEmpty, RegistryDeltaLost)
 }()
 
-// DrawRegistry is a legal script of a world with a registry that the seed decides. It begins with a drain and has one to
-// five faults more, of which about half are the registry's.
+// DrawRegistry is a legal script of a world with a registry that the seed decides. It begins with a drain and has
+// one to five faults more, of which about half are the registry's.
 func DrawRegistry(seed uint64, length time.Duration) Script {
 	d := drawer{rand.New(rand.NewPCG(seed, registryStream))}
 	s := Default()
