--- /dev/null
+++ b/internal/lab/registry.go
@@ -0,0 +1,331 @@
+package lab
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"strconv"
+
+	"starlingwinch/internal/lab/script"
+	"starlingwinch/internal/sim"
+	"starlingwinch/internal/standin"
+	"starlingwinch/internal/standin/registry"
+)
+
+// registries are the servers of a run's registry, and the caches that are registered there. A nil one is that of a run
+// without a registry: it does nothing.
+type registries struct {
+	w        *world
+	rand     *rand.Rand
+	servers  []*replica
+	enrolled []*enrolment // in the order in which they came
+	known    *knowledge
+}
+
+// replica is one server of the registry.
+type replica struct {
+	*registry.Registry
+	host  *sim.Host
+	zone  string
+	url   string
+	wrong [faultStates]int // faults that last, by what they make of its word
+	// lost tells that a change of a start may have been lost, which leaves the hash code as it was.
+	lost bool
+}
+
+// enrolment is a cache with its registration. A small agent beside the cache renews it, and comes again where the
+// registry has forgotten it.
+type enrolment struct {
+	cache *standin.Cache
+	at    netip.AddrPort
+	start Time // 0 for long ago
+	over  bool // it renews no more
+}
+
+// leaseEvict is how often the registry looks for leases that are over.
+const leaseEvict = second
+
+func newRegistries(w *world) (*registries, error) {
+	o := w.s.Registry
+	if !o.Enabled {
+		return nil, nil
+	}
+	r := &registries{w: w, rand: w.sim.Rand("registry")}
+	r.known = newKnowledge(r)
+	var all []*registry.Registry
+	for i := range o.Replicas {
+		zone := script.Zones()[(1+i)%len(script.Zones())]
+		name := fmt.Sprintf("registry-%d", i+1)
+		p := &replica{host: w.host(name, zone), zone: zone}
+		p.Registry = registry.New(p.host.Machine(), registry.Options{EvictEvery: leaseEvict, NoPreservation: !o.Preserve,
+			RenewEvery: microseconds(o.Renewal), CacheTime: microseconds(o.CacheDelay),
+			ReplicaDelay: microseconds(o.CopyDelay)})
+		addr, err := p.Open(p.host.IP() + ":8761")
+		if err != nil {
+			return nil, err
+		}
+		p.url = "http://" + addr + p.Base()
+		r.servers = append(r.servers, p)
+		all = append(all, p.Registry)
+	}
+	registry.Join(all...)
+	return r, nil
+}
+
+// files are the operators' files of a router.
+func (r *registries) files(self string) []OperatorFile {
+	if r == nil {
+		return nil
+	}
+	var urls []string
+	for _, p := range r.servers {
+		urls = append(urls, p.url)
+	}
+	return RegistryFiles(r.w.s.Registry, urls, self)
+}
+
+// begin registers the caches that run at the start: they have been there for long, and stand in the answers.
+func (r *registries) begin(caches []*standin.Cache) {
+	if r == nil {
+		return
+	}
+	for _, c := range caches {
+		r.enrol(c, 0)
+	}
+	for _, p := range r.servers {
+		for _, e := range r.enrolled {
+			r.w.fail(p.Register(r.instance(e)))
+		}
+		p.Disagree() // with nobody: its answers are made anew
+	}
+}
+
+// enrol registers a cache that has just come.
+func (r *registries) enrol(c *standin.Cache, start Time) {
+	if r == nil {
+		return
+	}
+	e := &enrolment{cache: c, at: netip.MustParseAddrPort(c.Address("")), start: start}
+	r.enrolled = append(r.enrolled, e)
+	r.register(e)
+	r.renewLater(e)
+}
+
+// of is the registration of a cache, nil for none.
+func (r *registries) of(c *standin.Cache) *enrolment {
+	for _, e := range r.enrolled {
+		if e.cache == c {
+			return e
+		}
+	}
+	return nil
+}
+
+// server is one that answers now, the first one for most: nil where none does.
+func (r *registries) server() *replica {
+	for _, p := range r.servers {
+		if p.wrong[dead] == 0 {
+			return p
+		}
+	}
+	return nil
+}
+
+// register has a server take it, where one answers.
+func (r *registries) register(e *enrolment) {
+	p := r.server()
+	if p != nil {
+		r.w.fail(p.Register(r.instance(e)))
+	}
+}
+
+// instance is a cache as it registers.
+func (r *registries) instance(e *enrolment) registry.Instance {
+	ip := e.at.Addr().String()
+	o := r.w.s.Registry
+	in := registry.Instance{
+		ID: e.cache.Name(), App: script.Application, HostName: ip, IPAddr: ip, Port: int(e.at.Port()), PortOn: true,
+		Metadata:   map[string]string{"zone": e.cache.Zone(), "group": strconv.Itoa(e.cache.Group()), "weight": "1"},
+		RenewEvery: int(o.Renewal.Seconds()), LeaseTime: int(o.Lease.Seconds()),
+	}
+	if e.start > 0 {
+		in.Metadata["start"] = strconv.FormatInt(e.start/millisecond, 10)
+	}
+	return in
+}
+
+// renewLater has the lease renewed when it is time, up to a tenth earlier.
+func (r *registries) renewLater(e *enrolment) {
+	span := microseconds(r.w.s.Registry.Renewal)
+	r.w.sim.At(r.w.sim.Now()+span-Time(r.rand.Float64()*0.1*float64(span)), func() {
+		if e.over {
+			return
+		}
+		if p := r.server(); p != nil && p.Renew(e.cache.Name()) != nil {
+			r.register(e)
+		}
+		r.renewLater(e)
+	})
+}
+
+// restarted has a cache that has started anew register once more.
+func (r *registries) restarted(c *standin.Cache) {
+	if r == nil {
+		return
+	}
+	if e := r.of(c); e != nil {
+		e.start = r.w.sim.Now()
+		r.register(e)
+	}
+}
+
+// died: a cache ends and says nothing. Its lease runs out.
+func (r *registries) died(c *standin.Cache) {
+	if r == nil {
+		return
+	}
+	if e := r.of(c); e != nil {
+		e.over = true
+	}
+}
+
+// left: a cache is taken off the registry.
+func (r *registries) left(c *standin.Cache) {
+	if r == nil {
+		return
+	}
+	r.died(c)
+	if p := r.server(); p != nil {
+		p.Cancel(c.Name()) // where it is not known any more, that is as well
+	}
+}
+
+// put has an operator set the status of a cache. Where no server answers nothing comes of it.
+func (r *registries) put(c *standin.Cache, status string) {
+	if r == nil {
+		return
+	}
+	if p := r.server(); p != nil {
+		p.SetStatus(c.Name(), status) // where it is not known any more there is nothing to set
+	}
+}
+
+// registry has a fault strike a server of the registry.
+func (f *faults) registry(x script.Fault, i int) {
+	p := f.w.registry.servers[i]
+	if RegistryOnce(p.Registry, x) {
+		if x.Kind == script.RegistryDeltaLost && f.w.s.Registry.FollowsDeltas() {
+			p.loses(x.Keys)
+		}
+		return
+	}
+	is := worthOf(x.Kind)
+	p.wrong[is]++
+	f.during(fmt.Sprintf("%s %d", x.Kind, i), x, func(now *script.Fault) {
+		RegistryDuring(p.Registry, x.Kind, now, f.w.registry.share(chanceOf(now)))
+	})
+	f.until(x, func() { p.wrong[is]-- })
+}
+
+// loses: so many changes never stand in deltas. The hash code counts instances by status, so that a new start is lost
+// without a trace, and so are two changes that make up for one another: nobody who follows deltas can know then.
+func (p *replica) loses(changes int) {
+	p.lost = true
+	if changes > 1 {
+		p.wrong[blind]++ // up to the next whole list, which is farther off than a run is long
+	}
+}
+
+// worthOf is what a server's word is worth while it has a fault.
+func worthOf(kind string) faultState {
+	switch kind {
+	case script.RegistrySilent, script.Registry5xx, script.RegistryTruncate, script.RegistryMalform,
+		script.RegistryRestart:
+		return dead
+	case script.RegistrySlow, script.RegistryDeltaOld:
+		return blind
+	}
+	return sound
+}
+
+// RegistryOnce carries a fault out that lasts no time, and reports whether it is such a one.
+func RegistryOnce(p *registry.Registry, x script.Fault) bool {
+	switch x.Kind {
+	case script.RegistryDeltaLost:
+		p.DeltaLost(x.Keys)
+	case script.RegistryEmpty:
+		p.Empty()
+	default:
+		return false
+	}
+	return true
+}
+
+// RegistryDuring switches a fault of a kind on, or off where x is nil. hidden are the caches that it is to hide.
+func RegistryDuring(p *registry.Registry, kind string, x *script.Fault, hidden []string) {
+	on := lasts(x)
+	switch kind {
+	case script.RegistrySilent:
+		p.Silent(on)
+	case script.Registry5xx:
+		status := 0
+		if on {
+			status = 503
+		}
+		p.Error(status)
+	case script.RegistryTruncate:
+		p.Truncate(on)
+	case script.RegistryMalform:
+		p.Malform(on)
+	case script.RegistryRestart:
+		p.Refuse(on)
+	case script.RegistrySlow:
+		delay := Time(0)
+		if on {
+			delay = microseconds(x.Delay)
+		}
+		p.Slow(delay)
+	case script.RegistryDeltaOld:
+		p.DeltaOld(on)
+	case script.RegistryStale:
+		p.Stale(on)
+	case script.RegistryHash:
+		p.WrongHash(on)
+	case script.RegistryDeltaRepeat:
+		p.DeltaRepeat(on)
+	case script.RegistryDisagree:
+		p.Disagree(hidden...)
+	}
+}
+
+// share is the first part of the caches that are registered, by name.
+func (r *registries) share(part float64) (ids []string) {
+	n := int(part*float64(len(r.enrolled)) + 0.5)
+	for _, e := range r.enrolled[:n] {
+		ids = append(ids, e.cache.Name())
+	}
+	return ids
+}
+
+// flap has a cache stand as down and as up in turns.
+func (f *faults) flap(x script.Fault, c *standin.Cache) {
+	w := f.w
+	over := false
+	var turn func(down bool)
+	turn = func(down bool) {
+		if over {
+			return
+		}
+		status := registry.Up
+		if down {
+			status = registry.OutOfService
+		}
+		w.registry.put(c, status)
+		w.sim.At(w.sim.Now()+microseconds(x.Delay), func() { turn(!down) })
+	}
+	turn(true)
+	f.until(x, func() {
+		over = true
+		w.registry.put(c, registry.Up)
+	})
+}
