--- a/decide/learned.go
+++ b/decide/learned.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 )
@@ -41,30 +42,69 @@
 // Learned tells what the router has learned, with at most so many keys of each cache. A router that has
 // just been made and told the list tells what it takes for granted.
 func (r *Router) Learned(keys int) Learned {
+	l := r.LearnedOfAll()
+	l.Caches = r.LearnedAfter(nil, "", len(r.ready))
+	for i := range l.Caches {
+		l.Caches[i].Keeps = r.LearnedKeys(l.Caches[i].ID, keys)
+	}
+	return l
+}
+
+// LearnedOfAll tells what it has learned beside that of single caches. It may be called at any time, as all that tells.
+func (r *Router) LearnedOfAll() Learned {
 	l := Learned{Fetches: r.fetches, Missing: r.missing, Budget: r.budget, Erring: r.erring, Lost: r.lost}
 	for _, name := range slices.Sorted(maps.Keys(r.zones)) {
 		l.Zones = append(l.Zones, LearnedZone{name, r.zones[name].fails})
 	}
-	for _, c := range r.ready {
-		lc := LearnedCache{ID: c.ID, Start: c.Start, Limit: c.limit, Late: c.late, Erring: r.errors(c), Healthy: c.healthy,
-			Fails: c.fails, Prompt: c.prompt}
-		for _, window := range c.keeps {
-			for key := range window { // any order: sorted below, and which are left out is no matter
-				if len(lc.Keeps) >= keys {
-					break
-				}
-				lc.Keeps = append(lc.Keeps, key)
-			}
+	return l
+}
+
+// LearnedAfter appends what it has learned of the caches behind an id, in their order, of so many at most and without
+// their keys. The danger: of thousands of caches, all at once holds up what the router is for.
+func (r *Router) LearnedAfter(to []LearnedCache, id string, most int) []LearnedCache {
+	i, found := slices.BinarySearchFunc(r.ready, id, func(c *cache, id string) int { return cmp.Compare(c.ID, id) })
+	if found {
+		i++
+	}
+	for _, c := range r.ready[i:min(i+most, len(r.ready))] {
+		to = append(to, LearnedCache{ID: c.ID, Start: c.Start, Limit: c.limit, Late: c.late, Erring: r.errors(c),
+			Healthy: c.healthy, Fails: c.fails, Prompt: c.prompt})
+	}
+	return to
+}
+
+// LearnedKeyCount is how many keys LearnedKeys has to look at.
+func (r *Router) LearnedKeyCount(id string) int {
+	c := r.caches[id]
+	if c == nil {
+		return 0
+	}
+	return len(c.keeps[0]) + len(c.keeps[1])
+}
+
+// LearnedKeys tells keys that a cache likely keeps, so many at most and in order. Which are left out the keys decide.
+func (r *Router) LearnedKeys(id string, most int) []uint64 {
+	c := r.caches[id]
+	if c == nil || most <= 0 || r.LearnedKeyCount(id) == 0 {
+		return nil
+	}
+	keys := make([]uint64, 0, r.LearnedKeyCount(id))
+	for _, window := range c.keeps {
+		for key := range window { // any order: sorted below
+			keys = append(keys, key)
 		}
-		slices.Sort(lc.Keeps)
-		lc.Keeps = slices.Compact(lc.Keeps)
-		l.Caches = append(l.Caches, lc)
 	}
-	return l
+	if len(keys) > most {
+		slices.SortFunc(keys, func(a, b uint64) int { return cmp.Compare(mix(a), mix(b)) })
+		keys = slices.Compact(keys)
+		keys = keys[:min(most, len(keys))]
+	}
+	slices.Sort(keys)
+	return slices.Compact(keys)
 }
 
 // Learn takes over what was learned before. Of caches that are not listed, or whose process is another one, nothing
-// is taken. Figures out of range are left as they are.
+// is taken. Figures out of range, as NaN is of all, are left as they are.
 func (r *Router) Learn(l Learned) {
 	figure := func(to *float64, v, lo, hi float64) {
 		if v >= lo && v <= hi {
--- a/internal/machine/contract_test.go
+++ b/internal/machine/contract_test.go
@@ -19,6 +19,10 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(m.Stop)
+		folder := filepath.Join(t.TempDir(), "folder")
+		if err := os.Mkdir(folder, 0o700); err != nil {
+			t.Fatal(err)
+		}
 		return machinetest.Rig{
 			A:        m,
 			B:        m,
@@ -32,6 +36,13 @@
 				}
 				return name
 			},
+			Folder: folder,
+			PutLink: func(name string) {
+				if err := os.Symlink("/etc/passwd", name); err != nil {
+					t.Fatal(err)
+				}
+			},
+			RemoveFolder: func() { os.RemoveAll(folder) },
 			Signal: func(s machine.Signal) {
 				sig := syscall.SIGTERM
 				if s == machine.HangUp {
--- /dev/null
+++ b/internal/machine/disk.go
@@ -0,0 +1,104 @@
+package machine
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"syscall"
+)
+
+// realDisk is the files of this machine. os opens all with O_CLOEXEC: no child inherits a lock.
+type realDisk struct{}
+
+// Read implements Disk.
+//
+// The danger: opening a FIFO waits for a writer, and a link leads to a device that never ends.
+func (realDisk) Read(name string, most int64) ([]byte, error) {
+	f, err := os.OpenFile(name, os.O_RDONLY|syscall.O_NOFOLLOW|syscall.O_NONBLOCK, 0)
+	if errors.Is(err, syscall.ELOOP) {
+		return nil, fmt.Errorf("%s: a symbolic link: %w", name, ErrIrregular)
+	}
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	info, err := f.Stat()
+	if err != nil {
+		return nil, err
+	}
+	if !info.Mode().IsRegular() {
+		return nil, fmt.Errorf("%s: %w", name, ErrIrregular)
+	}
+	if info.Size() > most {
+		return nil, fmt.Errorf("%s: %d bytes, %w of %d", name, info.Size(), ErrTooLong, most)
+	}
+	b, err := io.ReadAll(io.LimitReader(f, most+1)) // it may grow meanwhile
+	if err == nil && int64(len(b)) > most {
+		err = fmt.Errorf("%s: %w of %d", name, ErrTooLong, most)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return b, nil
+}
+
+// Create implements Disk. O_EXCL takes no link either.
+func (realDisk) Create(name string, content []byte) error {
+	f, err := os.OpenFile(name, os.O_WRONLY|os.O_CREATE|os.O_EXCL, 0o600)
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(content)
+	if err == nil {
+		err = f.Sync()
+	}
+	return errors.Join(err, f.Close())
+}
+
+// Rename implements Disk.
+func (realDisk) Rename(from, to string) error { return os.Rename(from, to) }
+
+// Remove implements Disk.
+func (realDisk) Remove(name string) error { return os.Remove(name) }
+
+// SyncFolder implements Disk.
+func (realDisk) SyncFolder(folder string) error {
+	f, err := os.OpenFile(folder, os.O_RDONLY|syscall.O_DIRECTORY, 0)
+	if err != nil {
+		return err
+	}
+	return errors.Join(f.Sync(), f.Close())
+}
+
+// Lock implements Disk, by flock(2).
+func (realDisk) Lock(name string) (Lock, error) {
+	f, err := os.OpenFile(name, os.O_RDWR|os.O_CREATE|syscall.O_NOFOLLOW|syscall.O_NONBLOCK, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		f.Close()
+		if errors.Is(err, syscall.EWOULDBLOCK) {
+			return nil, fmt.Errorf("%s: %w", name, ErrLocked)
+		}
+		return nil, &os.PathError{Op: "flock", Path: name, Err: err}
+	}
+	return &flock{f}, nil
+}
+
+// flock is a file with a lock on it.
+type flock struct{ f *os.File }
+
+// Holds implements Lock.
+func (l *flock) Holds() bool {
+	mine, err := l.f.Stat()
+	if err != nil {
+		return false
+	}
+	there, err := os.Lstat(l.f.Name())
+	return err == nil && os.SameFile(mine, there)
+}
+
+// Release implements Lock. The file stays: whoever removed it could remove another's lock.
+func (l *flock) Release() { l.f.Close() }
--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -5,7 +5,7 @@
 //
 // A machine calls its users; they never wait. All calls, in both directions, are made in one
 // goroutine, the machine's loop; the exceptions are Post and Log, which any goroutine may call, and the work
-// of Work. Nothing that a call here does makes the machine call back before that call has
+// of Work and OnDisk. Nothing that a call here does makes the machine call back before that call has
 // returned, so a user is never entered twice. Users start no goroutine and block on nothing.
 //
 // Order is the machine's: what happens at one instant is told in the order in which it came
@@ -39,6 +39,15 @@
 // ErrClosed says that this side has closed the connection.
 var ErrClosed = errors.New("machine: closed")
 
+// ErrLocked says that somebody else holds a lock.
+var ErrLocked = errors.New("machine: locked by another process")
+
+// ErrTooLong says that a file is longer than the reader takes.
+var ErrTooLong = errors.New("machine: longer than the bound")
+
+// ErrIrregular says that what stands under a name is not a regular file: a folder, a link, a device.
+var ErrIrregular = errors.New("machine: not a regular file")
+
 // Signal is what an operator's tools tell a process.
 type Signal uint8
 
@@ -75,6 +84,11 @@
 	// ListenPacket has got called with each datagram that comes to the address. got must not keep b.
 	ListenPacket(addr string, got func(from string, b []byte)) (PacketConn, error)
 
+	// OnDisk has f work on files beside the loop, and then done called in a turn of the loop. Such works are done one
+	// after another, in the order in which they came, and take as long as the disk does, which may be for ever: who
+	// gives one waits for its end before giving the next, with a bound of its own. f must touch nothing that the loop
+	// uses meanwhile, and keep the Disk no longer than its own run. Where the process ends, f ends anywhere.
+	OnDisk(f func(Disk), done func())
 	// ReadFile is a regular file's content; one that is longer than most bytes is an error. It takes as
 	// long as the disk does.
 	ReadFile(name string, most int64) ([]byte, error)
@@ -148,3 +162,33 @@
 	Send(to string, b []byte) error
 	Close()
 }
+
+// Disk is the machine's files as one work sees them. Calls wait for the disk. No call follows a symbolic link that stands
+// under a file's own name; folders on the way to it may be links. What fails may be wholly or partly done, but for Rename.
+//
+// A loss of power loses what was not flushed: a file's content by Create, its name (made, changed or removed)
+// by SyncFolder. Until then any part of it may or may not be there afterwards, each for itself.
+type Disk interface {
+	// Read is a regular file's content: ErrIrregular for all else, ErrTooLong beyond most bytes.
+	Read(name string, most int64) ([]byte, error)
+	// Create makes a new file with that content, for this user alone, and flushes the content. It fails with
+	// fs.ErrExist where the name is taken by anything.
+	Create(name string, content []byte) error
+	// Rename gives a file another name, in one step, also where another file has that.
+	Rename(from, to string) error
+	// Remove takes a file's name away, or an empty folder's.
+	Remove(name string) error
+	// SyncFolder flushes the names in a folder.
+	SyncFolder(folder string) error
+	// Lock takes the lock that a file stands for, which it makes where there is none: ErrLocked where another
+	// holds it. It ends with the process at the latest.
+	Lock(name string) (Lock, error)
+}
+
+// Lock is a lock that is held. Its calls wait for the disk, and are for the work of OnDisk too.
+type Lock interface {
+	// Holds reports whether it still keeps others out: not where its file was removed or replaced.
+	Holds() bool
+	// Release gives it back. A second call does nothing.
+	Release()
+}
--- a/internal/machine/machinetest/machinetest.go
+++ b/internal/machine/machinetest/machinetest.go
@@ -18,6 +18,12 @@
 	RunUntil func(until func() bool) bool
 	// PutFile writes a file that A can read, and gives its name.
 	PutFile func(content []byte) string
+	// Folder is an empty folder of A.
+	Folder string
+	// PutLink puts a symbolic link to something that can be read under a name.
+	PutLink func(name string)
+	// RemoveFolder takes Folder away with all that is in it.
+	RemoveFolder func()
 	// Signal sends A's process a signal. Nil leaves those tests out.
 	Signal func(machine.Signal)
 	// Nowhere is an address that gives no answer of any kind. Empty leaves those tests out.
@@ -61,6 +67,15 @@
 	{"DatagramsCanBeAnswered", datagrams},
 	{"FilesAreReadUpToABound", files},
 	{"SignalsWaitForTheirHandler", signals},
+	{"WorksOnTheDiskAreDoneInOrderEachBeforeItsDone", diskInOrder},
+	{"ACreatedFileIsReadBack", created},
+	{"NoFileIsCreatedWhereANameIsTaken", createdOnce},
+	{"ARenamedFileStandsUnderItsNewNameAlone", renamed},
+	{"ARemovedFileIsGone", removed},
+	{"NoCallFollowsALink", links},
+	{"ALockKeepsOthersOutUntilItIsReleased", locks},
+	{"ALockWhoseFileWasRemovedHoldsNoMore", lockRemoved},
+	{"AFolderThatIsGoneIsSaid", folderGone},
 }
 
 // bench is a rig with the helpers of the tests.
--- a/internal/machine/real.go
+++ b/internal/machine/real.go
@@ -39,6 +39,7 @@
 
 	inbox   inbox
 	work    work
+	disk    work
 	signals signals
 	log     *logger
 	roused  atomic.Bool // Work or Log has given a goroutine something to do
@@ -76,7 +77,8 @@
 		w = os.Stderr
 	}
 	m.log = newLogger(w)
-	m.work.post = m.Post
+	m.work.post, m.work.most = m.Post, workers
+	m.disk.post, m.disk.most = m.Post, 1
 	m.signals.begin(m.Post)
 	return m, nil
 }
@@ -182,6 +184,7 @@
 func (m *Real) shut() {
 	m.signals.end()
 	m.work.end()
+	m.disk.end()
 	m.inbox.close()
 	m.poll.shut()
 	m.timers = timers{}
@@ -220,6 +223,12 @@
 	m.roused.Store(true)
 }
 
+// OnDisk implements Machine.
+func (m *Real) OnDisk(f func(Disk), done func()) {
+	m.disk.add(func() { f(realDisk{}) }, done)
+	m.roused.Store(true)
+}
+
 // Signals implements Machine.
 func (m *Real) Signals(f func(Signal)) { m.signals.to(f) }
 
--- a/internal/machine/work.go
+++ b/internal/machine/work.go
@@ -10,6 +10,7 @@
 // writing a file, and who gives it work waits for the end before giving more.
 type work struct {
 	post func(func())
+	most int // goroutines
 
 	mu    sync.Mutex
 	queue []job
@@ -26,7 +27,7 @@
 		return
 	}
 	w.queue = append(w.queue, job{f, done})
-	if w.busy < workers {
+	if w.busy < w.most {
 		w.busy++
 		go w.run()
 	}
--- a/internal/sim/contract_test.go
+++ b/internal/sim/contract_test.go
@@ -20,6 +20,7 @@
 	w.ShuffleTies = ties
 	a := w.Host("a", "10.0.0.1", HostOptions{Zone: "a"})
 	b := w.Host("b", "10.0.0.2", HostOptions{Zone: "b"})
+	a.MakeFolder("/folder")
 	return machinetest.Rig{
 		A: a.Machine(), B: b.Machine(),
 		IPA: "10.0.0.1", IPB: "10.0.0.2",
@@ -28,6 +29,7 @@
 			a.PutFile("file", content)
 			return "file"
 		},
+		Folder: "/folder", PutLink: a.PutOdd, RemoveFolder: func() { a.RemoveFolder("/folder") },
 		Signal:  func(s machine.Signal) { a.Signal(s) },
 		Nowhere: "10.9.9.9:1",
 	}
--- /dev/null
+++ b/internal/sim/disk.go
@@ -0,0 +1,367 @@
+package sim
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"maps"
+	"math/rand/v2"
+	"path"
+	"slices"
+
+	"starlingwinch/internal/machine"
+)
+
+// disk is a host's files. It knows what a loss of power would leave: contents that were flushed, and names as of the
+// last flush of their folder. The model is that of ALICE (Pillai et al., OSDI 2014), at its harshest: of what was not
+// flushed each change may be there or not, by itself, and a content may end at any byte.
+type disk struct {
+	rand    *rand.Rand
+	slow    Time // that each work takes longer
+	err     error
+	folders map[string]bool
+	names   map[string]*inode // as processes see them
+	flushed map[string]*inode // as a loss of power leaves them
+	locks   map[*inode]*Process
+	steps   int // calls that change something, so far
+	cut     *Cut
+	dead    bool // the cut has come
+}
+
+// ErrFull is what FailDisk is to be told for a full disk.
+var ErrFull = errors.New("no space left on the disk")
+
+// inode is a file, whatever its names.
+type inode struct {
+	content []byte
+	flushed []byte // its content as a loss of power leaves it
+	err     error  // of its reads
+	odd     bool   // not a regular file
+}
+
+// Cut ends all work on a disk at one of its steps: nothing has an effect from then on, until Host.Power. The steps are
+// those of Disk's calls that change something; Create has three: its name, its content, its flush.
+type Cut struct {
+	Step int // counted from the call of CutDisk, the first is 0
+	Part int // bytes of the content that are written, where the step is a content
+}
+
+func newDisk(r *rand.Rand) *disk {
+	return &disk{rand: r, folders: map[string]bool{}, names: map[string]*inode{}, flushed: map[string]*inode{},
+		locks: map[*inode]*Process{}}
+}
+
+// PutFile writes a file, which is safe at once; the folder comes with it.
+func (h *Host) PutFile(name string, content []byte) { h.disk.put(name, content) }
+
+func (d *disk) put(name string, content []byte) {
+	b := slices.Clone(content)
+	n := &inode{content: b, flushed: b}
+	d.folders[path.Dir(name)] = true
+	d.names[name], d.flushed[name] = n, n
+}
+
+// PutOdd puts something under a name that is not a regular file.
+func (h *Host) PutOdd(name string) {
+	h.PutFile(name, nil)
+	h.disk.names[name].odd = true
+}
+
+// RemoveFile deletes a file.
+func (h *Host) RemoveFile(name string) {
+	delete(h.disk.names, name)
+	delete(h.disk.flushed, name)
+}
+
+// FailFile has reads of a file fail, until it is put or removed.
+func (h *Host) FailFile(name string, err error) {
+	h.PutFile(name, nil)
+	h.disk.names[name].err = err
+}
+
+// Files are the names in a folder, in order.
+func (h *Host) Files(folder string) []string {
+	var all []string
+	for _, name := range slices.Sorted(maps.Keys(h.disk.names)) {
+		if path.Dir(name) == folder {
+			all = append(all, name)
+		}
+	}
+	return all
+}
+
+// File is a file's content as a process would read it; false where there is none.
+func (h *Host) File(name string) ([]byte, bool) {
+	n := h.disk.names[name]
+	if n == nil {
+		return nil, false
+	}
+	return slices.Clone(n.content), true
+}
+
+// MakeFolder makes a folder. RemoveFolder takes it away with all that is in it.
+func (h *Host) MakeFolder(name string) { h.disk.folders[name] = true }
+
+// RemoveFolder takes a folder away with all that is in it.
+func (h *Host) RemoveFolder(name string) {
+	delete(h.disk.folders, name)
+	for _, file := range h.Files(name) {
+		h.RemoveFile(file)
+	}
+}
+
+// FailDisk has all that would change something on the disk fail, as a full (ErrFull) or a read-only
+// one does; nil ends that.
+func (h *Host) FailDisk(err error) { h.disk.err = err }
+
+// SlowDisk has each work on the disk take so much longer.
+func (h *Host) SlowDisk(d Time) { h.disk.slow = d }
+
+// CutDisk ends all work on the disk at a step from now. The process goes on, and learns of nothing but errors.
+func (h *Host) CutDisk(c Cut) {
+	c.Step += h.disk.steps
+	h.disk.cut, h.disk.dead = &c, false
+}
+
+// DiskSteps is the number of steps that were done on the disk so far.
+func (h *Host) DiskSteps() int { return h.disk.steps }
+
+// Leaves says what of the things that were not flushed a loss of power leaves. It is called for each of them, in a fixed
+// order: for a change of a name, with 1, it gives 1 where the change is there; for a content with its length, it gives
+// how many of its bytes are.
+type Leaves func(what string, most int) int
+
+// Power kills the process by a loss of power; the disk is whole again afterwards, without what leaves leaves out.
+// Where leaves is nil the host's chance decides.
+func (h *Host) Power(leaves Leaves) {
+	h.Kill()
+	d := h.disk
+	d.cut, d.dead = nil, false
+	if leaves == nil {
+		leaves = func(_ string, most int) int { return d.rand.IntN(most + 1) }
+	}
+	all := maps.Clone(d.names)
+	maps.Copy(all, d.flushed)
+	for _, name := range slices.Sorted(maps.Keys(all)) {
+		if d.names[name] != d.flushed[name] && leaves("name "+name, 1) == 1 {
+			set(d.flushed, name, d.names[name])
+		}
+	}
+	torn := map[*inode]bool{}
+	for _, name := range slices.Sorted(maps.Keys(d.flushed)) {
+		n := d.flushed[name]
+		if string(n.content) != string(n.flushed) && !torn[n] {
+			n.flushed = n.content[:leaves("content "+name, len(n.content))]
+			n.content = n.flushed
+		}
+		torn[n] = true
+	}
+	d.names = maps.Clone(d.flushed)
+	clear(d.locks)
+}
+
+// set gives a name to a file, or takes it away.
+func set(names map[string]*inode, name string, n *inode) {
+	if n == nil {
+		delete(names, name)
+		return
+	}
+	names[name] = n
+}
+
+// killed ends what a process has on the disk. Its works that were under way were done up to some step.
+func (d *disk) killed(p *Process) {
+	if len(p.onDisk) > 0 && !d.dead {
+		kept := d.cut
+		d.cut = &Cut{Step: d.steps + d.rand.IntN(8), Part: d.rand.IntN(1 << 16)}
+		p.w.working = true
+		p.onDisk[0](onDisk{d, p})
+		p.w.working = false
+		d.cut, d.dead = kept, false
+	}
+	p.onDisk = nil
+	maps.DeleteFunc(d.locks, func(_ *inode, holder *Process) bool { return holder == p })
+}
+
+func (d *disk) read(name string, most int64) ([]byte, error) {
+	n := d.names[name]
+	switch {
+	case n == nil:
+		return nil, &fs.PathError{Op: "open", Path: name, Err: fs.ErrNotExist}
+	case n.err != nil:
+		return nil, &fs.PathError{Op: "open", Path: name, Err: n.err}
+	case n.odd:
+		return nil, fmt.Errorf("%s: %w", name, machine.ErrIrregular)
+	case int64(len(n.content)) > most:
+		return nil, fmt.Errorf("%s: %w of %d", name, machine.ErrTooLong, most)
+	}
+	return slices.Clone(n.content), nil
+}
+
+var errCut = errors.New("sim: the process or its power has ended")
+
+// step begins a step; part is how many bytes of n are still written.
+func (d *disk) step(n int) (part int, err error) {
+	if d.dead {
+		return 0, errCut
+	}
+	if d.cut != nil && d.steps == d.cut.Step {
+		d.dead = true
+		return min(n, d.cut.Part), errCut
+	}
+	d.steps++
+	return n, nil
+}
+
+// change begins a step that changes a name.
+func (d *disk) change(op, name string) error {
+	if _, err := d.step(0); err != nil {
+		return err
+	}
+	return d.failing(op, name)
+}
+
+func (d *disk) failing(op, name string) error {
+	if d.err != nil {
+		return &fs.PathError{Op: op, Path: name, Err: d.err}
+	}
+	if !d.folders[path.Dir(name)] {
+		return &fs.PathError{Op: op, Path: name, Err: fs.ErrNotExist}
+	}
+	return nil
+}
+
+// onDisk is the disk as one work sees it.
+type onDisk struct {
+	d *disk
+	p *Process
+}
+
+// Read implements machine.Disk.
+func (o onDisk) Read(name string, most int64) ([]byte, error) {
+	if o.d.dead {
+		return nil, errCut
+	}
+	return o.d.read(name, most)
+}
+
+// Create implements machine.Disk. On a full disk there is room for the name and half of the content.
+func (o onDisk) Create(name string, content []byte) error {
+	d := o.d
+	if _, err := d.step(0); err != nil {
+		return err
+	}
+	full := errors.Is(d.err, ErrFull)
+	if err := d.failing("open", name); err != nil && !full {
+		return err
+	}
+	if d.names[name] != nil || d.folders[name] {
+		return &fs.PathError{Op: "open", Path: name, Err: fs.ErrExist}
+	}
+	n := &inode{}
+	d.names[name] = n
+	part, err := d.step(len(content))
+	if full {
+		part, err = part/2, errors.Join(err, &fs.PathError{Op: "write", Path: name, Err: ErrFull})
+	}
+	n.content = slices.Clone(content[:part])
+	if err != nil {
+		return err
+	}
+	if _, err := d.step(0); err != nil {
+		return err
+	}
+	n.flushed = n.content
+	return nil
+}
+
+// Rename implements machine.Disk.
+func (o onDisk) Rename(from, to string) error {
+	d := o.d
+	if err := d.change("rename", from); err != nil {
+		return err
+	}
+	n := d.names[from]
+	if n == nil {
+		return &fs.PathError{Op: "rename", Path: from, Err: fs.ErrNotExist}
+	}
+	delete(d.names, from)
+	d.names[to] = n
+	return nil
+}
+
+// Remove implements machine.Disk.
+func (o onDisk) Remove(name string) error {
+	if err := o.d.change("remove", name); err != nil {
+		return err
+	}
+	if o.d.names[name] == nil {
+		return &fs.PathError{Op: "remove", Path: name, Err: fs.ErrNotExist}
+	}
+	delete(o.d.names, name)
+	return nil
+}
+
+// SyncFolder implements machine.Disk.
+func (o onDisk) SyncFolder(folder string) error {
+	d := o.d
+	if err := d.change("sync", path.Join(folder, "x")); err != nil {
+		return err
+	}
+	for name := range d.flushed { // any order: each by itself
+		if path.Dir(name) == folder && d.names[name] == nil {
+			delete(d.flushed, name)
+		}
+	}
+	for name, n := range d.names { // any order: each by itself
+		if path.Dir(name) == folder {
+			d.flushed[name] = n
+		}
+	}
+	return nil
+}
+
+// Lock implements machine.Disk.
+func (o onDisk) Lock(name string) (machine.Lock, error) {
+	d := o.d
+	n := d.names[name]
+	if n == nil {
+		if err := d.change("open", name); err != nil {
+			return nil, err
+		}
+		n = &inode{}
+		d.names[name] = n
+	}
+	if err := d.failing("open", name); err != nil {
+		return nil, err
+	}
+	if d.dead {
+		return nil, errCut
+	}
+	if n.odd {
+		return nil, fmt.Errorf("%s: %w", name, machine.ErrIrregular)
+	}
+	if d.locks[n] != nil {
+		return nil, fmt.Errorf("%s: %w", name, machine.ErrLocked)
+	}
+	d.locks[n] = o.p
+	return &simLock{d, name, n}, nil
+}
+
+// simLock is a lock that is held.
+type simLock struct {
+	d    *disk
+	name string
+	n    *inode
+}
+
+// Holds implements machine.Lock.
+func (l *simLock) Holds() bool { return l.n != nil && l.d.names[l.name] == l.n }
+
+// Release implements machine.Lock.
+func (l *simLock) Release() {
+	if l.n != nil {
+		delete(l.d.locks, l.n)
+	}
+	l.n = nil
+}
--- a/internal/sim/host.go
+++ b/internal/sim/host.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io/fs"
 	"math/rand/v2"
 	"net/netip"
 
@@ -35,7 +34,7 @@
 	work      *rand.Rand
 	clock     Time // by which Wall is ahead of Now
 	proc      *Process
-	files     map[string]file
+	disk      *disk
 	listeners map[netip.AddrPort]*listener
 	packets   map[netip.AddrPort]*packetConn
 	lastPort  uint16
@@ -49,11 +48,6 @@
 	resetNew   bool
 }
 
-type file struct {
-	content []byte
-	err     error
-}
-
 // Host adds a host with a process that has just started. It panics where the name or the address is taken.
 func (w *World) Host(name, ip string, o HostOptions) *Host {
 	addr := netip.MustParseAddr(ip)
@@ -79,7 +73,7 @@
 		entropy:   w.Rand("entropy " + name),
 		work:      w.Rand("work " + name),
 		clock:     o.ClockOffset,
-		files:     map[string]file{},
+		disk:      newDisk(w.Rand("disk " + name)),
 		listeners: map[netip.AddrPort]*listener{},
 		packets:   map[netip.AddrPort]*packetConn{},
 		lastPort:  firstPort - 1,
@@ -116,6 +110,7 @@
 		return
 	}
 	p.dead = true
+	h.disk.killed(p)
 	for _, c := range p.conns {
 		c.abandon()
 	}
@@ -238,31 +233,6 @@
 // StepClock moves the host's clock by d: Wall jumps, Now does not.
 func (h *Host) StepClock(d Time) { h.clock += d }
 
-// PutFile writes a file.
-func (h *Host) PutFile(name string, content []byte) {
-	h.files[name] = file{content: append([]byte(nil), content...)}
-}
-
-// RemoveFile deletes a file.
-func (h *Host) RemoveFile(name string) { delete(h.files, name) }
-
-// FailFile has reads of a file fail, until it is put or removed.
-func (h *Host) FailFile(name string, err error) { h.files[name] = file{err: err} }
-
-func (h *Host) readFile(name string, most int64) ([]byte, error) {
-	f, ok := h.files[name]
-	if !ok {
-		f.err = fs.ErrNotExist
-	}
-	if f.err != nil {
-		return nil, &fs.PathError{Op: "open", Path: name, Err: f.err}
-	}
-	if int64(len(f.content)) > most {
-		return nil, fmt.Errorf("%s: longer than %d bytes", name, most)
-	}
-	return append([]byte(nil), f.content...), nil
-}
-
 // linkTo is the way to another host.
 func (h *Host) linkTo(to *Host) *Link {
 	if h == to {
--- a/internal/sim/process.go
+++ b/internal/sim/process.go
@@ -19,6 +19,9 @@
 	listeners   []*listener
 	packets     []*packetConn
 	signals     func(machine.Signal)
+	diskLane    uint64
+	diskAt      Time                 // when the last of its works on the disk is over
+	onDisk      []func(machine.Disk) // works that are not done yet
 	kept        []machine.Signal
 }
 
@@ -91,12 +94,29 @@
 	p.w.schedule(ev, p.w.now+1+p.host.work.Int64N(workTakes), p.w.lane())
 }
 
+// OnDisk does the work when its time is over. Where the process is killed before, a part of it has been done.
+func (p *Process) OnDisk(f func(machine.Disk), done func()) {
+	p.enter()
+	p.onDisk = append(p.onDisk, f)
+	p.diskAt = max(p.w.now, p.diskAt) + 1 + p.host.work.Int64N(workTakes) + p.host.disk.slow
+	ev := p.w.event(WorkDone)
+	ev.proc = p
+	ev.fn = func() {
+		p.onDisk = p.onDisk[1:]
+		p.w.working = true
+		f(onDisk{p.host.disk, p})
+		p.w.working = false
+		done()
+	}
+	p.w.schedule(ev, p.diskAt, p.diskLane)
+}
+
 func (p *Process) ReadFile(name string, most int64) ([]byte, error) {
 	p.enter()
 	if p.full() {
 		return nil, machine.ErrDescriptors
 	}
-	return p.host.readFile(name, most)
+	return p.host.disk.read(name, most)
 }
 
 func (p *Process) Signals(f func(machine.Signal)) {
