--- a/cmd/starlingwinch/run.go
+++ b/cmd/starlingwinch/run.go
@@ -18,10 +18,11 @@
 	"starlingwinch/internal/opfile"
 	"starlingwinch/internal/router"
 	"starlingwinch/internal/settings"
+	"starlingwinch/internal/store"
 )
 
 // kinds are the operators' files that the program knows. A subsystem adds its own here.
-var kinds = opfile.Registry{limits.Kind, membership.Kind, eureka.Kind}
+var kinds = opfile.Registry{limits.Kind, membership.Kind, eureka.Kind, store.Kind}
 
 const (
 	configVariable = "BALANCER_CONFIG"
@@ -40,8 +41,8 @@
 	cmd := &cobra.Command{
 		Use:   "run [--config FILE] [--operator FILE]...",
 		Short: "Serve",
-		Long: "Serves until SIGTERM, which drains. SIGHUP reads the files again: a new address of discovery takes\n" +
-			"effect at once, all else waits for a restart.",
+		Long: "Serves until SIGTERM, which drains. SIGHUP reads the files again: a new address of discovery and a new\n" +
+			"folder of the state take effect at once, all else waits for a restart.",
 		Args: knownWords,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			if cmd.Flags().Changed("config") && s.config == "" {
@@ -140,6 +141,7 @@
 	cfg.Bounds = opfile.Get[limits.Limits](files, limits.Kind)
 	cfg.Membership = opfile.Get[membership.Config](files, membership.Kind)
 	cfg.Eureka = opfile.Get[eureka.Config](files, eureka.Kind)
+	cfg.State = opfile.Get[store.Config](files, store.Kind)
 	return cfg, warnings, nil
 }
 
--- /dev/null
+++ b/cmd/starlingwinch/state.go
@@ -0,0 +1,147 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"starlingwinch/internal/fault"
+	"starlingwinch/internal/learned"
+	"starlingwinch/internal/machine"
+	"starlingwinch/internal/store"
+)
+
+func stateCommand() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "state",
+		Short: "Tell what a router has kept of what it knew",
+		Args:  knownWords,
+		RunE:  func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
+	}
+	cmd.AddCommand(&cobra.Command{
+		Use:   "show FILE",
+		Short: "Print one file of a state's folder as tables, with ages",
+		Args:  oneArg("FILE"),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return showState(cmd.OutOrStdout(), args[0], time.Now())
+		},
+	}, &cobra.Command{
+		Use:   "verify FOLDER",
+		Short: "Tell of each file of a state's folder whether it is sound, and change nothing",
+		Long: "Tells of each file of a state's folder whether it is sound: of those that a router reads when it starts, and of\n" +
+			"those that were set aside. Changes nothing. Exits 1 where one that a router reads is not sound, or where\n" +
+			"the folder can't be read.",
+		Args: oneArg("FOLDER"),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return verifyState(cmd.OutOrStdout(), args[0], time.Now())
+		},
+	})
+	return cmd
+}
+
+// oneArg wants one word.
+func oneArg(what string) cobra.PositionalArgs {
+	return func(cmd *cobra.Command, args []string) error {
+		if len(args) != 1 {
+			return usageError{fmt.Sprintf("%s: one %s is wanted; see %s --help", cmd.CommandPath(), what, cmd.CommandPath())}
+		}
+		return nil
+	}
+}
+
+func showState(out io.Writer, path string, now time.Time) error {
+	f, state, err := store.Read(machine.Files(), path)
+	if err != nil {
+		return fmt.Errorf("%s: %w", fault.Plain(path), err)
+	}
+	at := now.UnixMicro()
+	fmt.Fprintf(out, "written by %s at %s, %s\n\n", fault.Quote(f.Router),
+		time.UnixMicro(f.Written).UTC().Format("2006-01-02 15:04:05.000 UTC"), agoOf(at, f.Written))
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "FIGURE\tVALUE\tAGE")
+	for _, row := range []struct {
+		name string
+		v    float64
+	}{{"likely misses out at most", state.Router.Fetches}, {"share of likely misses that were true", state.Router.Missing},
+		{"budget of retries", state.Router.Budget}, {"share of errors", state.Router.Erring},
+		{"share of lost attempts", state.Router.Lost}} {
+		fmt.Fprintf(t, "%s\t%.3g\t%s\n", row.name, row.v, agoOf(at, state.At))
+	}
+	for _, z := range state.Router.Zones {
+		fmt.Fprintf(t, "zone %s: failed connections in a row\t%d\t%s\n", fault.Plain(z.Name), z.Fails, agoOf(at, state.At))
+	}
+	t.Flush()
+	fmt.Fprintln(out)
+	showCaches(out, state.Caches, at)
+	return nil
+}
+
+func showCaches(out io.Writer, caches []learned.Cache, now learned.Time) {
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "CACHE\tSTARTED\tAGE\tLIMIT\tLATE\tERRORS\tPROBES\tKEYS\tAGE OF KEYS")
+	for _, c := range caches {
+		started, probes, keys := "long ago", "healthy", "-"
+		if c.Start > 0 {
+			started = time.UnixMicro(c.Start).UTC().Format("01-02 15:04:05.000")
+		}
+		if !c.Healthy {
+			probes = "unhealthy"
+		}
+		if c.Fails > 0 {
+			probes += fmt.Sprintf(", %d failed", c.Fails)
+		}
+		if len(c.Keeps) > 0 {
+			keys = agoOf(now, c.KeysAt)
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%.3g\t%.0f %%\t%.0f %%\t%s\t%d\t%s\n", fault.Plain(c.ID), started, agoOf(now, c.At),
+			c.Limit, 100*c.Late, 100*c.Erring, probes, len(c.Keeps), keys)
+	}
+	t.Flush()
+}
+
+func verifyState(out io.Writer, folder string, now time.Time) error {
+	info, err := os.Stat(folder)
+	if err != nil {
+		return err
+	}
+	if !info.IsDir() {
+		return fmt.Errorf("%s: not a folder", fault.Plain(folder))
+	}
+	at, bad, good := now.UnixMicro(), 0, 0
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "FILE\tVERDICT\tROUTER\tWRITTEN\tCACHES")
+	for _, row := range store.Verify(machine.Files(), folder, at) {
+		if row.Refused != nil {
+			fmt.Fprintf(t, "%s\t%s\t-\t-\t-\n", row.Name, fault.Plain(row.Refused.Error()))
+			if row.InUse {
+				bad++
+			}
+			continue
+		}
+		if row.InUse {
+			good++
+		}
+		fmt.Fprintf(t, "%s\tsound\t%s\t%s\t%d\n", row.Name, fault.Plain(row.File.Router), agoOf(at, row.File.Written),
+			len(row.State.Caches))
+	}
+	t.Flush()
+	switch {
+	case bad > 0:
+		return fmt.Errorf("%s: %d of %d files that a router reads are not sound", fault.Plain(folder), bad, bad+good)
+	case good == 0:
+		fmt.Fprintln(out, "no state is kept here")
+	}
+	return nil
+}
+
+// agoOf words an age.
+func agoOf(now, then learned.Time) string {
+	if then > now {
+		return "in " + store.Span(then-now)
+	}
+	return store.Span(now-then) + " ago"
+}
--- a/decide/learned.go
+++ b/decide/learned.go
@@ -67,12 +67,25 @@
 		i++
 	}
 	for _, c := range r.ready[i:min(i+most, len(r.ready))] {
-		to = append(to, LearnedCache{ID: c.ID, Start: c.Start, Limit: c.limit, Late: c.late, Erring: r.errors(c),
-			Healthy: c.healthy, Fails: c.fails, Prompt: c.prompt})
+		to = append(to, r.learned(c))
 	}
 	return to
 }
 
+// LearnedOf tells what it has learned of one cache, without its keys; false where that is not listed.
+func (r *Router) LearnedOf(id string) (LearnedCache, bool) {
+	c := r.caches[id]
+	if c == nil {
+		return LearnedCache{}, false
+	}
+	return r.learned(c), true
+}
+
+func (r *Router) learned(c *cache) LearnedCache {
+	return LearnedCache{ID: c.ID, Start: c.Start, Limit: c.limit, Late: c.late, Erring: r.errors(c),
+		Healthy: c.healthy, Fails: c.fails, Prompt: c.prompt}
+}
+
 // LearnedKeyCount is how many keys LearnedKeys has to look at.
 func (r *Router) LearnedKeyCount(id string) int {
 	c := r.caches[id]
@@ -82,25 +95,30 @@
 	return len(c.keeps[0]) + len(c.keeps[1])
 }
 
-// LearnedKeys tells keys that a cache likely keeps, so many at most and in order. Which are left out the keys decide.
+// LearnedKeys tells keys that a cache likely keeps, so many at most and in order. Which are left out their hashes
+// decide: with the order of a map, equal runs would differ.
 func (r *Router) LearnedKeys(id string, most int) []uint64 {
-	c := r.caches[id]
-	if c == nil || most <= 0 || r.LearnedKeyCount(id) == 0 {
+	c, n := r.caches[id], r.LearnedKeyCount(id)
+	if n == 0 || most <= 0 {
 		return nil
 	}
-	keys := make([]uint64, 0, r.LearnedKeyCount(id))
+	share := (float64(most)*1.25 + 16) / float64(n) // some more than are wanted, by chance too few
+	keys := make([]uint64, 0, min(n, most+most/2+16))
 	for _, window := range c.keeps {
 		for key := range window { // any order: sorted below
-			keys = append(keys, key)
+			if share >= 1 || unit(mix(key)) < share {
+				keys = append(keys, key)
+			}
 		}
 	}
+	slices.Sort(keys)
+	keys = slices.Compact(keys)
 	if len(keys) > most {
 		slices.SortFunc(keys, func(a, b uint64) int { return cmp.Compare(mix(a), mix(b)) })
-		keys = slices.Compact(keys)
-		keys = keys[:min(most, len(keys))]
+		keys = keys[:most]
+		slices.Sort(keys)
 	}
-	slices.Sort(keys)
-	return slices.Compact(keys)
+	return keys
 }
 
 // Learn takes over what was learned before. Of caches that are not listed, or whose process is another one, nothing
--- a/decide/learned_test.go
+++ b/decide/learned_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"slices"
 	"testing"
 )
 
@@ -69,3 +70,43 @@
 		t.Errorf("got  %+v\nwant %+v", got, fresh)
 	}
 }
+
+// TestLearnedInPiecesIsTheSame as at once, whatever the size of a piece.
+func TestLearnedInPiecesIsTheSame(t *testing.T) {
+	old, _ := taught(t)
+	whole := old.r.Learned(0).Caches
+	for most := 1; most <= 4; most++ {
+		var pieces []LearnedCache
+		for after := ""; ; {
+			n := len(pieces)
+			if pieces = old.r.LearnedAfter(pieces, after, most); len(pieces) == n {
+				break
+			}
+			after = pieces[len(pieces)-1].ID
+		}
+		if !reflect.DeepEqual(pieces, whole) {
+			t.Errorf("in pieces of %d: %+v\nwant %+v", most, pieces, whole)
+		}
+	}
+	if got, ok := old.r.LearnedOf("c01"); !ok || !reflect.DeepEqual(got, whole[1]) {
+		t.Errorf("of c01: %+v, %v", got, ok)
+	}
+}
+
+// TestWhichKeysAreToldDoesNotDependOnTheOrderOfAMap, and it is as many as were asked for.
+func TestWhichKeysAreToldDoesNotDependOnTheOrderOfAMap(t *testing.T) {
+	old, _ := taught(t)
+	c := old.r.caches["c01"]
+	for i := range uint64(3000) {
+		c.keeps[i%2][mix(i+1)] = true
+	}
+	first := old.r.LearnedKeys("c01", 50)
+	if len(first) != 50 || !slices.IsSorted(first) {
+		t.Fatalf("%d keys, in order %v", len(first), slices.IsSorted(first))
+	}
+	for range 20 {
+		if again := old.r.LearnedKeys("c01", 50); !slices.Equal(again, first) {
+			t.Fatal("other keys are told the second time")
+		}
+	}
+}
--- /dev/null
+++ b/internal/learned/codec.go
@@ -0,0 +1,315 @@
+package learned
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"math"
+
+	"starlingwinch/decide"
+)
+
+// Kinds of sections. A reader skips those that it does not know; a kind never changes its form.
+const (
+	KindRouter = 1
+	KindZones  = 2
+	KindCaches = 3
+	KindKeys   = 4
+)
+
+// Section is a part of the state in bytes.
+type Section struct {
+	Kind uint16
+	Body []byte
+}
+
+// Bounds of what is written and read.
+const (
+	MostCaches = 20_000
+	MostZones  = 1_000
+	MostID     = 1_024 // bytes of an id; a longer one is left out
+)
+
+// flags of a cache.
+const (
+	flagHealthy = 1 << iota
+	flagPrompt
+)
+
+// Encode writes a state. All figures are big-endian.
+func Encode(s State) []Section {
+	var b []byte
+	b = putTime(b, s.At)
+	for _, v := range [...]float64{s.Router.Fetches, s.Router.Missing, s.Router.Budget, s.Router.Erring, s.Router.Lost} {
+		b = putFigure(b, v)
+	}
+	return []Section{{KindRouter, b}, {KindZones, encodeZones(s.Router.Zones)}, {KindCaches, encodeCaches(s.Caches)},
+		{KindKeys, encodeKeys(s.Caches)}}
+}
+
+func encodeZones(zones []decide.LearnedZone) []byte {
+	b := make([]byte, 4)
+	n := uint32(0)
+	for _, z := range zones {
+		if z.Fails > 0 && len(z.Name) <= MostID && n < MostZones {
+			n++
+			b = putText(b, z.Name)
+			b = append(b, byte(min(z.Fails, 255)))
+		}
+	}
+	binary.BigEndian.PutUint32(b, n)
+	return b
+}
+
+func encodeCaches(caches []Cache) []byte {
+	b := make([]byte, 4, 4+80*len(caches))
+	n := uint32(0)
+	for _, c := range caches {
+		if len(c.ID) > MostID || n == MostCaches {
+			continue
+		}
+		n++
+		b = putText(b, c.ID)
+		b = putTime(b, c.Start)
+		b = putTime(b, c.At)
+		b = putFigure(b, c.Limit)
+		b = putFigure(b, c.Late)
+		b = putFigure(b, c.Erring)
+		flags := byte(0)
+		if c.Healthy {
+			flags |= flagHealthy
+		}
+		if c.Prompt {
+			flags |= flagPrompt
+		}
+		b = append(b, flags, byte(min(max(c.Fails, 0), 255)))
+	}
+	binary.BigEndian.PutUint32(b, n)
+	return b
+}
+
+// encodeKeys writes the keys of those caches that have any, by their place among the caches.
+func encodeKeys(caches []Cache) []byte {
+	b := make([]byte, 4)
+	n, place := uint32(0), uint32(0)
+	for _, c := range caches {
+		if len(c.ID) > MostID || place == MostCaches {
+			continue
+		}
+		place++
+		if len(c.Keeps) == 0 {
+			continue
+		}
+		n++
+		b = binary.BigEndian.AppendUint32(b, place-1)
+		b = putTime(b, c.KeysAt)
+		b = binary.BigEndian.AppendUint32(b, uint32(len(c.Keeps)))
+		for _, key := range c.Keeps {
+			b = binary.BigEndian.AppendUint64(b, key)
+		}
+	}
+	binary.BigEndian.PutUint32(b, n)
+	return b
+}
+
+func putTime(b []byte, t Time) []byte { return binary.BigEndian.AppendUint64(b, uint64(t)) }
+
+func putFigure(b []byte, v float64) []byte {
+	return binary.BigEndian.AppendUint64(b, math.Float64bits(v))
+}
+
+func putText(b []byte, s string) []byte {
+	return append(binary.BigEndian.AppendUint16(b, uint16(len(s))), s...)
+}
+
+// Decode reads a state. What is missing is nothing; what does not fit its form is an error, as the checksum has held.
+func Decode(sections []Section) (State, error) {
+	var s State
+	seen := map[uint16]bool{}
+	var keys []byte
+	for _, sec := range sections {
+		if seen[sec.Kind] {
+			return State{}, fmt.Errorf("section %d stands twice", sec.Kind)
+		}
+		seen[sec.Kind] = true
+		r := reader{b: sec.Body}
+		switch sec.Kind {
+		case KindRouter:
+			s.At = r.time()
+			for _, to := range [...]*float64{&s.Router.Fetches, &s.Router.Missing, &s.Router.Budget, &s.Router.Erring,
+				&s.Router.Lost} {
+				*to = r.figure()
+			}
+		case KindZones:
+			s.Router.Zones = r.zones()
+		case KindCaches:
+			s.Caches = r.caches()
+		case KindKeys:
+			keys = sec.Body
+			continue
+		default:
+			continue
+		}
+		if err := r.end(); err != nil {
+			return State{}, fmt.Errorf("section %d: %w", sec.Kind, err)
+		}
+	}
+	if keys != nil {
+		r := reader{b: keys}
+		r.keys(s.Caches)
+		if err := r.end(); err != nil {
+			return State{}, fmt.Errorf("section %d: %w", KindKeys, err)
+		}
+	}
+	return s, nil
+}
+
+var (
+	errShort = errors.New("ends too early")
+	errOrder = errors.New("not in order")
+	errMany  = errors.New("more entries than it may have")
+)
+
+// reader reads a section. After an error it gives zeros.
+type reader struct {
+	b   []byte
+	err error
+}
+
+func (r *reader) take(n int) []byte {
+	if r.err != nil || n > len(r.b) {
+		r.fail(errShort)
+		return nil
+	}
+	part := r.b[:n]
+	r.b = r.b[n:]
+	return part
+}
+
+func (r *reader) fail(err error) {
+	if r.err == nil {
+		r.err = err
+	}
+}
+
+func (r *reader) end() error {
+	if r.err == nil && len(r.b) > 0 {
+		return fmt.Errorf("%d bytes too many", len(r.b))
+	}
+	return r.err
+}
+
+func (r *reader) byte() byte {
+	if b := r.take(1); b != nil {
+		return b[0]
+	}
+	return 0
+}
+
+func (r *reader) long() uint64 {
+	if b := r.take(8); b != nil {
+		return binary.BigEndian.Uint64(b)
+	}
+	return 0
+}
+
+func (r *reader) number() uint32 {
+	if b := r.take(4); b != nil {
+		return binary.BigEndian.Uint32(b)
+	}
+	return 0
+}
+
+func (r *reader) time() Time { return Time(r.long()) }
+
+func (r *reader) figure() float64 { return math.Float64frombits(r.long()) }
+
+func (r *reader) text() string {
+	b := r.take(2)
+	if b == nil {
+		return ""
+	}
+	n := int(binary.BigEndian.Uint16(b))
+	if n > MostID {
+		r.fail(errMany)
+		return ""
+	}
+	return string(r.take(n))
+}
+
+// count is a number of entries that take so many bytes each at least. The danger: a count of 4 billion is memory.
+func (r *reader) count(least, most int) int {
+	n := r.number()
+	if uint64(n) > uint64(most) {
+		r.fail(errMany)
+		return 0
+	}
+	if int(n)*least > len(r.b) {
+		r.fail(errShort)
+		return 0
+	}
+	return int(n)
+}
+
+func (r *reader) zones() []decide.LearnedZone {
+	n := r.count(3, MostZones)
+	var all []decide.LearnedZone
+	for i := range n {
+		z := decide.LearnedZone{Name: r.text(), Fails: int(r.byte())}
+		if i > 0 && z.Name <= all[i-1].Name {
+			r.fail(errOrder)
+		}
+		if r.err != nil {
+			return nil
+		}
+		all = append(all, z)
+	}
+	return all
+}
+
+func (r *reader) caches() []Cache {
+	n := r.count(44, MostCaches)
+	all := make([]Cache, 0, n)
+	for i := range n {
+		var c Cache
+		c.ID = r.text()
+		c.Start, c.At = r.time(), r.time()
+		c.Limit, c.Late, c.Erring = r.figure(), r.figure(), r.figure()
+		flags := r.byte()
+		c.Healthy, c.Prompt = flags&flagHealthy != 0, flags&flagPrompt != 0
+		c.Fails = int(r.byte())
+		if i > 0 && c.ID <= all[i-1].ID {
+			r.fail(errOrder)
+		}
+		if r.err != nil {
+			return nil
+		}
+		all = append(all, c)
+	}
+	return all
+}
+
+func (r *reader) keys(caches []Cache) {
+	n, next := r.count(16, MostCaches), 0
+	for range n {
+		place := int(r.number())
+		if r.err == nil && (place < next || place >= len(caches)) {
+			r.fail(errOrder)
+		}
+		at := r.time()
+		many := r.count(8, math.MaxInt32)
+		if r.err != nil {
+			return
+		}
+		c := &caches[place]
+		next = place + 1
+		c.KeysAt, c.Keeps = at, make([]uint64, many)
+		for i := range c.Keeps {
+			c.Keeps[i] = r.long()
+			if i > 0 && c.Keeps[i] <= c.Keeps[i-1] {
+				r.fail(errOrder)
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/learned/learned.go
@@ -0,0 +1,153 @@
+// Package learned is what a router has learned of its fleet, as data that may be kept: each piece with the instant as
+// of which it was known, fading with age towards what a router takes for granted, and its form in bytes.
+//
+// It decides nothing and does nothing: no clock, file or socket. It holds ids, figures and hashes of keys, and no value,
+// key, address or secret.
+package learned
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"starlingwinch/decide"
+)
+
+// Time is an instant or a span in microseconds. Instants are Unix time by the system's clock.
+type Time = decide.Time
+
+// State is all that was learned.
+type State struct {
+	At     Time           // of the figures and the zones
+	Router decide.Learned // of which Caches is not used
+	Caches []Cache        // by id, one each
+}
+
+// Cache is what is known of one cache's process. Its Start is the one that the list told, by the system's clock.
+type Cache struct {
+	decide.LearnedCache
+	At     Time // of all but the keys
+	KeysAt Time // of the keys
+}
+
+// HalfLives say how fast each figure fades towards its default: after one, half of the way to it is gone. What is
+// marked or not is so up to its half-life, and not beyond. 0 stands for never to be believed.
+type HalfLives struct {
+	Limit  Time // attempts out at a cache
+	Late   Time // share of late answers, and the last likely hit's
+	Erring Time // shares of errors
+	Health Time // mark of probes, and failed ones
+	Keys   Time // keys that a cache likely keeps
+	Zones  Time // ways to the zones
+	Origin Time // the bounds towards the origin
+	Retry  Time // the retry budget and the share of lost attempts
+}
+
+// weight is what a figure of an age still counts, 1 to 0.
+func weight(age, half Time) float64 {
+	if half <= 0 {
+		return 0
+	}
+	return math.Exp2(-float64(max(0, age)) / float64(half))
+}
+
+// fade is a figure that has come nearer to its default.
+func fade(v, usual, w float64) float64 { return usual + (v-usual)*w }
+
+// marked reports whether a mark of that weight still holds.
+func marked(w float64) bool { return w >= .5 }
+
+// Cache is what a cache's entry counts at an instant, beside what is usual. It reports false where the entry is older than oldest.
+func (h HalfLives) Cache(c Cache, usual decide.LearnedCache, now, oldest Time) (decide.LearnedCache, bool) {
+	age := now - c.At
+	if age > oldest {
+		return usual, false
+	}
+	out := decide.LearnedCache{ID: c.ID, Start: c.Start, Healthy: usual.Healthy, Prompt: usual.Prompt}
+	// A limit is a multiple of what is usual, and fades as one.
+	out.Limit = usual.Limit
+	if c.Limit > 0 && usual.Limit > 0 {
+		out.Limit = usual.Limit * math.Pow(c.Limit/usual.Limit, weight(age, h.Limit))
+	}
+	late := weight(age, h.Late)
+	out.Late = fade(c.Late, usual.Late, late)
+	if marked(late) {
+		out.Prompt = c.Prompt
+	}
+	out.Erring = fade(c.Erring, usual.Erring, weight(age, h.Erring))
+	if marked(weight(age, h.Health)) {
+		out.Healthy, out.Fails = c.Healthy, c.Fails
+	}
+	if age := now - c.KeysAt; age <= oldest {
+		out.Keeps = part(c.Keeps, weight(age, h.Keys))
+	}
+	return out, true
+}
+
+// part is a share of the keys, those that their hashes come to. They stay in order.
+func part(keys []uint64, share float64) []uint64 {
+	if share >= 1 {
+		return keys
+	}
+	var out []uint64
+	for _, k := range keys {
+		if float64(k*0x9e3779b97f4a7c15>>11)/(1<<53) < share {
+			out = append(out, k)
+		}
+	}
+	return out
+}
+
+// All is what the figures and zones count at an instant, beside what is usual. It reports false beyond oldest.
+func (h HalfLives) All(s State, usual decide.Learned, now, oldest Time) (decide.Learned, bool) {
+	age := now - s.At
+	if age > oldest {
+		return usual, false
+	}
+	origin, retry := weight(age, h.Origin), weight(age, h.Retry)
+	out := decide.Learned{
+		Fetches: fade(s.Router.Fetches, usual.Fetches, origin),
+		Missing: fade(s.Router.Missing, usual.Missing, origin),
+		Budget:  fade(s.Router.Budget, usual.Budget, retry),
+		Lost:    fade(s.Router.Lost, usual.Lost, retry),
+		Erring:  fade(s.Router.Erring, usual.Erring, weight(age, h.Erring)),
+	}
+	if marked(weight(age, h.Zones)) {
+		out.Zones = s.Router.Zones
+	}
+	return out, true
+}
+
+// Merge is what is known now, and of caches that it does not tell of what was known before, up to an age and a number.
+// The danger: a router that has just started on a short list writes over what it knew of the others.
+func Merge(old, fresh State, oldest Time, most int) State {
+	known := make(map[string]bool, len(fresh.Caches))
+	for _, c := range fresh.Caches {
+		known[c.ID] = true
+	}
+	kept := slices.Clone(old.Caches)
+	kept = slices.DeleteFunc(kept, func(c Cache) bool { return known[c.ID] || fresh.At-c.At > oldest || c.At > fresh.At })
+	if room := max(0, most-len(fresh.Caches)); len(kept) > room {
+		slices.SortStableFunc(kept, func(a, b Cache) int { return cmp.Compare(b.At, a.At) })
+		kept = kept[:room]
+	}
+	if len(fresh.Caches)+len(kept) == 0 {
+		return fresh
+	}
+	before := make(map[string]*Cache, len(old.Caches))
+	for i := range old.Caches {
+		before[old.Caches[i].ID] = &old.Caches[i]
+	}
+	all := make([]Cache, 0, len(fresh.Caches)+len(kept))
+	for _, c := range fresh.Caches {
+		// Keys that were not looked at this time are as they were.
+		if b := before[c.ID]; c.KeysAt == 0 && b != nil && b.Start == c.Start && fresh.At-b.KeysAt <= oldest {
+			c.Keeps, c.KeysAt = b.Keeps, b.KeysAt
+		}
+		all = append(all, c)
+	}
+	all = append(all, kept...)
+	slices.SortFunc(all, func(a, b Cache) int { return cmp.Compare(a.ID, b.ID) })
+	fresh.Caches = all
+	return fresh
+}
--- a/internal/machine/disk.go
+++ b/internal/machine/disk.go
@@ -102,3 +102,6 @@
 
 // Release implements Lock. The file stays: whoever removed it could remove another's lock.
 func (l *flock) Release() { l.f.Close() }
+
+// Files are the files of this machine, for a program that runs no loop.
+func Files() Disk { return realDisk{} }
--- a/internal/router/list.go
+++ b/internal/router/list.go
@@ -52,7 +52,7 @@
 	}
 	// The danger: what ends with a drain is told before the drain, and is sent there again.
 	r.backlog = append(r.backlog, &decide.List{Kind: p.Kind, Entries: p.Entries})
-	served := r.Serving()
+	served := r.takesWork()
 	for i, e := range p.Entries {
 		h := r.caches[e.ID]
 		if e.Condition == decide.Removed {
@@ -75,7 +75,7 @@
 		h.entry, h.told = e, told[i]
 		r.pool.Update(e.ID, h.addr, e.Condition == decide.Up, false)
 	}
-	if served && !r.Serving() {
+	if served && !r.takesWork() {
 		r.Log("list of caches: none is left that takes work")
 	}
 }
@@ -106,13 +106,14 @@
 	r.backlog = append(r.backlog, &decide.List{Kind: decide.ListFailed})
 }
 
-// Reload takes over a new configuration: where discovery is, and the file with the fixed list.
+// Reload takes over a new configuration: where discovery is, the file with the fixed list, and where the state is kept.
 func (r *Router) Reload(cfg *Config) {
 	if cfg.Listen != r.cfg.Listen || cfg.Limits != r.cfg.Limits || !reflect.DeepEqual(cfg.Settings, r.cfg.Settings) ||
 		cfg.Transport != r.cfg.Transport || cfg.Bounds != r.cfg.Bounds ||
 		!reflect.DeepEqual(cfg.Membership, r.cfg.Membership) || !reflect.DeepEqual(cfg.Eureka, r.cfg.Eureka) {
 		r.Log("SIGHUP: new addresses for clients, limits, settings and operators' files wait for a restart")
 	}
+	r.rekeep(cfg.State)
 	r.sources.Reread()
 	if cfg.Discovery == r.cfg.Discovery {
 		r.Log("SIGHUP: discovery stays at " + cfg.Discovery)
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -58,6 +58,10 @@
 			r.perform(a)
 		}
 		switch ev := ev.(type) {
+		case *decide.List:
+			if r.keeper != nil {
+				r.keeper.listed(ev.Entries)
+			}
 		case *decide.Outcome:
 			r.told(ev.ID)
 		case *decide.Departed:
@@ -106,8 +110,11 @@
 	}
 }
 
-// Serving reports whether a cache is known that takes work.
-func (r *Router) Serving() bool {
+// Serving reports whether a cache is known that takes work, and what was kept of the caches has been taken over.
+func (r *Router) Serving() bool { return (r.keeper == nil || r.keeper.ready) && r.takesWork() }
+
+// takesWork reports whether a cache is known that takes work.
+func (r *Router) takesWork() bool {
 	for _, h := range r.caches { // any order: one is enough
 		if h.entry.Condition == decide.Up {
 			return true
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -35,6 +35,8 @@
 	cfg       *Config
 	module    books.Module // the books, and the decision module behind them
 	books     *books.Books
+	decider   *decide.Router // for what it has learned; all else goes through the module
+	keeper    *keeper        // nil where no state is kept
 	front     *front.Front
 	pool      *upstream.Pool
 	backlog   []decide.Event // what the module is still to be told
@@ -74,8 +76,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	r := &Router{m: m, cfg: cfg, timers: map[int64]machine.Timer{}, requests: map[int64]*request{}, ids: map[string]struct{}{}, caches: map[string]*hop{},
-		arrivals: lastArrivals}
+	r := &Router{m: m, cfg: cfg, decider: module, timers: map[int64]machine.Timer{},
+		requests: map[int64]*request{}, ids: map[string]struct{}{}, caches: map[string]*hop{}, arrivals: lastArrivals}
 	hungAfter := Time(0)
 	for i, c := range cfg.Settings.Classes {
 		r.longest = max(r.longest, c.Limit)
@@ -106,7 +108,8 @@
 		return nil, err
 	}
 	r.Settle()
-	r.sources.Start() // also where the settings say that lists are pushed: the agent that has them must be asked
+	r.keeper = r.keep(cfg.State, false) // once the module has heard of the caches that are known
+	r.sources.Start()                   // also where the settings say that lists are pushed: the agent that has them must be asked
 	if cfg.Eureka.Register.Enabled {
 		r.enrolled = eureka.Register(m, cfg.Eureka.Registration())
 	}
@@ -138,15 +141,23 @@
 	if r.enrolled != nil {
 		r.enrolled.Drain()
 	}
-	limit := r.m.At(r.m.Now()+r.longest+drainSlack, r.Close)
+	last := r.m.Now() + r.longest + drainSlack
+	limit := r.m.At(last, r.Close)
+	r.m.At(last-beforeEnd, func() {
+		if !r.closed {
+			r.keeper.finish(func() {})
+		}
+	})
 	r.m.At(r.m.Now()+r.arrivals, func() {
 		if r.closed {
 			return
 		}
 		r.front.Retire(func() {
 			end := func() {
-				limit.Stop()
-				r.Close()
+				r.keeper.finish(func() {
+					limit.Stop()
+					r.Close()
+				})
 			}
 			if r.enrolled == nil {
 				end()
@@ -168,6 +179,7 @@
 		r.enrolled.Stop()
 	}
 	r.sweeping.Stop()
+	r.keeper.close()
 	r.front.Close()
 	r.pool.Close()
 	if r.onDrained != nil {
--- a/internal/seam/seam_test.go
+++ b/internal/seam/seam_test.go
@@ -19,6 +19,7 @@
 // virtual are the packages that run on a virtual machine.
 var virtual = []string{"decide", "internal/router", "internal/front", "internal/upstream", "internal/discovery",
 	"internal/eureka", "internal/httpc", "internal/httpd", "internal/membership", "internal/sources", "internal/aperture", "internal/resp", "internal/books", "internal/rules",
+	"internal/learned", "internal/store",
 	"internal/standin", "internal/standin/registry", "internal/sim"}
 
 // forbidden are the calls that only the machine's real side may make, by package.
--- a/internal/standin/lab_test.go
+++ b/internal/standin/lab_test.go
@@ -145,6 +145,9 @@
 	return nil, errors.New("the lab has no datagrams")
 }
 func (l *lab) ReadFile(string, int64) ([]byte, error) { return nil, errors.New("the lab has no files") }
+
+// OnDisk implements machine.Machine. Nothing here keeps files.
+func (l *lab) OnDisk(func(machine.Disk), func()) { panic("the lab has no disk") }
 func (l *lab) Signals(func(machine.Signal))           {}
 func (l *lab) Log(string)                             {}
 
--- /dev/null
+++ b/internal/store/verify.go
@@ -0,0 +1,43 @@
+package store
+
+import (
+	"errors"
+	"io/fs"
+	"path/filepath"
+
+	"starlingwinch/internal/learned"
+	"starlingwinch/internal/machine"
+)
+
+// Row is one file of a folder, as Verify finds it.
+type Row struct {
+	Name    string
+	InUse   bool // a router looks at it when it starts
+	File    File
+	State   learned.State
+	Refused *Refusal // nil for a sound one
+}
+
+// Verify looks at the files that a router knows, and changes nothing. The age and the router's name are the reader's to
+// judge, but for what was written later than now.
+func Verify(d machine.Disk, folder string, now Time) []Row {
+	var names []string
+	names = append(names, slots[:]...)
+	names = append(names, newName)
+	for i := range mostBad {
+		names = append(names, badName(i))
+	}
+	var rows []Row
+	for i, name := range names {
+		f, state, err := Read(d, filepath.Join(folder, name))
+		if errors.Is(err, fs.ErrNotExist) {
+			continue
+		}
+		row := Row{Name: name, InUse: i < len(slots), File: f, State: state}
+		if !errors.As(err, &row.Refused) && f.Written > now+ahead {
+			row.Refused = refuse(FromFuture, "by %s", Span(f.Written-now))
+		}
+		rows = append(rows, row)
+	}
+	return rows
+}
