--- /dev/null
+++ b/internal/store/harness_test.go
@@ -0,0 +1,114 @@
+package store
+
+import (
+	"fmt"
+	"testing"
+
+	"starlingwinch/decide"
+	"starlingwinch/internal/learned"
+	"starlingwinch/internal/machine"
+	"starlingwinch/internal/sim"
+)
+
+const (
+	folder      = "/state"
+	second Time = 1_000_000
+	oldest      = 300 * second
+	now0        = sim.Start
+	router      = "r-1"
+)
+
+// desk is a host with a folder and the store of the process that runs on it.
+type desk struct {
+	testing.TB
+	w *sim.World
+	h *sim.Host
+	s *Store
+}
+
+func newDesk(t testing.TB) *desk {
+	d := &desk{TB: t, w: sim.New(1)}
+	d.h = d.w.Host("h", "10.0.0.1", sim.HostOptions{})
+	d.h.MakeFolder(folder)
+	d.s = New(folder, router)
+	return d
+}
+
+// do has f work on the disk and waits for its end.
+func (d *desk) do(f func(machine.Disk)) {
+	d.Helper()
+	done := false
+	d.h.Machine().OnDisk(f, func() { done = true })
+	if !d.w.RunUntil(d.w.Now()+100*second, func() bool { return done }) {
+		d.Fatal("the work on the disk has no end")
+	}
+}
+
+// restart starts another process, with a store of its own.
+func (d *desk) restart() {
+	d.h.Restart()
+	d.s = New(folder, router)
+}
+
+// open opens the store at an instant.
+func (d *desk) open(now Time) (state learned.State, ok bool, notes []string, err error) {
+	d.Helper()
+	d.do(func(disk machine.Disk) { state, ok, notes, err = d.s.Open(disk, now, oldest) })
+	return
+}
+
+// mustOpen opens it where nothing may be wrong.
+func (d *desk) mustOpen(now Time) (learned.State, bool) {
+	d.Helper()
+	state, ok, notes, err := d.open(now)
+	if err != nil || len(notes) > 0 {
+		d.Fatalf("open: %v, %q", err, notes)
+	}
+	return state, ok
+}
+
+func (d *desk) write(s learned.State, now Time) (err error) {
+	d.Helper()
+	d.do(func(disk machine.Disk) { err = d.s.Write(disk, s, now, oldest) })
+	return
+}
+
+func (d *desk) mustWrite(s learned.State, now Time) {
+	d.Helper()
+	if err := d.write(s, now); err != nil {
+		d.Fatal(err)
+	}
+}
+
+// stateOf is a small state that its number tells from others.
+func stateOf(n int) learned.State {
+	at := now0 + Time(n)*second
+	s := learned.State{At: at, Router: decide.Learned{Fetches: float64(n), Missing: .5, Budget: 3, Erring: .1, Lost: .2}}
+	s.Caches = []learned.Cache{{At: at, KeysAt: at, LearnedCache: decide.LearnedCache{ID: "c", Start: 7, Limit: float64(n),
+		Healthy: true, Keeps: []uint64{uint64(n), uint64(n) + 1}}}}
+	return s
+}
+
+// largeState is that of so many caches with so many keys each.
+func largeState(caches, keys int) learned.State {
+	s := learned.State{At: now0}
+	for i := range caches {
+		c := learned.Cache{At: now0, KeysAt: now0}
+		c.ID, c.Start, c.Limit, c.Healthy = fmt.Sprintf("s-%08x", i), now0-Time(i)*second, 4.5, true
+		for k := range keys {
+			c.Keeps = append(c.Keeps, uint64(k+1)<<32+uint64(i))
+		}
+		s.Caches = append(s.Caches, c)
+	}
+	return s
+}
+
+// encoded is the file of a state.
+func encoded(t testing.TB, name string, s learned.State, written Time) []byte {
+	t.Helper()
+	b, err := Encode(File{Written: written, Router: name, Sections: learned.Encode(s)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
