--- a/cmd/lab/run.go
+++ b/cmd/lab/run.go
@@ -22,6 +22,9 @@
 	faults []string
 }
 
+// mostTimes is what --times may be.
+const mostTimes = 100_000
+
 // unset is no seed.
 const unset = -1
 
@@ -87,6 +90,9 @@
 			"the measurement of that name. `lab list` names both. Exits 1 where a rule broke or a mark was missed.",
 		RunE: func(cmd *cobra.Command, args []string) error {
 			if len(args) > 0 {
+				if o.Times < 0 || o.Times > mostTimes {
+					return usageError{fmt.Errorf("run: --times: out of range (%d, wanted 0 to %d)", o.Times, mostTimes)}
+				}
 				if s, ok := lab.Find(args[0]); ok && !c.named() {
 					o.Out, o.Args = cmd.OutOrStdout(), args[1:]
 					return measure(cmd.Context(), s, o)
@@ -109,6 +115,7 @@
 	c.flags(cmd)
 	cmd.Flags().StringVar(&follow, "request", "", "tell the life of the request of this `id`")
 	cmd.Flags().BoolVar(&o.Long, "long", false, "take longer over a measurement")
+	cmd.Flags().IntVar(&o.Times, "times", 0, "how `often` a measurement does what it does; 0 for as often as usual")
 	cmd.Flags().StringVar(&o.Against, "against", "", "compare with this `program` in a measurement")
 	return cmd
 }
--- /dev/null
+++ b/cmd/starlingwinch/state_test.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"starlingwinch/decide"
+	"starlingwinch/internal/learned"
+	"starlingwinch/internal/store"
+)
+
+// stateFile writes a file of a state that is so old.
+func stateFile(t *testing.T, path, router string, age time.Duration) {
+	t.Helper()
+	at := time.Now().Add(-age).UnixMicro()
+	s := learned.State{At: at, Router: decide.Learned{Fetches: 12, Zones: []decide.LearnedZone{{Name: "surat", Fails: 3}}},
+		Caches: []learned.Cache{{At: at, KeysAt: at, LearnedCache: decide.LearnedCache{ID: "s-1", Limit: 4.5, Fails: 2,
+			Keeps: []uint64{1, 2}}}}}
+	b, err := store.Encode(store.File{Written: at, Router: router, Sections: learned.Encode(s)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(path, b, 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestStateIsShownWithAges(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "state.1")
+	stateFile(t, path, "n0", time.Hour)
+	code, out, errs := outcome(t, "state", "show", path)
+	if code != 0 || errs != "" {
+		t.Fatalf("ended with %d: %s", code, errs)
+	}
+	for _, want := range []string{"written by \"n0\" at ", "1h0m0s ago", "zone surat", "s-1", "unhealthy, 2 failed", "4.5"} {
+		if !strings.Contains(out, want) {
+			t.Errorf("%q is not shown:\n%s", want, out)
+		}
+	}
+	os.Truncate(path, 100)
+	if code, _, errs := outcome(t, "state", "show", path); code != exitFault || !strings.Contains(errs, "torn: 100 bytes of") {
+		t.Errorf("a torn file: %d, %q", code, errs)
+	}
+}
+
+func TestStatesFolderIsVerified(t *testing.T) {
+	dir := t.TempDir()
+	if code, out, _ := outcome(t, "state", "verify", dir); code != 0 || !strings.Contains(out, "no state is kept here") {
+		t.Errorf("an empty folder: %d, %q", code, out)
+	}
+	stateFile(t, filepath.Join(dir, "state.1"), "n0", 0)
+	os.WriteFile(filepath.Join(dir, "set-aside.1"), []byte("bad"), 0o600)
+	if code, out, errs := outcome(t, "state", "verify", dir); code != 0 || !strings.Contains(out, "not a state") {
+		t.Errorf("a bad file that was set aside: %d, %q, %q", code, out, errs)
+	}
+	os.Symlink("/etc/passwd", filepath.Join(dir, "state.2"))
+	code, out, errs := outcome(t, "state", "verify", dir)
+	if code != exitFault || !strings.Contains(out, "not a regular file") || !strings.Contains(errs, "1 of 2 files") {
+		t.Errorf("a link: %d, %q, %q", code, out, errs)
+	}
+	if code, _, errs := outcome(t, "state", "verify", dir+"/none"); code != exitFault || errs == "" {
+		t.Errorf("no folder: %d, %q", code, errs)
+	}
+	if code, _, errs := outcome(t, "state", "verify"); code != exitUsage || !strings.Contains(errs, "one FOLDER is wanted") {
+		t.Errorf("no word: %d, %q", code, errs)
+	}
+}
+
+// TestProgramKeepsItsState over a kill, and moves it at SIGHUP; a file of 1 GB, a link and a hundred thousand
+// other files in the folder do it no harm.
+func TestProgramKeepsItsState(t *testing.T) {
+	dir, other := t.TempDir(), t.TempDir()
+	config := file(t, "config.json", fmt.Sprintf(config, "127.0.0.1:0"))
+	toml := filepath.Join(t.TempDir(), "state.toml")
+	name := func(folder string) {
+		text := fmt.Sprintf("kind = \"state\"\nfolder = %q\nevery = \"50ms\"\n", folder)
+		if err := os.WriteFile(toml, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	name(dir)
+	for i := range 100_000 {
+		if err := os.WriteFile(filepath.Join(dir, fmt.Sprint("other.", i)), nil, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := os.WriteFile(filepath.Join(dir, "state.1"), nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Truncate(filepath.Join(dir, "state.1"), 1<<30); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Symlink("/dev/zero", filepath.Join(dir, "state.2")); err != nil {
+		t.Fatal(err)
+	}
+	s := start(t, command(t, "run", "--config", config, "--operator", toml))
+	s.wait(t, "state.1 is not used: too large: more than 16777216 bytes; set aside as set-aside.1")
+	s.wait(t, "state.2 is not used: not a regular file; set aside as set-aside.2")
+	written := func(folder string) {
+		t.Helper()
+		for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
+			if info, err := os.Stat(filepath.Join(folder, "state.2")); err == nil && info.Mode().IsRegular() {
+				return
+			}
+		}
+		t.Fatal("nothing is written to ", folder)
+	}
+	written(dir)
+	s.cmd.Process.Kill()
+	s.cmd.Wait()
+	s = start(t, command(t, "run", "--config", config, "--operator", toml))
+	s.wait(t, "state: taken over, 1 caches, as of ")
+	name(other)
+	s.cmd.Process.Signal(syscall.SIGHUP)
+	s.wait(t, "SIGHUP: the state is kept in "+other)
+	written(other)
+	s.end(t)
+	if code, _, errs := outcome(t, "state", "verify", other); code != 0 {
+		t.Errorf("after a drain: %s", errs)
+	}
+}
--- a/internal/lab/router.go
+++ b/internal/lab/router.go
@@ -38,6 +38,9 @@
 	ip := fmt.Sprintf("10.1.0.%d", i+1)
 	r.addr = ip + ":7000"
 	r.host = w.sim.Host(r.name, ip, sim.HostOptions{Zone: zone, Descriptors: w.s.Fleet.Sockets})
+	if o := w.o.State; o.Folder != "" {
+		r.host.MakeFolder(o.Folder)
+	}
 	r.host.Logged = func(line string) { w.eyes.say(r.name + ": " + line) }
 	return r
 }
@@ -64,7 +67,7 @@
 }
 
 func (r *router) config() NodeConfig {
-	return NodeConfig{JSON: r.w.routerSettings(r).JSON(), Wrap: r.w.o.Wrap}
+	return NodeConfig{JSON: r.w.routerSettings(r).JSON(), Wrap: r.w.o.Wrap, State: r.w.o.State}
 }
 
 // end ends the process. A clean end is one after a SIGTERM, whether it came by itself or not.
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -18,7 +18,9 @@
 
 	"starlingwinch/internal/books"
 	"starlingwinch/internal/lab/script"
+	"starlingwinch/internal/rules"
 	"starlingwinch/internal/sim"
+	"starlingwinch/internal/store"
 )
 
 // Options say how a script is run.
@@ -30,6 +32,13 @@
 	Change func(*script.Script)
 	// Follow is the id of a request whose life the result is to hold.
 	Follow string
+	// State says where routers keep what they have learned; the zero value is nowhere.
+	State store.Config
+	// Caches is told the names of the caches at the start, in the order of their places. It may be nil.
+	Caches func(names []string)
+	// Counts is told what has been counted, each second; Began of each attempt that has come to a cache. Both may be nil.
+	Counts func(at Time, c rules.Counts)
+	Began  func(at Time, a rules.Attempt)
 	// Timeline is told what a person wants to know, in order.
 	Timeline func(at Time, line string)
 }
@@ -101,8 +110,8 @@
 		if now%usageEvery == 0 {
 			w.usage()
 		}
-		if w.now()%second == 0 && w.o.Timeline != nil {
-			w.window()
+		if w.now()%second == 0 {
+			w.tell()
 		}
 	}
 	return w.err == nil
@@ -222,6 +231,16 @@
 	return r
 }
 
+// tell tells those who listen what the last second was like.
+func (w *world) tell() {
+	if w.o.Timeline != nil {
+		w.window()
+	}
+	if w.o.Counts != nil {
+		w.o.Counts(w.now(), w.watcher.Counts())
+	}
+}
+
 // window tells what the last second was like.
 func (w *world) window() {
 	c := w.watcher.Counts()
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -24,6 +24,7 @@
 type RunOptions struct {
 	Out     io.Writer
 	Long    bool   // take longer than the usual minute
+	Times   int    // how often to do what is measured; 0 for the usual number
 	Against string // a program to compare with, such as the router of the commit before
 	Args    []string
 }
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -76,6 +76,13 @@
 	for _, c := range w.fleet.Caches {
 		w.caches = append(w.caches, &place{cache: c})
 	}
+	if o.Caches != nil {
+		var names []string
+		for _, p := range w.caches {
+			names = append(names, p.cache.Name())
+		}
+		o.Caches(names)
+	}
 	w.faults = newFaults(w)
 	for _, r := range w.routers {
 		if r.start(); w.err != nil {
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -16,11 +16,12 @@
 
 // Bounds of the state's work.
 const (
-	readWithin  = 200_000 // for the state to be there before the router says that it serves
-	writeWithin = 200_000 // for the last write, after a drain
-	beforeEnd   = 300_000 // ... and so long before a drain's limit at the latest
-	statePiece  = 200     // caches that the loop tells of in one turn
-	stateScan   = 8_000   // keys that are looked at for one write
+	readWithin  = 200_000   // for the state to be there before the router says that it serves
+	writeWithin = 200_000   // for the last write, after a drain
+	slowFrom    = 1_000_000 // a write that takes longer is worth a line of the log
+	beforeEnd   = 300_000   // ... and so long before a drain's limit at the latest
+	statePiece  = 200       // caches that the loop tells of in one turn
+	stateScan   = 8_000     // keys that are looked at for one write
 )
 
 // keeper keeps what the router has learned in a folder, and takes it over at a start. The danger: a disk that is
@@ -31,10 +32,11 @@
 	cfg   store.Config
 	store *store.Store // for the work on the disk alone
 
-	ready   bool // what was kept is taken over, or the time for it is over
-	late    bool // ... as it did not come in time
-	known   map[string]learned.Cache
-	before  *learned.State // whose figures are still to be taken over
+	ready   bool                     // what was kept is taken over, or the time for it is over
+	late    bool                     // ... as it did not come in time
+	known   map[string]learned.Cache // what is still to be taken over
+	forget  Time                     // ... of caches that never came, from then on
+	before  *learned.State           // whose figures are still to be taken over
 	beat    machine.Timer
 	bound   machine.Timer
 	busy    bool   // a work on the disk is under way
@@ -127,6 +129,7 @@
 // recall takes over what was kept: at once for the caches that are listed, later for those that come.
 func (k *keeper) recall(s learned.State) {
 	age := k.r.m.Wall() - s.At
+	k.forget = k.r.m.Now() + k.cfg.Oldest.Microseconds()
 	k.before, k.known = &s, make(map[string]learned.Cache, len(s.Caches))
 	for _, c := range s.Caches {
 		k.known[c.ID] = c
@@ -213,10 +216,13 @@
 	}
 	now := k.r.m.Now()
 	k.beat = k.r.m.At(now+k.cfg.Every.Microseconds(), k.write)
+	if now > k.forget {
+		k.known = nil
+	}
 	if k.busy || k.next != nil {
-		if k.busy && !k.slow && now-k.since > readWithin+k.cfg.Every.Microseconds() {
+		if k.busy && !k.slow && now-k.since > slowFrom {
 			k.slow = true
-			k.r.Log("state: the disk does not answer; nothing is written until it does")
+			k.r.Log("state: the disk takes longer than a second; less is written while it does")
 		}
 		return
 	}
@@ -308,7 +314,10 @@
 			k.store.Close() // the folder is gone: the lock of the next one counts
 		}
 	}, func() {
-		k.busy, k.slow = false, false
+		k.busy = false
+		if k.r.m.Now()-k.since < slowFrom {
+			k.slow = false
+		}
 		if err == nil {
 			k.writes++
 		}
@@ -377,7 +386,7 @@
 		return
 	}
 	if old != nil {
-		r.keeper.known = old.known
+		r.keeper.known, r.keeper.forget = old.known, old.forget
 	}
 	r.Log("SIGHUP: the state is kept in " + cfg.Folder)
 }
--- /dev/null
+++ b/internal/router/state_test.go
@@ -0,0 +1,440 @@
+package router
+
+import (
+	"fmt"
+	"io/fs"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"starlingwinch/decide"
+	"starlingwinch/internal/routertest"
+	"starlingwinch/internal/sim"
+	"starlingwinch/internal/store"
+)
+
+const stateFolder = "/state"
+
+// cell is a virtual machine with a folder for the state, and the router that runs on it.
+type cell struct {
+	*testing.T
+	w     *sim.World
+	h     *sim.Host
+	cfg   *Config
+	r     *Router
+	lines []string
+	lived bool
+}
+
+// newCell has a router that knows so many caches, c0 and so on, whose starts are told in milliseconds.
+func newCell(t *testing.T, starts ...int) *cell {
+	c := &cell{T: t, w: sim.New(1)}
+	c.h = c.w.Host("r", "10.0.0.1", sim.HostOptions{})
+	c.h.MakeFolder(stateFolder)
+	c.h.Logged = func(line string) { c.lines = append(c.lines, line) }
+	c.cfg = testConfig(t, "10.0.0.9:1", func(in map[string]any) {
+		in["listen"] = "10.0.0.1:7000"
+		in["settings"].(map[string]any)["limits"].(map[string]any)["probes"] = true
+	}, cellHosts(starts...)...)
+	c.cfg.State = store.Default()
+	c.cfg.State.Folder = stateFolder
+	return c
+}
+
+func cellHosts(starts ...int) (lines []string) {
+	for i, start := range starts {
+		line := host(fmt.Sprint("c", i), fmt.Sprintf("10.1.%d.%d:1", i/200, i%200+1), "in_service")
+		lines = append(lines, strings.Replace(line, `"since_ms":0`, fmt.Sprintf(`"since_ms":%d`, start), 1))
+	}
+	return lines
+}
+
+// start starts the router, on a process of its own.
+func (c *cell) start() {
+	c.Helper()
+	m := c.h.Machine()
+	if c.lived {
+		m = c.h.Restart()
+	}
+	c.lived, c.lines = true, nil
+	cfg := *c.cfg
+	var err error
+	if c.r, err = Start(m, &cfg); err != nil {
+		c.Fatal(err)
+	}
+}
+
+func (c *cell) run(d time.Duration) { c.w.Run(c.w.Now() + d.Microseconds()) }
+
+// teach has the module learn that a cache is bad.
+func (c *cell) teach(id string) {
+	c.Helper()
+	was, ok := c.r.decider.LearnedOf(id)
+	if !ok {
+		c.Fatal("no cache ", id)
+	}
+	was.Limit, was.Late, was.Erring, was.Healthy, was.Fails, was.Prompt = .25, .5, .5, false, 2, false
+	was.Keeps = []uint64{1, 2, 3}
+	l := nothingOfAll()
+	l.Lost = .25
+	l.Caches = append(l.Caches, was)
+	c.r.decider.Learn(l)
+}
+
+// bad reports whether a cache is known to be.
+func (c *cell) bad(id string) bool {
+	was, ok := c.r.decider.LearnedOf(id)
+	return ok && was.Limit < .5 && !was.Healthy && !was.Prompt && was.Late > .4 && len(c.r.decider.LearnedKeys(id, 9)) == 3
+}
+
+// logged counts the lines that hold a text.
+func (c *cell) logged(text string) (n int) {
+	for _, line := range c.lines {
+		if strings.Contains(line, text) {
+			n++
+		}
+	}
+	return n
+}
+
+func (c *cell) want(text string, n int) {
+	c.Helper()
+	if got := c.logged(text); got != n {
+		c.Errorf("%q is logged %d times, want %d; log:\n%s", text, got, n, strings.Join(c.lines, "\n"))
+	}
+}
+
+// taughtCell is a router that was taught of c1, has written that and was killed.
+func taughtCell(t *testing.T, starts ...int) *cell {
+	c := newCell(t, starts...)
+	c.start()
+	c.run(100 * time.Millisecond)
+	c.teach("c1")
+	c.run(2100 * time.Millisecond)
+	c.h.Kill()
+	return c
+}
+
+const long0 = 1_000_000_000 // ms; long before the world begins
+
+func TestWhatWasLearnedSurvivesAKill(t *testing.T) {
+	c := taughtCell(t, 0, long0, 0)
+	c.start()
+	if c.r.Serving() {
+		t.Error("it says that it serves before it has read its state")
+	}
+	c.run(10 * time.Millisecond)
+	if !c.r.Serving() || !c.bad("c1") || c.bad("c0") {
+		t.Errorf("serving %v, c1 %v, c0 %v\n%s", c.r.Serving(), c.bad("c1"), c.bad("c0"), strings.Join(c.lines, "\n"))
+	}
+	if lost := c.r.decider.LearnedOfAll().Lost; lost < .2 {
+		t.Errorf("share of lost attempts %v", lost)
+	}
+	c.want("state: taken over, 3 caches, as of ", 1)
+}
+
+// TestCacheThatWasRestartedMeanwhileBeginsAfresh: its id is the same, its start is another.
+func TestCacheThatWasRestartedMeanwhileBeginsAfresh(t *testing.T) {
+	c := taughtCell(t, 0, long0, 0)
+	c.cfg.Known = parse(t, hosts(1, true, cellHosts(0, int((sim.Start)/1000)+1000, 0)...))
+	c.start()
+	c.run(10 * time.Millisecond)
+	if was, _ := c.r.decider.LearnedOf("c1"); was.Limit < 1 || !was.Healthy || len(c.r.decider.LearnedKeys("c1", 9)) > 0 {
+		t.Errorf("the new process is held for the old one: %+v", was)
+	}
+}
+
+// TestCachesThatAListNamesLaterAreTakenOverThen, also where an older list has named them with an older start.
+func TestCachesThatAListNamesLaterAreTakenOverThen(t *testing.T) {
+	for _, known := range [][]string{cellHosts(0), cellHosts(0, long0-5)} {
+		c := taughtCell(t, 0, long0, 0)
+		c.cfg.Known = parse(t, hosts(1, true, known...))
+		c.start()
+		c.run(10 * time.Millisecond)
+		if c.bad("c1") {
+			t.Error("c1 is known before its list")
+		}
+		c.w.At(c.w.Now(), func() {
+			c.r.sources.Listed(parse(t, hosts(2, true, cellHosts(0, long0, 0)...)))
+			c.r.Settle()
+		})
+		c.run(10 * time.Millisecond)
+		if !c.bad("c1") {
+			t.Errorf("c1 is not taken over with its list, known before: %v", known)
+		}
+	}
+}
+
+// TestKnowledgeFadesWhileTheRouterIsDown.
+func TestKnowledgeFadesWhileTheRouterIsDown(t *testing.T) {
+	c := taughtCell(t, 0, long0, 0)
+	c.run(time.Minute)
+	c.start()
+	c.run(10 * time.Millisecond)
+	if was, _ := c.r.decider.LearnedOf("c1"); !was.Healthy || was.Limit < 2 {
+		t.Errorf("after a minute: %+v", was)
+	}
+	c.h.Kill()
+	c.run(10 * time.Minute)
+	c.start()
+	c.run(10 * time.Millisecond)
+	c.want("too old: ", 1)
+}
+
+// TestMarksOfProbesAreNotTakenOverWhereNothingProbes: nothing would ever take them away.
+func TestMarksOfProbesAreNotTakenOverWhereNothingProbes(t *testing.T) {
+	c := taughtCell(t, 0, long0, 0)
+	c.cfg.Settings.Probes = false
+	c.start()
+	c.run(10 * time.Millisecond)
+	if was, _ := c.r.decider.LearnedOf("c1"); !was.Healthy || was.Limit > .5 {
+		t.Errorf("got %+v", was)
+	}
+}
+
+// TestSlowDiskHoldsTheStartUpNoLongerThanItsBound, and what comes late serves for caches that nothing was sent to.
+func TestSlowDiskHoldsTheStartUpNoLongerThanItsBound(t *testing.T) {
+	c := taughtCell(t, 0, long0, 0)
+	c.h.SlowDisk(5 * sim.Second)
+	c.start()
+	c.run(readWithin*time.Microsecond - time.Millisecond)
+	if c.r.Serving() {
+		t.Error("it serves before its state or the bound")
+	}
+	c.run(2 * time.Millisecond)
+	if !c.r.Serving() {
+		t.Error("it does not serve at the bound")
+	}
+	c.run(5 * time.Second)
+	c.want("has not answered in time", 1)
+	if was, _ := c.r.decider.LearnedOf("c1"); was.Limit > .9 {
+		t.Errorf("got %+v", was)
+	}
+	c.run(30 * time.Second)
+	c.want("the disk takes longer", 1)
+}
+
+// TestDiskThatFailsCostsOneLine, and its recovery another.
+func TestDiskThatFailsCostsOneLine(t *testing.T) {
+	for what, trouble := range map[string]struct{ on, off func(h *sim.Host) }{
+		"full":      {func(h *sim.Host) { h.FailDisk(sim.ErrFull) }, func(h *sim.Host) { h.FailDisk(nil) }},
+		"read-only": {func(h *sim.Host) { h.FailDisk(fs.ErrPermission) }, func(h *sim.Host) { h.FailDisk(nil) }},
+		"vanished":  {func(h *sim.Host) { h.RemoveFolder(stateFolder) }, func(h *sim.Host) { h.MakeFolder(stateFolder) }},
+	} {
+		c := newCell(t, 0, 0)
+		c.start()
+		c.run(5 * time.Second)
+		before := c.logged("state: ")
+		trouble.on(c.h)
+		c.run(time.Minute)
+		if n := c.logged("state: ") - before; n != 1 {
+			t.Errorf("%s: %d lines:\n%s", what, n, strings.Join(c.lines, "\n"))
+		}
+		c.want("not kept until that is over", 1)
+		trouble.off(c.h)
+		c.run(5 * time.Second)
+		c.want("state: it is kept again", 1)
+		c.start()
+		c.run(10 * time.Millisecond)
+		c.want("state: taken over", 1)
+	}
+}
+
+// TestNothingIsWrittenMoreOftenThanTheOperatorAllows.
+func TestNothingIsWrittenMoreOftenThanTheOperatorAllows(t *testing.T) {
+	c := newCell(t, 0, 0)
+	c.cfg.State.Every = 7 * time.Second
+	c.start()
+	c.run(69 * time.Second)
+	if n := c.r.keeper.writes; n != 9 {
+		t.Errorf("%d writes in 69 s", n)
+	}
+}
+
+// TestDrainEndsWithAWrite, and waits for it no longer than its bound.
+func TestDrainEndsWithAWrite(t *testing.T) {
+	for _, slow := range []sim.Time{0, 10 * sim.Second} {
+		c := newCell(t, 0, long0)
+		c.cfg.State.Every = time.Hour
+		c.cfg.State.Oldest = time.Hour
+		c.start()
+		c.run(time.Second)
+		c.teach("c1")
+		c.h.SlowDisk(slow)
+		ended := sim.Time(0)
+		began := c.w.Now()
+		c.w.At(began, func() { c.r.Drain(func() { ended = c.w.Now() }) })
+		c.run(time.Second)
+		if took := ended - began; ended == 0 || took > lastArrivals+writeWithin+1000 {
+			t.Errorf("the drain took %d us", took)
+		}
+		c.h.Kill()
+		c.start()
+		c.run(10 * time.Millisecond)
+		if slow == 0 && !c.bad("c1") {
+			t.Error("what was known at its end is not kept")
+		}
+	}
+}
+
+// TestHangUpMovesTheState to another folder, and ends it.
+func TestHangUpMovesTheState(t *testing.T) {
+	c := newCell(t, 0, long0)
+	c.start()
+	c.run(100 * time.Millisecond)
+	c.teach("c1")
+	c.h.MakeFolder("/other")
+	moved := *c.cfg
+	moved.State.Folder = "/other"
+	c.w.At(c.w.Now(), func() { c.r.Reload(&moved) })
+	c.run(100 * time.Millisecond)
+	c.want("SIGHUP: the state is kept in /other", 1)
+	if !c.r.Serving() || len(c.h.Files("/other")) != 2 {
+		t.Errorf("serving %v, files %v", c.r.Serving(), c.h.Files("/other"))
+	}
+	off := moved
+	off.State = store.Default()
+	c.w.At(c.w.Now(), func() { c.r.Reload(&off) })
+	c.run(10 * time.Millisecond)
+	steps := c.h.DiskSteps()
+	c.run(10 * time.Second)
+	c.want("SIGHUP: the state is not kept any more", 1)
+	if c.h.DiskSteps() != steps {
+		t.Error("it is written on")
+	}
+	c.cfg.State.Folder = "/other"
+	c.start()
+	c.run(10 * time.Millisecond)
+	if was, _ := c.r.decider.LearnedOf("c1"); was.Limit > 2 {
+		t.Errorf("what it knew has not moved: %+v", was)
+	}
+}
+
+// TestWithoutAFolderTheDiskIsLeftAlone.
+func TestWithoutAFolderTheDiskIsLeftAlone(t *testing.T) {
+	c := newCell(t, 0, 0)
+	c.cfg.State = store.Default()
+	c.start()
+	if !c.r.Serving() {
+		t.Error("it does not serve at once")
+	}
+	c.run(10 * time.Second)
+	if c.h.DiskSteps() != 0 || c.logged("state") != 0 {
+		t.Errorf("%d steps; log %q", c.h.DiskSteps(), c.lines)
+	}
+}
+
+// TestOneOfTwoRoutersHasTheFolder; the other says so, serves, and gets it once the first has ended.
+func TestOneOfTwoRoutersHasTheFolder(t *testing.T) {
+	dir := t.TempDir()
+	startOne := func(log routertest.Lines) *running {
+		cfg := testConfig(t, routertest.SilentDiscovery(t), nil, host("c1", "127.0.0.1:1", "in_service"))
+		cfg.State.Folder, cfg.State.Every = dir, 50*time.Millisecond
+		return start(t, cfg, log, nil)
+	}
+	log1, log2 := make(routertest.Lines, 1000), make(routertest.Lines, 1000)
+	first := startOne(log1)
+	first.Until("a write of the first", func() bool { return first.r.keeper.writes > 0 })
+	second := startOne(log2)
+	log2.Want(t, "another process keeps its state there; this one runs without")
+	second.Until("service of the second", second.r.Serving)
+	first.Do(first.r.Close)
+	log2.Want(t, "state: it is kept again")
+	second.Until("a write of the second", func() bool { return second.r.keeper.writes > 0 })
+}
+
+// TestExportOfALargeFleetIsTheSameInPieces: what is gathered over several turns is all there is, by id.
+func TestExportOfALargeFleetIsTheSameInPieces(t *testing.T) {
+	starts := make([]int, 3*statePiece+7)
+	c := newCell(t, starts...)
+	c.start()
+	c.run(time.Second)
+	k := c.r.keeper
+	k.gather()
+	turns := 1
+	for k.gatherPart() {
+		turns++
+	}
+	var got, want []string
+	for _, cache := range k.next.Caches {
+		got = append(got, cache.ID)
+	}
+	for _, cache := range c.r.decider.Learned(0).Caches {
+		want = append(want, cache.ID)
+	}
+	k.next = nil
+	if turns != 4 || !reflect.DeepEqual(got, want) || len(got) != len(starts) {
+		t.Errorf("%d caches in %d turns", len(got), turns)
+	}
+}
+
+// TestKeysOfAllCachesComeInTurn where there are more than there is time for.
+func TestKeysOfAllCachesComeInTurn(t *testing.T) {
+	c := newCell(t, make([]int, 10)...)
+	c.cfg.State.Every = time.Second
+	c.start()
+	c.run(100 * time.Millisecond)
+	l := nothingOfAll()
+	for i := range 10 {
+		was, _ := c.r.decider.LearnedOf(fmt.Sprint("c", i))
+		for key := range uint64(stateScan / 4) {
+			was.Keeps = append(was.Keeps, key+1)
+		}
+		l.Caches = append(l.Caches, was)
+	}
+	c.r.decider.Learn(l)
+	c.run(4500 * time.Millisecond) // four writes, of three caches' keys each
+	c.start()
+	c.run(10 * time.Millisecond)
+	for i := range 10 {
+		if n := len(c.r.decider.LearnedKeys(fmt.Sprint("c", i), 1000)); n == 0 {
+			t.Errorf("no keys of c%d are kept", i)
+		}
+	}
+}
+
+// BenchmarkGather is the loop's time for one write, in all its turns, and the longest of them.
+func BenchmarkGather(b *testing.B) {
+	for _, n := range []int{14, 200, 2000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			k := benchKeeper(b, n)
+			longest := time.Duration(0)
+			for b.Loop() {
+				begin := time.Now()
+				k.gather()
+				for more := true; more; {
+					more = k.gatherPart()
+					now := time.Now()
+					longest = max(longest, now.Sub(begin))
+					begin = now
+				}
+			}
+			b.ReportMetric(float64(longest.Microseconds()), "longest-us")
+		})
+	}
+}
+
+// benchKeeper is that of a router with so many caches that keep 100 keys each.
+func benchKeeper(b *testing.B, caches int) *keeper {
+	module, err := decide.New(decide.Settings{Routers: 3, MaxAttempts: 3, Classes: []decide.Class{{Name: "read", Aim: 1e6}}}, 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	r := &Router{m: sim.New(1).Host("r", "10.0.0.1", sim.HostOptions{}).Machine(), cfg: &Config{}, decider: module,
+		caches: map[string]*hop{}}
+	list, l := &decide.List{Kind: decide.ListFull}, nothingOfAll()
+	for i := range caches {
+		e := decide.Entry{ID: fmt.Sprintf("s-%08x", i), Zone: "a", Size: 1}
+		list.Entries = append(list.Entries, e)
+		r.caches[e.ID] = &hop{entry: e}
+		was := decide.LearnedCache{ID: e.ID, Limit: 4, Healthy: true}
+		for key := range uint64(100) {
+			was.Keeps = append(was.Keeps, (key+1)*0x9e3779b97f4a7c15+uint64(i))
+		}
+		l.Caches = append(l.Caches, was)
+	}
+	module.Handle(1, list)
+	module.Learn(l)
+	return &keeper{r: r, cfg: store.Default()}
+}
