--- a/internal/router/state_test.go
+++ b/internal/router/state_test.go
@@ -39,6 +39,7 @@
 	}, cellHosts(starts...)...)
 	c.cfg.State = store.Default()
 	c.cfg.State.Folder = stateFolder
+	c.cfg.State.Half.Limit, c.cfg.State.Half.Retry = 10*time.Second, 10*time.Second
 	return c
 }
 
@@ -294,7 +295,7 @@
 		t.Errorf("serving %v, files %v", c.r.Serving(), c.h.Files("/other"))
 	}
 	off := moved
-	off.State = store.Default()
+	off.State.Folder = ""
 	c.w.At(c.w.Now(), func() { c.r.Reload(&off) })
 	c.run(10 * time.Millisecond)
 	steps := c.h.DiskSteps()
