--- a/decide/learned.go
+++ b/decide/learned.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 )
@@ -41,30 +42,86 @@
 // Learned tells what the router has learned, with at most so many keys of each cache. A router that has
 // just been made and told the list tells what it takes for granted.
 func (r *Router) Learned(keys int) Learned {
+	l := r.LearnedOfAll()
+	l.Caches = r.LearnedAfter(nil, "", len(r.ready))
+	for i := range l.Caches {
+		l.Caches[i].Keeps = SortKeys(r.LearnedKeys(nil, l.Caches[i].ID, keys), keys)
+	}
+	return l
+}
+
+// LearnedOfAll tells what it has learned beside that of single caches. It may be called at any time, as all that tells.
+func (r *Router) LearnedOfAll() Learned {
 	l := Learned{Fetches: r.fetches, Missing: r.missing, Budget: r.budget, Erring: r.erring, Lost: r.lost}
 	for _, name := range slices.Sorted(maps.Keys(r.zones)) {
 		l.Zones = append(l.Zones, LearnedZone{name, r.zones[name].fails})
 	}
-	for _, c := range r.ready {
-		lc := LearnedCache{ID: c.ID, Start: c.Start, Limit: c.limit, Late: c.late, Erring: r.errors(c), Healthy: c.healthy,
-			Fails: c.fails, Prompt: c.prompt}
-		for _, window := range c.keeps {
-			for key := range window { // any order: sorted below, and which are left out is no matter
-				if len(lc.Keeps) >= keys {
-					break
-				}
-				lc.Keeps = append(lc.Keeps, key)
+	return l
+}
+
+// LearnedAfter appends what it has learned of the caches behind an id, in their order, of so many at most and without
+// their keys. The danger: of thousands of caches, all at once holds up what the router is for.
+func (r *Router) LearnedAfter(to []LearnedCache, id string, most int) []LearnedCache {
+	i, found := slices.BinarySearchFunc(r.ready, id, func(c *cache, id string) int { return cmp.Compare(c.ID, id) })
+	if found {
+		i++
+	}
+	for _, c := range r.ready[i:min(i+most, len(r.ready))] {
+		to = append(to, r.learned(c))
+	}
+	return to
+}
+
+// LearnedOf tells what it has learned of one cache, without its keys; false where that is not listed.
+func (r *Router) LearnedOf(id string) (LearnedCache, bool) {
+	c := r.caches[id]
+	if c == nil {
+		return LearnedCache{}, false
+	}
+	return r.learned(c), true
+}
+
+func (r *Router) learned(c *cache) LearnedCache {
+	return LearnedCache{ID: c.ID, Start: c.Start, Limit: c.limit, Late: c.late, Erring: r.errors(c),
+		Healthy: c.healthy, Fails: c.fails, Prompt: c.prompt}
+}
+
+// LearnedKeyCount is how many keys LearnedKeys has to look at.
+func (r *Router) LearnedKeyCount(id string) int {
+	c := r.caches[id]
+	if c == nil {
+		return 0
+	}
+	return len(c.keeps[0]) + len(c.keeps[1])
+}
+
+// LearnedKeys appends keys that a cache likely keeps, about so many, in any order and some perhaps twice: SortKeys is for
+// when there is time. Which are told their hashes decide: with the order of a map, equal runs would differ.
+func (r *Router) LearnedKeys(to []uint64, id string, most int) []uint64 {
+	c, n := r.caches[id], r.LearnedKeyCount(id)
+	if n == 0 || most <= 0 {
+		return to
+	}
+	share := (float64(most)*1.25 + 16) / float64(n) // some more than are wanted, by chance too few
+	for _, window := range c.keeps {
+		for key := range window { // any order: whoever shows them sorts them
+			if share >= 1 || unit(mix(key)) < share {
+				to = append(to, key)
 			}
 		}
-		slices.Sort(lc.Keeps)
-		lc.Keeps = slices.Compact(lc.Keeps)
-		l.Caches = append(l.Caches, lc)
 	}
-	return l
+	return to
+}
+
+// SortKeys puts keys in order, each once and so many at most. It may be done anywhere.
+func SortKeys(keys []uint64, most int) []uint64 {
+	slices.Sort(keys)
+	keys = slices.Compact(keys)
+	return keys[:min(most, len(keys))]
 }
 
 // Learn takes over what was learned before. Of caches that are not listed, or whose process is another one, nothing
-// is taken. Figures out of range are left as they are.
+// is taken. Figures out of range, as NaN is of all, are left as they are.
 func (r *Router) Learn(l Learned) {
 	figure := func(to *float64, v, lo, hi float64) {
 		if v >= lo && v <= hi {
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -3,6 +3,7 @@
 import (
 	"starlingwinch/internal/books"
 	"starlingwinch/internal/machine"
+	"starlingwinch/internal/store"
 )
 
 // Node is one router's process, as the lab sees it.
@@ -24,6 +25,8 @@
 	Operator []OperatorFile
 	// Wrap, where it is not nil, stands between the router and its decision module: this is how a defect is planted.
 	Wrap func(books.Module) books.Module
+	// State says where the router keeps what it has learned; the zero value is nowhere.
+	State store.Config
 }
 
 // OperatorFile is a file of the operators, as `run --operator` takes it.
--- a/internal/lab/node/node.go
+++ b/internal/lab/node/node.go
@@ -26,7 +26,7 @@
 	}
 	cfg.Membership = opfile.Get[membership.Config](files, membership.Kind)
 	cfg.Eureka = opfile.Get[eureka.Config](files, eureka.Kind)
-	cfg.Wrap = c.Wrap
+	cfg.Wrap, cfg.State = c.Wrap, c.State
 	r, err := router.Start(m, cfg)
 	if err != nil {
 		return nil, err
@@ -49,7 +49,7 @@
 	if err != nil {
 		return err
 	}
-	cfg.Membership, cfg.Eureka = n.cfg.Membership, n.cfg.Eureka // these files stay as they are
+	cfg.Membership, cfg.Eureka, cfg.State = n.cfg.Membership, n.cfg.Eureka, n.cfg.State // these files stay as they are
 	n.Router.Reload(cfg)
 	return nil
 }
--- a/internal/machine/contract_test.go
+++ b/internal/machine/contract_test.go
@@ -32,6 +32,10 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(m.Stop)
+		folder := filepath.Join(t.TempDir(), "folder")
+		if err := os.Mkdir(folder, 0o700); err != nil {
+			t.Fatal(err)
+		}
 		return machinetest.Rig{
 			Worker:   worker,
 			A:        m,
@@ -46,6 +50,13 @@
 				}
 				return name
 			},
+			Folder: folder,
+			PutLink: func(name string) {
+				if err := os.Symlink("/etc/passwd", name); err != nil {
+					t.Fatal(err)
+				}
+			},
+			RemoveFolder: func() { os.RemoveAll(folder) },
 			Signal: func(s machine.Signal) {
 				sig := syscall.SIGTERM
 				if s == machine.HangUp {
--- a/internal/machine/real.go
+++ b/internal/machine/real.go
@@ -41,6 +41,7 @@
 
 	inbox   inbox
 	work    work
+	disk    work
 	signals signals
 	log     *logger
 	roused  atomic.Bool // Work or Log has given a goroutine something to do
@@ -78,7 +79,8 @@
 		w = os.Stderr
 	}
 	m.log = newLogger(w)
-	m.work.post = m.Post
+	m.work.post, m.work.most = m.Post, workers
+	m.disk.post, m.disk.most = m.Post, 1
 	m.signals.begin(m.Post)
 	return m, nil
 }
@@ -184,6 +186,7 @@
 func (m *Real) shut() {
 	m.signals.end()
 	m.work.end()
+	m.disk.end()
 	m.inbox.close()
 	for p := range m.workers { // any order
 		p.end()
@@ -226,6 +229,12 @@
 	m.roused.Store(true)
 }
 
+// OnDisk implements Machine.
+func (m *Real) OnDisk(f func(Disk), done func()) {
+	m.disk.add(func() { f(realDisk{}) }, done)
+	m.roused.Store(true)
+}
+
 // Signals implements Machine.
 func (m *Real) Signals(f func(Signal)) { m.signals.to(f) }
 
--- a/internal/seam/seam_test.go
+++ b/internal/seam/seam_test.go
@@ -20,7 +20,8 @@
 var virtual = []string{"decide", "internal/router", "internal/front", "internal/upstream", "internal/discovery",
 	"internal/eureka", "internal/httpc", "internal/httpd", "internal/membership", "internal/sources", "internal/aperture",
 	"internal/resp", "internal/books", "internal/rules", "internal/standin", "internal/standin/registry", "internal/sim",
-	"internal/hooks", "internal/hooks/policy", "internal/hooks/hookstest"}
+	"internal/hooks", "internal/hooks/policy", "internal/hooks/hookstest",
+	"internal/learned", "internal/store"}
 
 // forbidden are the calls that only the machine's real side may make, by package.
 var forbidden = map[string][]string{
--- a/internal/sim/contract_test.go
+++ b/internal/sim/contract_test.go
@@ -21,6 +21,7 @@
 	a := w.Host("a", "10.0.0.1", HostOptions{Zone: "a"})
 	b := w.Host("b", "10.0.0.2", HostOptions{Zone: "b"})
 	a.Worker = machinetest.VirtualWorker
+	a.MakeFolder("/folder")
 	return machinetest.Rig{
 		Worker: machinetest.ByCommand,
 		A:      a.Machine(), B: b.Machine(),
@@ -30,6 +31,7 @@
 			a.PutFile("file", content)
 			return "file"
 		},
+		Folder: "/folder", PutLink: a.PutOdd, RemoveFolder: func() { a.RemoveFolder("/folder") },
 		Signal:  func(s machine.Signal) { a.Signal(s) },
 		Nowhere: "10.9.9.9:1",
 	}
--- a/internal/standin/lab_test.go
+++ b/internal/standin/lab_test.go
@@ -149,8 +149,11 @@
 }
 
 func (l *lab) ReadFile(string, int64) ([]byte, error) { return nil, errors.New("the lab has no files") }
-func (l *lab) Signals(func(machine.Signal))           {}
-func (l *lab) Log(string)                             {}
+
+// OnDisk implements machine.Machine. Nothing here keeps files.
+func (l *lab) OnDisk(func(machine.Disk), func()) { panic("the lab has no disk") }
+func (l *lab) Signals(func(machine.Signal))      {}
+func (l *lab) Log(string)                        {}
 
 // labRoom is how much a connection holds unread.
 const labRoom = 64 << 10
