--- a/cmd/starlingwinch/main.go
+++ b/cmd/starlingwinch/main.go
@@ -62,7 +62,7 @@
 		RunE:              func(*cobra.Command, []string) error { return inputs{}.run() },
 	}
 	cmd.SetFlagErrorFunc(flagError)
-	cmd.AddCommand(runCommand(), checkCommand(), membersCommand(), versionCommand())
+	cmd.AddCommand(runCommand(), checkCommand(), membersCommand(), stormCommand(), versionCommand())
 	cmd.SetHelpCommand(helpCommand())
 	return cmd
 }
--- a/cmd/starlingwinch/run.go
+++ b/cmd/starlingwinch/run.go
@@ -18,10 +18,11 @@
 	"starlingwinch/internal/opfile"
 	"starlingwinch/internal/router"
 	"starlingwinch/internal/settings"
+	"starlingwinch/internal/storm"
 )
 
 // kinds are the operators' files that the program knows. A subsystem adds its own here.
-var kinds = opfile.Registry{limits.Kind, membership.Kind, eureka.Kind}
+var kinds = opfile.Registry{limits.Kind, membership.Kind, eureka.Kind, storm.Kind}
 
 const (
 	configVariable = "BALANCER_CONFIG"
@@ -139,6 +140,7 @@
 	}
 	cfg.Bounds = opfile.Get[limits.Limits](files, limits.Kind)
 	cfg.Membership = opfile.Get[membership.Config](files, membership.Kind)
+	cfg.Storm = opfile.Get[storm.Config](files, storm.Kind)
 	cfg.Eureka = opfile.Get[eureka.Config](files, eureka.Kind)
 	return cfg, warnings, nil
 }
--- a/decide/api.go
+++ b/decide/api.go
@@ -144,7 +144,7 @@
 type Load struct{ Busy, Errors float64 }
 
 // Event is anything a Router is told: *List, *Request, *Started, *Outcome,
-// *Departed, *Timer, *Probed or *PeerMessage.
+// *Departed, *Timer, *Probed, *PeerMessage or *Pressure.
 type Event interface{ event() }
 
 // ListKind says what a List holds.
@@ -171,6 +171,7 @@
 	Key      uint64
 	HasKey   bool
 	Deadline Time
+	Since    Time // when its client first asked, where this is known to be a retry; 0 where it is not
 	Cost     Time // expected work; 0 where unknown
 	Write    bool // goes on to the origin
 }
@@ -212,6 +213,15 @@
 	Data string
 }
 
+// Pressure says that clients retry more than they ask, and what that calls for, until the next one says otherwise.
+// Before the first one, and after one with On unset, decisions are as if there were none.
+type Pressure struct {
+	On      bool
+	Away    bool    // it comes of an outage: caches are away, or have just come back
+	Retries float64 // of the budget of retries and of what it earns, the share that is left
+	Wait    Time    // refusals name times that differ by up to so much
+}
+
 func (*List) event()        {}
 func (*Request) event()     {}
 func (*Started) event()     {}
@@ -220,6 +230,7 @@
 func (*Timer) event()       {}
 func (*Probed) event()      {}
 func (*PeerMessage) event() {}
+func (*Pressure) event()    {}
 
 // Action is anything a Router asks for: Send, Cancel, Refuse, Fail, SetTimer, DropTimer,
 // Probe, CloseIdle, Watch or Log. The caller carries them out in order.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -34,6 +34,7 @@
 	admitTries      = 32   // held requests without room that are looked at for one answer
 	retryBurst      = 10   // ... and in one burst
 	recently        = 48   // attempts over which the shares of late and of lost ones fade
+	leastAway       = 1    // attempts of a router at a cache that may be back from an outage, at least
 	unhurried       = .25  // share of a cache's answers that are late, where it is not crowded
 	coldGrowth      = 2    // attempts for each one served lately, at a cold cache with few warm ones to go by
 	lossy           = .08  // share of lost attempts from which they are sent again without limit
@@ -131,6 +132,7 @@
 	shedding     bool
 	erring, lost float64 // fading shares of errors among all answers, and of lost attempts
 	passed       Time    // when the latest attempt was sent that the origin served in time, at any cache
+	pressure     Pressure
 }
 
 // New returns a router for the settings. The error names a wrong field.
@@ -179,6 +181,8 @@
 		}
 	case *Probed:
 		r.probed(ev)
+	case *Pressure:
+		r.pressure = *ev
 	}
 	return r.out
 }
@@ -347,6 +351,9 @@
 	} else if e.Start != c.Start {
 		// The process is a new one: nothing seen of the old one holds.
 		c.healthy, c.fails, c.keeps = true, 0, [2]map[uint64]bool{{}, {}}
+		if r.pressure.Away {
+			c.zone.fails, c.limit = 0, leastAway // what was seen lately is an outage, not a crowd
+		}
 	}
 	if r.set.LiveSizes {
 		// The danger: a size that falls with the load moves keys from list to list, and they miss.
@@ -437,6 +444,9 @@
 		r.logf("zone %s out of reach", c.Zone)
 	}
 	c.zone.trialAt = r.now + r.set.ColdTime/4
+	if r.pressure.Away {
+		c.sends, c.lastSend = max(0, r.recent(c)-1), r.now // what never came is no load
+	}
 }
 
 // cut reports whether a cache's zone is held to be out of reach.
@@ -514,8 +524,13 @@
 // leaves gaps between attempts. The danger: a cache slowed down by crowding stays slow until it
 // has been mostly idle, and one attempt of every router at all times is enough to keep it so.
 func (r *Router) hasRoom(c *cache) bool {
-	if c.limit >= 1 || c.pending > c.hung {
-		return float64(c.pending-c.hung) < c.limit
+	limit := c.limit
+	if r.pressure.Away {
+		// The danger: a cold cache is slow with one attempt, too, and gets none; and nobody finds one that is back.
+		limit = max(limit, leastAway)
+	}
+	if limit >= 1 || c.pending > c.hung {
+		return float64(c.pending-c.hung) < limit
 	}
 	return r.now >= c.lastSend+Time(float64(r.patience)*(1/c.limit-1))
 }
@@ -524,6 +539,9 @@
 // that keeps its key, or any while the origin has room or the budget a token. The danger:
 // overflowing keys miss wherever they go and crowd the origin.
 func (r *Router) mayOverflow(q *request, c *cache) bool {
+	if r.pressure.On { // the danger: a fetch at each cache that is asked, while the origin can do few
+		return c.knows(q.Key)
+	}
 	return c.knows(q.Key) || r.originIdles() || r.budget >= 1
 }
 
@@ -657,6 +675,14 @@
 	if q.class == nil {
 		q.class = &unknownClass
 	}
+	if r.pressure.On && ev.Since > 0 {
+		// The danger: a request that is refused comes back until its client gives up, and what caches can
+		// do goes to those that were asked long ago: they are served, and too late.
+		if q.arrived = ev.Since; r.now >= q.holdUntil() && r.mayRefuse(q) {
+			r.refuse(q)
+			return
+		}
+	}
 	q.attempts = q.first[:0]
 	if !q.HasKey {
 		q.Request = &Request{}
@@ -668,13 +694,21 @@
 		// No request is lost: whatever else happens, this timer gives the final answer.
 		q.timers[0] = r.schedule(q.Deadline, timer{due: deadlinePast, q: q})
 	}
-	r.budget = min(r.budget+retryShare, retryBurst)
+	r.budget = min(r.budget+retryShare*r.retries(), retryBurst*r.retries())
 	r.spare += probeShare / max(r.set.ProbePrice, 1e-9)
 	r.keys[0][q.Key]++
 	r.asked[0]++
 	r.forward(q)
 }
 
+// retries is the share of the budget that is left for retries and hedges.
+func (r *Router) retries() float64 {
+	if r.pressure.On {
+		return r.pressure.Retries
+	}
+	return 1
+}
+
 // forward sends a request on, holds it for room, or answers it when neither can be.
 func (r *Router) forward(q *request) {
 	if r.isRetry(q) && r.budget < 1 {
@@ -801,7 +835,7 @@
 // nothing since. The danger: a cache that hangs takes requests and answers none until two
 // rounds of probes have failed. Late answers are no reason: in overload they all are.
 func (r *Router) hedge(q *request, n int) {
-	if q.done || !r.set.Copies {
+	if q.done || !r.set.Copies || r.pressure.On {
 		return
 	}
 	a := &q.attempts[n]
@@ -827,7 +861,8 @@
 func (r *Router) overdue(q *request, n int) {
 	a := &q.attempts[n]
 	c := a.to
-	if a.fetch && c.prompt && r.now >= c.warmAt { // a cold one is slow itself and has few hits
+	if a.fetch && c.prompt && (r.now >= c.warmAt || r.pressure.Away) {
+		// A cold one is slow itself and has few hits.
 		a.timers[2] = r.schedule(a.sent+Time(originShare*float64(q.class.Aim)), timer{due: originLate, n: n, q: q})
 		return
 	}
@@ -887,13 +922,23 @@
 		return
 	}
 	if r.mayRefuse(q) {
-		r.do(Refuse{ID: q.ID, Wait: min(r.set.RefuseWait, q.class.Aim)})
+		r.refuse(q)
 	} else {
 		r.do(Fail{ID: q.ID})
 	}
 	r.finish(q)
 }
 
+// refuse names a time to come back. The danger: those that are refused together come back together.
+func (r *Router) refuse(q *request) {
+	wait := min(r.set.RefuseWait, q.class.Aim)
+	if r.pressure.On {
+		span := min(r.pressure.Wait, r.set.RefuseWait-wait/2)
+		wait = wait/2 + Time(unit(mix(q.Key^mix(uint64(q.ID))))*float64(span))
+	}
+	r.do(Refuse{ID: q.ID, Wait: wait})
+}
+
 // finish stops what is still out for a request that is over.
 func (r *Router) finish(q *request) {
 	q.done = true
@@ -965,7 +1010,8 @@
 		adjust(&r.fetches, fetched, originTolerated)
 		r.fetches = max(1, r.fetches)
 	}
-	if ev.Result == Rejected || ev.Result == NoConnection || good && float64(a.to.pending+1) > a.to.limit/2 {
+	crowd := ev.Result == Rejected || ev.Result == NoConnection && !r.pressure.Away
+	if crowd || good && float64(a.to.pending+1) > a.to.limit/2 {
 		r.pool(good)
 		adjust(&a.to.limit, good, tolerated)
 	} else if ev.Result == Served && a.to.limit < r.alone() && r.now-a.sent < q.class.Aim {
--- /dev/null
+++ b/decide/pressure_test.go
@@ -0,0 +1,146 @@
+package decide
+
+import (
+	"reflect"
+	"testing"
+)
+
+// pressed is a router with a fleet, under pressure.
+func pressed(t *testing.T, p Pressure) *bench {
+	b := newBench(t, settings())
+	b.feed(&List{Kind: ListFull, Entries: fleet(4)})
+	b.feed(&p)
+	return b
+}
+
+func refusals(acts []Action) []Refuse {
+	var all []Refuse
+	for _, a := range acts {
+		if r, ok := a.(Refuse); ok {
+			all = append(all, r)
+		}
+	}
+	return all
+}
+
+func TestRetryTooLateToBeServedInTimeIsRefusedAtOnce(t *testing.T) {
+	b := pressed(t, Pressure{On: true, Wait: 500 * ms})
+	old := &Request{ID: 1, Class: "read", Key: 1, HasKey: true, Deadline: b.now + 500*ms, Since: b.now - 200*ms}
+	acts := b.feed(old)
+	if len(acts) != 1 || len(refusals(acts)) != 1 {
+		t.Fatalf("%v: a refusal and nothing else is wanted", acts)
+	}
+	if b.r.Open() != 0 {
+		t.Fatalf("%d requests are kept", b.r.Open())
+	}
+	young := &Request{ID: 2, Class: "read", Key: 2, HasKey: true, Deadline: b.now + 500*ms, Since: b.now - 20*ms}
+	if len(sends(b.feed(young))) != 1 {
+		t.Fatalf("%v: a retry that can still be served in time is sent", b.acts)
+	}
+}
+
+func TestWithoutPressureSinceChangesNothing(t *testing.T) {
+	play := func(since Time, p *Pressure) []Action {
+		b := newBench(t, settings())
+		b.feed(&List{Kind: ListFull, Entries: fleet(4)})
+		if p != nil {
+			b.feed(p)
+		}
+		var all []Action
+		for id := range int64(20) {
+			all = append(all, b.feed(&Request{ID: id + 1, Class: "read", Key: uint64(id), HasKey: true,
+				Deadline: b.now + 500*ms, Since: since})...)
+		}
+		return append(all, b.advance(2000*ms)...)
+	}
+	want := play(0, nil)
+	if got := play(1e9-400*ms, nil); !reflect.DeepEqual(got, want) {
+		t.Error("what is known of a retry counts without pressure")
+	}
+	if got := play(0, &Pressure{Away: true, Retries: 1, Wait: 100 * ms}); len(got) != len(want) {
+		t.Errorf("%d actions where pressure is off, %d without a word of it", len(got), len(want))
+	}
+}
+
+func TestThoseRefusedTogetherAreToldDifferentTimes(t *testing.T) {
+	b := pressed(t, Pressure{On: true, Wait: 500 * ms})
+	told := map[Time]int{}
+	for id := range int64(100) {
+		for _, r := range refusals(b.feed(&Request{ID: id + 1, Class: "read", Key: 7, HasKey: true,
+			Deadline: b.now + 500*ms, Since: b.now - 300*ms})) {
+			if r.Wait < 100*ms || r.Wait > 600*ms {
+				t.Errorf("a wait of %d µs", r.Wait)
+			}
+			told[r.Wait/(10*ms)]++
+		}
+	}
+	if len(told) < 25 {
+		t.Errorf("100 refusals name %d times: %v", len(told), told)
+	}
+}
+
+func TestWaitsStayWithinWhatClientsHonour(t *testing.T) {
+	b := pressed(t, Pressure{On: true, Wait: 100_000 * ms})
+	for id := range int64(50) {
+		for _, r := range refusals(b.feed(&Request{ID: id + 1, Class: "read", Key: uint64(id), HasKey: true,
+			Deadline: b.now + 500*ms, Since: b.now - 300*ms})) {
+			if r.Wait > b.r.set.RefuseWait {
+				t.Errorf("a wait of %d µs, clients honour %d", r.Wait, b.r.set.RefuseWait)
+			}
+		}
+	}
+}
+
+func TestBudgetOfRetriesShrinksUnderPressure(t *testing.T) {
+	b := pressed(t, Pressure{On: true, Retries: 0.1})
+	b.feed(&Request{ID: 1, Class: "read", Key: 1, HasKey: true, Deadline: b.now + 500*ms})
+	if b.r.budget > 0.1*retryBurst {
+		t.Errorf("a budget of %.1f is left", b.r.budget)
+	}
+	b.feed(&Pressure{})
+	b.feed(&Request{ID: 2, Class: "read", Key: 2, HasKey: true, Deadline: b.now + 500*ms})
+	if b.r.budget > 0.1*retryBurst+1 {
+		t.Errorf("the budget is full again at once: %.1f", b.r.budget)
+	}
+}
+
+func TestUnsafeRequestThatIsLateIsRefusedOnlyWhereNothingRan(t *testing.T) {
+	b := pressed(t, Pressure{On: true, Wait: 100 * ms})
+	acts := b.feed(&Request{ID: 1, Class: "once", Key: 1, HasKey: true, Deadline: b.now + 500*ms, Since: b.now - 300*ms})
+	if len(refusals(acts)) != 1 {
+		t.Errorf("%v: nothing of it has run here, so a refusal does no harm", acts)
+	}
+}
+
+func TestCacheThatIsAwayIsTriedAndANewOneStartsAfresh(t *testing.T) {
+	b := pressed(t, Pressure{On: true, Away: true, Retries: 0.1})
+	tries := func(id int64) (n int) {
+		acts := b.feed(&Request{ID: id, Class: "read", Key: uint64(id), HasKey: true, Deadline: b.now + 700*ms})
+		for len(sends(acts)) > 0 {
+			n++
+			acts = b.feed(&Outcome{ID: id, Attempt: n - 1, Result: NoConnection, Load: Load{Busy: -1}})
+		}
+		return n
+	}
+	for id := range int64(50) {
+		if tries(id+1) == 0 {
+			t.Fatalf("request %d: nobody would find out that the caches are back", id)
+		}
+	}
+	entries := fleet(4)
+	for i := range entries {
+		entries[i].Start = b.now - 100*ms
+	}
+	b.feed(&List{Kind: ListFull, Entries: entries})
+	if limit := b.r.ready[0].limit; limit != leastAway {
+		t.Errorf("the limit of a new cache is %.1f, by what was seen of the old one", limit)
+	}
+	sent := 0
+	for id := range int64(20) {
+		sent += len(sends(b.feed(&Request{ID: 100 + id, Class: "read", Key: uint64(id), HasKey: true,
+			Deadline: b.now + 700*ms})))
+	}
+	if sent == 0 || sent > 4 {
+		t.Errorf("%d attempts at four caches that have just started", sent)
+	}
+}
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -20,6 +20,8 @@
 	unsent []byte  // what the socket did not take of answers
 	errors int     // bad commands in a row
 	asked  bool    // a whole command has come
+	from   uint64  // hash of its address
+	used   bool    // a request has come
 
 	state      state
 	since      Time // when it came into its state
@@ -274,7 +276,8 @@
 		c.say(AppendBusy(nil, f.o.Wait))
 		return true
 	}
-	s := &Slot{client: c, charge: int64(len(raw)), asked: true}
+	s := &Slot{client: c, charge: int64(len(raw)), asked: true, Fresh: !c.used}
+	c.used = true
 	c.queue = append(c.queue, s)
 	f.desk.Ask(s, cmd, f.m.Now())
 	return true
--- a/internal/front/command.go
+++ b/internal/front/command.go
@@ -26,6 +26,7 @@
 	Wait   Time   // how long the client waits, cut at what its class allows
 	Cost   Time   // the client's guess at the work; 0 where it has none
 	Write  bool
+	Retry  bool // its client says that it has asked before
 	Unsafe bool // its class must never run twice, and no cache drops a repeat
 
 	args     [][]byte // verb, key, id, names and values, and the value to set if there is one
@@ -110,6 +111,8 @@
 			c.Wait, c.waitFrom, c.waitTo = Time(ms)*1000, to-len(value), to
 		case "k":
 			keyed = keyed || value != ""
+		case "r":
+			c.Retry = value == "1"
 		case "h":
 			if us, err := strconv.ParseInt(value, 10, 64); err == nil && us > 0 {
 				c.Cost = us
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -8,6 +8,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"starlingwinch/decide"
 	"starlingwinch/internal/limits"
@@ -63,13 +64,14 @@
 	in     []byte // what is read into, within one call
 	out    []byte // ... and answers are gathered in
 
-	clients int
-	lists   [states]list
-	alarm   machine.Timer // for the client that is overdue first
-	alarmAt Time
-	full    bool // the listener is paused until there is room
-	drained func()
-	closed  bool
+	clients  int
+	accepted int // ever
+	lists    [states]list
+	alarm    machine.Timer // for the client that is overdue first
+	alarmAt  Time
+	full     bool // the listener is paused until there is room
+	drained  func()
+	closed   bool
 }
 
 // Listen opens the listener.
@@ -88,12 +90,21 @@
 // Clients is the number of connections.
 func (f *Front) Clients() int { return f.clients }
 
+// Accepted is the number of connections that have come in so far.
+func (f *Front) Accepted() int { return f.accepted }
+
+// addressHash is that of an address without its port.
+func addressHash(addr string) uint64 {
+	return KeyHash([]byte(addr[:max(0, strings.LastIndexByte(addr, ':'))]))
+}
+
 // Held is the number of bytes that are counted against the memory.
 func (f *Front) Held() int64 { return f.memory.held }
 
 func (f *Front) accept(nc machine.Conn) machine.Handler {
-	c := &client{front: f, nc: nc}
+	c := &client{front: f, nc: nc, from: addressHash(nc.Remote())}
 	f.clients++
+	f.accepted++
 	c.enter(fresh)
 	f.room(c)
 	f.watch(idle) // they may have less time now
--- a/internal/front/slot.go
+++ b/internal/front/slot.go
@@ -35,7 +35,8 @@
 
 // Slot is the place of an answer in its connection's order.
 type Slot struct {
-	ID int64 // the desk's, for a request
+	ID    int64 // the desk's, for a request
+	Fresh bool  // its request is the first on its connection
 
 	client   *client
 	charge   int64  // bytes that are counted for it
@@ -65,3 +66,6 @@
 		c.flush()
 	}
 }
+
+// Client is a hash of the address that the request came from, without its port.
+func (s *Slot) Client() uint64 { return s.client.from }
--- a/internal/lab/eyes.go
+++ b/internal/lab/eyes.go
@@ -148,6 +148,7 @@
 	}
 	e.Watcher.CacheDown(now, cache, fallen)
 	if fallen {
+		e.w.falls++
 		e.w.sim.At(now, func() { e.w.fell(cache) })
 	}
 }
@@ -164,6 +165,7 @@
 
 // StoreFell implements rules.Observer.
 func (e *eyes) StoreFell(now Time) {
+	e.w.falls++
 	e.say("the store falls over")
 	e.Watcher.StoreFell(now)
 }
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -3,6 +3,7 @@
 import (
 	"starlingwinch/internal/books"
 	"starlingwinch/internal/machine"
+	"starlingwinch/internal/storm"
 )
 
 // Node is one router's process, as the lab sees it.
@@ -22,6 +23,8 @@
 	JSON []byte // the platform's configuration
 	// Wrap, where it is not nil, stands between the router and its decision module: this is how a defect is planted.
 	Wrap func(books.Module) books.Module
+	// Storm, where it is not nil, is what operators say of storms.
+	Storm *storm.Config
 }
 
 // Start starts a router on a machine.
--- a/internal/lab/node/node.go
+++ b/internal/lab/node/node.go
@@ -14,6 +14,9 @@
 		return nil, err
 	}
 	cfg.Wrap = c.Wrap
+	if c.Storm != nil {
+		cfg.Storm = *c.Storm
+	}
 	r, err := router.Start(m, cfg)
 	if err != nil {
 		return nil, err
--- a/internal/lab/router.go
+++ b/internal/lab/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"starlingwinch/internal/sim"
 )
@@ -38,7 +39,12 @@
 	ip := fmt.Sprintf("10.1.0.%d", i+1)
 	r.addr = ip + ":7000"
 	r.host = w.sim.Host(r.name, ip, sim.HostOptions{Zone: zone, Descriptors: w.s.Fleet.Sockets})
-	r.host.Logged = func(line string) { w.eyes.say(r.name + ": " + line) }
+	r.host.Logged = func(line string) {
+		w.eyes.say(r.name + ": " + line)
+		if strings.HasPrefix(line, stormLine) {
+			w.storms = append(w.storms, StormChange{w.now(), r.name, line})
+		}
+	}
 	return r
 }
 
@@ -64,7 +70,7 @@
 }
 
 func (r *router) config() NodeConfig {
-	return NodeConfig{JSON: r.w.routerSettings(r).JSON(), Wrap: r.w.o.Wrap}
+	return NodeConfig{JSON: r.w.routerSettings(r).JSON(), Wrap: r.w.o.Wrap, Storm: r.w.o.Storm}
 }
 
 // end ends the process. A clean end is one after a SIGTERM, whether it came by itself or not.
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -19,6 +19,7 @@
 	"starlingwinch/internal/books"
 	"starlingwinch/internal/lab/script"
 	"starlingwinch/internal/sim"
+	"starlingwinch/internal/storm"
 )
 
 // Options say how a script is run.
@@ -26,6 +27,8 @@
 	Node Start // the router under test
 	// Wrap stands between each router and its decision module; see NodeConfig.
 	Wrap func(books.Module) books.Module
+	// Storm is what operators say of storms; nil for nothing.
+	Storm *storm.Config
 	// Change, where it is not nil, changes each script before it is played.
 	Change func(*script.Script)
 	// Follow is the id of a request whose life the result is to hold.
--- /dev/null
+++ b/internal/lab/storm.go
@@ -0,0 +1,428 @@
+package lab
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"starlingwinch/decide"
+	"starlingwinch/internal/books"
+	"starlingwinch/internal/lab/script"
+	"starlingwinch/internal/machine"
+	"starlingwinch/internal/sim"
+	"starlingwinch/internal/standin"
+)
+
+// Storm is a storm of retries and reconnects: all caches go, come back cold, and all clients reconnect at that moment.
+type Storm struct {
+	Seed    int64
+	Clients int
+	Load    float64 // of what warm caches bear
+	Before  Time    // of calm, before it all
+	Outage  Time    // for which no cache runs
+	For     Time    // how long it is watched from the caches' return on
+	Ignore  float64 // share of clients that take no advice and retry at once
+	Layer   bool    // all clients come from one address
+	InStep  bool    // those that obey back off by one fixed span
+	Silent  int     // connections beside, that say nothing
+	Again   Time    // a second outage begins so long after the first one's end; 0 for none
+	Burst   float64 // the load is so many times as high ...
+	BurstAt Time    // ... from this moment after the caches' return ...
+	BurstTo Time    // ... up to this one
+	Warm    bool    // nothing goes: the caches are warm, and clients come all at once
+}
+
+// StormWindow is the span over which goodput is judged.
+const StormWindow = 3 * second
+
+// StormPart is one window of a storm. All but At is work, in seconds of one core, as requests of their class take on
+// average.
+type StormPart struct {
+	At     Time    // its beginning, from the caches' return
+	Asked  float64 // of requests made
+	InTime float64 // of those answered in time
+	Bear   float64 // that caches, and the store behind them, can do
+}
+
+// Goodput is the share of what could be done that was.
+func (p StormPart) Goodput() float64 {
+	if least := min(p.Asked, p.Bear); least > 0 {
+		return min(1, p.InTime/least)
+	}
+	return 1
+}
+
+// StormResult is what came of a storm.
+type StormResult struct {
+	*Result
+	Parts            []StormPart
+	Requests, InTime int // made from the caches' return on
+	Fell             int // caches and stores that fell over
+	Tries, Refused   int // of the whole run
+	Changes          []StormChange
+	InStep           float64 // share of waits that are the commonest one, of those that refusals named
+	Resent           int     // attempts beyond a request's first one that caches have begun
+}
+
+// stormLine begins the line of the log at each change of a router's state.
+const stormLine = "storm: "
+
+// StormChange is one change of state, as a router's log tells it.
+type StormChange struct {
+	At     Time // from the beginning of the run
+	Router string
+	Line   string
+}
+
+// CalmAt is when the last router was calm for good, from the caches' return on; 0 where none ever was not, -1 where one
+// was not at the end.
+func (r *StormResult) CalmAt() Time {
+	last := map[string]StormChange{}
+	for _, c := range r.Changes {
+		last[c.Router] = c
+	}
+	at := Time(0)
+	for _, c := range last { // any order: the latest counts
+		if !strings.Contains(c.Line, "-> calm:") {
+			return -1
+		}
+		at = max(at, c.At)
+	}
+	return at
+}
+
+// Share is that of requests that were served in time.
+func (r *StormResult) Share() float64 { return float64(r.InTime) / float64(max(1, r.Requests)) }
+
+// Least is the least goodput of any window.
+func (r *StormResult) Least() float64 {
+	least := 1.0
+	for _, p := range r.Parts {
+		least = min(least, p.Goodput())
+	}
+	return least
+}
+
+// Bound is the share of work in time that caches could have done at best, had nothing been wasted.
+func (r *StormResult) Bound() float64 {
+	could, asked := 0.0, 0.0
+	for _, p := range r.Parts {
+		could, asked = could+min(p.Asked, p.Bear), asked+p.Asked
+	}
+	return could / asked
+}
+
+// turnaround is how long a client that retries at once takes for that.
+const turnaround = 10 * millisecond
+
+// stormMost bounds the steps of a run, by the second.
+const stormMost = 2_000_000
+
+// storming is a storm that is under way.
+type storming struct {
+	*world
+	storm   Storm
+	from    Time // the caches' return
+	parts   []StormPart
+	result  StormResult
+	clients []*standin.Client
+	rate    float64 // of each client
+	mean    float64 // work of a request, in seconds of a core
+	writes  float64 // share of requests
+	homes   []*standin.Cache
+	stood   *stood
+}
+
+// stood is what was seen at the seam between routers and their decision modules.
+type stood struct {
+	waits  map[Time]int // that refusals named, to the millisecond
+	resent int
+}
+
+// standing stands at that seam.
+type standing struct {
+	books.Module
+	seen *stood
+	sent map[int64]bool
+}
+
+// Handle implements books.Module.
+func (s *standing) Handle(now Time, ev decide.Event) []decide.Action {
+	actions := s.Module.Handle(now, ev)
+	for _, a := range actions {
+		switch a := a.(type) {
+		case decide.Refuse:
+			s.seen.waits[a.Wait/millisecond]++
+		case decide.Send:
+			if s.sent[a.ID] {
+				s.seen.resent++
+			}
+			s.sent[a.ID] = true
+		}
+	}
+	return actions
+}
+
+// count sums up what was seen at the seam.
+func (r *storming) count() {
+	all, most := 0, 0
+	for _, n := range r.stood.waits { // any order: a sum and a maximum
+		all, most = all+n, max(most, n)
+	}
+	r.result.InStep = float64(most) / float64(max(1, all))
+	r.result.Resent = r.stood.resent
+}
+
+// PlayStorm plays a storm in a virtual world.
+func PlayStorm(s Storm, o Options) (*StormResult, error) {
+	base := script.Default()
+	base.Seed, base.Rate, base.Clients.Groups = s.Seed, 0, 0
+	base.Length = time.Duration(s.Before+s.Outage+s.For) * time.Microsecond
+	stood := &stood{waits: map[Time]int{}}
+	wrap := o.Wrap
+	o.Wrap = func(m books.Module) books.Module {
+		if wrap != nil {
+			m = wrap(m)
+		}
+		return &standing{m, stood, map[int64]bool{}}
+	}
+	w, err := newWorld(base, o)
+	if err != nil {
+		return nil, err
+	}
+	r := &storming{stood: stood, world: w, storm: s, from: sim.Start + lead + s.Before + s.Outage}
+	r.setUp()
+	if !s.Warm {
+		w.sim.At(r.from-s.Outage, r.cachesGo)
+		w.sim.At(r.from, r.cachesCome)
+		if s.Again > 0 {
+			w.sim.At(r.from+s.Again, r.cachesGo)
+			w.sim.At(r.from+s.Again+s.Outage, r.cachesCome)
+		}
+	} else {
+		w.sim.At(r.from, r.reconnect)
+	}
+	end := r.from + s.For
+	for now := w.sim.Now(); now < end; now = w.sim.Now() {
+		if !w.runPart(min(end, now+tickEvery), stormMost*(1+(end-sim.Start)/second)) {
+			break
+		}
+		w.watcher.Tick(w.sim.Now())
+		if now >= r.from && now%(100*millisecond) == 0 {
+			r.sample(now)
+		}
+		if w.now()%second == 0 && o.Timeline != nil {
+			w.window()
+		}
+	}
+	for _, c := range r.clients {
+		c.Stop()
+	}
+	if w.err != nil {
+		return nil, w.err
+	}
+	w.watcher.Close(w.sim.Now())
+	r.result.Result = w.result()
+	for _, c := range w.storms {
+		c.At -= s.Before + s.Outage
+		r.result.Changes = append(r.result.Changes, c)
+	}
+	r.count()
+	for _, p := range r.parts {
+		if p.At+StormWindow <= s.For {
+			r.result.Parts = append(r.result.Parts, p)
+		}
+	}
+	r.result.Fell, r.result.Tries, r.result.Refused = w.falls, r.result.Counts.Asked, r.result.Counts.Refused
+	return &r.result, nil
+}
+
+// setUp makes the clients, each a host of its own but behind a layer.
+func (r *storming) setUp() {
+	for _, c := range r.classes {
+		r.mean += c.Share * float64(c.Work) / float64(second)
+		if c.Write {
+			r.writes += c.Share
+		}
+	}
+	names := make([]string, 0, len(r.fleet.Caches))
+	byName := map[string]*standin.Cache{}
+	for _, c := range r.fleet.Caches {
+		names, byName[c.Name()] = append(names, c.Name()), c
+	}
+	home := Homes(names)
+	for rank := range r.fleetOptions().Keys {
+		r.homes = append(r.homes, byName[home(r.fleet.Keys.Name(rank))])
+	}
+	r.rate = r.storm.Load * r.bear() / r.mean / float64(r.storm.Clients)
+	zones := script.Zones()
+	ignorers := int(r.storm.Ignore * float64(r.storm.Clients))
+	for i := range r.storm.Clients {
+		zone := zones[i%len(zones)]
+		o := r.fleetOptions().Client
+		o.Zone, o.Classes, o.Keys, o.Rate, o.Connections = zone, r.classes, r.fleet.Keys, r.rate, 8
+		o.Routers = func() []standin.Target { return r.front.routers(zone) }
+		o.Began, o.Ended = r.began, r.ended
+		o.Retries, o.Honour, o.TryShare = 1<<20, 1, 1
+		o.Wait, o.WaitTime = standin.Exponential, 50*millisecond
+		switch {
+		case i < ignorers:
+			o.Honour, o.Wait, o.WaitTime = 0, standin.FixedWait, turnaround
+		case r.storm.InStep:
+			o.Wait, o.WaitTime = standin.FixedWait, 200*millisecond
+		}
+		name := fmt.Sprintf("c-%d", i+1)
+		host := name
+		if r.storm.Layer {
+			host = "layer-" + zone
+		}
+		if r.hosts[host] == nil {
+			r.host(host, zone)
+		}
+		c := standin.NewClient(r.hosts[host].Machine(), o, r.fleet.Workload, r.sim.Rand(name), r.eyes)
+		r.clients = append(r.clients, c)
+	}
+	if !r.storm.Warm {
+		r.sim.At(sim.Start+lead, func() {
+			for _, c := range r.clients {
+				c.Start()
+			}
+		})
+	}
+	if r.storm.Burst > 0 {
+		r.sim.At(r.from+r.storm.BurstAt, func() { r.setRate(r.storm.Burst) })
+		r.sim.At(r.from+r.storm.BurstTo, func() { r.setRate(1) })
+	}
+	for i := range r.storm.Silent {
+		r.silent(i)
+	}
+}
+
+func (r *storming) setRate(times float64) {
+	for _, c := range r.clients {
+		c.SetRate(times * r.rate)
+	}
+}
+
+func (r *storming) cachesGo() {
+	r.eyes.say("all caches go")
+	for _, c := range r.fleet.Caches {
+		c.Stop()
+	}
+}
+
+func (r *storming) cachesCome() {
+	r.eyes.say("all caches are back, cold")
+	for _, c := range r.fleet.Caches {
+		r.fail(r.fleet.Restart(c))
+	}
+	r.reconnect()
+}
+
+// reconnect has all clients connect anew, within a moment.
+func (r *storming) reconnect() {
+	for _, c := range r.clients {
+		r.sim.At(r.sim.Now()+r.rand.Int64N(20*millisecond), func() {
+			if r.storm.Warm {
+				c.Start()
+			}
+			c.Reconnect()
+		})
+	}
+}
+
+// began books a request that is made.
+func (r *storming) began(class *standin.Class) {
+	if now := r.sim.Now(); now >= r.from {
+		r.part(now).Asked += float64(class.Work) / float64(second)
+	}
+}
+
+// ended books a request that is over.
+func (r *storming) ended(class *standin.Class, asked Time, inAim bool) {
+	now, work := r.sim.Now(), float64(class.Work)/float64(second)
+	if inAim && now >= r.from {
+		r.part(now).InTime += work
+	}
+	if asked < r.from || asked+class.Aim > r.from+r.storm.For {
+		return
+	}
+	r.result.Requests++
+	if inAim {
+		r.result.InTime++
+	}
+}
+
+// part is the window of a moment.
+func (r *storming) part(at Time) *StormPart {
+	i := int((at - r.from) / StormWindow)
+	for len(r.parts) <= i {
+		r.parts = append(r.parts, StormPart{At: Time(len(r.parts)) * StormWindow})
+	}
+	return &r.parts[i]
+}
+
+// sample books what caches can bear now.
+func (r *storming) sample(now Time) {
+	r.part(now).Bear += r.bear() / 10
+}
+
+// bear is the work, in seconds of one core in a second, that the caches and the store behind them can do at the
+// moment: a request whose key its home does not hold is a fetch from the store.
+func (r *storming) bear() float64 {
+	able := 0.0
+	for _, c := range r.fleet.Caches {
+		able += c.Able() / float64(second)
+	}
+	missing := 1.0
+	for rank, c := range r.homes {
+		if c.Keeps(r.fleet.Keys.Name(rank)) {
+			missing -= r.fleet.Keys.Share(rank)
+		}
+	}
+	o := r.fleetOptions().Store
+	fetches := float64(o.Places) * float64(second) / float64(o.Latency)
+	return min(able, fetches/((1-r.writes)*missing+r.writes)*r.mean)
+}
+
+// silent has a connection come at the caches' return that never says anything, and come again once it is closed.
+func (r *storming) silent(i int) {
+	zones := script.Zones()
+	zone := zones[i%len(zones)]
+	name := "silent-" + zone
+	if r.hosts[name] == nil {
+		r.host(name, zone)
+	}
+	r.sim.At(r.from+r.rand.Int64N(20*millisecond), func() { r.mute(r.hosts[name].Machine(), zone, i) })
+}
+
+func (r *storming) mute(m machine.Machine, zone string, i int) {
+	routers := r.front.routers(zone)
+	if len(routers) == 0 {
+		return
+	}
+	m.Dial(routers[i%len(routers)].Addr, second, func(c machine.Conn, err error) machine.Handler {
+		again := func() { m.At(m.Now()+200*millisecond, func() { r.mute(m, zone, i) }) }
+		if err != nil {
+			again()
+			return nil
+		}
+		return &muted{c, again}
+	})
+}
+
+// muted is a connection that says nothing.
+type muted struct {
+	conn  machine.Conn
+	again func()
+}
+
+func (c *muted) Writable() {}
+
+func (c *muted) Readable() {
+	var b [64]byte
+	if _, err := c.conn.Read(b[:]); err != nil && err != machine.ErrWait {
+		c.conn.Close()
+		c.again()
+	}
+}
--- /dev/null
+++ b/internal/lab/storm_test.go
@@ -0,0 +1,202 @@
+package lab_test
+
+import (
+	"strings"
+	"sync"
+	"testing"
+
+	"starlingwinch/decide"
+	"starlingwinch/internal/books"
+	"starlingwinch/internal/lab"
+	"starlingwinch/internal/lab/node"
+	"starlingwinch/internal/storm"
+)
+
+const second = 1_000_000
+
+// play plays a storm with the router itself.
+func play(t *testing.T, s lab.Storm, o lab.Options) *lab.StormResult {
+	t.Helper()
+	o.Node = node.Start
+	r, err := lab.PlayStorm(s, o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.Fell > 0 || r.First() != "" {
+		t.Errorf("seed %d: %d fell, broken: %v", s.Seed, r.Fell, r.Broken)
+	}
+	return r
+}
+
+// small is a storm that a test can afford.
+func small(seed int64) lab.Storm {
+	return lab.Storm{Seed: seed, Clients: 200, Load: 0.4, Before: 4 * second, Outage: 3 * second, For: 9 * second, Ignore: 0.5}
+}
+
+func TestStormWhileCachesAreColdUsesWhatTheyBear(t *testing.T) {
+	for _, ignore := range []float64{0, 0.5, 1} {
+		s := small(1)
+		s.Ignore = ignore
+		if r := play(t, s, lab.Options{}); r.Least() < 0.6 {
+			t.Errorf("with %.0f%% that take no advice, goodput falls to %.2f of what caches bear", 100*ignore, r.Least())
+		}
+	}
+}
+
+func TestSecondStormBeforeTheFirstIsOver(t *testing.T) {
+	s := small(2)
+	s.Again, s.For = 3*second, 12*second
+	r := play(t, s, lab.Options{})
+	if last := r.Parts[len(r.Parts)-1]; last.Goodput() < 0.6 {
+		t.Errorf("after the second outage goodput stays at %.2f", last.Goodput())
+	}
+}
+
+func TestOneAddressForAllClientsIsServedLikeMany(t *testing.T) {
+	s := small(3)
+	s.Layer = true
+	if r := play(t, s, lab.Options{}); r.Least() < 0.5 {
+		t.Errorf("behind a front layer goodput falls to %.2f", r.Least())
+	}
+}
+
+func TestThousandSilentConnectionsShutNobodyOut(t *testing.T) {
+	s := small(4)
+	s.Silent = 1000
+	if r := play(t, s, lab.Options{}); r.Least() < 0.5 {
+		t.Errorf("beside a thousand that say nothing goodput falls to %.2f", r.Least())
+	}
+}
+
+func TestRetriesInStepAreSpread(t *testing.T) {
+	s := small(5)
+	s.InStep, s.Ignore = true, 0
+	if r := play(t, s, lab.Options{}); r.Least() < 0.6 {
+		t.Errorf("goodput falls to %.2f", r.Least())
+	}
+}
+
+func TestContestStartIsNoStormAndRefusesNothing(t *testing.T) {
+	s := lab.Storm{Seed: 6, Clients: 200, Load: 0.2, Before: 4 * second, Outage: second, For: 9 * second, Warm: true,
+		Burst: 2, BurstAt: 3 * second, BurstTo: 8 * second}
+	r := play(t, s, lab.Options{})
+	if r.Refused > 0 || len(r.Changes) > 0 {
+		t.Errorf("%d refused, changes %v", r.Refused, r.Changes)
+	}
+}
+
+// sum plays a few seeds and adds up what a planted defect shows in.
+func sum(t *testing.T, o lab.Options, of func(r *lab.StormResult) float64) (total float64) {
+	t.Helper()
+	for seed := range int64(2) {
+		total += of(play(t, small(10+seed), o)) / 2
+	}
+	return total
+}
+
+// tampered stands between a router and its module and changes what either says.
+type tampered struct {
+	books.Module
+	event  func(decide.Event) decide.Event
+	action func(decide.Action) decide.Action
+}
+
+func (m *tampered) Handle(now decide.Time, ev decide.Event) []decide.Action {
+	if m.event != nil {
+		ev = m.event(ev)
+	}
+	actions := m.Module.Handle(now, ev)
+	if m.action != nil {
+		actions = append([]decide.Action(nil), actions...)
+		for i := range actions {
+			actions[i] = m.action(actions[i])
+		}
+	}
+	return actions
+}
+
+func TestPlantedDefectWaitsAllEqualIsFound(t *testing.T) {
+	inStep := func(r *lab.StormResult) float64 { return r.InStep }
+	planted := lab.Options{Wrap: func(m books.Module) books.Module {
+		return &tampered{Module: m, action: func(a decide.Action) decide.Action {
+			if r, ok := a.(decide.Refuse); ok {
+				r.Wait = 500_000
+				return r
+			}
+			return a
+		}}
+	}}
+	if sound, broken := sum(t, lab.Options{}, inStep), sum(t, planted, inStep); sound > 0.1 || broken < 0.5 {
+		t.Errorf("share of the commonest wait: %.3f, with the defect %.3f", sound, broken)
+	}
+}
+
+func TestPlantedDefectRetriesAsFirstTriesIsFound(t *testing.T) {
+	share := func(r *lab.StormResult) float64 { return r.Share() }
+	planted := lab.Options{Wrap: func(m books.Module) books.Module {
+		return &tampered{Module: m, event: func(ev decide.Event) decide.Event {
+			if q, ok := ev.(*decide.Request); ok {
+				q.Since = 0
+			}
+			return ev
+		}}
+	}}
+	if sound, broken := sum(t, lab.Options{}, share), sum(t, planted, share); broken > sound-0.05 {
+		t.Errorf("in time: %.3f, with the defect %.3f", sound, broken)
+	}
+}
+
+func TestPlantedDefectNoHysteresisIsFound(t *testing.T) {
+	changes := func(r *lab.StormResult) float64 { return float64(len(r.Changes)) }
+	flapping := storm.Default()
+	flapping.Leave, flapping.Confirm, flapping.Settle, flapping.Ease = flapping.Enter, 0, 0, 0
+	sound, broken := sum(t, lab.Options{}, changes), sum(t, lab.Options{Storm: &flapping}, changes)
+	if sound > 24 || broken <= sound {
+		t.Errorf("changes of state: %.0f, with the defect %.0f", sound, broken)
+	}
+}
+
+func TestPlantedDefectBudgetRefilledAtOnceIsFound(t *testing.T) {
+	resent := func(r *lab.StormResult) float64 { return float64(r.Resent) }
+	planted := lab.Options{Wrap: func(m books.Module) books.Module {
+		return &tampered{Module: m, event: func(ev decide.Event) decide.Event {
+			if p, ok := ev.(*decide.Pressure); ok {
+				p.Retries = 1
+			}
+			return ev
+		}}
+	}}
+	if sound, broken := sum(t, lab.Options{}, resent), sum(t, planted, resent); broken <= sound {
+		t.Errorf("attempts beyond the first: %.0f, with the defect %.0f", sound, broken)
+	}
+}
+
+func TestRoutersAreCalmSoonAfterTheLoadIsBearable(t *testing.T) {
+	seeds := 200
+	if testing.Short() {
+		seeds = 20
+	}
+	var all sync.WaitGroup
+	places := make(chan struct{}, 4)
+	for seed := range seeds {
+		all.Go(func() {
+			places <- struct{}{}
+			defer func() { <-places }()
+			s := lab.Storm{Seed: int64(seed), Clients: 100, Load: 0.1, Before: second, Outage: int64(2+seed%29) * second,
+				For: 8 * second, Ignore: float64(seed%3) / 2}
+			r, err := lab.PlayStorm(s, lab.Options{Node: node.Start})
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			if at := r.CalmAt(); at < 0 || at > 5*second || r.Fell > 0 {
+				var lines []string
+				for _, c := range r.Changes {
+					lines = append(lines, c.Router+" "+c.Line)
+				}
+				t.Errorf("seed %d: calm at %.1f s, %d fell\n%s", seed, float64(at)/second, r.Fell, strings.Join(lines, "\n"))
+			}
+		})
+	}
+	all.Wait()
+}
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -45,6 +45,8 @@
 	broken  []Broken
 	more    int
 	excused int
+	falls   int // of caches and of the store
+	storms  []StormChange
 	err     error // of what the lab itself could not do
 }
 
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -15,6 +15,7 @@
 	"starlingwinch/internal/limits"
 	"starlingwinch/internal/membership"
 	"starlingwinch/internal/settings"
+	"starlingwinch/internal/storm"
 )
 
 // Config is what a router is told at its start.
@@ -34,6 +35,7 @@
 	Bounds     limits.Limits
 	Membership membership.Config
 	Eureka     eureka.Config
+	Storm      storm.Config
 
 	// Wrap puts something between the books and the decision module; nil for nothing. It is there for
 	// tests that plant a defect.
@@ -75,7 +77,7 @@
 	}
 	c := &Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, Limits: in.Limits,
 		Known: discovery.List{Index: discovery.NoIndex}, Bounds: limits.Default(), Membership: membership.DefaultConfig(),
-		Eureka: eureka.Default()}
+		Eureka: eureka.Default(), Storm: storm.Default()}
 	if _, err := netip.ParseAddrPort(c.Listen); err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
--- a/internal/router/list.go
+++ b/internal/router/list.go
@@ -109,7 +109,7 @@
 // Reload takes over a new configuration: where discovery is, and the file with the fixed list.
 func (r *Router) Reload(cfg *Config) {
 	if cfg.Listen != r.cfg.Listen || cfg.Limits != r.cfg.Limits || !reflect.DeepEqual(cfg.Settings, r.cfg.Settings) ||
-		cfg.Transport != r.cfg.Transport || cfg.Bounds != r.cfg.Bounds ||
+		cfg.Transport != r.cfg.Transport || cfg.Bounds != r.cfg.Bounds || cfg.Storm != r.cfg.Storm ||
 		!reflect.DeepEqual(cfg.Membership, r.cfg.Membership) || !reflect.DeepEqual(cfg.Eureka, r.cfg.Eureka) {
 		r.Log("SIGHUP: new addresses for clients, limits, settings and operators' files wait for a restart")
 	}
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -8,6 +8,7 @@
 	"starlingwinch/internal/books"
 	"starlingwinch/internal/front"
 	"starlingwinch/internal/resp"
+	"starlingwinch/internal/storm"
 	"starlingwinch/internal/upstream"
 )
 
@@ -18,6 +19,8 @@
 	cmd      front.Command
 	deadline Time
 	slot     *front.Slot
+	ask      storm.Ask
+	asked    Time // when its client first asked, as far as is known
 	over     bool // the final answer is given, or nobody waits for it
 	out      int  // attempts without an outcome
 	untold   int  // events about it that the module is still to be told
@@ -80,10 +83,12 @@
 		}
 	case decide.Refuse:
 		if q := r.requests[a.ID]; q != nil {
+			r.unserved(q)
 			r.finish(q, front.AppendBusy(nil, a.Wait))
 		}
 	case decide.Fail:
 		if q := r.requests[a.ID]; q != nil {
+			r.unserved(q)
 			r.finish(q, []byte(front.FailedReply))
 		}
 	case decide.SetTimer:
@@ -124,6 +129,15 @@
 		s.Answer([]byte(front.BusyReply)) // beyond what the settings let a router hold; never sent on
 		return
 	}
+	var ask storm.Ask
+	told := storm.Told{}
+	if r.storm != nil {
+		ask = r.storm.ask(s, &cmd)
+		if told = r.storm.storm.Asked(read, ask); told.Over {
+			s.Answer(front.AppendBusy(nil, r.cfg.Settings.RefuseWait)) // never sent on
+			return
+		}
+	}
 	name := cmd.ID()
 	if _, taken := r.ids[name]; taken {
 		s.Answer([]byte("-ERR the id is that of an open request\r\n"))
@@ -134,13 +148,16 @@
 		cmd.Wait = min(cmd.Wait, r.longest) // of a class without a limit of its own
 	}
 	r.lastID++
-	q := &request{id: r.lastID, name: name, cmd: cmd, deadline: read + cmd.Wait, slot: s}
+	q := &request{id: r.lastID, name: name, cmd: cmd, deadline: read + cmd.Wait, slot: s, ask: ask, asked: read}
+	if told.Since > 0 {
+		q.asked = told.Since
+	}
 	q.attempts = q.first[:0]
 	s.ID = q.id
 	r.requests[q.id] = q
 	r.open++
 	r.backlog = append(r.backlog, &decide.Request{ID: q.id, Class: cmd.Class, Tenant: cmd.Tenant, Key: cmd.Hash,
-		HasKey: true, Deadline: q.deadline, Cost: cmd.Cost, Write: cmd.Write})
+		HasKey: true, Deadline: q.deadline, Since: told.Since, Cost: cmd.Cost, Write: cmd.Write})
 }
 
 // Departed notes that a client has closed its connection.
@@ -153,6 +170,7 @@
 		}
 	}
 	for _, q := range gone { // all departures are told before what ends with them
+		r.unserved(q)
 		r.finish(q, nil)
 	}
 }
@@ -246,6 +264,7 @@
 	}
 	q := s.request
 	q.out--
+	r.met(result)
 	ev := &decide.Outcome{ID: q.id, Attempt: a.Number, Result: result, Elapsed: elapsed, Load: load}
 	r.say(q, ev)
 	if rep != nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -51,7 +51,9 @@
 	enrolled  *eureka.Registration // of the router itself; nil for none
 	longest   Time                 // patience of any client
 	sweeping  machine.Timer
-	arrivals  Time // how long connections are still taken after SIGTERM
+	arrivals  Time        // how long connections are still taken after SIGTERM
+	storm     *stormWatch // nil where it is switched off
+	ticking   machine.Timer
 	closed    bool
 	onDrained func()
 }
@@ -89,6 +91,7 @@
 	}
 	r.books = books.New(behind, r.breach)
 	r.module = r.books
+	r.storm = newStormWatch(cfg)
 	clients, upstreams := cfg.Limits.shares()
 	r.pool = upstream.New(m, upstream.Options{Bounds: cfg.Bounds.Caches, Routers: cfg.Settings.Routers,
 		Descriptors: upstreams, DialTimeout: cfg.Transport.DialTimeout, Keepalive: cfg.Transport.Keepalive,
@@ -111,6 +114,9 @@
 		r.enrolled = eureka.Register(m, cfg.Eureka.Registration())
 	}
 	r.sweeping = m.At(m.Now()+sweepInterval, r.sweep)
+	if r.storm != nil {
+		r.tick()
+	}
 	r.Log("serving on " + r.front.Addr())
 	return r, nil
 }
@@ -168,6 +174,9 @@
 		r.enrolled.Stop()
 	}
 	r.sweeping.Stop()
+	if r.ticking != nil {
+		r.ticking.Stop()
+	}
 	r.front.Close()
 	r.pool.Close()
 	if r.onDrained != nil {
--- /dev/null
+++ b/internal/router/storm.go
@@ -0,0 +1,78 @@
+package router
+
+import (
+	"starlingwinch/decide"
+	"starlingwinch/internal/front"
+	"starlingwinch/internal/storm"
+)
+
+// stormWatch is the router's watch of storms: it tells package storm what happens, and the decision module what
+// package storm makes of it.
+type stormWatch struct {
+	storm *storm.Storm
+	kinds map[string]kind
+	told  storm.Bounds // to the module
+	conns int          // of clients, at the last tick
+}
+
+// kind is what the watch has to know of a class.
+type kind struct {
+	hash     uint64
+	patience Time
+}
+
+// newStormWatch is nil where operators have switched it off.
+func newStormWatch(cfg *Config) *stormWatch {
+	if !cfg.Storm.Enabled {
+		return nil
+	}
+	w := &stormWatch{storm: storm.New(cfg.Storm), kinds: map[string]kind{}, told: storm.Bounds{Retries: 1}}
+	for _, c := range cfg.Settings.Classes {
+		w.kinds[c.Name] = kind{front.KeyHash([]byte(c.Name)), c.Limit}
+	}
+	return w
+}
+
+// ask is a command as the watch sees it.
+func (w *stormWatch) ask(s *front.Slot, cmd *front.Command) storm.Ask {
+	k := w.kinds[cmd.Class]
+	return storm.Ask{Client: s.Client(), Key: cmd.Hash ^ k.hash, Patience: k.patience, Marked: cmd.Retry, Fresh: s.Fresh}
+}
+
+// unserved tells the watch of a request that ends without a value.
+func (r *Router) unserved(q *request) {
+	if r.storm != nil && !q.over {
+		r.storm.storm.Unserved(r.m.Now(), q.ask, q.asked)
+	}
+}
+
+// met tells the watch how an attempt went.
+func (r *Router) met(result decide.Result) {
+	if r.storm == nil {
+		return
+	}
+	switch result {
+	case decide.Served, decide.Errored, decide.Rejected:
+		r.storm.storm.Attempt(true)
+	case decide.NoConnection:
+		r.storm.storm.Attempt(false)
+	}
+}
+
+// tick has the watch look at what has happened, and tells the module where bounds change.
+func (r *Router) tick() {
+	w := r.storm
+	for conns := r.front.Accepted(); w.conns < conns; w.conns++ {
+		w.storm.Connected()
+	}
+	if line := w.storm.Tick(r.m.Now()); line != "" {
+		r.Log(line)
+	}
+	if b := w.storm.Bounds(); b != w.told {
+		w.told = b
+		r.pool.Gentle(b.Away && r.cfg.Storm.GentleDials)
+		r.backlog = append(r.backlog, &decide.Pressure{On: b.On, Away: b.Away, Retries: b.Retries, Wait: b.Wait})
+		r.Settle()
+	}
+	r.ticking = r.m.At(r.m.Now()+storm.Step, r.tick)
+}
--- a/internal/standin/cache.go
+++ b/internal/standin/cache.go
@@ -177,6 +177,17 @@
 // Cold reports whether its process has not reached its whole capacity yet.
 func (c *Cache) Cold() bool { return c.up && c.proc.warmth() < 1 }
 
+// Able is the work that it can do in each second by now, faults and crowds aside; 0 where it does not run.
+func (c *Cache) Able() float64 {
+	if !c.up {
+		return 0
+	}
+	return c.proc.able() * float64(Second)
+}
+
+// Keeps reports whether its memory holds a key.
+func (c *Cache) Keeps(key string) bool { return c.up && c.memory.at[key] != nil }
+
 // Holds is the number of requests that run or wait.
 func (c *Cache) Holds() int { return len(c.calls) }
 
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -55,6 +55,10 @@
 
 	// Routers is the routers that the front deals connections to, now.
 	Routers func() []Target
+	// Began, where it is not nil, is told of each request as it is made.
+	Began func(class *Class)
+	// Ended, where it is not nil, is told how each request ended: whether it was served within its aim.
+	Ended func(class *Class, asked Time, inAim bool)
 }
 
 // Client is a group of clients. It makes requests until Stop, and sees each to its end.
@@ -188,6 +192,9 @@
 		r.idem = fmt.Sprintf("%016x", c.rng.Uint64())
 	}
 	r.tally.Requests++
+	if c.o.Began != nil {
+		c.o.Began(r.class)
+	}
 	r.tally.Offered += r.class.Worth
 	c.open++
 	r.try()
@@ -263,6 +270,9 @@
 	r.over = true
 	r.c.open--
 	*outcome++
+	if r.c.o.Ended != nil {
+		r.c.o.Ended(r.class, r.asked, outcome == &r.tally.InAim)
+	}
 }
 
 // served ends a request with the answer it wanted.
--- a/internal/standin/clientconn.go
+++ b/internal/standin/clientconn.go
@@ -16,6 +16,7 @@
 	dialing machine.Dialing
 	tries   []*try // that wait for their answers, in order
 	answers int    // that have come
+	pinging bool   // a PING waits for its answer
 	last    string // id of the request that was answered last
 }
 
@@ -23,7 +24,7 @@
 // new one.
 func (c *Client) place(t *try) {
 	for i := len(c.conns) - 1; i >= 0; i-- {
-		if cc := c.conns[i]; cc.up && len(cc.tries) == 0 {
+		if cc := c.conns[i]; cc.up && len(cc.tries) == 0 && !cc.pinging {
 			cc.write(t)
 			return
 		}
@@ -57,6 +58,32 @@
 	cc.dialing = c.m.Dial(cc.target.Addr, c.o.DialTimeout, cc.dialed)
 }
 
+// Connect opens a connection before there is anything to ask, and asks PING on it, as client libraries do.
+func (c *Client) Connect() {
+	routers := c.o.Routers()
+	if len(routers) == 0 || c.closed {
+		return
+	}
+	c.next++
+	cc := &clientConn{c: c, target: routers[c.next%len(routers)], pinging: true}
+	c.conns = append(c.conns, cc)
+	cc.dialing = c.m.Dial(cc.target.Addr, c.o.DialTimeout, cc.dialed)
+}
+
+// Reconnect ends all connections, as a network does that is gone and back, and connects anew. What was asked on them
+// is asked once more.
+func (c *Client) Reconnect() {
+	for _, cc := range slices.Clone(c.conns) {
+		tries := cc.tries
+		cc.tries = nil
+		cc.drop()
+		for _, t := range tries {
+			t.move()
+		}
+	}
+	c.Connect()
+}
+
 // replace places a try whose connection did not come up.
 func (c *Client) replace(t *try) {
 	if !t.over {
@@ -77,6 +104,10 @@
 		return nil
 	}
 	cc.conn, cc.up = conn, true
+	if cc.pinging && cc.send([]byte("*1\r\n$4\r\nPING\r\n")) != nil {
+		c := cc.c
+		c.m.At(c.m.Now(), cc.broken)
+	}
 	for i, t := range tries {
 		if cc.closed {
 			for _, left := range tries[i:] {
@@ -153,6 +184,10 @@
 		return false
 	}
 	cc.take(used)
+	if cc.pinging {
+		cc.pinging = false
+		return true
+	}
 	cc.answers++
 	if len(cc.tries) == 0 {
 		// The danger: a second answer to a request would be taken for the next one's.
--- a/internal/standin/keys.go
+++ b/internal/standin/keys.go
@@ -42,6 +42,15 @@
 // Name is the key of that rank, 16 hexadecimal digits.
 func (k *Keys) Name(rank int) string { return fmt.Sprintf("%016x", mix(k.salt+uint64(rank))) }
 
+// Share is the part of all requests that the key of a rank draws.
+func (k *Keys) Share(rank int) float64 {
+	before := 0.0
+	if rank > 0 {
+		before = k.sums[rank-1]
+	}
+	return (k.sums[rank] - before) / k.sums[len(k.sums)-1]
+}
+
 // Popular is the names of the first n keys, the most popular last.
 func (k *Keys) Popular(n int) []string {
 	var names []string
--- /dev/null
+++ b/internal/storm/config_test.go
@@ -0,0 +1,104 @@
+package storm
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"starlingwinch/internal/opfile"
+)
+
+func TestFiguresThatBindOneAnotherAreChecked(t *testing.T) {
+	for text, want := range map[string]string{
+		"enter = 0.05":        "leave: not below enter (0.08, wanted below 0.05)",
+		`most_wait = "10ms"`:  "least_wait: above most_wait (250ms, wanted at most 10ms)",
+		"address_share = 0.5": "address_share: below a fair share (0.5, wanted 0 or at least 1)",
+		"retries = 2.0":       "retries: out of range (2, wanted 0 to 1)",
+		"remembered = 10":     "remembered: out of range (10, wanted 1024 to 4194304)",
+		`settle = "1ms"`:      `settle: out of range ("1ms", wanted 100ms to 30s)`,
+		"least_rate = 0.0":    "least_rate: out of range (0, wanted 0.1 to 100000)",
+		"enter_away = 1.5":    "enter_away: out of range (1.5, wanted 0.05 to 1)",
+		"addresses = 1":       "addresses: out of range (1, wanted 2 to 100000)",
+		`ease = "2h"`:         `ease: out of range ("2h", wanted 100ms to 1m)`,
+		`confirm = "11s"`:     `confirm: out of range ("11s", wanted 0s to 10s)`,
+		`least_wait = "0s"`:   `least_wait: out of range ("0s", wanted 1ms to 10s)`,
+		"leave = -0.1":        "leave: out of range (-0.1, wanted 0 to 1)",
+	} {
+		_, err := opfile.Registry{Kind}.Parse("f", []byte("kind = \"storm\"\n"+text))
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v, want %s", text, err, want)
+		}
+	}
+}
+
+func TestDeployedFileIsTheDefault(t *testing.T) {
+	raw, err := os.ReadFile("../../deploy/storm.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	file, err := opfile.Registry{Kind}.Parse("storm.toml", raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := opfile.Get[Config]([]opfile.File{file}, Kind); got != Default() {
+		t.Errorf("%+v", got)
+	}
+}
+
+func FuzzConfig(f *testing.F) {
+	raw, err := os.ReadFile("../../deploy/storm.toml")
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(raw)
+	f.Add([]byte("kind = \"storm\"\nretries = 0.0\nease = \"100ms\"\nconfirm = \"0s\""))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		file, err := opfile.Registry{Kind}.Parse("f", raw)
+		if err != nil {
+			return
+		}
+		c := file.Value.(Config)
+		if c.Remembered > 1<<16 {
+			c.Remembered = 1 << 16
+		}
+		sc := &scene{t: t, s: New(c), now: zero}
+		sc.run(2*sec, sc.storming(20))
+		b := sc.s.Bounds()
+		if b.Retries < 0 || b.Retries > 1 || b.Wait < 0 || b.Wait > c.MostWait.Microseconds() {
+			t.Fatalf("%+v give bounds %+v", c, b)
+		}
+		sc.run(c.Settle.Microseconds()+c.Ease.Microseconds()+20*sec, nil)
+		sc.wants(Calm)
+	})
+}
+
+func FuzzExplain(f *testing.F) {
+	f.Add("2026-05-01 storm: calm -> rising: asked 800/s, retries 45%, unserved 41%, caches away 0%, connections 120/s, " +
+		"fresh 10%; bounds: retries 0.55, waits up to 250ms")
+	f.Add("storm: storm -> calm:")
+	f.Fuzz(func(t *testing.T, line string) {
+		c, ok := ParseChange(line)
+		if ok && (c.From == "" || c.To == "") {
+			t.Fatalf("%q is read as %+v", line, c)
+		}
+	})
+}
+
+func TestExplainTellsTheCauseOfEachChange(t *testing.T) {
+	sc := newScene(t, nil)
+	sc.run(sec, sc.storming(50))
+	sc.run(10*sec, nil)
+	var out strings.Builder
+	log := "serving on 127.0.0.1:7000\n" + strings.Join(sc.lines, "\n") + "\nlist lost, asking again\n"
+	if err := Explain(strings.NewReader(log), &out); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"storm 1", "line 2", "were retries", "recovering", "calm", "at its changes"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("%q is missing in\n%s", want, out.String())
+		}
+	}
+	if err := Explain(strings.NewReader("serving\n"), &out); err != ErrNoStorm {
+		t.Errorf("a calm log: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/storm/storm.go
@@ -0,0 +1,259 @@
+// Package storm notices storms of retries and reconnects, and says what bounds they call for. It is fed events with
+// the time in them and is asked for its bounds at a steady pace; it has no goroutine, socket, clock or file, and equal
+// events give equal bounds.
+//
+// A storm is more load made of refusals than of wants: metastable failures (Bronson et al., HotOS 2021; Huang et al.,
+// OSDI 2022) live on it after their trigger is gone. So what is counted is not load but what came back: a request that
+// was refused, failed or left is remembered until its client's patience is over, and an ask for the same is its
+// retry, marked or not. A crowd that asks for the first time is no storm, however large. The bounds are those of the
+// retry budgets of Envoy and Finagle and of Amazon's papers on load shedding: first tries before retries, and none
+// for what can't be served in time any more.
+//
+// It never refuses anything by itself but what an address asks for beyond its fair share: the decision module does,
+// within the bounds.
+package storm
+
+import (
+	"fmt"
+	"math"
+	"time"
+)
+
+// Time is an instant or a span in microseconds.
+type Time = int64
+
+// State is how far a storm has come.
+type State uint8
+
+const (
+	Calm       State = iota
+	Rising           // it may be one
+	Stormy           // it is one
+	Recovering       // it is over, bounds rise again
+)
+
+var stateNames = [...]string{"calm", "rising", "storm", "recovering"}
+
+func (s State) String() string { return stateNames[s] }
+
+// Step is how often Tick wants to be called.
+const Step Time = 100_000
+
+// fadeTime is the time within which counts fade.
+const fadeTime = 700_000
+
+// Bounds are what holds until the next Tick.
+type Bounds struct {
+	On      bool
+	Away    bool    // caches are away, or came back in this storm
+	Retries float64 // of the budget of retries, the share that is left
+	Wait    Time    // refusals name times that differ by up to so much
+}
+
+// calm are the bounds without a storm.
+var calm = Bounds{Retries: 1}
+
+// Ask is a request as a client asks for it.
+type Ask struct {
+	Client   uint64 // a hash of its address
+	Key      uint64 // a hash of key and class
+	Patience Time   // how long its client will try, at most
+	Marked   bool   // the client says that it is a retry
+	Fresh    bool   // it is the first on its connection
+}
+
+// Told is what is known of an ask.
+type Told struct {
+	Retry bool
+	Since Time // when its client first asked; 0 where it is not known to be a retry
+	Over  bool // its address asks for more than its fair share
+}
+
+// Storm watches one router's clients and caches. Use New.
+type Storm struct {
+	c      Config
+	state  State
+	since  Time // of the state
+	low    Time // since when the shares are low; 0 where they are not
+	high   Time // since when they are high
+	last   Time // Tick
+	turned Time // turn of the addresses
+	bounds Bounds
+
+	memory    refusals
+	addresses addresses
+	start     Time
+
+	asked, retries, refused, met, missed, fresh, conns float64 // fading
+}
+
+// New returns a watch of a storm.
+func New(c Config) *Storm {
+	return &Storm{c: c, bounds: calm, memory: refusals{most: c.Remembered}}
+}
+
+// Bounds are those that hold now.
+func (s *Storm) Bounds() Bounds { return s.bounds }
+
+// State is the state now.
+func (s *Storm) State() State { return s.state }
+
+// Connected notes a new connection of a client.
+func (s *Storm) Connected() { s.conns++ }
+
+// Asked takes an ask in and tells what it is.
+func (s *Storm) Asked(now Time, a Ask) Told {
+	s.asked++
+	if a.Fresh {
+		s.fresh++
+	}
+	t := Told{Retry: a.Marked}
+	if ms, found := s.memory.take(identity(a), s.ms(now)); found {
+		t.Retry, t.Since = true, s.start+Time(ms)*1000
+	}
+	if t.Retry {
+		s.retries++
+	}
+	if s.c.AddressShare > 0 {
+		n := s.addresses.count(a.Client)
+		t.Over = s.state == Stormy && s.addresses.many >= s.c.Addresses &&
+			float64(n) > s.c.AddressShare*s.addresses.mean
+	}
+	return t
+}
+
+// Unserved notes that an ask got no value: it was refused, it failed, or its client left. first is when its client
+// first asked.
+func (s *Storm) Unserved(now Time, a Ask, first Time) {
+	s.refused++
+	s.memory.put(identity(a), s.ms(first), s.ms(first+a.Patience), s.ms(now))
+}
+
+// Attempt notes whether an attempt met its cache.
+func (s *Storm) Attempt(met bool) {
+	if met {
+		s.met++
+	} else {
+		s.missed++
+	}
+}
+
+// ms is an instant in what is remembered of it.
+func (s *Storm) ms(t Time) uint32 {
+	if s.start == 0 {
+		s.start = max(1, t-60_000_000) // what came before is as old as that
+	}
+	return uint32(max(0, t-s.start) / 1000)
+}
+
+func identity(a Ask) uint64 { return mix(a.Client*0x9e3779b97f4a7c15 + mix(a.Key)) }
+
+// mix is the finaliser of SplitMix64.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// shares are what the state goes by.
+type shares struct{ rate, retries, refused, away, fresh, conns float64 }
+
+func (s *Storm) shares() shares {
+	of := func(part, whole float64) float64 { return part / max(whole, 1e-9) }
+	return shares{rate: s.asked * 1e6 / fadeTime, retries: of(s.retries, s.asked), refused: of(s.refused, s.asked),
+		away: of(s.missed, s.met+s.missed), fresh: of(s.fresh, s.asked), conns: s.conns * 1e6 / fadeTime}
+}
+
+// leastMissed is how many attempts, fading, have to meet no cache before that is a share of anything.
+const leastMissed = 3
+
+// Tick is called every Step. It returns a line for the log where the state changes, else the empty string.
+func (s *Storm) Tick(now Time) (line string) {
+	if s.last == 0 {
+		s.last, s.turned, s.since = now, now, now
+	}
+	fade := math.Exp(-float64(now-s.last) / fadeTime)
+	s.last = now
+	for _, count := range []*float64{&s.asked, &s.retries, &s.refused, &s.met, &s.missed, &s.fresh, &s.conns} {
+		*count *= fade
+	}
+	if now-s.turned >= 1_000_000 {
+		s.turned = now
+		s.addresses.next()
+	}
+	f := s.shares()
+	away := f.away >= s.c.EnterAway && s.missed >= leastMissed
+	high := f.rate >= s.c.LeastRate && f.retries >= s.c.Enter || away
+	low := (f.retries < s.c.Leave || f.rate < s.c.LeastRate) && (f.away < s.c.EnterAway/2 || s.missed < 1)
+	s.mark(now, high, low)
+	was := s.state
+	s.step(now, high)
+	if s.bounds.Away = s.bounds.Away || away; s.state == Calm {
+		s.bounds = calm
+	}
+	if s.state == was {
+		return ""
+	}
+	s.since = now
+	return fmt.Sprintf("storm: %v -> %v: asked %.0f/s, retries %.0f%%, unserved %.0f%%, caches away %.0f%%, "+
+		"connections %.0f/s, fresh %.0f%%; bounds: retries %.2f, waits up to %v", was, s.state, f.rate,
+		100*f.retries, 100*f.refused, 100*f.away, f.conns, 100*f.fresh, s.bounds.Retries,
+		time.Duration(s.bounds.Wait)*time.Microsecond)
+}
+
+// mark keeps since when shares are high, or low.
+func (s *Storm) mark(now Time, high, low bool) {
+	if !high {
+		s.high = 0
+	} else if s.high == 0 {
+		s.high = now
+	}
+	if !low {
+		s.low = 0
+	} else if s.low == 0 {
+		s.low = now
+	}
+}
+
+// lasted reports whether something that holds since then has held for a while.
+func lasted(now, since Time, d time.Duration) bool { return since > 0 && now-since >= d.Microseconds() }
+
+// step goes from state to state. What leads into a storm is more than what keeps it up: the danger is a state that
+// flaps with each refusal, and bounds that never hold.
+func (s *Storm) step(now Time, high bool) {
+	switch s.state {
+	case Calm:
+		if high {
+			s.state = Rising
+			s.bounds = Bounds{On: true, Retries: (1 + s.c.Retries) / 2, Wait: s.c.LeastWait.Microseconds()}
+		}
+	case Rising:
+		if lasted(now, s.high, s.c.Confirm) {
+			s.state = Stormy
+			s.bounds.Retries = s.c.Retries
+		} else if lasted(now, s.low, s.c.Settle) {
+			s.state = Calm
+		}
+	case Stormy:
+		if lasted(now, s.low, s.c.Settle) {
+			s.state = Recovering
+		} else if high {
+			s.bounds.Wait = min(s.bounds.Wait*21/20, s.c.MostWait.Microseconds()) // twice as long in 1.4 s
+		}
+	case Recovering:
+		if high {
+			s.state = Stormy
+			s.bounds.Retries = s.c.Retries
+			return
+		}
+		// The danger: a budget that is full again at once lets all that waited come together.
+		steps := max(1, float64(s.c.Ease.Microseconds())/float64(Step))
+		s.bounds.Retries = min(1, s.bounds.Retries+(1-s.c.Retries)/steps)
+		s.bounds.Wait = max(s.c.LeastWait.Microseconds(), s.bounds.Wait*19/20)
+		if s.bounds.Retries >= 1 {
+			s.state = Calm
+		}
+	}
+}
--- a/internal/upstream/cache.go
+++ b/internal/upstream/cache.go
@@ -19,6 +19,7 @@
 	conns   []*conn
 	idle    []*conn // the one used last stands last
 	dialing int
+	opened  int // connections that came up since one did not
 	most    int
 	waiting []*Attempt // in the order of their sending
 	out     int        // attempts without an outcome, probes left out
@@ -181,7 +182,11 @@
 // burst that dials one for each request fills the cache's table and takes its time.
 func (u *cache) dial() {
 	p := u.pool
-	for u.dialing < min(len(u.waiting)-len(u.idle), p.o.Bounds.DialsAtATime) && len(u.conns) < u.most && p.descriptor() {
+	atATime := p.o.Bounds.DialsAtATime
+	if p.gentle {
+		atATime = min(atATime, 1+u.opened)
+	}
+	for u.dialing < min(len(u.waiting)-len(u.idle), atATime) && len(u.conns) < u.most && p.descriptor() {
 		c := &conn{cache: u, addr: u.addr}
 		u.conns = append(u.conns, c)
 		u.dialing++
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -31,6 +31,7 @@
 	c.dialing = nil
 	u.dialing--
 	if err != nil {
+		u.opened = 0
 		c.close()
 		if len(u.waiting) > 0 {
 			u.waiting[0].end(decide.NoConnection, nil)
@@ -39,6 +40,7 @@
 		return nil
 	}
 	c.nc = nc
+	u.opened++
 	u.free(c, u.pool.m.Now()-u.rest) // nothing has been asked on it
 	return c
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -62,6 +62,7 @@
 	order   []*cache // the same by name: nothing may depend on a map's order
 	conns   int      // to all caches, those coming up included
 	starved bool     // an attempt waits for a descriptor
+	gentle  bool     // caches that were away are dialled one at a time at first
 	in, out []byte   // what is read into, and written from, within one call
 
 	inTrouble int  // caches that serve nothing, by the log
@@ -117,6 +118,10 @@
 	}
 }
 
+// Gentle says whether connections to a cache that was away are to be opened one at a time at first, and more at a
+// time with each that comes up. The danger: a cache that has just started can do little, and connections cost it work.
+func (p *Pool) Gentle(on bool) { p.gentle = on }
+
 // InFlight is the number of attempts at a cache without an outcome, probes left out.
 func (p *Pool) InFlight(name string) int {
 	if u := p.caches[name]; u != nil {
