--- a/decide/decide.go
+++ b/decide/decide.go
@@ -133,6 +133,7 @@
 	erring, lost float64 // fading shares of errors among all answers, and of lost attempts
 	passed       Time    // when the latest attempt was sent that the origin served in time, at any cache
 	pressure     Pressure
+	turnedAway   Time // when a first try was refused last
 }
 
 // New returns a router for the settings. The error names a wrong field.
@@ -677,8 +678,10 @@
 	}
 	if r.pressure.On && ev.Since > 0 {
 		// The danger: a request that is refused comes back until its client gives up, and what caches can
-		// do goes to those that were asked long ago: they are served, and too late.
-		if q.arrived = ev.Since; r.now >= q.holdUntil() && r.mayRefuse(q) {
+		// do goes to those that were asked long ago: they are served, and too late. Where all that ask for
+		// the first time are served, there is room for them.
+		q.arrived = ev.Since
+		if r.now >= q.holdUntil() && r.now < r.turnedAway+r.set.DrainGrace/2 && r.mayRefuse(q) {
 			r.refuse(q)
 			return
 		}
@@ -922,6 +925,9 @@
 		return
 	}
 	if r.mayRefuse(q) {
+		if q.Since == 0 {
+			r.turnedAway = r.now
+		}
 		r.refuse(q)
 	} else {
 		r.do(Fail{ID: q.ID})
--- a/decide/pressure_test.go
+++ b/decide/pressure_test.go
@@ -10,6 +10,7 @@
 	b := newBench(t, settings())
 	b.feed(&List{Kind: ListFull, Entries: fleet(4)})
 	b.feed(&p)
+	b.r.turnedAway = b.now // a first try was refused just now
 	return b
 }
 
@@ -39,6 +40,15 @@
 	}
 }
 
+func TestLateRetryIsTakenWhereFirstTriesAreServed(t *testing.T) {
+	b := pressed(t, Pressure{On: true, Wait: 500 * ms})
+	b.advance(600 * ms)
+	late := &Request{ID: 1, Class: "read", Key: 1, HasKey: true, Deadline: b.now + 500*ms, Since: b.now - 200*ms}
+	if len(sends(b.feed(late))) != 1 {
+		t.Fatalf("%v: nobody has a better claim, and refused it comes back for ever", b.acts)
+	}
+}
+
 func TestWithoutPressureSinceChangesNothing(t *testing.T) {
 	play := func(since Time, p *Pressure) []Action {
 		b := newBench(t, settings())
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -20,7 +20,8 @@
 	deadline Time
 	slot     *front.Slot
 	ask      storm.Ask
-	asked    Time // when its client first asked, as far as is known
+	told     storm.Told
+	read     Time
 	over     bool // the final answer is given, or nobody waits for it
 	out      int  // attempts without an outcome
 	untold   int  // events about it that the module is still to be told
@@ -148,10 +149,7 @@
 		cmd.Wait = min(cmd.Wait, r.longest) // of a class without a limit of its own
 	}
 	r.lastID++
-	q := &request{id: r.lastID, name: name, cmd: cmd, deadline: read + cmd.Wait, slot: s, ask: ask, asked: read}
-	if told.Since > 0 {
-		q.asked = told.Since
-	}
+	q := &request{id: r.lastID, name: name, cmd: cmd, deadline: read + cmd.Wait, slot: s, ask: ask, told: told, read: read}
 	q.attempts = q.first[:0]
 	s.ID = q.id
 	r.requests[q.id] = q
--- a/internal/router/storm.go
+++ b/internal/router/storm.go
@@ -42,7 +42,7 @@
 // unserved tells the watch of a request that ends without a value.
 func (r *Router) unserved(q *request) {
 	if r.storm != nil && !q.over {
-		r.storm.storm.Unserved(r.m.Now(), q.ask, q.asked)
+		r.storm.storm.Unserved(r.m.Now(), q.ask, q.told, q.read)
 	}
 }
 
--- a/internal/storm/config.go
+++ b/internal/storm/config.go
@@ -13,7 +13,7 @@
 	Enter     float64       `toml:"enter" min:"0.01" max:"1" doc:"share of retries among all that is asked at which a storm rises"`
 	Leave     float64       `toml:"leave" min:"0" max:"1" doc:"share of retries below which it is over"`
 	EnterAway float64       `toml:"enter_away" min:"0.05" max:"1" doc:"share of attempts that meet no cache at which a storm rises"`
-	LeastRate float64       `toml:"least_rate" min:"0.1" max:"100000" doc:"requests a second below which nothing is a storm"`
+	LeastRate float64       `toml:"least_rate" min:"0.1" max:"100000" doc:"retries a second below which nothing is a storm"`
 	Confirm   time.Duration `toml:"confirm" min:"0s" max:"10s" doc:"a rising storm that lasts so long is one"`
 	Settle    time.Duration `toml:"settle" min:"100ms" max:"30s" doc:"shares have to stay low so long before bounds rise again"`
 	Ease      time.Duration `toml:"ease" min:"100ms" max:"1m" doc:"bounds rise to what they were within that time"`
@@ -22,7 +22,7 @@
 	LeastWait time.Duration `toml:"least_wait" min:"1ms" max:"10s" doc:"refusals name times that differ by up to so much, at first"`
 	MostWait  time.Duration `toml:"most_wait" min:"1ms" max:"1m" doc:"and in a storm that goes on; never past what clients honour"`
 
-	Remembered   int     `toml:"remembered" min:"1024" max:"4194304" doc:"refusals that are remembered, to know them when they come back (12 bytes each)"`
+	Remembered   int     `toml:"remembered" min:"1024" max:"4194304" doc:"refusals that are remembered, to know them when they come back (16 bytes each)"`
 	AddressShare float64 `toml:"address_share" min:"0" max:"1000" doc:"times the fair share that one address may ask for in a storm; 0 for any"`
 	Addresses    int     `toml:"addresses" min:"2" max:"100000" doc:"addresses below which there are no fair shares: a front layer speaks for all"`
 	GentleDials  bool    `toml:"gentle_dials" doc:"connections to a cache that was away are opened one at a time at first"`
@@ -33,7 +33,7 @@
 	return Config{
 		Enabled: true,
 		Enter:   0.2, Leave: 0.08, EnterAway: 0.5, LeastRate: 5,
-		Confirm: 200 * time.Millisecond, Settle: 500 * time.Millisecond, Ease: 1500 * time.Millisecond,
+		Confirm: 200 * time.Millisecond, Settle: 300 * time.Millisecond, Ease: time.Second,
 		Retries: 0.1, LeastWait: 250 * time.Millisecond, MostWait: 2 * time.Second,
 		Remembered: 1 << 16, AddressShare: 8, Addresses: 16, GentleDials: true,
 	}
--- a/internal/storm/memory.go
+++ b/internal/storm/memory.go
@@ -3,11 +3,12 @@
 // ways is how many entries a key may stand in. An older one makes room.
 const ways = 4
 
-// refusal is what is remembered of a request that was refused, failed or left: 12 bytes.
+// refusal is what is remembered of a request that was refused, failed or left: 16 bytes. Times are in ms.
 type refusal struct {
-	tag   uint32 // 0 for none
-	since uint32 // when its client first asked, in ms
-	until uint32 // when the client's patience is over
+	tag     uint32 // 0 for none
+	since   uint32 // when its client first asked
+	until   uint32 // when the client's patience is over
+	counted uint32 // when it was counted last as one that came back; 0 for never
 }
 
 // refusals remembers requests that were not served, in bounded memory. Nothing is taken until the first one.
@@ -22,7 +23,7 @@
 func tagOf(key uint64) uint32 { return uint32(key>>32) | 1 }
 
 // put remembers one.
-func (r *refusals) put(key uint64, since, until, now uint32) {
+func (r *refusals) put(key uint64, e refusal, now uint32) {
 	if r.sets == nil {
 		r.sets = make([][ways]refusal, max(1, r.most/ways))
 	}
@@ -36,26 +37,26 @@
 			oldest = i
 		}
 	}
-	set[oldest] = refusal{tagOf(key), since, until}
+	e.tag = tagOf(key)
+	set[oldest] = e
 }
 
 // take finds the one that an ask comes back from, and forgets it: one refusal accounts for one retry. The danger:
 // clients behind one address ask for the same key, and all of them pass for retries of the first.
-func (r *refusals) take(key uint64, now uint32) (since uint32, found bool) {
+func (r *refusals) take(key uint64, now uint32) (e refusal, found bool) {
 	if r.sets == nil {
-		return 0, false
+		return e, false
 	}
 	set := r.set(key)
 	for i := range set {
-		if e := &set[i]; e.tag == tagOf(key) {
-			since, found = e.since, e.until > now
-			*e = refusal{}
-			if found {
-				return since, true
+		if e = set[i]; e.tag == tagOf(key) {
+			set[i] = refusal{}
+			if e.until > now {
+				return e, true
 			}
 		}
 	}
-	return 0, false
+	return refusal{}, false
 }
 
 // address is what one address has asked for in this second.
--- a/internal/storm/storm.go
+++ b/internal/storm/storm.go
@@ -15,7 +15,6 @@
 
 import (
 	"fmt"
-	"math"
 	"time"
 )
 
@@ -39,8 +38,9 @@
 // Step is how often Tick wants to be called.
 const Step Time = 100_000
 
-// fadeTime is the time within which counts fade.
-const fadeTime = 700_000
+// steps is how many steps counts go over: a second. They end all at once. The danger: counts that fade are a share of a
+// storm long after it, the longer the greater it was.
+const steps = 10
 
 // Bounds are what holds until the next Tick.
 type Bounds struct {
@@ -67,16 +67,16 @@
 	Retry bool
 	Since Time // when its client first asked; 0 where it is not known to be a retry
 	Over  bool // its address asks for more than its fair share
+
+	counted uint32 // when it was counted last as one that came back, in ms; 0 where it never was
 }
 
 // Storm watches one router's clients and caches. Use New.
 type Storm struct {
 	c      Config
 	state  State
-	since  Time // of the state
 	low    Time // since when the shares are low; 0 where they are not
 	high   Time // since when they are high
-	last   Time // Tick
 	turned Time // turn of the addresses
 	bounds Bounds
 
@@ -84,9 +84,13 @@
 	addresses addresses
 	start     Time
 
-	asked, retries, refused, met, missed, fresh, conns float64 // fading
+	counts [steps]counts // of the latest steps
+	at     int           // the present one
 }
 
+// counts are those of one step.
+type counts struct{ asked, retries, repeats, refused, met, missed, fresh, conns int }
+
 // New returns a watch of a storm.
 func New(c Config) *Storm {
 	return &Storm{c: c, bounds: calm, memory: refusals{most: c.Remembered}}
@@ -99,20 +103,26 @@
 func (s *Storm) State() State { return s.state }
 
 // Connected notes a new connection of a client.
-func (s *Storm) Connected() { s.conns++ }
+func (s *Storm) Connected() { s.counts[s.at].conns++ }
 
 // Asked takes an ask in and tells what it is.
 func (s *Storm) Asked(now Time, a Ask) Told {
-	s.asked++
+	c, ms := &s.counts[s.at], s.ms(now)
+	c.asked++
 	if a.Fresh {
-		s.fresh++
+		c.fresh++
 	}
 	t := Told{Retry: a.Marked}
-	if ms, found := s.memory.take(identity(a), s.ms(now)); found {
-		t.Retry, t.Since = true, s.start+Time(ms)*1000
+	if e, found := s.memory.take(identity(a), ms); found {
+		t.Retry, t.Since, t.counted = true, s.start+Time(e.since)*1000, e.counted
 	}
-	if t.Retry {
-		s.retries++
+	switch {
+	case !t.Retry:
+	case t.counted == 0 || ms-t.counted >= onceIn:
+		t.counted = ms
+		c.retries++
+	default:
+		c.repeats++
 	}
 	if s.c.AddressShare > 0 {
 		n := s.addresses.count(a.Client)
@@ -122,19 +132,27 @@
 	return t
 }
 
-// Unserved notes that an ask got no value: it was refused, it failed, or its client left. first is when its client
-// first asked.
-func (s *Storm) Unserved(now Time, a Ask, first Time) {
-	s.refused++
-	s.memory.put(identity(a), s.ms(first), s.ms(first+a.Patience), s.ms(now))
+// onceIn is how often a request counts as one that came back, in ms. The danger: a single client that asks again at
+// once, a hundred times a second, passes for a storm.
+const onceIn = 1000
+
+// Unserved notes that an ask got no value: it was refused, it failed, or its client left. t is what was told of it, read
+// when it came.
+func (s *Storm) Unserved(now Time, a Ask, t Told, read Time) {
+	s.counts[s.at].refused++
+	first := read
+	if t.Since > 0 {
+		first = t.Since
+	}
+	s.memory.put(identity(a), refusal{since: s.ms(first), until: s.ms(first + a.Patience), counted: t.counted}, s.ms(now))
 }
 
 // Attempt notes whether an attempt met its cache.
 func (s *Storm) Attempt(met bool) {
 	if met {
-		s.met++
+		s.counts[s.at].met++
 	} else {
-		s.missed++
+		s.counts[s.at].missed++
 	}
 }
 
@@ -158,35 +176,41 @@
 }
 
 // shares are what the state goes by.
-type shares struct{ rate, retries, refused, away, fresh, conns float64 }
+type shares struct {
+	asked, again, conns, missed   float64 // a second
+	retries, refused, away, fresh float64 // of all; of requests that came back, each counts once in a second
+}
 
 func (s *Storm) shares() shares {
-	of := func(part, whole float64) float64 { return part / max(whole, 1e-9) }
-	return shares{rate: s.asked * 1e6 / fadeTime, retries: of(s.retries, s.asked), refused: of(s.refused, s.asked),
-		away: of(s.missed, s.met+s.missed), fresh: of(s.fresh, s.asked), conns: s.conns * 1e6 / fadeTime}
+	var sum counts
+	for _, c := range s.counts {
+		sum.asked, sum.retries, sum.repeats = sum.asked+c.asked, sum.retries+c.retries, sum.repeats+c.repeats
+		sum.refused += c.refused
+		sum.met, sum.missed = sum.met+c.met, sum.missed+c.missed
+		sum.fresh, sum.conns = sum.fresh+c.fresh, sum.conns+c.conns
+	}
+	of := func(part, whole int) float64 { return float64(part) / float64(max(1, whole)) }
+	return shares{asked: float64(sum.asked), again: float64(sum.retries), conns: float64(sum.conns),
+		missed: float64(sum.missed), retries: of(sum.retries, sum.asked-sum.repeats), refused: of(sum.refused, sum.asked),
+		away: of(sum.missed, sum.met+sum.missed), fresh: of(sum.fresh, sum.asked)}
 }
 
-// leastMissed is how many attempts, fading, have to meet no cache before that is a share of anything.
+// leastMissed is how many attempts a second have to meet no cache before that is a share of anything.
 const leastMissed = 3
 
 // Tick is called every Step. It returns a line for the log where the state changes, else the empty string.
 func (s *Storm) Tick(now Time) (line string) {
-	if s.last == 0 {
-		s.last, s.turned, s.since = now, now, now
-	}
-	fade := math.Exp(-float64(now-s.last) / fadeTime)
-	s.last = now
-	for _, count := range []*float64{&s.asked, &s.retries, &s.refused, &s.met, &s.missed, &s.fresh, &s.conns} {
-		*count *= fade
-	}
-	if now-s.turned >= 1_000_000 {
+	if now-s.turned >= steps*Step {
 		s.turned = now
 		s.addresses.next()
 	}
 	f := s.shares()
-	away := f.away >= s.c.EnterAway && s.missed >= leastMissed
-	high := f.rate >= s.c.LeastRate && f.retries >= s.c.Enter || away
-	low := (f.retries < s.c.Leave || f.rate < s.c.LeastRate) && (f.away < s.c.EnterAway/2 || s.missed < 1)
+	s.at = (s.at + 1) % steps
+	s.counts[s.at] = counts{}
+	away := f.away >= s.c.EnterAway && f.missed >= leastMissed
+	high := f.again >= s.c.LeastRate && f.retries >= s.c.Enter || away
+	// The danger: where little is asked, one retry a second is a share that never gets low.
+	low := (f.retries < s.c.Leave || f.again < s.c.LeastRate/2) && (f.away < s.c.EnterAway/2 || f.missed < leastMissed)
 	s.mark(now, high, low)
 	was := s.state
 	s.step(now, high)
@@ -196,9 +220,8 @@
 	if s.state == was {
 		return ""
 	}
-	s.since = now
 	return fmt.Sprintf("storm: %v -> %v: asked %.0f/s, retries %.0f%%, unserved %.0f%%, caches away %.0f%%, "+
-		"connections %.0f/s, fresh %.0f%%; bounds: retries %.2f, waits up to %v", was, s.state, f.rate,
+		"connections %.0f/s, fresh %.0f%%; bounds: retries %.2f, waits up to %v", was, s.state, f.asked,
 		100*f.retries, 100*f.refused, 100*f.away, f.conns, 100*f.fresh, s.bounds.Retries,
 		time.Duration(s.bounds.Wait)*time.Microsecond)
 }
