--- a/internal/lab/storm.go
+++ b/internal/lab/storm.go
@@ -29,6 +29,7 @@
 	Burst   float64 // the load is so many times as high ...
 	BurstAt Time    // ... from this moment after the caches' return ...
 	BurstTo Time    // ... up to this one
+	Keeps   bool    // the caches still hold the keys that they held: cold ones can do little, but know it all
 	Warm    bool    // nothing goes: the caches are warm, and clients come all at once
 }
 
@@ -112,6 +113,19 @@
 	return could / asked
 }
 
+// Used is the share of what caches could do, or of what was asked where that is less, that was done in time, without
+// the first window.
+func (r *StormResult) Used() float64 {
+	could, done := 0.0, 0.0
+	for _, p := range r.Parts[min(1, len(r.Parts)):] {
+		could, done = could+min(p.Asked, p.Bear), done+p.InTime
+	}
+	if could == 0 {
+		return 1
+	}
+	return min(1, done/could)
+}
+
 // turnaround is how long a client that retries at once takes for that.
 const turnaround = 10 * millisecond
 
@@ -131,6 +145,7 @@
 	writes  float64 // share of requests
 	homes   []*standin.Cache
 	stood   *stood
+	held    map[*standin.Cache][]string // keys, as the caches went
 }
 
 // stood is what was seen at the seam between routers and their decision modules.
@@ -202,7 +217,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &storming{stood: stood, world: w, storm: s, from: sim.Start + lead + s.Before + s.Outage}
+	r := &storming{stood: stood, held: map[*standin.Cache][]string{}, world: w, storm: s, from: sim.Start + lead + s.Before + s.Outage}
 	r.setUp()
 	if !s.Warm {
 		w.sim.At(r.from-s.Outage, r.cachesGo)
@@ -319,6 +334,7 @@
 func (r *storming) cachesGo() {
 	r.eyes.say("all caches go")
 	for _, c := range r.fleet.Caches {
+		r.held[c] = c.Memory()
 		c.Stop()
 	}
 }
@@ -327,6 +343,9 @@
 	r.eyes.say("all caches are back, cold")
 	for _, c := range r.fleet.Caches {
 		r.fail(r.fleet.Restart(c))
+		if r.storm.Keeps {
+			c.Warm(r.held[c])
+		}
 	}
 	r.reconnect()
 }
--- a/internal/standin/cache.go
+++ b/internal/standin/cache.go
@@ -174,6 +174,14 @@
 	}
 }
 
+// Memory is the keys that it holds, as Warm takes them.
+func (c *Cache) Memory() (keys []string) {
+	for e := c.memory.order.Back(); e != nil; e = e.Prev() {
+		keys = append(keys, e.Value.(string))
+	}
+	return keys
+}
+
 // Cold reports whether its process has not reached its whole capacity yet.
 func (c *Cache) Cold() bool { return c.up && c.proc.warmth() < 1 }
 
