--- a/internal/front/command_test.go
+++ b/internal/front/command_test.go
@@ -155,3 +155,41 @@
 		}
 	})
 }
+
+func TestRetriesAreMarkedByTheirClients(t *testing.T) {
+	for meta, want := range map[string]bool{"c=read,d=10,r=1": true, "c=read,d=10,r=0": false, "c=read,d=10": false} {
+		args := [][]byte{[]byte("C.GET"), []byte("k"), []byte("id"), []byte(meta)}
+		c, err := ParseCommand(args, 40, classes)
+		if err != nil || c.Retry != want {
+			t.Errorf("%s: retry %v, %v", meta, c.Retry, err)
+		}
+	}
+}
+
+func TestSlotKnowsItsClientsAddressAndItsConnectionsFirstRequest(t *testing.T) {
+	r := newRig(t, nil)
+	one, two := r.dial(), r.dial()
+	one.Send(get("r1"))
+	first := r.next()
+	one.Send(get("r2"))
+	second := r.next()
+	two.Send(get("r3"))
+	third := r.next()
+	if !first.Fresh || second.Fresh || !third.Fresh {
+		t.Errorf("first on their connections: %v, %v, %v", first.Fresh, second.Fresh, third.Fresh)
+	}
+	if first.Client() != third.Client() || first.Client() != addressHash("127.0.0.1:1") {
+		t.Error("clients of one address are told apart by their ports")
+	}
+	if addressHash("127.0.0.1:1") == addressHash("127.0.0.2:1") || addressHash("[::1]:7") != addressHash("[::1]:8") {
+		t.Error("addresses are not told by their IP addresses alone")
+	}
+	for _, a := range []asked{first, second, third} {
+		r.answer(a, value)
+	}
+	var accepted int
+	r.Do(func() { accepted = r.f.Accepted() })
+	if accepted != 2 {
+		t.Errorf("%d connections came in, by the front's count", accepted)
+	}
+}
--- /dev/null
+++ b/internal/router/storm_test.go
@@ -0,0 +1,114 @@
+package router
+
+import (
+	"testing"
+
+	"starlingwinch/decide"
+	"starlingwinch/internal/front"
+	"starlingwinch/internal/storm"
+)
+
+// second is a client's second try of what get asks for.
+func second(id string) string { return words("C.GET", "k1", id, "c=read,d=20000") }
+
+func TestModuleIsToldSinceWhenARefusedClientAsks(t *testing.T) {
+	r := newRig(t, newFakeCache(t).Addr(), nil)
+	one := dial(t, r.addr)
+	one.Send(second("try1"))
+	q := receive(t, r.requests, "request at the module")
+	if q.Since != 0 {
+		t.Errorf("a first try is told as asked since %d", q.Since)
+	}
+	r.perform(decide.Refuse{ID: q.ID})
+	one.Want("-BUSY")
+	one.Send(second("try2"))
+	again := receive(t, r.requests, "request at the module")
+	if again.Since == 0 || again.Since > again.Deadline-20_000_000 {
+		t.Errorf("the retry is told as asked since %d, with a deadline of %d", again.Since, again.Deadline)
+	}
+	r.perform(decide.Fail{ID: again.ID})
+	one.Want("-ERR failed")
+	one.Send(second("try3"))
+	if third := receive(t, r.requests, "request at the module"); third.Since != again.Since {
+		t.Errorf("the third try is told as asked since %d, the second since %d", third.Since, again.Since)
+	}
+}
+
+func TestStormsAreNotWatchedWhereOperatorsSaySo(t *testing.T) {
+	r := newRig(t, newFakeCache(t).Addr(), func(c *Config) { c.Storm.Enabled = false })
+	c := dial(t, r.addr)
+	c.Send(second("try1"))
+	r.perform(decide.Refuse{ID: receive(t, r.requests, "request at the module").ID})
+	c.Want("-BUSY")
+	c.Send(second("try2"))
+	if q := receive(t, r.requests, "request at the module"); q.Since != 0 {
+		t.Errorf("the retry is told as asked since %d", q.Since)
+	}
+}
+
+// BenchmarkRefusedInAStorm and BenchmarkServed tell what a request costs without its sockets: the watch and the
+// decision module.
+func BenchmarkRefusedInAStorm(b *testing.B) { benchmarkAsk(b, true) }
+
+func BenchmarkServed(b *testing.B) { benchmarkAsk(b, false) }
+
+func benchmarkAsk(b *testing.B, refused bool) {
+	set := decide.Settings{Routers: 3, MaxAttempts: 3, Cancels: true, RefuseWait: 1_500_000, ColdTime: 20_000_000,
+		Classes: []decide.Class{{Name: "read", Effect: decide.Safe, Aim: 500_000, Limit: 1_200_000, Worth: 2}}}
+	module, err := decide.New(set, 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	list := &decide.List{Kind: decide.ListFull}
+	for _, id := range []string{"a", "b", "c", "d", "e", "f", "g", "h", "i"} {
+		list.Entries = append(list.Entries, decide.Entry{ID: id, Size: 1})
+	}
+	now := Time(1e9)
+	module.Handle(now, list)
+	watch := storm.New(storm.Default())
+	if refused {
+		module.Handle(now, &decide.Pressure{On: true, Wait: 500_000})
+		// With all places taken, first tries are held and then turned away.
+		for id := range int64(1000) {
+			module.Handle(now, &decide.Request{ID: 1 + id, Class: "read", Key: uint64(id), HasKey: true, Deadline: now + 1_200_000})
+		}
+		for token := range int64(4000) {
+			module.Handle(now+210_000, &decide.Timer{Token: token})
+		}
+		now += 211_000
+	}
+	sent := 0
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		key := uint64(i % 100_000)
+		a := storm.Ask{Client: front.KeyHash([]byte{byte(key), byte(key >> 8), byte(key >> 16)}), Key: key, Patience: 1_200_000}
+		told := watch.Asked(now, a)
+		q := &decide.Request{ID: 10_000 + int64(i), Class: "read", Key: key, HasKey: true, Deadline: now + 1_000_000}
+		if refused {
+			q.Since = now - 400_000
+		} else {
+			now += 1000
+		}
+		answered := false
+		for _, action := range module.Handle(now, q) {
+			switch action.(type) {
+			case decide.Send:
+				sent++
+				answered = true
+			case decide.Refuse:
+				answered = true
+				watch.Unserved(now, a, told, now)
+			}
+		}
+		if !answered {
+			b.Fatal("neither sent nor refused")
+		}
+		if !refused {
+			module.Handle(now+500, &decide.Outcome{ID: q.ID, Result: decide.Served, Last: true, Elapsed: 500})
+		}
+	}
+	if refused && sent > 0 {
+		b.Fatalf("%d were sent", sent)
+	}
+}
--- a/internal/storm/storm.go
+++ b/internal/storm/storm.go
@@ -195,6 +195,9 @@
 		away: of(sum.missed, sum.met+sum.missed), fresh: of(sum.fresh, sum.asked)}
 }
 
+// littleShare is the share of the least rate below which retries are too few to keep a storm up.
+const littleShare = 0.8
+
 // leastMissed is how many attempts a second have to meet no cache before that is a share of anything.
 const leastMissed = 3
 
@@ -210,7 +213,7 @@
 	away := f.away >= s.c.EnterAway && f.missed >= leastMissed
 	high := f.again >= s.c.LeastRate && f.retries >= s.c.Enter || away
 	// The danger: where little is asked, one retry a second is a share that never gets low.
-	low := (f.retries < s.c.Leave || f.again < s.c.LeastRate/2) && (f.away < s.c.EnterAway/2 || f.missed < leastMissed)
+	low := (f.retries < s.c.Leave || f.again < s.c.LeastRate*littleShare) && (f.away < s.c.EnterAway/2 || f.missed < leastMissed)
 	s.mark(now, high, low)
 	was := s.state
 	s.step(now, high)
@@ -266,7 +269,7 @@
 			s.bounds.Wait = min(s.bounds.Wait*21/20, s.c.MostWait.Microseconds()) // twice as long in 1.4 s
 		}
 	case Recovering:
-		if high {
+		if lasted(now, s.high, s.c.Confirm) {
 			s.state = Stormy
 			s.bounds.Retries = s.c.Retries
 			return
