--- a/cmd/starlingwinch/commands_test.go
+++ b/cmd/starlingwinch/commands_test.go
@@ -258,3 +258,27 @@
 		t.Errorf("%d lines were kept, the first %q", len(lines), lines[:min(6, len(lines))])
 	}
 }
+
+func TestStormExplainTellsWhatALogShows(t *testing.T) {
+	log := file(t, "log", "serving on 127.0.0.1:7000\n2026/05/01 10:00:00 storm: calm -> rising: asked 800/s, retries 45%, "+
+		"unserved 41%, caches away 0%, connections 120/s, fresh 10%; bounds: retries 0.55, waits up to 250ms\n")
+	code, stdout, stderr := outcome(t, "storm", "explain", log)
+	if code != 0 || !strings.Contains(stdout, "45% of 800 requests a second were retries") || stderr != "" {
+		t.Errorf("exit code %d\n%s%s", code, stdout, stderr)
+	}
+	calm := file(t, "calm", "serving on 127.0.0.1:7000\n")
+	for _, c := range []struct {
+		args []string
+		code int
+		want string
+	}{
+		{[]string{"storm", "explain", calm}, 1, "no line of the log tells of a storm"},
+		{[]string{"storm", "explain", "none.log"}, 1, "none.log"},
+		{[]string{"storm", "explain"}, 2, "one LOGFILE is wanted"},
+		{[]string{"storm", "explian"}, 2, "did you mean"},
+	} {
+		if code, _, stderr := outcome(t, c.args...); code != c.code || !strings.Contains(stderr, c.want) {
+			t.Errorf("%v: exit code %d\n%s", c.args, code, stderr)
+		}
+	}
+}
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -135,7 +135,8 @@
 	if r.storm != nil {
 		ask = r.storm.ask(s, &cmd)
 		if told = r.storm.storm.Asked(read, ask); told.Over {
-			s.Answer(front.AppendBusy(nil, r.cfg.Settings.RefuseWait)) // never sent on
+			r.storm.storm.Unserved(read, ask, told, read)
+			s.Answer(front.AppendBusy(nil, r.spreadWait(cmd.ID()))) // never sent on
 			return
 		}
 	}
--- a/internal/router/storm.go
+++ b/internal/router/storm.go
@@ -39,6 +39,12 @@
 	return storm.Ask{Client: s.Client(), Key: cmd.Hash ^ k.hash, Patience: k.patience, Marked: cmd.Retry, Fresh: s.Fresh}
 }
 
+// spreadWait is a time to stay away that differs from one request to the next.
+func (r *Router) spreadWait(id string) Time {
+	most := r.cfg.Settings.RefuseWait
+	return most/2 + Time(front.KeyHash([]byte(id))%1024)*(most-most/2)/1024
+}
+
 // unserved tells the watch of a request that ends without a value.
 func (r *Router) unserved(q *request) {
 	if r.storm != nil && !q.over {
