--- a/internal/storm/config.go
+++ b/internal/storm/config.go
@@ -33,8 +33,8 @@
 	return Config{
 		Enabled: true,
 		Enter:   0.2, Leave: 0.08, EnterAway: 0.5, LeastRate: 5,
-		Confirm: 200 * time.Millisecond, Settle: 300 * time.Millisecond, Ease: time.Second,
-		Retries: 0.1, LeastWait: 250 * time.Millisecond, MostWait: 2 * time.Second,
+		Confirm: 200 * time.Millisecond, Settle: 300 * time.Millisecond, Ease: 500 * time.Millisecond,
+		Retries: 0.1, LeastWait: 250 * time.Millisecond, MostWait: time.Second,
 		Remembered: 1 << 16, AddressShare: 8, Addresses: 16, GentleDials: true,
 	}
 }
