--- a/cmd/starlingwinch/run.go
+++ b/cmd/starlingwinch/run.go
@@ -21,10 +21,11 @@
 	"starlingwinch/internal/router"
 	"starlingwinch/internal/settings"
 	"starlingwinch/internal/store"
+	"starlingwinch/internal/storm"
 )
 
 // kinds are the operators' files that the program knows. A subsystem adds its own here.
-var kinds = opfile.Registry{limits.Kind, membership.Kind, eureka.Kind, hooks.Kind, store.Kind}
+var kinds = opfile.Registry{limits.Kind, membership.Kind, eureka.Kind, hooks.Kind, store.Kind, storm.Kind}
 
 const (
 	configVariable = "BALANCER_CONFIG"
@@ -142,6 +143,7 @@
 	}
 	cfg.Bounds = opfile.Get[limits.Limits](files, limits.Kind)
 	cfg.Membership = opfile.Get[membership.Config](files, membership.Kind)
+	cfg.Storm = opfile.Get[storm.Config](files, storm.Kind)
 	cfg.Eureka = opfile.Get[eureka.Config](files, eureka.Kind)
 	cfg.State = opfile.Get[store.Config](files, store.Kind)
 	var err error
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -4,6 +4,7 @@
 	"starlingwinch/internal/books"
 	"starlingwinch/internal/machine"
 	"starlingwinch/internal/store"
+	"starlingwinch/internal/storm"
 )
 
 // Node is one router's process, as the lab sees it.
@@ -27,6 +28,8 @@
 	Wrap func(books.Module) books.Module
 	// State says where the router keeps what it has learned; the zero value is nowhere.
 	State store.Config
+	// Storm, where it is not nil, is what operators say of storms.
+	Storm *storm.Config
 }
 
 // OperatorFile is a file of the operators, as `run --operator` takes it.
--- a/internal/lab/node/node.go
+++ b/internal/lab/node/node.go
@@ -27,6 +27,9 @@
 	cfg.Membership = opfile.Get[membership.Config](files, membership.Kind)
 	cfg.Eureka = opfile.Get[eureka.Config](files, eureka.Kind)
 	cfg.Wrap, cfg.State = c.Wrap, c.State
+	if c.Storm != nil {
+		cfg.Storm = *c.Storm
+	}
 	r, err := router.Start(m, cfg)
 	if err != nil {
 		return nil, err
--- a/internal/lab/router.go
+++ b/internal/lab/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"starlingwinch/internal/sim"
 )
@@ -41,7 +42,12 @@
 	if o := w.o.State; o.Folder != "" {
 		r.host.MakeFolder(o.Folder)
 	}
-	r.host.Logged = func(line string) { w.eyes.say(r.name + ": " + line) }
+	r.host.Logged = func(line string) {
+		w.eyes.say(r.name + ": " + line)
+		if strings.HasPrefix(line, stormLine) {
+			w.storms = append(w.storms, StormChange{w.now(), r.name, line})
+		}
+	}
 	return r
 }
 
@@ -68,7 +74,7 @@
 
 func (r *router) config() NodeConfig {
 	return NodeConfig{JSON: r.w.routerSettings(r).JSON(), Wrap: r.w.o.Wrap, Operator: r.w.registry.files(r.addr),
-		State: r.w.o.State}
+		State: r.w.o.State, Storm: r.w.o.Storm}
 }
 
 // end ends the process. A clean end is one after a SIGTERM, whether it came by itself or not.
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -17,6 +17,7 @@
 	"starlingwinch/internal/membership"
 	"starlingwinch/internal/settings"
 	"starlingwinch/internal/store"
+	"starlingwinch/internal/storm"
 )
 
 // Config is what a router is told at its start.
@@ -38,6 +39,7 @@
 	Eureka     eureka.Config
 	Hooks      hooks.Config
 	State      store.Config
+	Storm      storm.Config
 
 	// Wrap puts something between the books and the decision module; nil for nothing. It is there for
 	// tests that plant a defect.
@@ -79,7 +81,7 @@
 	}
 	c := &Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, Limits: in.Limits,
 		Known: discovery.List{Index: discovery.NoIndex}, Bounds: limits.Default(), Membership: membership.DefaultConfig(),
-		Eureka: eureka.Default(), State: store.Default()}
+		Eureka: eureka.Default(), State: store.Default(), Storm: storm.Default()}
 	if _, err := netip.ParseAddrPort(c.Listen); err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
--- a/internal/router/hooks.go
+++ b/internal/router/hooks.go
@@ -92,7 +92,7 @@
 func (r *Router) submit(q *request) {
 	c := &q.cmd
 	r.backlog = append(r.backlog, &decide.Request{ID: q.id, Class: c.Class, Tenant: c.Tenant, Key: c.Hash, HasKey: true,
-		Deadline: q.deadline, Cost: c.Cost, Write: c.Write})
+		Deadline: q.deadline, Since: q.told.Since, Cost: c.Cost, Write: c.Write})
 }
 
 // answered has the hooks see a final answer.
@@ -101,7 +101,7 @@
 		return
 	}
 	r.hooks.Answered(hooks.Answer{Verb: q.cmd.Verb(), Class: q.cmd.Class, Tenant: q.cmd.Tenant, Key: q.cmd.Key(),
-		Size: len(q.cmd.Value()), Outcome: o, Took: r.m.Now() - q.came})
+		Size: len(q.cmd.Value()), Outcome: o, Took: r.m.Now() - q.read})
 }
 
 // showList has the hooks see how many caches there are.
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -9,6 +9,7 @@
 	"starlingwinch/internal/front"
 	"starlingwinch/internal/plugin"
 	"starlingwinch/internal/resp"
+	"starlingwinch/internal/storm"
 	"starlingwinch/internal/upstream"
 )
 
@@ -17,10 +18,12 @@
 	id       int64
 	name     string // as its client named it
 	cmd      front.Command
-	came     Time
 	deadline Time
 	slot     *front.Slot
 	judged   bool // hooks have it, and the module has not heard of it
+	ask      storm.Ask
+	told     storm.Told
+	read     Time
 	over     bool // the final answer is given, or nobody waits for it
 	out      int  // attempts without an outcome
 	untold   int  // events about it that the module is still to be told
@@ -90,10 +93,12 @@
 		}
 	case decide.Refuse:
 		if q := r.requests[a.ID]; q != nil {
+			r.unserved(q)
 			r.finish(q, front.AppendBusy(nil, a.Wait), plugin.WasRefused)
 		}
 	case decide.Fail:
 		if q := r.requests[a.ID]; q != nil {
+			r.unserved(q)
 			r.finish(q, []byte(front.FailedReply), plugin.WasFailed)
 		}
 	case decide.SetTimer:
@@ -137,6 +142,16 @@
 		s.Answer([]byte(front.BusyReply)) // beyond what the settings let a router hold; never sent on
 		return
 	}
+	var ask storm.Ask
+	told := storm.Told{}
+	if r.storm != nil {
+		ask = r.storm.ask(s, &cmd)
+		if told = r.storm.storm.Asked(read, ask); told.Over {
+			r.storm.storm.Unserved(read, ask, told, read)
+			s.Answer(front.AppendBusy(nil, r.spreadWait(cmd.ID()))) // never sent on
+			return
+		}
+	}
 	name := cmd.ID()
 	if _, taken := r.ids[name]; taken {
 		s.Answer([]byte("-ERR the id is that of an open request\r\n"))
@@ -147,7 +162,7 @@
 		cmd.Wait = min(cmd.Wait, r.longest) // of a class without a limit of its own
 	}
 	r.lastID++
-	q := &request{id: r.lastID, name: name, cmd: cmd, came: read, deadline: read + cmd.Wait, slot: s}
+	q := &request{id: r.lastID, name: name, cmd: cmd, read: read, deadline: read + cmd.Wait, slot: s, ask: ask, told: told}
 	if r.endsBy > 0 {
 		// The danger: what is taken late in a drain has a deadline beyond its end, and is lost with the process.
 		q.deadline = min(q.deadline, r.endsBy-drainAnswers)
@@ -176,6 +191,7 @@
 		}
 	}
 	for _, q := range gone { // all departures are told before what ends with them
+		r.unserved(q)
 		r.finish(q, nil, plugin.WasFailed)
 	}
 }
@@ -270,6 +286,7 @@
 	}
 	q := s.request
 	q.out--
+	r.met(result)
 	ev := &decide.Outcome{ID: q.id, Attempt: a.Number, Result: result, Elapsed: elapsed, Load: load}
 	r.say(q, ev)
 	if rep != nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -56,9 +56,11 @@
 	enrolled  *eureka.Registration // of the router itself; nil for none
 	longest   Time                 // patience of any client
 	sweeping  machine.Timer
-	arrivals  Time // how long connections are still taken after SIGTERM
-	endsBy    Time // the drain's end; 0 while there is none
-	spare     int  // descriptors that connections to caches may use while clients do not
+	arrivals  Time        // how long connections are still taken after SIGTERM
+	endsBy    Time        // the drain's end; 0 while there is none
+	spare     int         // descriptors that connections to caches may use while clients do not
+	storm     *stormWatch // nil where it is switched off
+	ticking   machine.Timer
 	closed    bool
 	onDrained func()
 }
@@ -96,6 +98,7 @@
 	}
 	r.books = books.New(behind, r.breach)
 	r.module = r.books
+	r.storm = newStormWatch(cfg)
 	clients, upstreams := cfg.Limits.shares()
 	r.spare = cfg.Limits.free() - upstreams
 	r.pool = upstream.New(m, upstream.Options{Bounds: cfg.Bounds.Caches, Routers: cfg.Settings.Routers,
@@ -125,6 +128,9 @@
 		r.enrolled = eureka.Register(m, cfg.Eureka.Registration())
 	}
 	r.sweeping = m.At(m.Now()+sweepInterval, r.sweep)
+	if r.storm != nil {
+		r.tick()
+	}
 	r.Log("serving on " + r.front.Addr())
 	return r, nil
 }
@@ -194,6 +200,9 @@
 	r.sweeping.Stop()
 	r.hooks.Close(func() {})
 	r.keeper.close()
+	if r.ticking != nil {
+		r.ticking.Stop()
+	}
 	r.front.Close()
 	r.pool.Close()
 	if r.onDrained != nil {
--- a/internal/upstream/cache.go
+++ b/internal/upstream/cache.go
@@ -27,6 +27,7 @@
 	conns   []*conn
 	idle    []*conn // the one used last stands last
 	dialing int
+	opened  int // connections that came up since one did not
 	most    int
 	waiting []*Attempt // in the order of their sending
 	out     int        // attempts without an outcome, probes left out
@@ -199,10 +200,14 @@
 	if u.hold() {
 		return
 	}
+	atATime := p.o.Bounds.DialsAtATime
+	if p.gentle {
+		atATime = min(atATime, 1+u.opened)
+	}
 	// The danger: connections that rest for long count as free, and what waits for them is late.
 	soon := p.m.Now() - u.rest + soonTime
 	ready := sort.Search(len(u.idle), func(i int) bool { return u.idle[i].idleSince > soon })
-	for u.dialing < min(len(u.waiting)-ready, p.o.Bounds.DialsAtATime) && len(u.conns) < u.most && p.descriptor() {
+	for u.dialing < min(len(u.waiting)-ready, atATime) && len(u.conns) < u.most && p.descriptor() {
 		c := &conn{cache: u, addr: u.addr}
 		u.conns = append(u.conns, c)
 		u.dialing++
