--- a/cmd/lab/hunt.go
+++ b/cmd/lab/hunt.go
@@ -19,7 +19,7 @@
 )
 
 func huntCommand() *cobra.Command {
-	seeds, jobs, length := "1-200", runtime.NumCPU(), 10*time.Second
+	seeds, jobs, length, hooks := "1-200", runtime.NumCPU(), 10*time.Second, false
 	cmd := &cobra.Command{
 		Use:   "hunt",
 		Short: "Play the scripts of many seeds and tell the rules that break",
@@ -35,7 +35,8 @@
 			ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 			defer stop()
 			bar := newBar(cmd.ErrOrStderr(), to-from+1)
-			h := lab.Hunt{From: from, To: to, Length: length, Jobs: jobs, Options: lab.Options{Node: router}, Done: bar.done}
+			h := lab.Hunt{From: from, To: to, Length: length, Jobs: jobs, Hooks: hooks, Options: lab.Options{Node: router},
+				Done: bar.done}
 			begin := time.Now()
 			sum, err := h.Run(ctx)
 			bar.clear()
@@ -51,6 +52,7 @@
 	cmd.Flags().StringVar(&seeds, "seeds", seeds, "`first-last`")
 	cmd.Flags().IntVar(&jobs, "jobs", jobs, "runs side by side")
 	cmd.Flags().DurationVar(&length, "length", length, "`length` of each script")
+	cmd.Flags().BoolVar(&hooks, "hooks", false, "routers have hooks, good and broken, drawn from each seed")
 	return cmd
 }
 
--- a/cmd/lab/run.go
+++ b/cmd/lab/run.go
@@ -23,6 +23,7 @@
 	file   string
 	length time.Duration
 	faults []string
+	hooks  bool
 }
 
 // unset is no seed.
@@ -33,6 +34,7 @@
 	cmd.Flags().StringVar(&c.file, "script", "", "read the script from a `file`, or the name of a hard case")
 	cmd.Flags().DurationVar(&c.length, "length", 10*time.Second, "`length` of a script that is drawn")
 	cmd.Flags().StringArrayVar(&c.faults, "fault", nil, "add a fault, as `hang:c2@3s+2s`")
+	cmd.Flags().BoolVar(&c.hooks, "hooks", false, "with --seed, routers have the hooks that are drawn from it")
 }
 
 // named reports whether the command line names a script.
@@ -44,6 +46,9 @@
 	if err != nil {
 		return s, err
 	}
+	if c.hooks {
+		s.Hooks = script.DrawHooks(uint64(s.Seed))
+	}
 	if c.seed != unset && c.file != "" {
 		s.Seed = c.seed
 	}
--- a/internal/hooks/hookstest/hookstest.go
+++ b/internal/hooks/hookstest/hookstest.go
@@ -3,6 +3,8 @@
 package hookstest
 
 import (
+	"slices"
+
 	"starlingwinch/internal/machine"
 	"starlingwinch/internal/plugin"
 	"starlingwinch/internal/plugin/wire"
@@ -24,11 +26,33 @@
 	// Load decides how a hook comes up: an Act whose Fail refuses it.
 	Load func(hook string) (plugin.Points, Act)
 	Call func(hook string, c *plugin.Call) Act
+
+	players []*player // that may run
+}
+
+// Up counts the workers that run, by their hooks; "" is for those that have not loaded one.
+func (s *Script) Up() map[string]int {
+	s.forget()
+	up := map[string]int{}
+	for _, p := range s.players {
+		up[p.hook]++
+	}
+	return up
+}
+
+// forget drops the players that have ended. Nobody tells one that was killed.
+func (s *Script) forget() {
+	s.players = slices.DeleteFunc(s.players, func(p *player) bool { return !p.read() })
 }
 
 // Worker plays a worker: it is the Worker of a sim.Host whose process is m.
 func (s *Script) Worker(m func() machine.Machine) func(args []string, c machine.Conn) machine.Handler {
-	return func(_ []string, c machine.Conn) machine.Handler { return &player{s: s, m: m(), c: c} }
+	return func(_ []string, c machine.Conn) machine.Handler {
+		s.forget()
+		p := &player{s: s, m: m(), c: c}
+		s.players = append(s.players, p)
+		return p
+	}
 }
 
 // player is one worker. What it does takes its time, and the calls behind it wait.
@@ -47,19 +71,24 @@
 
 // Readable implements machine.Handler.
 func (p *player) Readable() {
+	if !p.read() {
+		p.end()
+		return
+	}
+	p.next()
+}
+
+// read takes what has come in, and reports whether more may come.
+func (p *player) read() bool {
 	var b [4096]byte
-	for {
+	for !p.over {
 		n, err := p.c.Read(b[:])
 		p.in = append(p.in, b[:n]...)
-		if err == machine.ErrWait {
-			break
-		}
 		if err != nil {
-			p.end()
-			return
+			return err == machine.ErrWait
 		}
 	}
-	p.next()
+	return false
 }
 
 func (p *player) end() {
--- a/internal/hooks/policy/status.go
+++ b/internal/hooks/policy/status.go
@@ -25,6 +25,7 @@
 type Row struct {
 	Name   string
 	State  string // "up", "starting" or "suspended"
+	Calls  int    // that wait for it or run
 	Counts Counts
 	Tags   []Tag // in the order of their names
 }
@@ -63,7 +64,7 @@
 	}
 	var rows []Row
 	for _, h := range p.present.hooks {
-		row := Row{Name: h.Name, State: "up", Counts: h.Counts}
+		row := Row{Name: h.Name, State: "up", Calls: h.load(), Counts: h.Counts}
 		switch {
 		case h.restUntil > 0:
 			row.State = "suspended"
--- a/internal/lab/eyes.go
+++ b/internal/lab/eyes.go
@@ -106,6 +106,7 @@
 // Began implements rules.Observer.
 func (e *eyes) Began(now Time, a rules.Attempt) {
 	e.Watcher.Began(now, a)
+	e.w.hooked.began(a)
 	e.follow(a.ID)
 }
 
--- a/internal/lab/hunt.go
+++ b/internal/lab/hunt.go
@@ -17,7 +17,8 @@
 type Hunt struct {
 	From, To uint64 // the first and the last seed
 	Length   time.Duration
-	Jobs     int // runs side by side
+	Jobs     int  // runs side by side
+	Hooks    bool // routers have hooks, drawn from the same seed
 	Options  Options
 	// Done is told after each run, one at a time.
 	Done func(seed uint64, r *Result)
@@ -108,7 +109,11 @@
 				if !ok {
 					return
 				}
-				r, err := Run(script.DrawOf(seed, h.Length), h.Options)
+				s := script.DrawOf(seed, h.Length)
+				if h.Hooks {
+					s.Hooks = script.DrawHooks(seed)
+				}
+				r, err := Run(s, h.Options)
 				put(seed, r, err)
 			}
 		})
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"starlingwinch/internal/books"
+	"starlingwinch/internal/hooks"
 	"starlingwinch/internal/machine"
 )
 
@@ -19,7 +20,8 @@
 
 // NodeConfig is what a router is started with.
 type NodeConfig struct {
-	JSON []byte // the platform's configuration
+	JSON  []byte // the platform's configuration
+	Hooks hooks.Config
 	// Wrap, where it is not nil, stands between the router and its decision module: this is how a defect is planted.
 	Wrap func(books.Module) books.Module
 }
--- a/internal/lab/node/node.go
+++ b/internal/lab/node/node.go
@@ -2,6 +2,7 @@
 package node
 
 import (
+	"starlingwinch/internal/hooks"
 	"starlingwinch/internal/lab"
 	"starlingwinch/internal/machine"
 	"starlingwinch/internal/router"
@@ -9,7 +10,7 @@
 
 // Start starts a router on a machine. It is the lab.Start of all but tests of the lab.
 func Start(m machine.Machine, c lab.NodeConfig) (lab.Node, error) {
-	cfg, err := router.ParseConfig(c.JSON)
+	cfg, err := configOf(c.JSON, c.Hooks)
 	if err != nil {
 		return nil, err
 	}
@@ -18,15 +19,38 @@
 	if err != nil {
 		return nil, err
 	}
-	return node{r}, nil
+	return node{r, c.Hooks}, nil
+}
+
+// configOf is the platform's configuration, with the operators' hooks.
+func configOf(raw []byte, h hooks.Config) (*router.Config, error) {
+	cfg, err := router.ParseConfig(raw)
+	if err != nil {
+		return nil, err
+	}
+	cfg.Hooks = h
+	cfg.Limits, err = cfg.Limits.Without(h)
+	return cfg, err
 }
 
 // node is a router as the lab sees it.
-type node struct{ *router.Router }
+type node struct {
+	*router.Router
+	hooks hooks.Config
+}
+
+// HookCalls tells how many calls of each hook wait or run.
+func (n node) HookCalls() map[string]int {
+	calls := map[string]int{}
+	for _, row := range n.Router.Hooks() {
+		calls[row.Name] = row.Calls
+	}
+	return calls
+}
 
 // Reload implements lab.Node.
 func (n node) Reload(config []byte) error {
-	cfg, err := router.ParseConfig(config)
+	cfg, err := configOf(config, n.hooks)
 	if err != nil {
 		return err
 	}
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -13,6 +13,9 @@
 const (
 	Crash = "crash" // a panic in a callback
 	Stuck = "stuck" // more events than a run of that length can have
+
+	PastHook  = "sent past a hook"    // though its hooks pass nothing of its class
+	LongQueue = "hook queue too long" // more calls than the operator allows
 )
 
 // Broken is one broken rule.
--- a/internal/lab/router.go
+++ b/internal/lab/router.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"starlingwinch/internal/hooks/hookstest"
 	"starlingwinch/internal/sim"
 )
 
@@ -16,8 +17,9 @@
 	host *sim.Host
 	node Node // nil while none runs
 
-	ending  bool // after SIGTERM
-	life    int  // number of its processes so far
+	ending  bool              // after SIGTERM
+	life    int               // number of its processes so far
+	workers *hookstest.Script // of its process; nil where it has no hooks
 	stalled []span
 	abroad  bool // has served clients of another zone
 }
@@ -53,6 +55,7 @@
 		r.list = r.w.fleet.Lists[r.name]
 	}
 	r.ending = false
+	r.w.hooked.play(r)
 	r.w.eyes.RouterUp(r.w.sim.Now(), r.name)
 	node, err := r.w.o.Node(m, r.config())
 	if err != nil {
@@ -64,7 +67,7 @@
 }
 
 func (r *router) config() NodeConfig {
-	return NodeConfig{JSON: r.w.routerSettings(r).JSON(), Wrap: r.w.o.Wrap}
+	return NodeConfig{JSON: r.w.routerSettings(r).JSON(), Hooks: r.w.hooked.config(), Wrap: r.w.o.Wrap}
 }
 
 // end ends the process. A clean end is one after a SIGTERM, whether it came by itself or not.
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -47,7 +47,7 @@
 // Run plays a script. The error tells what kept it from being played; broken rules are in the result.
 func Run(s script.Script, o Options) (*Result, error) {
 	if o.Change != nil {
-		s.Faults = slices.Clone(s.Faults)
+		s = s.Clone()
 		o.Change(&s)
 		s.Sort()
 	}
@@ -187,6 +187,7 @@
 const (
 	otherDescriptors = 8
 	otherTimers      = 1024
+	hookDescriptors  = 4 // of each hook: its worker's, and those of a set that takes over
 )
 
 // checkLeft looks at what is left behind. The danger: what is never given back shows only after weeks.
@@ -203,12 +204,14 @@
 			}
 		}
 		conns, held, timers := left[connections], r.host.Descriptors(), r.host.Pending()
-		if _, told := left[connections]; told && held > conns+otherDescriptors {
+		others := otherDescriptors + hookDescriptors*len(w.s.Hooks)
+		if _, told := left[connections]; told && held > conns+others {
 			w.watcher.Leftover(now, r.name, "descriptors beyond its connections", held-conns)
 		}
 		if timers > held+otherTimers {
 			w.watcher.Leftover(now, r.name, "timers", timers)
 		}
+		w.hooked.checkLeft(r)
 	}
 }
 
--- a/internal/lab/script/kinds.go
+++ b/internal/lab/script/kinds.go
@@ -183,6 +183,7 @@
 
 // check looks at what no single key tells.
 func check(s Script, bad opfile.Bad) {
+	checkHooks(s, bad)
 	for i, f := range s.Faults {
 		at := fmt.Sprintf("fault[%d]", i)
 		k := byName[f.Kind]
--- a/internal/lab/script/script.go
+++ b/internal/lab/script/script.go
@@ -29,6 +29,7 @@
 	Fleet   Fleet         `toml:"fleet"`
 	Network Network       `toml:"network"`
 	Faults  []Fault       `toml:"fault" max:"64"`
+	Hooks   []Hook        `toml:"hook" max:"4"`
 }
 
 // Clients says how clients behave.
@@ -139,9 +140,10 @@
 	})
 }
 
-// Clone is a copy whose faults are its own.
+// Clone is a copy whose faults and hooks are its own.
 func (s Script) Clone() Script {
 	s.Faults = slices.Clone(s.Faults)
+	s.Hooks = slices.Clone(s.Hooks)
 	return s
 }
 
--- a/internal/lab/script/text.go
+++ b/internal/lab/script/text.go
@@ -28,10 +28,14 @@
 		b.WriteString("\n[[fault]]\n")
 		writeTable(&b, reflect.ValueOf(f), true)
 	}
+	for _, h := range s.Hooks {
+		b.WriteString("\n[[hook]]\n")
+		writeTable(&b, reflect.ValueOf(h), true)
+	}
 	return b.String()
 }
 
-// writeTable writes the single values of a struct; those of a fault that are zero say nothing.
+// writeTable writes the single values of a struct; those of a fault or a hook that are zero say nothing.
 func writeTable(b *strings.Builder, v reflect.Value, leaveZero bool) {
 	for i := range v.NumField() {
 		f, name := v.Field(i), v.Type().Field(i).Tag.Get("toml")
--- a/internal/lab/shrink.go
+++ b/internal/lab/shrink.go
@@ -135,6 +135,9 @@
 	for _, rate := range []float64{s.Rate / 8, s.Rate / 2} {
 		try(func(c *script.Script) { c.Rate = max(1, float64(int(rate))) })
 	}
+	for i := len(s.Hooks) - 1; i >= 0; i-- {
+		try(func(c *script.Script) { c.Hooks = slices.Delete(c.Hooks, i, i+1) })
+	}
 	try(func(c *script.Script) { c.Clients = usual.Clients })
 	try(func(c *script.Script) { c.Clients.Retries = 0 })
 	try(func(c *script.Script) { c.Clients.Pipeline = 0 })
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -40,6 +40,7 @@
 	hosts   map[string]*sim.Host // of stand-ins, by name
 	routers []*router
 	front   *front
+	hooked  *hooked
 	caches  []*place
 	faults  *faults
 	broken  []Broken
@@ -64,6 +65,7 @@
 	w.network()
 	w.watcher = rules.New(w.rules(), w.violated)
 	w.eyes = newEyes(w)
+	w.hooked = newHooked(w)
 	w.front = newFront(w)
 	zones := script.Zones()
 	for i := range s.Routers {
--- a/internal/router/hooks.go
+++ b/internal/router/hooks.go
@@ -6,6 +6,7 @@
 	"starlingwinch/decide"
 	"starlingwinch/internal/front"
 	"starlingwinch/internal/hooks"
+	"starlingwinch/internal/hooks/policy"
 	"starlingwinch/internal/plugin"
 	"starlingwinch/internal/plugin/worker"
 )
@@ -57,6 +58,9 @@
 	}
 }
 
+// Hooks tells of each hook, in the order in which they are asked.
+func (r *Router) Hooks() []policy.Row { return r.hooks.Status() }
+
 // judge has the hooks look at a request before the module does. It reports whether the request waits for them.
 func (r *Router) judge(q *request) bool {
 	if r.hooks.Idle() {
