--- a/internal/lab/eyes.go
+++ b/internal/lab/eyes.go
@@ -16,10 +16,11 @@
 	history []string        // of the request that is followed
 	last    rules.Tally     // as the window before has ended
 	asked   map[string]Time // when, by id; nil where no router is stopped
+	left    map[string]Time // when the client left, by id
 }
 
 func newEyes(w *world) *eyes {
-	e := &eyes{Watcher: w.watcher, w: w}
+	e := &eyes{Watcher: w.watcher, w: w, left: map[string]Time{}}
 	if slices.ContainsFunc(w.s.Faults, func(f script.Fault) bool { return f.Kind == script.Stall }) {
 		e.asked = map[string]Time{}
 	}
@@ -125,6 +126,12 @@
 	e.follow(id)
 }
 
+// Left implements rules.Observer.
+func (e *eyes) Left(now Time, id string) {
+	e.left[id] = now
+	e.Watcher.Left(now, id)
+}
+
 // follow keeps the life of the request that is followed: the watcher forgets those that are over.
 func (e *eyes) follow(id string) {
 	if id != "" && id == e.w.o.Follow {
@@ -201,11 +208,15 @@
 
 // excuses reports whether a request was lost through no fault of its router: its machine was stopped while the
 // request was open, and the router can't know for how long the request had waited by then; or its client
-// stood in another zone, from which it was cut off.
+// stood in another zone, from which it was cut off; or the answer could still come, and its client closed the
+// connection early on account of another request on it.
 func (w *world) excuses(v rules.Violation) bool {
 	if v.Rule != rules.Lost && v.Rule != rules.Late {
 		return false
 	}
+	if at, left := w.eyes.left[v.Request]; left && v.Rule == rules.Lost && v.At <= at && at < v.At+slack {
+		return true
+	}
 	r := w.routerNamed(v.Router)
 	if r == nil {
 		return false
--- /dev/null
+++ b/internal/lab/hooks_test.go
@@ -0,0 +1,75 @@
+package lab_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"starlingwinch/internal/lab"
+	"starlingwinch/internal/lab/node"
+	"starlingwinch/internal/lab/script"
+)
+
+func TestHooksOfAScriptTouchTheirClassAlone(t *testing.T) {
+	for _, c := range []struct {
+		kind, text string
+		served     bool // some requests of the class are
+	}{
+		{script.HookRefuse, "", false},
+		{script.HookFail, "", false},
+		{script.HookHang, "went on beyond its budget", false},
+		{script.HookDie, "its worker ended", false},
+		{script.HookCrash, "crashed", false},
+		{script.HookOverrun, "overran its budget", false},
+		{script.HookNonsense, "out of turn", false},
+		{script.HookTwice, "an answer to nothing", true},
+		{script.HookLoadCrash, "does not load", false},
+		{script.HookLoadHang, "did not come up in time", false},
+		{script.HookLoadDie, "its worker ended", false},
+		{script.HookTag, "seen", true},
+	} {
+		t.Run(c.kind, func(t *testing.T) {
+			s := calm(6 * time.Second)
+			s.Hooks = []script.Hook{{Kind: c.kind, Class: "call-lookup", OnFailure: script.OnFailureRefuse}}
+			told := false
+			r := mustRun(t, s, lab.Options{Node: node.Start, Timeline: func(_ lab.Time, line string) {
+				told = told || strings.Contains(line, "hook 1-"+c.kind) && strings.Contains(line, c.text)
+			}})
+			for _, b := range r.Broken {
+				t.Error(b)
+			}
+			if c.text != "" && !told {
+				t.Errorf("the log tells nothing of %q", c.text)
+			}
+			for _, k := range r.Counts.Classes {
+				switch all := k.Asked > 0 && k.Served+k.Refused+k.Failed == k.Asked; {
+				case k.Class != "call-lookup" && k.Served < k.Asked*97/100:
+					t.Errorf("%d of %d served of %s, which no hook judges", k.Served, k.Asked, k.Class)
+				case k.Class == "call-lookup" && (!all || k.Served > 0 != c.served):
+					t.Errorf("%+v", k)
+				}
+			}
+		})
+	}
+}
+
+func TestDrawnHooksBreakNoRuleAndEachSeedPlaysTheSame(t *testing.T) {
+	h := lab.Hunt{From: 1, To: 24, Length: 4 * time.Second, Jobs: 4, Hooks: true, Options: lab.Options{Node: node.Start}}
+	first, err := h.Run(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range first.Found {
+		t.Errorf("seed %d: %v", f.Seed, f.Broken)
+	}
+	h.Jobs = 1
+	again, err := h.Run(t.Context())
+	if err != nil || again.Trace != first.Trace {
+		t.Errorf("%v, trace %x and then %x", err, first.Trace, again.Trace)
+	}
+	h.Hooks = false
+	without, err := h.Run(t.Context())
+	if err != nil || without.Trace == first.Trace {
+		t.Errorf("%v, the same trace without hooks", err)
+	}
+}
--- a/internal/lab/planted/machine.go
+++ b/internal/lab/planted/machine.go
@@ -106,6 +106,7 @@
 	deafAfter               int
 	keepsOpen               bool
 	leaksTimers             bool
+	keepsWorkers            bool
 	listOnce                bool
 }
 
--- a/internal/lab/planted/planted.go
+++ b/internal/lab/planted/planted.go
@@ -23,6 +23,8 @@
 	Masked bool
 	// Length of the scripts that it shows in, where those of the search are too short; 0 where any will do.
 	Length time.Duration
+	// Hooks tells that it shows where routers have hooks.
+	Hooks bool
 	// Apply plants it.
 	Apply func(o *lab.Options)
 }
@@ -35,7 +37,8 @@
 	length = max(length, d.Length)
 	const batch = 8
 	for from := 1; from <= most && !found; from += batch {
-		h := lab.Hunt{From: uint64(from), To: uint64(min(from+batch-1, most)), Length: length, Jobs: 2, Options: o}
+		h := lab.Hunt{From: uint64(from), To: uint64(min(from+batch-1, most)), Length: length, Jobs: 2, Hooks: d.Hooks,
+			Options: o}
 		sum, err := h.Run(ctx)
 		if err != nil || ctx.Err() != nil {
 			return runs, false, err
