--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -22,9 +22,15 @@
 
 const readSize = 64 << 10
 
-// Cache is a cache server that holds every key, and answers at once.
+// slack is how much longer than a request's wait its answer may be on its way.
+const slack Time = 50_000
+
+// Cache is a cache server that holds every key, and answers at once, or after Delay.
 type Cache struct {
+	Delay         Time // set before the loop runs
+	m             machine.Machine
 	ln            machine.Listener
+	receipt       []byte // to a C.SET
 	answer        []byte // to a C.GET
 	plain         []byte // to a GET
 	served, taken atomic.Int64
@@ -35,7 +41,9 @@
 
 // NewCache listens on a free port of an address. Each value has so many bytes.
 func NewCache(m machine.Machine, addr string, value int) (*Cache, error) {
-	c := &Cache{}
+	c := &Cache{m: m}
+	c.receipt = redcon.AppendBulkString(redcon.AppendBulkString(redcon.AppendArray(nil, 3), "OK"), "w")
+	c.receipt = append(c.receipt, "$-1\r\n"...)
 	c.answer = redcon.AppendBulkString(redcon.AppendBulk(redcon.AppendArray(nil, 3), make([]byte, value)), "hit")
 	c.answer = append(c.answer, "$-1\r\n"...)
 	c.plain = redcon.AppendBulk(nil, make([]byte, value))
@@ -55,6 +63,8 @@
 	nc        machine.Conn
 	in        []byte
 	part, out []byte
+	late      []byte // answers that are to be held back
+	closed    bool
 }
 
 // Readable answers what has come.
@@ -65,7 +75,7 @@
 			break
 		}
 		if err != nil {
-			c.nc.Close()
+			c.end()
 			return
 		}
 		c.part = append(c.part, c.in[:n]...)
@@ -74,32 +84,54 @@
 	for used < len(c.part) {
 		args, n, err := resp.NextCommand(c.part[used:])
 		if err != nil {
-			c.nc.Close()
+			c.end()
 			return
 		}
 		if n == 0 {
 			break
 		}
 		if used += n; len(args) == 1 {
-			c.out = append(c.out, "+PONG\r\n"...)
+			c.late = append(c.late, "+PONG\r\n"...)
 			continue
 		}
-		if len(args) == 2 {
-			c.out = append(c.out, c.cache.plain...)
-		} else {
-			c.out = append(c.out, c.cache.answer...)
+		switch len(args) {
+		case 2:
+			c.late = append(c.late, c.cache.plain...)
+		case 4:
+			c.late = append(c.late, c.cache.answer...)
+		default:
+			c.late = append(c.late, c.cache.receipt...)
 		}
 		c.cache.served.Add(1)
 	}
 	c.part = append(c.part[:0], c.part[used:]...)
-	c.Writable()
+	if c.cache.Delay == 0 {
+		c.out = append(c.out, c.late...)
+		c.late = c.late[:0]
+		c.Writable()
+		return
+	}
+	late := c.late
+	c.late = nil
+	c.cache.m.At(c.cache.m.Now()+c.cache.Delay, func() {
+		c.out = append(c.out, late...)
+		c.Writable()
+	})
+}
+
+func (c *cacheConn) end() {
+	c.closed = true
+	c.nc.Close()
 }
 
 // Writable sends what is left of answers.
 func (c *cacheConn) Writable() {
+	if c.closed {
+		return
+	}
 	n, err := c.nc.Write(c.out)
 	if err != nil {
-		c.nc.Close()
+		c.end()
 		return
 	}
 	c.out = append(c.out[:0], c.out[n:]...)
@@ -119,6 +151,15 @@
 	h.counts[bucket(t)]++
 }
 
+// Join counts the times of another one too.
+func (h *Histogram) Join(o *Histogram) {
+	h.n += o.n
+	h.sum += o.sum
+	for i, n := range o.counts {
+		h.counts[i] += n
+	}
+}
+
 func bucket(t Time) int {
 	if t < 16 {
 		return int(max(t, 0))
@@ -158,6 +199,8 @@
 	Wait        Time // that a request is given
 	Idle        int  // connections beside these that ask once and then never
 	Plain       bool // GET KEY, for proxies that know no other commands
+	Write       bool // C.SET, of a class whose repeats caches drop
+	Aim         Time // in which an answer is in time
 }
 
 // Clients ask one server, which may be a router or a plain proxy.
@@ -178,6 +221,9 @@
 	Served, Refused, Failed, Broken int64
 	Up                              int
 	answered                        int // idle clients, by the one answer each is owed
+	// Of the requests that came in the span: how many there were, how many have an answer, how many of them within
+	// Aim, and after their Wait with a little more. Surplus counts answers to nothing.
+	Asked, Done, InTime, Overdue, Surplus int64
 }
 
 // idleAtATime is how many idle clients come at once. The danger: more than a listener's queue holds are turned away.
@@ -285,6 +331,9 @@
 		key = 1 + c.random()%uint64(max(1, c.o.Keys))
 	}
 	c.asked++
+	if since >= c.from && since < c.until {
+		c.Asked++
+	}
 	if c.o.Plain {
 		b := append(k.out, "*2\r\n$3\r\nGET\r\n"...)
 		k.out = redcon.AppendBulkString(b, "key"+strconv.FormatUint(key, 10))
@@ -292,10 +341,18 @@
 		k.Writable()
 		return
 	}
-	b := append(k.out, "*4\r\n$5\r\nC.GET\r\n"...)
+	verb, words, meta := "C.GET", 4, fmt.Sprintf("c=%s,d=%d", c.o.Class, c.o.Wait/1000)
+	id := c.o.Class[:1] + strconv.FormatInt(c.asked, 16) // classes share a router, which wants each id once
+	if c.o.Write {
+		verb, words, meta = "C.SET", 5, meta+",k="+id
+	}
+	b := redcon.AppendBulkString(redcon.AppendArray(k.out, words), verb)
 	b = redcon.AppendBulkString(b, "key"+strconv.FormatUint(key, 10))
-	b = redcon.AppendBulkString(b, strconv.FormatInt(c.asked, 16))
-	k.out = redcon.AppendBulkString(b, fmt.Sprintf("c=%s,d=%d", c.o.Class, c.o.Wait/1000))
+	b = redcon.AppendBulkString(redcon.AppendBulkString(b, id), meta)
+	if c.o.Write {
+		b = redcon.AppendBulkString(b, "a value to set")
+	}
+	k.out = b
 	k.asked = append(k.asked, since)
 	k.Writable()
 }
@@ -386,12 +443,22 @@
 	if k.due == 0 {
 		// The danger: more answers than requests, each of which asks again, grow without end.
 		c.Failed++
+		c.Surplus++
 		k.end()
 		return
 	}
 	k.due--
 	since := k.asked[0]
 	k.asked = append(k.asked[:0], k.asked[1:]...)
+	if since >= c.from && since < c.until {
+		c.Done++
+		if now-since <= c.o.Aim {
+			c.InTime++
+		}
+		if now-since > c.o.Wait+slack {
+			c.Overdue++
+		}
+	}
 	if now >= c.from && now < c.until {
 		*count++
 		c.Latency.Add(now - since)
--- a/internal/load/target.go
+++ b/internal/load/target.go
@@ -54,13 +54,13 @@
 }
 
 // StartRouter starts a router program before caches that are listed for good, and waits until it serves. It ends
-// with ctx at the latest.
-func StartRouter(ctx context.Context, program string, limits Limits, caches []string) (*Target, error) {
+// with ctx at the latest. What the command line is to say more stands in args.
+func StartRouter(ctx context.Context, program string, limits Limits, caches []string, args ...string) (*Target, error) {
 	t, path, err := prepare("config.json", routerConfig(limits, caches))
 	if err != nil {
 		return nil, err
 	}
-	t.cmd = command(ctx, program)
+	t.cmd = command(ctx, program, args...)
 	t.cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+path)
 	stderr, err := t.cmd.StderrPipe()
 	if err == nil {
@@ -224,17 +224,38 @@
 		}
 		u.CPU += time.Duration(ns)
 	}
+	u.ResidentMB, err = residentMB(pid)
+	return u, err
+}
+
+func residentMB(pid int) (float64, error) {
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
-		return u, err
+		return 0, err
 	}
 	for _, line := range strings.Split(string(status), "\n") {
 		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
 			kb, _ := strconv.ParseFloat(strings.Fields(rest)[0], 64)
-			u.ResidentMB = kb / 1024
+			return kb / 1024, nil
+		}
+	}
+	return 0, nil // it has ended
+}
+
+// FamilyMB is the resident memory of the process and of those that it has started, together.
+func (t *Target) FamilyMB() float64 {
+	sum, _ := residentMB(t.cmd.Process.Pid)
+	lists, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/children", t.cmd.Process.Pid))
+	for _, name := range lists {
+		children, _ := os.ReadFile(name) // one that has ended meanwhile uses nothing
+		for _, word := range strings.Fields(string(children)) {
+			if pid, err := strconv.Atoi(word); err == nil {
+				mb, _ := residentMB(pid)
+				sum += mb
+			}
 		}
 	}
-	return u, nil
+	return sum
 }
 
 // routerConfig is the platform's file for a router before these caches, warm and for good.
@@ -287,7 +308,7 @@
 	var before, after Usage
 	var berr, aerr error
 	c := NewClients(m, t.Addr, o)
-	connected := m.Now() + 200_000
+	connected := m.Now() + connectTime
 	m.At(connected, func() {
 		m.At(m.Now()+warm, func() { before, berr = t.Usage() })
 		c.Run(warm, span, func() {
