--- a/cmd/lab/brokenhook.go
+++ b/cmd/lab/brokenhook.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"os"
+	"runtime"
 	"slices"
 	"sync"
 	"time"
@@ -12,7 +12,6 @@
 	"starlingwinch/internal/lab"
 	"starlingwinch/internal/lab/loopback"
 	"starlingwinch/internal/load"
-	"starlingwinch/internal/machine"
 )
 
 // The marks of broken-hook, for the classes that the broken hook does not touch.
@@ -33,7 +32,7 @@
 
 func init() {
 	lab.Register(lab.Scenario{Name: "broken-hook", Run: brokenHookRun,
-		Doc: "a router with a hook of each broken kind beside two without, under the same load"})
+		Doc: "a router with a hook of each broken kind (or of KIND..., as loop.star) beside two without"})
 }
 
 // brokenClasses are the classes that are asked for, of which hooks touch the first.
@@ -115,6 +114,10 @@
 }
 
 func brokenHookRun(ctx context.Context, o lab.RunOptions) (line string, ok bool, err error) {
+	kinds, err := chosenHooks(o.Args)
+	if err != nil {
+		return "", false, err
+	}
 	dir, err := os.MkdirTemp("", "lab")
 	if err != nil {
 		return "", false, err
@@ -124,17 +127,17 @@
 	if err != nil {
 		return "", false, err
 	}
-	addrs, end, err := slowCaches(10)
+	_, addrs, end, err := served(10, cacheDelay)
 	if err != nil {
 		return "", false, err
 	}
 	defer end()
-	fmt.Fprintln(o.Out, "Three routers under the same load, one with a broken hook that touches "+touched+", two without hooks.")
+	fmt.Fprintln(o.Out, "Three routers under the same load: one with a broken hook that touches "+touched+
+		", two without hooks.")
 	fmt.Fprintf(o.Out, "%-16s %9s %5s | %-32s | %-33s | %s\n", "hook", "requests", "lost",
 		"others in time: hook, none, none", "others' p99, ms: hook, none, none",
 		touched+": p99 ms, refused, failed; MB in all")
 	var all beside
-	kinds := brokenHooks()
 	for i, kind := range kinds {
 		var b beside
 		for round := range brokenRounds {
@@ -160,30 +163,21 @@
 	return line, ok, nil
 }
 
-// slowCaches runs caches that answer after a while, until end is called.
-func slowCaches(n int) (addrs []string, end func(), err error) {
-	m, err := machine.New(machine.Options{Log: io.Discard})
-	if err != nil {
-		return nil, nil, err
+// chosenHooks are those of these names, as loop.star; all where none is named.
+func chosenHooks(names []string) ([]brokenHook, error) {
+	all := brokenHooks()
+	if len(names) == 0 {
+		return all, nil
 	}
-	for range n {
-		c, err := load.NewCache(m, "127.0.0.1:0", 100)
-		if err != nil {
-			m.Stop()
-			return nil, nil, err
+	var chosen []brokenHook
+	for _, name := range names {
+		i := slices.IndexFunc(all, func(b brokenHook) bool { return b.name+b.ending == name })
+		if i < 0 {
+			return nil, usageError{fmt.Errorf("no broken hook is named %q; wanted one as loop.star or loop.wasm", name)}
 		}
-		c.Delay = cacheDelay.Microseconds()
-		addrs = append(addrs, c.Addr())
+		chosen = append(chosen, all[i])
 	}
-	ended := make(chan struct{})
-	go func() {
-		m.Run()
-		close(ended)
-	}()
-	return addrs, func() {
-		m.Stop()
-		<-ended
-	}, nil
+	return chosen, nil
 }
 
 // brokenRound measures three routers that have just started, of which the first has the hook.
@@ -198,7 +192,11 @@
 		all.Wait()
 	}()
 	var addrs []string
-	for _, args := range [][]string{{"run", "--operator", operator}, {"run"}, {"run"}} {
+	defer func(core int) { load.Core = core }(load.Core)
+	for i, args := range [][]string{{"run", "--operator", operator}, {"run"}, {"run"}} {
+		if runtime.NumCPU() > 3 {
+			load.Core = i // each with its workers on one processor, which is where a hook could do most harm
+		}
 		t, err := load.StartRouter(ctx, program, limits, caches, args...)
 		if err != nil {
 			return err
--- a/cmd/lab/brokenhooks.go
+++ b/cmd/lab/brokenhooks.go
@@ -58,7 +58,8 @@
 		m.Func("hook_version", 0, 1, 0, wasmfile.I32Const(1))
 		m.Func("hook_room", 1, 1, 0, wasmfile.I32Const(room))
 		ends := func(then ...wasmfile.Code) wasmfile.Code { // the last two bytes of the key are 00
-			last := wasmfile.Seq(wasmfile.LocalGet(0), wasmfile.I32Load(keyAt), wasmfile.LocalGet(0), wasmfile.I32Load(keySize), wasmfile.I32Add, wasmfile.I32Const(1), wasmfile.I32Sub)
+			last := wasmfile.Seq(wasmfile.LocalGet(0), wasmfile.I32Load(keyAt), wasmfile.LocalGet(0),
+				wasmfile.I32Load(keySize), wasmfile.I32Add, wasmfile.I32Const(1), wasmfile.I32Sub)
 			before := wasmfile.Seq(last, wasmfile.I32Const(1), wasmfile.I32Sub)
 			return wasmfile.Seq(last, wasmfile.I32Load8U(0), wasmfile.I32Const('0'), wasmfile.I32Eq,
 				wasmfile.If(before, wasmfile.I32Load8U(0), wasmfile.I32Const('0'), wasmfile.I32Eq, wasmfile.If(then...)))
@@ -78,7 +79,7 @@
 		return "", err
 	}
 	path := filepath.Join(dir, "hooks.toml")
-	text := fmt.Sprintf("kind = \"hooks\"\nfolder = %q\n\n[[hook]]\nfile = %q\nclasses = [%q]\non_failure = %q\n", dir, name, class,
-		onFailure)
+	text := fmt.Sprintf("kind = \"hooks\"\nfolder = %q\n\n[[hook]]\nfile = %q\nclasses = [%q]\non_failure = %q\n",
+		dir, name, class, onFailure)
 	return path, os.WriteFile(path, []byte(text), 0o600)
 }
--- a/cmd/lab/scale.go
+++ b/cmd/lab/scale.go
@@ -63,8 +63,8 @@
 	return line, dials < mostDials && sd < mostUneven && idle.each < mostIdleKB && whole < mostIdleMB, nil
 }
 
-// served runs caches until end is called, after which their counts can be read.
-func served(n int) (caches []*load.Cache, addrs []string, end func(), err error) {
+// served runs caches, each of which answers after a delay, until end is called, after which their counts can be read.
+func served(n int, delay time.Duration) (caches []*load.Cache, addrs []string, end func(), err error) {
 	m, err := machine.New(machine.Options{Log: io.Discard})
 	if err != nil {
 		return nil, nil, nil, err
@@ -75,6 +75,7 @@
 			m.Stop()
 			return nil, nil, nil, err
 		}
+		c.Delay = delay.Microseconds()
 		caches, addrs = append(caches, c), append(addrs, c.Addr())
 	}
 	ended := make(chan struct{})
@@ -91,7 +92,7 @@
 // manyCaches tells the share of requests for which a connection was opened, once all are open, and how the load of
 // the caches differs from even.
 func manyCaches(ctx context.Context, program string) (dials, sd, most float64, err error) {
-	caches, addrs, end, err := served(scaleCaches)
+	caches, addrs, end, err := served(scaleCaches, 0)
 	if err != nil {
 		return 0, 0, 0, err
 	}
@@ -169,7 +170,7 @@
 		return c, err
 	}
 	c.clients = min(idleClients, int(limit.Cur)-spareDescriptors)
-	_, addrs, end, err := served(10)
+	_, addrs, end, err := served(10, 0)
 	if err != nil {
 		return c, err
 	}
--- a/internal/lab/planted/hooks.go
+++ b/internal/lab/planted/hooks.go
@@ -12,8 +12,8 @@
 
 const hour machine.Time = 3_600_000_000
 
-// InHooks are the defects of how a router has hooks judge requests, planted in what it is told of them and in its machine.
-// They show in worlds with hooks.
+// InHooks are the defects of how a router has hooks judge requests, planted in what it is told of them and in its
+// machine. They show in worlds with hooks.
 func InHooks() []Defect {
 	return withHooks(
 		told("hooks without a budget", "lost", func(c *hooks.Config) {
--- a/internal/lab/script/hook.go
+++ b/internal/lab/script/hook.go
@@ -122,7 +122,8 @@
 	}
 }
 
-// hookStream keeps the draws of hooks apart from all others: a seed's other troubles are the same with hooks and without.
+// hookStream keeps the draws of hooks apart from all others: a seed's other troubles are the same with hooks and
+// without.
 const hookStream = 0x40_0c5f_01
 
 // DrawHooks is one to three hooks that the seed decides.
@@ -137,9 +138,10 @@
 
 func (d drawer) hook() Hook {
 	h := Hook{
-		Kind:      pick(d, hookKinds),
-		OneIn:     pick(d, []int{1, 1, 3, 20}),
-		Points:    pick(d, []string{AtRequest, AtRequest, "request,answered", "request,answered,list,unload", "answered,list"}),
+		Kind:  pick(d, hookKinds),
+		OneIn: pick(d, []int{1, 1, 3, 20}),
+		Points: pick(d, []string{AtRequest, AtRequest, "request,answered", "request,answered,list,unload",
+			"answered,list"}),
 		Class:     pick(d, []string{"", "call-lookup", "add-contact", "confirm-contact"}),
 		OnFailure: pick(d, []string{"pass", OnFailureRefuse}),
 		Time:      pick(d, []time.Duration{time.Millisecond, 5 * time.Millisecond, 50 * time.Millisecond}),
