--- a/cmd/lab/hunt.go
+++ b/cmd/lab/hunt.go
@@ -20,7 +20,7 @@
 )
 
 func huntCommand() *cobra.Command {
-	seeds, jobs, length, registry := "1-200", runtime.NumCPU(), 10*time.Second, false
+	seeds, jobs, length, registry, hooks := "1-200", runtime.NumCPU(), 10*time.Second, false, false
 	cmd := &cobra.Command{
 		Use:   "hunt",
 		Short: "Play the scripts of many seeds and tell the rules that break",
@@ -36,7 +36,8 @@
 			ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 			defer stop()
 			bar := newBar(cmd.ErrOrStderr(), to-from+1)
-			h := lab.Hunt{From: from, To: to, Length: length, Jobs: jobs, Options: lab.Options{Node: router}, Done: bar.done}
+			h := lab.Hunt{From: from, To: to, Length: length, Jobs: jobs, Hooks: hooks, Options: lab.Options{Node: router},
+				Done: bar.done}
 			if registry {
 				h.Draw = script.DrawRegistry
 			}
@@ -56,6 +57,7 @@
 	cmd.Flags().IntVar(&jobs, "jobs", jobs, "runs side by side")
 	cmd.Flags().DurationVar(&length, "length", length, "`length` of each script")
 	cmd.Flags().BoolVar(&registry, "registry", false, "draw worlds with a Eureka registry")
+	cmd.Flags().BoolVar(&hooks, "hooks", false, "routers have hooks, good and broken, drawn from each seed")
 	return cmd
 }
 
--- a/cmd/lab/run.go
+++ b/cmd/lab/run.go
@@ -25,6 +25,7 @@
 	faults []string
 	// registry has the script drawn with a registry.
 	registry bool
+	hooks    bool
 }
 
 // mostTimes is what --times may be.
@@ -39,6 +40,7 @@
 	cmd.Flags().DurationVar(&c.length, "length", 10*time.Second, "`length` of a script that is drawn")
 	cmd.Flags().BoolVar(&c.registry, "registry", false, "a world with a Eureka registry")
 	cmd.Flags().StringArrayVar(&c.faults, "fault", nil, "add a fault, as `hang:c2@3s+2s`")
+	cmd.Flags().BoolVar(&c.hooks, "hooks", false, "with --seed, routers have the hooks that are drawn from it")
 }
 
 // named reports whether the command line names a script.
@@ -50,6 +52,9 @@
 	if err != nil {
 		return s, err
 	}
+	if c.hooks {
+		s.Hooks = script.DrawHooks(uint64(s.Seed))
+	}
 	if c.seed != unset && c.file != "" {
 		s.Seed = c.seed
 	}
--- a/internal/lab/hunt.go
+++ b/internal/lab/hunt.go
@@ -17,7 +17,8 @@
 type Hunt struct {
 	From, To uint64 // the first and the last seed
 	Length   time.Duration
-	Jobs     int // runs side by side
+	Jobs     int  // runs side by side
+	Hooks    bool // routers have hooks, drawn from the same seed
 	Options  Options
 	// Draw makes the script of a seed; nil stands for script.DrawOf.
 	Draw func(seed uint64, length time.Duration) script.Script
@@ -114,7 +115,11 @@
 				if !ok {
 					return
 				}
-				r, err := Run(draw(seed, h.Length), h.Options)
+				s := draw(seed, h.Length)
+				if h.Hooks {
+					s.Hooks = script.DrawHooks(seed)
+				}
+				r, err := Run(s, h.Options)
 				put(seed, r, err)
 			}
 		})
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"starlingwinch/internal/books"
+	"starlingwinch/internal/hooks"
 	"starlingwinch/internal/machine"
 	"starlingwinch/internal/store"
 	"starlingwinch/internal/storm"
@@ -24,6 +25,7 @@
 	JSON []byte // the platform's configuration
 	// Operator are operators' files, by the names of their kinds.
 	Operator []OperatorFile
+	Hooks    hooks.Config
 	// Wrap, where it is not nil, stands between the router and its decision module: this is how a defect is planted.
 	Wrap func(books.Module) books.Module
 	// State says where the router keeps what it has learned; the zero value is nowhere.
--- a/internal/lab/node/node.go
+++ b/internal/lab/node/node.go
@@ -3,6 +3,7 @@
 
 import (
 	"starlingwinch/internal/eureka"
+	"starlingwinch/internal/hooks"
 	"starlingwinch/internal/lab"
 	"starlingwinch/internal/machine"
 	"starlingwinch/internal/membership"
@@ -12,7 +13,7 @@
 
 // Start starts a router on a machine. It is the lab.Start of all but tests of the lab.
 func Start(m machine.Machine, c lab.NodeConfig) (lab.Node, error) {
-	cfg, err := router.ParseConfig(c.JSON)
+	cfg, err := configOf(c.JSON, c.Hooks)
 	if err != nil {
 		return nil, err
 	}
@@ -37,6 +38,17 @@
 	return node{r, cfg}, nil
 }
 
+// configOf is the platform's configuration, with the operators' hooks.
+func configOf(raw []byte, h hooks.Config) (*router.Config, error) {
+	cfg, err := router.ParseConfig(raw)
+	if err != nil {
+		return nil, err
+	}
+	cfg.Hooks = h
+	cfg.Limits, err = cfg.Limits.Without(h)
+	return cfg, err
+}
+
 // kinds are the operators' files that the lab sets.
 var kinds = opfile.Registry{membership.Kind, eureka.Kind}
 
@@ -46,9 +58,18 @@
 	cfg *router.Config
 }
 
+// HookCalls tells how many calls of each hook wait or run.
+func (n node) HookCalls() map[string]int {
+	calls := map[string]int{}
+	for _, row := range n.Router.Hooks() {
+		calls[row.Name] = row.Calls
+	}
+	return calls
+}
+
 // Reload implements lab.Node.
 func (n node) Reload(config []byte) error {
-	cfg, err := router.ParseConfig(config)
+	cfg, err := configOf(config, n.cfg.Hooks)
 	if err != nil {
 		return err
 	}
--- a/internal/lab/planted/machine.go
+++ b/internal/lab/planted/machine.go
@@ -107,6 +107,7 @@
 	deafAfter               int
 	keepsOpen               bool
 	leaksTimers             bool
+	keepsWorkers            bool
 	listOnce                bool
 	// registryRead changes what was read of a registry.
 	registryRead func(now machine.Time, b []byte)
--- a/internal/lab/planted/planted.go
+++ b/internal/lab/planted/planted.go
@@ -26,6 +26,8 @@
 	Length time.Duration
 	// Registry tells that it shows in worlds with a registry only.
 	Registry bool
+	// Hooks tells that it shows where routers have hooks.
+	Hooks bool
 	// Apply plants it.
 	Apply func(o *lab.Options)
 }
@@ -38,7 +40,8 @@
 	length = max(length, d.Length)
 	const batch = 8
 	for from := 1; from <= most && !found; from += batch {
-		h := lab.Hunt{From: uint64(from), To: uint64(min(from+batch-1, most)), Length: length, Jobs: 2, Options: o}
+		h := lab.Hunt{From: uint64(from), To: uint64(min(from+batch-1, most)), Length: length, Jobs: 2, Hooks: d.Hooks,
+			Options: o}
 		if d.Registry {
 			h.Draw = script.DrawRegistry
 		}
--- a/internal/lab/planted/planted_test.go
+++ b/internal/lab/planted/planted_test.go
@@ -17,7 +17,8 @@
 )
 
 func TestPlantedDefectsAreFound(t *testing.T) {
-	for _, d := range slices.Concat(planted.InModule(), planted.InMachine(), planted.InRegistry()) {
+	for _, d := range slices.Concat(planted.InModule(), planted.InMachine(), planted.InRegistry(),
+		planted.InHooks()) {
 		t.Run(d.Name, func(t *testing.T) {
 			o := lab.Options{Node: node.Start}
 			if d.Masked {
--- a/internal/lab/router.go
+++ b/internal/lab/router.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 
+	"starlingwinch/internal/hooks/hookstest"
 	"starlingwinch/internal/sim"
 )
 
@@ -17,8 +18,9 @@
 	host *sim.Host
 	node Node // nil while none runs
 
-	ending  bool // after SIGTERM
-	life    int  // number of its processes so far
+	ending  bool              // after SIGTERM
+	life    int               // number of its processes so far
+	workers *hookstest.Script // of its process; nil where it has no hooks
 	stalled []span
 	abroad  bool // has served clients of another zone
 }
@@ -62,6 +64,7 @@
 		r.list = r.w.fleet.Lists[r.name]
 	}
 	r.ending = false
+	r.w.hooked.play(r)
 	r.w.eyes.RouterUp(r.w.sim.Now(), r.name)
 	node, err := r.w.o.Node(m, r.config())
 	if err != nil {
@@ -73,7 +76,7 @@
 }
 
 func (r *router) config() NodeConfig {
-	return NodeConfig{JSON: r.w.routerSettings(r).JSON(), Wrap: r.w.o.Wrap, Operator: r.w.registry.files(r.addr),
+	return NodeConfig{JSON: r.w.routerSettings(r).JSON(), Wrap: r.w.o.Wrap, Hooks: r.w.hooked.config(), Operator: r.w.registry.files(r.addr),
 		State: r.w.o.State, Storm: r.w.o.Storm}
 }
 
