--- a/internal/lab/storm.go
+++ b/internal/lab/storm.go
@@ -11,6 +11,7 @@
 	"starlingwinch/internal/machine"
 	"starlingwinch/internal/sim"
 	"starlingwinch/internal/standin"
+	"starlingwinch/internal/storm"
 )
 
 // Storm is a storm of retries and reconnects: all caches go, come back cold, and all clients reconnect at that moment.
@@ -201,6 +202,10 @@
 
 // PlayStorm plays a storm in a virtual world.
 func PlayStorm(s Storm, o Options) (*StormResult, error) {
+	if o.Storm == nil {
+		on := storm.On()
+		o.Storm = &on
+	}
 	base := script.Default()
 	base.Seed, base.Rate, base.Clients.Groups = s.Seed, 0, 0
 	base.Length = time.Duration(s.Before+s.Outage+s.For) * time.Microsecond
--- a/internal/storm/config.go
+++ b/internal/storm/config.go
@@ -28,10 +28,17 @@
 	GentleDials  bool    `toml:"gentle_dials" doc:"connections to a cache that was away are opened one at a time at first"`
 }
 
+// On is the default, switched on.
+func On() Config {
+	c := Default()
+	c.Enabled = true
+	return c
+}
+
 // Default is what holds where no file says otherwise.
 func Default() Config {
 	return Config{
-		Enabled: true,
+		Enabled: false,
 		Enter:   0.2, Leave: 0.08, EnterAway: 0.5, LeastRate: 5,
 		Confirm: 200 * time.Millisecond, Settle: 300 * time.Millisecond, Ease: 500 * time.Millisecond,
 		Retries: 0.1, LeastWait: 250 * time.Millisecond, MostWait: time.Second,
--- a/internal/upstream/cache.go
+++ b/internal/upstream/cache.go
@@ -205,8 +205,11 @@
 		atATime = min(atATime, 1+u.opened)
 	}
 	// The danger: connections that rest for long count as free, and what waits for them is late.
-	soon := p.m.Now() - u.rest + soonTime
-	ready := sort.Search(len(u.idle), func(i int) bool { return u.idle[i].idleSince > soon })
+	ready := len(u.idle)
+	if !p.full() { // else another one costs another cache its own
+		soon := p.m.Now() - u.rest + soonTime
+		ready = sort.Search(len(u.idle), func(i int) bool { return u.idle[i].idleSince > soon })
+	}
 	for u.dialing < min(len(u.waiting)-ready, atATime) && len(u.conns) < u.most && p.descriptor() {
 		c := &conn{cache: u, addr: u.addr}
 		u.conns = append(u.conns, c)
@@ -221,7 +224,7 @@
 func (u *cache) hold() bool {
 	p := u.pool
 	out := len(u.conns) - len(u.idle) - u.dialing
-	if out == 0 || p.conns < p.o.Descriptors+p.lent {
+	if out == 0 || !p.full() {
 		return false
 	}
 	until := u.waiting[0].Sent + holdTime
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -195,7 +195,7 @@
 // descriptor takes one for a connection to a cache. Where none is left, the connection that has
 // been idle for longest, at whichever cache, makes room.
 func (p *Pool) descriptor() bool {
-	if p.busy() || p.conns >= p.o.Descriptors+p.lent && !p.closeOldest() {
+	if p.busy() || p.full() && !p.closeOldest() {
 		p.starved = true
 		return false
 	}
@@ -203,6 +203,9 @@
 	return true
 }
 
+// full reports whether all descriptors are in use, what was lent included.
+func (p *Pool) full() bool { return p.conns >= p.o.Descriptors+p.lent }
+
 // busy reports whether as many connections as the pool has of its own are not idle. So what was lent can
 // be given back whenever it is asked for.
 func (p *Pool) busy() bool { return p.conns-p.idle >= p.o.Descriptors }
