--- a/cmd/lab/scale.go
+++ b/cmd/lab/scale.go
@@ -24,6 +24,7 @@
 	mostIdleMB = 80  // that the router uses with 20,000 of them
 
 	scaleCaches, scaleSockets, scaleRouters = 500, 390, 3
+	scaleRate                               = 3000 // requests a second of each router
 	idleClients                             = 20_000
 	idleSpan                                = 3 * time.Second // with the time to connect, below that of the router for an idle client
 	spareDescriptors                        = 600             // for all that is not an idle client, here and in the router
@@ -31,7 +32,7 @@
 
 func init() {
 	lab.Register(lab.Scenario{Name: "scale", Run: scale,
-		Doc: "three routers before 500 caches with 390 descriptors, and a router with 20,000 idle clients"})
+		Doc: "three routers before 500 caches with 390 descriptors, and a router with 20,000 idle clients; beside another router (--against) first"})
 }
 
 func scale(ctx context.Context, o lab.RunOptions) (line string, ok bool, err error) {
@@ -44,12 +45,18 @@
 	if err != nil {
 		return "", false, err
 	}
-	dials, sd, most, err := manyCaches(ctx, program)
-	if err != nil {
-		return "", false, err
+	dials, sd := 0., 0.
+	for _, path := range []string{o.Against, program} {
+		if path == "" {
+			continue
+		}
+		var most float64
+		if dials, sd, most, err = manyCaches(ctx, path); err != nil {
+			return "", false, err
+		}
+		fmt.Fprintf(o.Out, "%d caches, %d routers with %d descriptors each: %.2f %% of requests dial; caches' load differs by "+
+			"%.1f %% (standard deviation), %.1f %% at most\n", scaleCaches, scaleRouters, scaleSockets, 100*dials, 100*sd, 100*most)
 	}
-	fmt.Fprintf(o.Out, "%d caches, %d routers with %d descriptors each: %.2f %% of requests dial; caches' load differs by %.1f %% "+
-		"(standard deviation), %.1f %% at most\n", scaleCaches, scaleRouters, scaleSockets, 100*dials, 100*sd, 100*most)
 	idle, err := manyClients(ctx, program)
 	if err != nil {
 		return "", false, err
@@ -111,7 +118,7 @@
 		}
 		targets = append(targets, t)
 	}
-	all := load.Options{Connections: 32, Keys: 1_000_000, Class: "call-lookup", Wait: 1_200_000}
+	all := load.Options{Connections: 32, Rate: scaleRate, Keys: 1_000_000, Class: "call-lookup", Wait: 1_200_000}
 	play := func(warm, span load.Time) (requests int64, err error) {
 		results := make(chan load.Result)
 		errs := make(chan error, len(targets))
