--- a/internal/lab/storm_test.go
+++ b/internal/lab/storm_test.go
@@ -35,6 +35,7 @@
 }
 
 func TestStormWhileCachesAreColdUsesWhatTheyBear(t *testing.T) {
+	slow(t)
 	for _, ignore := range []float64{0, 0.5, 1} {
 		s := small(1)
 		s.Ignore = ignore
@@ -45,6 +46,7 @@
 }
 
 func TestSecondStormBeforeTheFirstIsOver(t *testing.T) {
+	slow(t)
 	s := small(2)
 	s.Again, s.For = 3*second, 12*second
 	r := play(t, s, lab.Options{})
@@ -54,6 +56,7 @@
 }
 
 func TestOneAddressForAllClientsIsServedLikeMany(t *testing.T) {
+	slow(t)
 	s := small(3)
 	s.Layer = true
 	if r := play(t, s, lab.Options{}); r.Least() < 0.5 {
@@ -193,6 +196,7 @@
 }
 
 func TestRoutersAreCalmSoonAfterTheLoadIsBearable(t *testing.T) {
+	slow(t)
 	const seeds = storms
 	var all sync.WaitGroup
 	places := make(chan struct{}, 4)
