Keep timers and records between requests, and send answers without a copy

Need: the profile at saturation shows 30 things made for each request, four timers each with a closure, and a copy of each answer; the collector's turns are what p99 waits for.

Change: package alarm holds the module's timers and attempts' ends on one timer of the machine, in the records they belong to. A request, its slot, its first attempt and the events about it are three records instead of eleven. An answer is sent from the buffer it was read into, and copied only where the socket does not take it. The module sets an attempt's second timer when the first has come. A quiet router's alarms are counted by the lab; the planted leak of timers stands at the module now, as the machine sees few.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -242,6 +242,9 @@
 		}
 		return
 	case attemptSlow, attemptSlower:
+		if a := &q.attempts[t.n]; t.due == attemptSlow && a.pending { // few come so far
+			a.timers[1] = r.schedule(a.sent+q.class.Aim, timer{due: aimPast, n: t.n, q: q})
+		}
 		r.slow(q, t.n, t.due == attemptSlow)
 		return
 	}
@@ -801,9 +804,7 @@
 		c.zone.trialAt = r.now + r.set.ColdTime/4 // the trial is one request
 	}
 	r.do(Send{ID: q.ID, Cache: c.ID, StopAt: q.Deadline, WriteBy: q.remembered(n)})
-	t := &q.attempts[n].timers
-	t[0] = r.schedule(r.now+q.class.patience(), timer{due: attemptSlow, n: n, q: q})
-	t[1] = r.schedule(r.now+q.class.Aim, timer{due: aimPast, n: n, q: q})
+	q.attempts[n].timers[0] = r.schedule(r.now+q.class.patience(), timer{due: attemptSlow, n: n, q: q})
 }
 
 // slow looks after an attempt that is out for longer than the patience.
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -224,10 +224,19 @@
 
 // command carries out one command. It reports whether the connection goes on.
 func (c *client) command(raw []byte) bool {
-	args, _, err := resp.NextCommand(raw)
+	f := c.front
+	args, _, err := resp.AppendCommand(f.args[:0], raw)
 	if err != nil || len(args) == 0 {
 		return true // its size was told, so that it can be read
 	}
+	f.args = args
+	goesOn := c.carryOut(args, raw)
+	clear(args) // they hold what was read
+	return goesOn
+}
+
+// carryOut carries out the words of a command.
+func (c *client) carryOut(args [][]byte, raw []byte) bool {
 	f := c.front
 	switch verb := args[0]; {
 	case bytes.EqualFold(verb, getVerb), bytes.EqualFold(verb, setVerb):
@@ -261,8 +270,8 @@
 	if raw[0] != '*' {
 		return c.reject("an array is wanted")
 	}
-	cmd, err := ParseCommand(args, len(raw), f.o.Classes)
-	if err != nil {
+	s := &Slot{client: c, charge: int64(len(raw)), asked: true, Fresh: !c.used}
+	if err := s.Command.Parse(args, len(raw), f.o.Classes); err != nil {
 		return c.reject(err.Error())
 	}
 	c.errors, c.asked = 0, true
@@ -276,10 +285,9 @@
 		c.say(AppendBusy(nil, f.o.Wait))
 		return true
 	}
-	s := &Slot{client: c, charge: int64(len(raw)), asked: true, Fresh: !c.used}
 	c.used = true
 	c.queue = append(c.queue, s)
-	f.desk.Ask(s, cmd, f.m.Now())
+	f.desk.Ask(s, f.m.Now())
 	return true
 }
 
@@ -404,6 +412,9 @@
 		}
 		b = f.out
 	}
+	for _, s := range c.queue[:n] {
+		s.sent = true
+	}
 	left := copy(c.queue, c.queue[n:])
 	clear(c.queue[left:])
 	c.queue = c.queue[:left]
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -34,8 +34,8 @@
 
 // Desk answers requests.
 type Desk interface {
-	// Ask brings a request that was read whole at the given time. The desk answers s once.
-	Ask(s *Slot, cmd Command, read Time)
+	// Ask brings a request, the slot's Command, that was read whole at the given time. The desk answers s once.
+	Ask(s *Slot, read Time)
 	// Departed says that nobody waits for these answers any more. The desk may still give them.
 	Departed(slots []*Slot)
 	// Settle follows in the same turn, when all is in order here: the desk may act on what it was told.
@@ -61,8 +61,9 @@
 	desk   Desk
 	ln     machine.Listener
 	memory memory
-	in     []byte // what is read into, within one call
-	out    []byte // ... and answers are gathered in
+	in     []byte   // what is read into, within one call
+	out    []byte   // ... and answers are gathered in
+	args   [][]byte // of the command that is read
 
 	clients  int
 	accepted int // ever
--- a/internal/front/slot.go
+++ b/internal/front/slot.go
@@ -1,6 +1,9 @@
 package front
 
-import "strconv"
+import (
+	"bytes"
+	"strconv"
+)
 
 // memory counts the bytes of requests in hand and of answers that wait for their readers.
 type memory struct{ held, most int64 }
@@ -51,14 +54,18 @@
 	ID    int64 // the desk's, for a request
 	Fresh bool  // its request is the first on its connection
 
+	Command Command // of a request
+
 	client   *client
 	charge   int64  // bytes that are counted for it
 	answer   []byte // nil until it is there
 	answered bool
+	sent     bool // it has left the queue: on its way, or kept with what the socket did not take
 	asked    bool // the desk is to answer it
 }
 
-// Answer fills the slot. It is called once; for a client that has gone it does nothing.
+// Answer fills the slot. It is called once; for a client that has gone it does nothing. b is the caller's again after
+// the call: nearly always it has been sent by then, and is copied only where it has not.
 func (s *Slot) Answer(b []byte) {
 	c := s.client
 	if s.answered || c.closed {
@@ -78,6 +85,9 @@
 	if len(c.unsent) == 0 { // else it waits until the client reads
 		c.flush()
 	}
+	if !s.sent && !c.closed {
+		s.answer = bytes.Clone(b)
+	}
 }
 
 // Client is a hash of the address that the request came from, without its port.
--- a/internal/lab/planted/planted.go
+++ b/internal/lab/planted/planted.go
@@ -135,6 +135,14 @@
 				return ev
 			}}
 		}),
+		wrap("a timer more for each that is set", "left behind", func() filter {
+			return filter{action: func(a decide.Action) []decide.Action {
+				if t, ok := a.(decide.SetTimer); ok { // one that nobody takes back
+					return []decide.Action{a, decide.SetTimer{Token: -t.Token, At: t.At + 3_600_000_000}}
+				}
+				return []decide.Action{a}
+			}}
+		}),
 		wrap("timers set again for the same instant", lab.Stuck, func() filter {
 			return filter{handle: func(m books.Module, now decide.Time, ev decide.Event) []decide.Action {
 				if t, ok := ev.(*decide.Timer); ok {
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -8,6 +8,7 @@
 	"bytes"
 	"errors"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -135,13 +136,16 @@
 
 // NextCommand takes one command off b: an array of bulk strings, or a line of words (used is 0 where
 // it is not whole yet). The arguments lie in b.
-func NextCommand(b []byte) (args [][]byte, used int, err error) {
+func NextCommand(b []byte) (args [][]byte, used int, err error) { return AppendCommand(nil, b) }
+
+// AppendCommand is NextCommand with the arguments appended to a list.
+func AppendCommand(list [][]byte, b []byte) (args [][]byte, used int, err error) {
 	if len(b) == 0 {
-		return nil, 0, nil
+		return list, 0, nil
 	}
 	if b[0] != '*' {
 		text, used, err := line(b, MostWord)
-		return bytes.Fields(text), used, err
+		return append(list, bytes.Fields(text)...), used, err
 	}
 	n, at, err := figure(b, 0, '*', mostArgs)
 	if err != nil || at == 0 {
@@ -150,10 +154,10 @@
 	if n < 0 {
 		return nil, 0, errLength
 	}
-	args = make([][]byte, 0, n)
-	for range n {
+	args = slices.Grow(list, n)
+	for i := range n {
 		most := MostWord
-		if len(args) > MetaArg {
+		if i > MetaArg {
 			most = MostValue
 		}
 		arg, next, err := bulk(b, at, most)
@@ -173,74 +177,74 @@
 // Reply is a cache's answer.
 type Reply struct {
 	Result decide.Result
-	Value  []byte // a bulk string on the wire, for the client as it is
+	Value  []byte // a bulk string on the wire, for the client as it is; it lies in what was read
 	Miss   bool
 	Pong   bool
 	Load   decide.Load
 }
 
-// NextReply takes one answer off b; used is 0 where it is not whole yet. Legal are an array of value,
+// Next takes one answer off b; used is 0 where it is not whole yet. Legal are an array of value,
 // word or null and report or null, the error lines of the protocol's table, and the answer to a
 // probe. All else is an error, and what follows it on the connection can't be told apart.
-func NextReply(b []byte) (rep *Reply, used int, err error) {
+func (rep *Reply) Next(b []byte) (used int, err error) {
+	*rep = Reply{Result: decide.Errored, Load: decide.Load{Busy: -1}}
 	if len(b) == 0 {
-		return nil, 0, nil
+		return 0, nil
 	}
-	rep = &Reply{Result: decide.Errored, Load: decide.Load{Busy: -1}}
 	if b[0] != '*' {
 		return rep.line(b)
 	}
 	n, at, err := figure(b, 0, '*', 3)
 	switch {
 	case err != nil || at == 0:
-		return nil, 0, err
+		return 0, err
 	case n != 3:
-		return nil, 0, ErrReply
+		return 0, ErrReply
 	}
 	value, end, err := bulk(b, at, MostValue)
 	if err != nil || end == 0 {
-		return nil, 0, err
+		return 0, err
 	}
 	if value == nil {
-		return nil, 0, ErrReply // a null serves nobody
+		return 0, ErrReply // a null serves nobody
 	}
 	word, next, err := bulk(b, end, MostWord)
 	if err != nil || next == 0 {
-		return nil, 0, err
+		return 0, err
 	}
 	report, used, err := bulk(b, next, MostWord)
 	if err != nil || used == 0 {
-		return nil, 0, err
+		return 0, err
 	}
-	rep.Result, rep.Value = decide.Served, bytes.Clone(b[at:end])
+	rep.Result, rep.Value = decide.Served, b[at:end:end]
 	rep.Miss = string(word) == "miss" || string(word) == "pending"
 	rep.Load = parseLoad(string(report))
-	return rep, used, nil
+	return used, nil
 }
 
-func (rep *Reply) line(b []byte) (*Reply, int, error) {
+func (rep *Reply) line(b []byte) (int, error) {
 	if b[0] != '-' && b[0] != '+' {
-		return nil, 0, ErrReply
+		return 0, ErrReply
 	}
 	text, used, err := line(b, mostLine)
 	if err != nil || used == 0 {
-		return nil, 0, err
+		return 0, err
 	}
 	words := strings.Fields(string(text))
 	switch {
 	case !bytes.HasSuffix(b[:used], []byte("\r\n")) || len(words) == 0:
-		return nil, 0, ErrReply
+		return 0, ErrReply
 	case string(text) == "+PONG":
 		rep.Pong = true
 	case words[0] == "-BUSY":
 		rep.Result = decide.Rejected
 	case words[0] != "-ERR":
-		return nil, 0, ErrReply
+		return 0, ErrReply
 	}
 	if len(words) > 1 {
 		rep.Load = parseLoad(words[len(words)-1])
 	}
-	return rep, used, nil
+	return used, nil
 }
 
 // parseLoad reads a load report; what it does not know or can't read it skips.
@@ -249,7 +253,8 @@
 	if s == "" {
 		return l
 	}
-	for _, field := range strings.Split(s, ",") {
+	for field := ""; s != ""; {
+		field, s, _ = strings.Cut(s, ",")
 		name, text, _ := strings.Cut(field, "=")
 		v, err := strconv.ParseFloat(text, 64)
 		if err != nil || !(v >= 0) || math.IsInf(v, 0) {
--- a/internal/router/hooks.go
+++ b/internal/router/hooks.go
@@ -94,9 +94,10 @@
 
 // submit puts a request before the module.
 func (r *Router) submit(q *request) {
-	c := &q.cmd
-	r.backlog = append(r.backlog, &decide.Request{ID: q.id, Class: c.Class, Tenant: c.Tenant, Key: c.Hash, HasKey: true,
-		Deadline: q.deadline, Since: q.told.Since, Cost: c.Cost, Write: c.Write})
+	c := q.cmd
+	q.event = decide.Request{ID: q.id, Class: c.Class, Tenant: c.Tenant, Key: c.Hash, HasKey: true,
+		Deadline: q.deadline, Since: q.told.Since, Cost: c.Cost, Write: c.Write}
+	r.backlog = append(r.backlog, &q.event)
 }
 
 // answered has the hooks see a final answer.
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -16,8 +16,8 @@
 // request is one command of a client that the module decides about.
 type request struct {
 	id       int64
-	name     string // as its client named it
-	cmd      front.Command
+	name     string         // as its client named it
+	cmd      *front.Command // the slot's
 	deadline Time
 	slot     *front.Slot
 	judged   bool // hooks have it, and the module has not heard of it
@@ -28,13 +28,16 @@
 	out      int  // attempts without an outcome
 	untold   int  // events about it that the module is still to be told
 	attempts []*sending
-	first    [1]*sending // room for the one that most need
+	room     [1]*sending    // for the one attempt that most need
+	first    sending        // which is it
+	event    decide.Request // as the module is told of it
 }
 
 // sending is an attempt of a request. It is what the upstream side sends.
 type sending struct {
 	upstream.Attempt
 	request *request
+	outcome decide.Outcome // as the module is told of it
 }
 
 // Encode implements upstream.Work.
@@ -49,22 +52,25 @@
 // Unsafe implements upstream.Work.
 func (s *sending) Unsafe() bool { return s.request.cmd.Unsafe }
 
+// mostBacklog is the number of events that there is room kept for.
+const mostBacklog = 1024
+
 // Settle hands the module what has happened, in order, and does what it says.
 func (r *Router) Settle() {
 	if r.telling {
 		return // what it says now has happened on its behalf, and is told in its turn
 	}
 	if r.closed {
-		r.backlog = nil
+		r.backlog = r.backlog[:0]
 		return
 	}
 	if r.front != nil {
 		r.pool.Lend(r.spare - r.front.Clients())
 	}
 	r.telling = true
-	for len(r.backlog) > 0 {
-		ev := r.backlog[0]
-		r.backlog = r.backlog[1:]
+	for i := 0; i < len(r.backlog); i++ { // it grows meanwhile
+		ev := r.backlog[i]
+		r.backlog[i] = nil
 		for _, a := range r.module.Handle(r.m.Now(), ev) {
 			r.perform(a)
 		}
@@ -79,7 +85,9 @@
 			r.told(ev.ID)
 		}
 	}
-	r.backlog = nil
+	if r.backlog = r.backlog[:0]; cap(r.backlog) > mostBacklog {
+		r.backlog = nil // a large one once must not keep its room
+	}
 	r.telling = false
 }
 
@@ -102,16 +110,9 @@
 			r.finish(q, []byte(front.FailedReply), plugin.WasFailed)
 		}
 	case decide.SetTimer:
-		r.timers[a.Token] = r.m.At(a.At, func() {
-			delete(r.timers, a.Token)
-			r.backlog = append(r.backlog, &decide.Timer{Token: a.Token})
-			r.Settle()
-		})
+		r.setTimer(a)
 	case decide.DropTimer:
-		if t := r.timers[a.Token]; t != nil {
-			t.Stop()
-			delete(r.timers, a.Token)
-		}
+		r.dropTimer(a.Token)
 	case decide.Probe:
 		r.probe(a.Cache)
 	case decide.CloseIdle:
@@ -137,7 +138,8 @@
 }
 
 // Ask takes a request from a client and puts it before the module.
-func (r *Router) Ask(s *front.Slot, cmd front.Command, read Time) {
+func (r *Router) Ask(s *front.Slot, read Time) {
+	cmd := &s.Command
 	if r.cfg.Transport.MaxOpen > 0 && r.open >= r.cfg.Transport.MaxOpen {
 		s.Answer([]byte(front.BusyReply)) // beyond what the settings let a router hold; never sent on
 		return
@@ -145,7 +147,7 @@
 	var ask storm.Ask
 	told := storm.Told{}
 	if r.storm != nil {
-		ask = r.storm.ask(s, &cmd)
+		ask = r.storm.ask(s, cmd)
 		if told = r.storm.storm.Asked(read, ask); told.Over {
 			r.storm.storm.Unserved(read, ask, told, read)
 			s.Answer(front.AppendBusy(nil, r.spreadWait(cmd.ID()))) // never sent on
@@ -167,7 +169,7 @@
 		// The danger: what is taken late in a drain has a deadline beyond its end, and is lost with the process.
 		q.deadline = min(q.deadline, r.endsBy-drainAnswers)
 	}
-	q.attempts = q.first[:0]
+	q.attempts = q.room[:0]
 	s.ID = q.id
 	r.requests[q.id] = q
 	r.open++
@@ -245,7 +247,11 @@
 		return // the books have seen it, and make up for it
 	}
 	now := r.m.Now()
-	s := &sending{request: q}
+	s := &q.first
+	if len(q.attempts) > 0 {
+		s = &sending{}
+	}
+	s.request = q
 	s.Attempt = upstream.Attempt{Work: s, Number: len(q.attempts), Sent: now, StopAt: a.StopAt, WriteBy: a.WriteBy}
 	if s.StopAt == 0 || s.StopAt > q.deadline {
 		s.StopAt = q.deadline
@@ -287,7 +293,8 @@
 	q := s.request
 	q.out--
 	r.met(result)
-	ev := &decide.Outcome{ID: q.id, Attempt: a.Number, Result: result, Elapsed: elapsed, Load: load}
+	ev := &s.outcome
+	*ev = decide.Outcome{ID: q.id, Attempt: a.Number, Result: result, Elapsed: elapsed, Load: load}
 	r.say(q, ev)
 	if rep != nil {
 		ev.Miss = rep.Miss
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -10,6 +10,7 @@
 	"fmt"
 
 	"starlingwinch/decide"
+	"starlingwinch/internal/alarm"
 	"starlingwinch/internal/books"
 	"starlingwinch/internal/eureka"
 	"starlingwinch/internal/front"
@@ -43,7 +44,10 @@
 	pool      *upstream.Pool
 	backlog   []decide.Event // what the module is still to be told
 	telling   bool
-	timers    map[int64]machine.Timer // of the module, by token
+	clock     *alarm.Clock     // for the module's timers and the ends of attempts
+	timers    map[int64]*timer // of the module, by token
+	spent     *timer           // timers that are over, for the next ones
+	spents    int
 	requests  map[int64]*request
 	ids       map[string]struct{} // of these requests, as their clients named them
 	lastID    int64
@@ -83,7 +87,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	r := &Router{m: m, cfg: cfg, decider: module, timers: map[int64]machine.Timer{},
+	r := &Router{m: m, cfg: cfg, decider: module, clock: alarm.New(m), timers: map[int64]*timer{},
 		requests: map[int64]*request{}, ids: map[string]struct{}{}, caches: map[string]*hop{}, arrivals: lastArrivals}
 	hungAfter := Time(0)
 	for i, c := range cfg.Settings.Classes {
@@ -103,7 +107,7 @@
 	r.spare = cfg.Limits.free() - upstreams
 	r.pool = upstream.New(m, upstream.Options{Bounds: cfg.Bounds.Caches, Routers: cfg.Settings.Routers,
 		Descriptors: upstreams, DialTimeout: cfg.Transport.DialTimeout, Keepalive: cfg.Transport.Keepalive,
-		HungAfter: hungAfter}, r)
+		HungAfter: hungAfter, Clock: r.clock}, r)
 	// A PING must not be told that no caches are known when they are: the list comes before the listener.
 	r.narrowed = newNarrowed(cfg, upstreams)
 	if r.sources, err = sources.New(m, SourcesOf(cfg), r); err != nil {
@@ -205,16 +209,18 @@
 	}
 	r.front.Close()
 	r.pool.Close()
+	r.clock.Close()
 	if r.onDrained != nil {
 		r.onDrained()
 	}
 }
 
-// Left is what the router holds, by what it is. All but connections is 0 once nothing is asked.
+// Left is what the router holds, by what it is. All but connections, and timers that come again and again, is 0 once
+// nothing is asked.
 func (r *Router) Left() map[string]int {
 	return map[string]int{"requests": len(r.requests), "ids": len(r.ids), "open": r.open, "attempts": r.pool.Attempts(),
 		"bytes": int(r.front.Held()), "events": len(r.backlog), "lists": len(r.lists), "breaches": r.books.Breaches(), "verdicts": r.hooks.Left()["verdicts owed"],
-		"connections": r.pool.Conns() + r.front.Clients()}
+		"timers": r.clock.Len(), "connections": r.pool.Conns() + r.front.Clients()}
 }
 
 // breach logs what broke the contract between the loop and the module, with what led to it.
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -6,7 +6,7 @@
 	"github.com/tidwall/redcon"
 
 	"starlingwinch/decide"
-	"starlingwinch/internal/machine"
+	"starlingwinch/internal/alarm"
 	"starlingwinch/internal/resp"
 )
 
@@ -30,8 +30,8 @@
 	cache     *cache
 	state     attemptState
 	conn      *conn
-	connectBy Time          // it has to have a connection by then
-	timer     machine.Timer // for the next of its times
+	connectBy Time        // it has to have a connection by then
+	alarm     alarm.Alarm // for the next of its times
 }
 
 // Cache is the name of the cache that it was sent to.
@@ -69,12 +69,11 @@
 	if a.Unwritten() && a.WriteBy > 0 {
 		at = min(at, a.WriteBy)
 	}
-	a.timer = a.cache.pool.m.At(at, a.due)
+	a.cache.pool.clock.Add(&a.alarm, at, a)
 }
 
-// due is called at one of its times. What is written by then has only its end to wait for.
-func (a *Attempt) due() {
-	a.timer = nil
+// Due is called at one of its times. What is written by then has only its end to wait for.
+func (a *Attempt) Due() {
 	p := a.cache.pool
 	switch now := p.m.Now(); {
 	case now >= a.StopAt, a.Unwritten() && a.WriteBy > 0 && now >= a.WriteBy:
@@ -110,10 +109,7 @@
 		}
 	}
 	a.state = over
-	if a.timer != nil {
-		a.timer.Stop()
-		a.timer = nil
-	}
+	a.cache.pool.clock.Drop(&a.alarm)
 	if a.conn != nil {
 		a.conn.attempt, a.conn = nil, nil
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -159,7 +159,8 @@
 			c.part = append(c.part, came...)
 			came = c.part
 		}
-		rep, used, err := resp.NextReply(came)
+		rep := &p.rep
+		used, err := rep.Next(came)
 		switch {
 		case err != nil || used == 0 && len(came) >= resp.MostReply:
 			c.broken()
--- a/internal/upstream/harness_test.go
+++ b/internal/upstream/harness_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bytes"
 	"fmt"
 	"testing"
 	"time"
@@ -67,6 +68,11 @@
 	if w, ok := a.Work.(*work); ok && result == decide.Served {
 		w.over = true
 	}
+	if rep != nil {
+		kept := *rep // it is this call's alone
+		kept.Value = bytes.Clone(rep.Value)
+		rep = &kept
+	}
 	r.outcomes <- outcome{a, result, rep}
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -13,6 +13,7 @@
 	"strings"
 
 	"starlingwinch/decide"
+	"starlingwinch/internal/alarm"
 	"starlingwinch/internal/limits"
 	"starlingwinch/internal/machine"
 	"starlingwinch/internal/resp"
@@ -34,8 +35,8 @@
 
 // Owner is told what becomes of attempts.
 type Owner interface {
-	// Ended gives an attempt its outcome, once. rep is the answer, where one came. The owner notes it
-	// and calls nothing here before Settle.
+	// Ended gives an attempt its outcome, once. rep is the answer, where one came; it and its value are the
+	// owner's until the call returns. The owner notes it and calls nothing here before Settle.
 	Ended(a *Attempt, result decide.Result, rep *resp.Reply)
 	// Settle follows in the same turn, when all is in order here: the owner may act on what it was told.
 	Settle()
@@ -46,11 +47,12 @@
 // Options are the bounds of a pool. Times are in microseconds.
 type Options struct {
 	Bounds      limits.Caches
-	Routers     int  // that share each cache's connections
-	Descriptors int  // connections to all caches that are not idle, those coming up included; with idle ones, but for Lend
-	DialTimeout Time // for a connection to come up
-	Keepalive   Time // a cache closes a connection that has stood idle so long
-	HungAfter   Time // an attempt that is called off after that long counts as not answered, for the log
+	Routers     int          // that share each cache's connections
+	Descriptors int          // connections to all caches that are not idle, those coming up included; with idle ones, but for Lend
+	DialTimeout Time         // for a connection to come up
+	Keepalive   Time         // a cache closes a connection that has stood idle so long
+	HungAfter   Time         // an attempt that is called off after that long counts as not answered, for the log
+	Clock       *alarm.Clock // for the ends of attempts; nil for one of the pool's own
 }
 
 // Pool holds the connections to all caches.
@@ -59,13 +61,15 @@
 	o       Options
 	owner   Owner
 	caches  map[string]*cache
-	order   []*cache // the same by name: nothing may depend on a map's order
-	conns   int      // to all caches, those coming up included
-	idle    int      // of them
-	lent    int      // descriptors beyond its own, for idle ones alone
-	starved bool     // an attempt waits for a descriptor
-	gentle  bool     // caches that were away are dialled one at a time at first
-	in, out []byte   // what is read into, and written from, within one call
+	order   []*cache   // the same by name: nothing may depend on a map's order
+	conns   int        // to all caches, those coming up included
+	idle    int        // of them
+	lent    int        // descriptors beyond its own, for idle ones alone
+	starved bool       // an attempt waits for a descriptor
+	gentle  bool       // caches that were away are dialled one at a time at first
+	in, out []byte     // what is read into, and written from, within one call
+	rep     resp.Reply // what was read last, within one call
+	clock   *alarm.Clock
 
 	inTrouble int  // caches that serve nothing, by the log
 	deadSaid  Time // when it was last said that none does
@@ -73,7 +77,10 @@
 
 // New returns a pool without caches.
 func New(m machine.Machine, o Options, owner Owner) *Pool {
-	return &Pool{m: m, o: o, owner: owner, caches: map[string]*cache{}, in: make([]byte, resp.MostReply)}
+	if o.Clock == nil {
+		o.Clock = alarm.New(m)
+	}
+	return &Pool{m: m, o: o, owner: owner, caches: map[string]*cache{}, in: make([]byte, resp.MostReply), clock: o.Clock}
 }
 
 // Update takes over what the list says of a cache: up, it may be sent work; gone, it is forgotten once
--- a/internal/upstream/repeats.go
+++ b/internal/upstream/repeats.go
@@ -1,10 +1,6 @@
 package upstream
 
-import (
-	"hash/maphash"
-
-	"starlingwinch/internal/resp"
-)
+import "hash/maphash"
 
 // Answers carry no mark of the request that they are for. The danger: a second copy of an answer comes so
 // late that the connection carries the next request already. Taken for the answer to that, it shifts the
@@ -62,7 +58,8 @@
 	if err != nil || c.last.size == 0 {
 		return
 	}
-	if rep, used, err := resp.NextReply(p.in[:n]); err == nil && used > 0 && len(rep.Value) == c.last.size &&
+	rep := &p.rep
+	if used, err := rep.Next(p.in[:n]); err == nil && used > 0 && len(rep.Value) == c.last.size &&
 		maphash.Bytes(seed, rep.Value) == c.last.hash {
 		c.cache.equals.proven = p.m.Now()
 	}
