--- a/decide/placement.go
+++ b/decide/placement.go
@@ -14,7 +14,7 @@
 //
 // The score of a cache is -ln(u)/size, with u from a hash of key and cache. Among caches of one size the
 // order of scores is that of the hashes, so that a request costs a comparison for each cache, and a
-// logarithm for each size. In a large fleet the first ranks of keys lately placed are remembered (package ranks).
+// logarithm for each size. In a large fleet the first ranks of keys lately placed are remembered.
 
 const (
 	firstRanks = ranks.Most // of an order that are found in one pass; few are asked for
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -31,6 +31,7 @@
 	consumed bool // a command has been taken since it was last put into a state
 	paused   bool // too many answers are due for it to be read on
 	more     bool // it is to be read on, in a turn of its own
+	flushing bool // its answers are to be sent at the end of this turn
 	surplus  bool // one too many: it is turned away as soon as it asks
 	retired  bool // to be closed between requests
 	retireAt Time // when that was said
--- a/internal/front/client_test.go
+++ b/internal/front/client_test.go
@@ -267,6 +267,50 @@
 	})
 }
 
+// TestAnswersThatComeInOneTurnLeaveTogether, in the order of their commands, and what the desk does with its bytes
+// afterwards changes none of them. A large one does not wait.
+func TestAnswersThatComeInOneTurnLeaveTogether(t *testing.T) {
+	r := newRig(t, nil)
+	c := r.dial()
+	var all []asked
+	for i := range 5 {
+		c.Send(get(fmt.Sprint("r", i)))
+		all = append(all, r.next())
+	}
+	cl := all[0].client
+	r.Do(func() {
+		b := []byte(value)
+		for i, a := range all[:4] {
+			copy(b[4:], fmt.Sprint("val", i))
+			a.Answer(b)
+			if len(cl.queue) != 5 {
+				t.Errorf("answer %d has left by itself", i)
+			}
+		}
+		copy(b[4:], "wrong")
+	})
+	for i := range 4 {
+		c.Want(fmt.Sprint("val", i, "e"))
+	}
+	r.answer(all[4], value)
+	c.Want("value")
+	for i := range 2 {
+		c.Send(get(fmt.Sprint("l", i)))
+	}
+	first, second := r.next(), r.next()
+	r.Do(func() {
+		first.Answer([]byte(large))
+		if len(cl.queue) != 1 {
+			t.Error("a large answer waits for others")
+		}
+		second.Answer([]byte(value))
+	})
+	if got := c.Line(); len(got) != resp.MostValue {
+		t.Errorf("%d bytes of the large answer", len(got))
+	}
+	c.Want("value")
+}
+
 // TestMemoryIsBounded: a command that does not fit is refused before it is asked for, an answer that does not is failed;
 // each command has its answer all the same, in its place.
 func TestMemoryIsBounded(t *testing.T) {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -29,6 +29,7 @@
 	surplusTime  = 200_000 // that such a one has to ask
 	readSize     = 16 << 10
 	gatherSize   = 64 << 10             // bytes of small answers that are written at once
+	batchedSize  = 1 << 10              // ... of one of several that are due, which may wait for the others of its turn
 	lingerSize   = 4 * resp.MostCommand // bytes that are read off a connection that is closed for its errors
 )
 
@@ -70,7 +71,8 @@
 	lists    [states]list
 	alarm    machine.Timer // for the client that is overdue first
 	alarmAt  Time
-	full     bool // the listener is paused until there is room
+	ready    []*client // with answers to be sent at the turn's end
+	full     bool      // the listener is paused until there is room
 	drained  func()
 	closed   bool
 }
@@ -209,6 +211,29 @@
 	f.stopAlarm()
 }
 
+// flushSoon has a client's answers sent at the end of the turn. The danger: a client that pipelines has several answers
+// come in one turn, and a write for each costs more than all else that is done for them.
+func (f *Front) flushSoon(c *client) {
+	if c.flushing {
+		return
+	}
+	c.flushing = true
+	if f.ready = append(f.ready, c); len(f.ready) > 1 {
+		return
+	}
+	f.m.At(f.m.Now(), func() {
+		for i := 0; i < len(f.ready); i++ { // nothing is added meanwhile but by answers to what is read here
+			c := f.ready[i]
+			f.ready[i], c.flushing = nil, false
+			if len(c.unsent) == 0 {
+				c.flush()
+			}
+		}
+		f.ready = f.ready[:0]
+		f.desk.Settle()
+	})
+}
+
 // check tells of the drain's end.
 func (f *Front) check() {
 	if f.clients == 0 && f.drained != nil {
--- a/internal/front/slot.go
+++ b/internal/front/slot.go
@@ -82,7 +82,11 @@
 	}
 	s.charge += int64(len(b))
 	s.answer, s.answered = b, true
-	if len(c.unsent) == 0 { // else it waits until the client reads
+	switch {
+	case len(c.unsent) > 0: // it waits until the client reads
+	case len(c.queue) > 1 && len(b) <= batchedSize:
+		f.flushSoon(c)
+	default:
 		c.flush()
 	}
 	if !s.sent && !c.closed {
