Storms: what comes back after a broken connection is a first try

Change: a client whose connection is reset, and a request that fails as its cache's connection broke, are remembered as lost: what comes back of them, marked or not, is a first try.

--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -38,6 +38,7 @@
 	last     bool // nothing more is read: it is closed behind the answers that are due
 	lingered int  // bytes read since it was told why it is closed
 	ended    bool // the client has ended its sending
+	broken   bool // ... by a reset
 	closed   bool
 }
 
@@ -91,7 +92,7 @@
 			c.settle()
 			return
 		case err != nil:
-			c.ended = true
+			c.ended, c.broken = true, errors.Is(err, machine.ErrReset)
 			c.close()
 			return
 		}
--- a/internal/front/slot.go
+++ b/internal/front/slot.go
@@ -94,5 +94,8 @@
 	}
 }
 
+// Broken reports whether the connection that it came on has broken off, where its client did not end it.
+func (s *Slot) Broken() bool { return s.client.broken }
+
 // Client is a hash of the address that the request came from, without its port.
 func (s *Slot) Client() uint64 { return s.client.from }
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -24,6 +24,7 @@
 	ask      storm.Ask
 	told     storm.Told
 	read     Time
+	lost     bool // a connection to a cache broke under it
 	over     bool // the final answer is given, or nobody waits for it
 	out      int  // attempts without an outcome
 	untold   int  // events about it that the module is still to be told
@@ -101,6 +102,7 @@
 		}
 	case decide.Refuse:
 		if q := r.requests[a.ID]; q != nil {
+			q.lost = false // whatever broke before, what it lacks now is room
 			r.unserved(q)
 			r.finish(q, front.AppendBusy(nil, a.Wait), plugin.WasRefused)
 		}
@@ -292,6 +294,7 @@
 	}
 	q := s.request
 	q.out--
+	q.lost = q.lost || result == decide.ConnLost
 	r.met(result)
 	ev := &s.outcome
 	*ev = decide.Outcome{ID: q.id, Attempt: a.Number, Result: result, Elapsed: elapsed, Load: load}
--- a/internal/router/storm.go
+++ b/internal/router/storm.go
@@ -47,7 +47,11 @@
 
 // unserved tells the watch of a request that ends without a value.
 func (r *Router) unserved(q *request) {
-	if r.storm != nil && !q.over {
+	switch {
+	case r.storm == nil || q.over:
+	case q.lost || q.slot.Broken():
+		r.storm.storm.Lost(r.m.Now(), q.ask, q.read)
+	default:
 		r.storm.storm.Unserved(r.m.Now(), q.ask, q.told, q.read)
 	}
 }
--- a/internal/router/storm_test.go
+++ b/internal/router/storm_test.go
@@ -34,6 +34,27 @@
 	}
 }
 
+// TestClientWhoseConnectionBrokeAsksForTheFirstTimeAgain: a reset says nothing of load. One that left has given up waiting,
+// and asks again.
+func TestClientWhoseConnectionBrokeAsksForTheFirstTimeAgain(t *testing.T) {
+	for _, breaks := range []bool{true, false} {
+		r := newRig(t, newFakeCache(t).Addr(), func(c *Config) { c.Storm = storm.On() })
+		one := dial(t, r.addr)
+		one.Send(second("try1"))
+		receive(t, r.requests, "request at the module")
+		if breaks {
+			one.SetLinger(0)
+		}
+		one.Close()
+		r.Until("the end of the client", func() bool { return r.r.front.Clients() == 0 })
+		again := dial(t, r.addr)
+		again.Send(second("try2"))
+		if q := receive(t, r.requests, "request at the module"); (q.Since == 0) != breaks {
+			t.Errorf("a reset %v: what comes back is told as asked since %d", breaks, q.Since)
+		}
+	}
+}
+
 func TestStormsAreNotWatchedWhereOperatorsSaySo(t *testing.T) {
 	r := newRig(t, newFakeCache(t).Addr(), func(c *Config) { c.Storm.Enabled = false })
 	c := dial(t, r.addr)
--- a/internal/storm/memory.go
+++ b/internal/storm/memory.go
@@ -1,5 +1,10 @@
 package storm
 
+import "math"
+
+// lost stands in place of when a request was counted, for one whose connection broke.
+const lost = math.MaxUint32
+
 // ways is how many entries a key may stand in. An older one makes room.
 const ways = 4
 
--- a/internal/storm/storm.go
+++ b/internal/storm/storm.go
@@ -115,6 +115,9 @@
 	t := Told{Retry: a.Marked}
 	if e, found := s.memory.take(identity(a), ms); found {
 		t.Retry, t.Since, t.counted = true, s.start+Time(e.since)*1000, e.counted
+		if e.counted == lost {
+			t = Told{} // marked or not: what brought it back was no want of room
+		}
 	}
 	switch {
 	case !t.Retry:
@@ -147,6 +150,15 @@
 	s.memory.put(identity(a), refusal{since: s.ms(first), until: s.ms(first + a.Patience), counted: t.counted}, s.ms(now))
 }
 
+// Lost notes that an ask got no value because a connection broke under it, its client's or a cache's. What comes back of
+// it is a first try.
+//
+// The danger: connections that are reset while all caches have room bring back a fifth of what is asked, which passes for a
+// storm, and retries are refused that would have been served.
+func (s *Storm) Lost(now Time, a Ask, read Time) {
+	s.memory.put(identity(a), refusal{since: s.ms(read), until: s.ms(read + a.Patience), counted: lost}, s.ms(now))
+}
+
 // Attempt notes whether an attempt met its cache.
 func (s *Storm) Attempt(met bool) {
 	if met {
--- a/internal/storm/storm_test.go
+++ b/internal/storm/storm_test.go
@@ -391,3 +391,25 @@
 		s.Unserved(now, a, s.Asked(now, a), now)
 	}
 }
+
+// TestResetsAreNoStorm: all that is asked breaks off once and comes back, marked as a retry, while there is room for all.
+// Refusals after that still count.
+func TestResetsAreNoStorm(t *testing.T) {
+	sc := newScene(t, nil)
+	again := false
+	sc.run(10*sec, func() {
+		for c := range uint64(40) {
+			a := Ask{Client: c, Key: c, Patience: sec, Marked: again}
+			if told := sc.s.Asked(sc.now, a); told.Retry || told.Since != 0 {
+				t.Fatalf("what broke off comes back as %+v", told)
+			}
+			if !again {
+				sc.s.Lost(sc.now, a, sc.now)
+			}
+		}
+		again = !again
+	})
+	sc.wants(Calm)
+	sc.run(2*sec, sc.storming(100))
+	sc.wants(Stormy)
+}
