--- a/internal/lab/loopback/loopback.go
+++ b/internal/lab/loopback/loopback.go
@@ -11,6 +11,7 @@
 import (
 	"io"
 
+	"starlingwinch/internal/lab"
 	"starlingwinch/internal/lab/script"
 	"starlingwinch/internal/machine"
 	"starlingwinch/internal/rules"
@@ -33,6 +34,8 @@
 	// Visitors says that somebody else may ask the routers besides; what they ask for is not watched.
 	Visitors bool
 
+	Storm *Storm // nil for none
+
 	Ready func(Addresses) // once all routers serve; may be nil
 	// See is called every second from then on; may be nil. An error ends the run like an interrupt: nobody looks on.
 	See func(Snapshot) error
@@ -59,6 +62,8 @@
 	Lag         Lag
 	Forgiven    map[string]int // by class: answers that were late only because this process was
 	Interrupted bool
+	// Storm is what was asked and served in the storm, where there was one.
+	Storm *lab.StormBooks
 	// Classes are the clients'.
 	Classes []standin.Class
 	Outs    []Out // in the order of their marks
--- a/internal/lab/loopback/router.go
+++ b/internal/lab/loopback/router.go
@@ -90,10 +90,20 @@
 
 // operators writes the operators' files, where there are any, and has the program take them.
 func (rt *router) operators() error {
-	if rt.r.registry == nil {
+	if rt.r.registry == nil && rt.r.storm == nil {
 		return nil
 	}
 	rt.args = []string{"run"}
+	if rt.r.storm != nil {
+		args, err := rt.r.storm.operators(rt.r.dir, rt.name)
+		if err != nil {
+			return err
+		}
+		rt.args = append(rt.args, args...)
+	}
+	if rt.r.registry == nil {
+		return nil
+	}
 	for _, f := range rt.r.registry.files(rt.name, rt.port.addr) {
 		path := filepath.Join(rt.r.dir, rt.name+"-"+f.Kind+".toml")
 		if err := os.WriteFile(path, []byte(f.Text), 0o600); err != nil {
--- a/internal/lab/loopback/run.go
+++ b/internal/lab/loopback/run.go
@@ -44,6 +44,7 @@
 	routers   []*router
 	faults    faults
 	registry  *registries // nil where the script has none
+	storm     *storming   // nil where there is none
 
 	phase  phase
 	start  Time // of the clients
@@ -108,6 +109,10 @@
 		return err
 	}
 	r.faults.init(r)
+	if r.o.Storm != nil {
+		r.storm = newStorm(r, fo)
+		r.report.Storm = &r.storm.books
+	}
 	if s.Registry.Enabled {
 		if r.registry, err = newRegistries(r); err != nil {
 			return err
@@ -169,6 +174,9 @@
 		}
 		r.o.Ready(a)
 	}
+	if r.storm != nil {
+		r.storm.begin()
+	}
 	r.fleet.Start()
 	r.faults.begin()
 	r.look()
--- a/internal/lab/storm.go
+++ b/internal/lab/storm.go
@@ -138,13 +138,11 @@
 	*world
 	storm   Storm
 	from    Time // the caches' return
-	parts   []StormPart
+	books   StormBooks
+	bearing *Bearing
 	result  StormResult
 	clients []*standin.Client
 	rate    float64 // of each client
-	mean    float64 // work of a request, in seconds of a core
-	writes  float64 // share of requests
-	homes   []*standin.Cache
 	stood   *stood
 	held    map[*standin.Cache][]string // keys, as the caches went
 }
@@ -241,7 +239,7 @@
 		}
 		w.watcher.Tick(w.sim.Now())
 		if now >= r.from && now%(100*millisecond) == 0 {
-			r.sample(now)
+			r.books.Bear(now, r.bearing.Now()/10)
 		}
 		if w.now()%second == 0 && o.Timeline != nil {
 			w.window()
@@ -260,47 +258,25 @@
 		r.result.Changes = append(r.result.Changes, c)
 	}
 	r.count()
-	for _, p := range r.parts {
-		if p.At+StormWindow <= s.For {
-			r.result.Parts = append(r.result.Parts, p)
-		}
-	}
+	r.result.Parts, r.result.Requests, r.result.InTime = r.books.Parts(), r.books.Requests, r.books.InTime
 	r.result.Fell, r.result.Tries, r.result.Refused = w.falls, r.result.Counts.Asked, r.result.Counts.Refused
 	return &r.result, nil
 }
 
 // setUp makes the clients, each a host of its own but behind a layer.
 func (r *storming) setUp() {
-	for _, c := range r.classes {
-		r.mean += c.Share * float64(c.Work) / float64(second)
-		if c.Write {
-			r.writes += c.Share
-		}
-	}
-	names := make([]string, 0, len(r.fleet.Caches))
-	byName := map[string]*standin.Cache{}
-	for _, c := range r.fleet.Caches {
-		names, byName[c.Name()] = append(names, c.Name()), c
-	}
-	home := Homes(names)
-	for rank := range r.fleetOptions().Keys {
-		r.homes = append(r.homes, byName[home(r.fleet.Keys.Name(rank))])
-	}
-	r.rate = r.storm.Load * r.bear() / r.mean / float64(r.storm.Clients)
+	r.books = StormBooks{From: r.from, For: r.storm.For}
+	r.bearing = NewBearing(r.fleet, r.fleetOptions())
+	r.rate = r.storm.Load * r.bearing.Now() / r.bearing.Mean / float64(r.storm.Clients)
 	zones := script.Zones()
-	ignorers := int(r.storm.Ignore * float64(r.storm.Clients))
 	for i := range r.storm.Clients {
 		zone := zones[i%len(zones)]
-		o := r.fleetOptions().Client
-		o.Zone, o.Classes, o.Keys, o.Rate, o.Connections = zone, r.classes, r.fleet.Keys, r.rate, 8
+		o := StormClient(r.fleetOptions().Client, i, r.storm.Clients, r.storm.Ignore)
+		o.Zone, o.Classes, o.Keys, o.Rate = zone, r.classes, r.fleet.Keys, r.rate
 		o.Routers = func() []standin.Target { return r.front.routers(zone) }
-		o.Began, o.Ended = r.began, r.ended
-		o.Retries, o.Honour, o.TryShare = 1<<20, 1, 1
-		o.Wait, o.WaitTime = standin.Exponential, 50*millisecond
-		switch {
-		case i < ignorers:
-			o.Honour, o.Wait, o.WaitTime = 0, standin.FixedWait, turnaround
-		case r.storm.InStep:
+		o.Began = func(class *standin.Class) { r.books.Began(r.sim.Now(), class) }
+		o.Ended = func(class *standin.Class, asked Time, inAim bool) { r.books.Ended(r.sim.Now(), class, asked, inAim) }
+		if o.Honour > 0 && r.storm.InStep {
 			o.Wait, o.WaitTime = standin.FixedWait, 200*millisecond
 		}
 		name := fmt.Sprintf("c-%d", i+1)
@@ -367,60 +343,6 @@
 	}
 }
 
-// began books a request that is made.
-func (r *storming) began(class *standin.Class) {
-	if now := r.sim.Now(); now >= r.from {
-		r.part(now).Asked += float64(class.Work) / float64(second)
-	}
-}
-
-// ended books a request that is over.
-func (r *storming) ended(class *standin.Class, asked Time, inAim bool) {
-	now, work := r.sim.Now(), float64(class.Work)/float64(second)
-	if inAim && now >= r.from {
-		r.part(now).InTime += work
-	}
-	if asked < r.from || asked+class.Aim > r.from+r.storm.For {
-		return
-	}
-	r.result.Requests++
-	if inAim {
-		r.result.InTime++
-	}
-}
-
-// part is the window of a moment.
-func (r *storming) part(at Time) *StormPart {
-	i := int((at - r.from) / StormWindow)
-	for len(r.parts) <= i {
-		r.parts = append(r.parts, StormPart{At: Time(len(r.parts)) * StormWindow})
-	}
-	return &r.parts[i]
-}
-
-// sample books what caches can bear now.
-func (r *storming) sample(now Time) {
-	r.part(now).Bear += r.bear() / 10
-}
-
-// bear is the work, in seconds of one core in a second, that the caches and the store behind them can do at the
-// moment: a request whose key its home does not hold is a fetch from the store.
-func (r *storming) bear() float64 {
-	able := 0.0
-	for _, c := range r.fleet.Caches {
-		able += c.Able() / float64(second)
-	}
-	missing := 1.0
-	for rank, c := range r.homes {
-		if c.Keeps(r.fleet.Keys.Name(rank)) {
-			missing -= r.fleet.Keys.Share(rank)
-		}
-	}
-	o := r.fleetOptions().Store
-	fetches := float64(o.Places) * float64(second) / float64(o.Latency)
-	return min(able, fetches/((1-r.writes)*missing+r.writes)*r.mean)
-}
-
 // silent has a connection come at the caches' return that never says anything, and come again once it is closed.
 func (r *storming) silent(i int) {
 	zones := script.Zones()
