--- a/internal/router/client_test.go
+++ b/internal/router/client_test.go
@@ -85,25 +85,15 @@
 	r := start(t, testConfig(t, routertest.SilentDiscovery(t), func(in map[string]any) {
 		in["limits"].(map[string]any)["memory_mb"] = 4
 	}, host("c1", cache.Addr(), "in_service")), nil, nil)
-	over := make(chan struct{})
-	defer close(over)
 	large := "*3\r\n$65536\r\n" + strings.Repeat("v", resp.MostValue) + "\r\n$-1\r\n$-1\r\n"
 	var large64 atomic.Int64
-	go func() {
-		for {
-			select {
-			case cmd := <-cache.Commands:
-				if strings.HasPrefix(cmd.Args[2], "slow") {
-					large64.Add(1)
-					cmd.Conn.Write([]byte(large))
-				} else {
-					cmd.Conn.Write([]byte(served))
-				}
-			case <-over:
-				return
-			}
+	cache.Saying(t, func(id string) string {
+		if !strings.HasPrefix(id, "slow") {
+			return served
 		}
-	}()
+		large64.Add(1)
+		return large
+	})
 	slow := dial(t, r.addr)
 	slow.SetReadBuffer(4096)
 	for i := range 64 {
--- a/internal/router/hard_test.go
+++ b/internal/router/hard_test.go
@@ -9,22 +9,6 @@
 	"starlingwinch/internal/routertest"
 )
 
-// answering has a cache answer what a test says to each id, until the test is over.
-func answering(t *testing.T, cache *routertest.Cache, answer func(id string) string) {
-	over := make(chan struct{})
-	t.Cleanup(func() { close(over) })
-	go func() {
-		for {
-			select {
-			case cmd := <-cache.Commands:
-				cmd.Conn.Write([]byte(answer(cmd.Args[2])))
-			case <-over:
-				return
-			}
-		}
-	}()
-}
-
 // TestSlowReadersOfLargeValuesBesideFastOnesWithTheScoredMemory: of 32 MB of memory, 8 are for answers that wait. Slow
 // readers ask for 47 MB, more than the kernel's buffers and those take. Each request of theirs still has one answer, in its
 // place, once they read; and fast clients have theirs meanwhile.
@@ -35,7 +19,7 @@
 	}, host("c1", cache.Addr(), "in_service")), nil, nil)
 	const readers, each = 6, 120
 	large := strings.Repeat("v", resp.MostValue)
-	answering(t, cache, func(id string) string {
+	cache.Saying(t, func(id string) string {
 		if strings.HasPrefix(id, "slow") {
 			return "*3\r\n$65536\r\n" + large + "\r\n$3\r\nhit\r\n$-1\r\n"
 		}
@@ -114,7 +98,7 @@
 func TestFiveHundredPipelinedCommandsBesideOneAtATime(t *testing.T) {
 	cache := newFakeCache(t)
 	r := start(t, testConfig(t, routertest.SilentDiscovery(t), nil, host("c1", cache.Addr(), "in_service")), nil, nil)
-	answering(t, cache, func(id string) string {
+	cache.Saying(t, func(id string) string {
 		return fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$3\r\nhit\r\n$-1\r\n", len(id), id)
 	})
 	const all = 500
--- a/internal/routertest/cache.go
+++ b/internal/routertest/cache.go
@@ -65,17 +65,24 @@
 
 // Answering has the cache serve the requests that the test names, and tells of all others.
 func (c *Cache) Answering(t testing.TB, serves func(id string) bool, others chan<- string) {
+	c.Saying(t, func(id string) string {
+		if serves(id) {
+			return Served
+		}
+		others <- id
+		return ""
+	})
+}
+
+// Saying has the cache answer with what the test says to each id, until the test is over.
+func (c *Cache) Saying(t testing.TB, answer func(id string) (wire string)) {
 	over := make(chan struct{})
 	t.Cleanup(func() { close(over) })
 	go func() {
 		for {
 			select {
 			case cmd := <-c.Commands:
-				if serves(cmd.Args[2]) {
-					io.WriteString(cmd.Conn, Served)
-				} else {
-					others <- cmd.Args[2]
-				}
+				io.WriteString(cmd.Conn, answer(cmd.Args[2]))
 			case <-over:
 				return
 			}
