Clients: who leaves is seen though unread; what waits at the listener is served

Seen by tests that force it on loopback sockets, on the code before: a client that leaves with as many answers due as it may have, behind QUIT or behind a bad command is not departed ("no departure came", nine of twelve cases), so that what it asked for is sent on for nobody. A drain's beginning resets 192 connections with a request each in the kernel's queue ("read: connection reset by peer"), closes a connection that has just come up, and a turn longer than a span closes connections whose bytes have come and are unread ("no request at the desk came", five of six).

To blame: client.read returned before it looked at the socket wherever it takes no commands; Retire closed the listener with its queue; retire, overdue and the grace's end closed without a look.

Changed: machine.Conn tells its end without reading (End), machine.Listener takes in its queue before it ends (Finish), both in the contract's tests for the real and the virtual machine. The client's connection is looked at for its end before anything else, at one place. Retire goes on taking in until the queue is empty; each connection is retired alike, before or after. What has a time is read once more when that is over. The span for a new connection's first word is the command's grace now (100 ms instead of 20).

Measured: the new tests of front and machine pass with -race, and fail as told on the code before.

--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -35,10 +35,10 @@
 	surplus  bool // one too many: it is turned away as soon as it asks
 	retired  bool // to be closed between requests
 	retireAt Time // when that was said
+	grace    bool // what has begun has a moment to come whole
 	last     bool // nothing more is read: it is closed behind the answers that are due
 	lingered int  // bytes read since it was told why it is closed
-	ended    bool // the client has ended its sending
-	broken   bool // ... by a reset
+	broken   bool // the client has ended it by a reset
 	closed   bool
 }
 
@@ -57,6 +57,12 @@
 // read takes what has come, a bounded share of commands in one turn.
 func (c *client) read() {
 	f := c.front
+	// The danger: where nothing is read for now (too many answers are due, it is to be closed behind them, it does not take
+	// them), nobody sees that the client has gone, and what it has asked for is sent on for nobody.
+	if err := c.nc.End(); err != nil && !c.closed {
+		c.depart(err)
+		return
+	}
 	for share := turnsShare; !c.closed; {
 		if c.state == closing {
 			c.linger()
@@ -92,8 +98,7 @@
 			c.settle()
 			return
 		case err != nil:
-			c.ended, c.broken = true, errors.Is(err, machine.ErrReset)
-			c.close()
+			c.depart(err)
 			return
 		}
 		if !c.take(f.in[:n], &share) {
@@ -102,6 +107,12 @@
 	}
 }
 
+// depart takes the news that the client has gone. What it has sent and nobody has read is asked by nobody.
+func (c *client) depart(err error) {
+	c.broken = errors.Is(err, machine.ErrReset)
+	c.close()
+}
+
 // take adds bytes that have come and carries out the commands among them. It reports whether the connection
 // is to be read on.
 func (c *client) take(b []byte, share *int) bool {
@@ -185,7 +196,7 @@
 		next = partial
 	case len(c.queue) > 0:
 		next = busy
-	case c.retired && c.nc.Quiet():
+	case c.retired && c.asked && c.nc.Quiet():
 		c.close()
 		return
 	case c.asked:
@@ -333,15 +344,30 @@
 	}
 	c.retired, c.retireAt = true, c.front.m.Now()
 	c.part = shrink(c.part)
-	if len(c.queue) == 0 && len(c.part) == 0 && c.nc.Quiet() {
+	settled := c.state == idle || c.state == fresh && c.since+commandGrace <= c.retireAt
+	if settled && c.nc.Quiet() {
 		c.close()
 		return
 	}
-	// What has begun has a moment to come whole; what is due is answered.
-	c.front.m.At(c.retireAt+commandGrace, func() {
+	c.giveGrace()
+}
+
+// giveGrace gives what has begun a moment to come whole, and a connection that has just come up one for its first
+// command: who has opened it means to ask. What is due is answered, however long that takes.
+//
+// The danger: the last byte has come when the moment is over, and nobody has read it yet. So it is read first.
+func (c *client) giveGrace() {
+	if c.grace {
+		return
+	}
+	c.grace = true
+	c.front.m.At(c.front.m.Now()+commandGrace, func() {
+		c.grace = false
+		c.look()
 		switch {
-		case c.closed || len(c.queue) > 0 || c.state == closing:
-			return
+		case c.closed || c.last || len(c.queue) > 0: // it ends behind its answers
+		case c.more:
+			c.giveGrace() // there is more to be read than one turn takes
 		case len(c.part) > 0:
 			c.refuse("the command does not go on")
 		default:
@@ -441,17 +467,32 @@
 	switch {
 	case c.last:
 		c.goodbye()
-	case c.retired && len(c.part) == 0:
-		if c.nc.Quiet() {
-			c.close()
-		} else {
-			c.readOn() // it has sent more meanwhile
-		}
+	case c.retired && len(c.part) > 0:
+		c.giveGrace()
+	case c.retired:
+		c.closeQuiet()
 	case c.state == busy && len(c.part) == 0:
 		c.enter(idle)
 	}
 }
 
+// look reads what has come, also where the machine has not told of it yet: it tells of so many connections in a turn.
+func (c *client) look() {
+	if !c.nc.Quiet() {
+		c.read()
+	}
+}
+
+// closeQuiet closes a connection between requests; one that has sent more meanwhile is read on. The danger: a request that
+// has come and is not read yet is lost with its connection.
+func (c *client) closeQuiet() {
+	if c.nc.Quiet() {
+		c.close()
+	} else {
+		c.readOn()
+	}
+}
+
 // goodbye closes the connection, and lets the client read the last answer first. The danger: closing while bytes of
 // an oversized command still come resets the connection, and the answer is lost with it.
 func (c *client) goodbye() {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -21,8 +21,7 @@
 
 const (
 	acceptPause  = 10_000  // before another look for room where no descriptor was free
-	commandGrace = 100_000 // for the rest of a command that has begun when its connection is to close
-	firstWord    = 20_000  // in which a client that means to ask has begun
+	commandGrace = 100_000 // for a command that has begun, or is about to on a new connection, when that is to close
 	lastReads    = 500_000 // requests on a connection that is to close are taken for so long, then refused
 	turnsShare   = 32      // commands of one connection in one turn: it must not crowd the others out
 	surplusMost  = 16      // connections past the bound that are taken in to be told so
@@ -74,6 +73,8 @@
 	ready    []*client // with answers to be sent at the turn's end
 	full     bool      // the listener is paused until there is room
 	drained  func()
+	retiring bool // connections are closed between requests
+	finished bool // ... and no more come
 	closed   bool
 }
 
@@ -110,6 +111,9 @@
 	f.accepted++
 	c.enter(fresh)
 	f.room(c)
+	if f.retiring && !c.closed {
+		c.retire()
+	}
 	f.watch(idle) // they may have less time now
 	f.desk.Settle()
 	return c
@@ -168,7 +172,7 @@
 		first = nil
 	}
 	switch {
-	case first != nil && first.since < f.m.Now()-firstWord:
+	case first != nil && first.since <= f.m.Now()-commandGrace:
 		return first
 	case first == nil || used != nil && used.since < first.since:
 		return used
@@ -179,12 +183,14 @@
 // crowded reports whether clients' descriptors run short.
 func (f *Front) crowded() bool { return f.clients > f.o.Clients/2 }
 
-// Retire takes no more connections and closes each one as soon as it is between requests. drained is
-// called when none is left.
+// Retire takes in what waits at the listener and no more, and closes each connection as soon as it is between
+// requests. drained is called when none is left.
 func (f *Front) Retire(drained func()) {
-	f.closed = true
-	f.ln.Close()
-	f.drained = drained
+	f.retiring, f.drained = true, drained
+	f.ln.Finish(func() {
+		f.finished = true
+		f.check()
+	})
 	for s := range f.lists {
 		for c := f.lists[s].first; c != nil; {
 			next := c.next
@@ -193,16 +199,12 @@
 		}
 	}
 	f.desk.Settle()
-	f.check()
 }
 
 // Close ends all connections, answered or not.
 func (f *Front) Close() {
-	if !f.closed {
-		f.closed = true
-		f.ln.Close()
-	}
-	f.drained = nil
+	f.closed, f.drained = true, nil
+	f.ln.Close()
 	for s := range f.lists {
 		for c := f.lists[s].first; c != nil; c = f.lists[s].first {
 			c.close()
@@ -236,7 +238,7 @@
 
 // check tells of the drain's end.
 func (f *Front) check() {
-	if f.clients == 0 && f.drained != nil {
+	if f.clients == 0 && f.finished && f.drained != nil {
 		drained := f.drained
 		f.drained = nil
 		f.m.Post(drained)
--- a/internal/front/overdue.go
+++ b/internal/front/overdue.go
@@ -128,9 +128,20 @@
 	f.desk.Settle()
 }
 
-// overdue ends a client's time in its state; it is in another one afterwards, or closed.
+// overdue ends a client's time in its state; it is in another one afterwards, or closed. What has come and was not read
+// is read first: the turn may have taken long.
 func (c *client) overdue() {
-	if c.state == partial {
+	s, since := c.state, c.since
+	if s != stuck && s != closing {
+		if c.look(); c.closed || c.state != s || c.since != since {
+			return
+		}
+		if c.more { // more has come than one turn takes
+			c.enter(s)
+			return
+		}
+	}
+	if s == partial {
 		c.refuse("the command does not go on")
 		return
 	}
--- a/internal/machine/conn.go
+++ b/internal/machine/conn.go
@@ -19,6 +19,7 @@
 	empty   bool // all that had come was read, and no event has come since
 	over    bool // the kernel has told of the end, or of an error: from here on there may be no more events
 	held    bool // a Write took less than it was given
+	failed  bool // ... of an error
 	broken  bool // an error was seen
 	noWrite bool // CloseWrite was called
 }
@@ -29,6 +30,7 @@
 	if mask&(eventIn|eventEnd|eventOver) != 0 {
 		c.empty = false
 		c.over = c.over || mask&(eventEnd|eventOver) != 0
+		c.failed = c.failed || mask&syscall.EPOLLERR != 0
 		c.h.Readable()
 	}
 	if held && c.fd >= 0 && mask&(eventOut|eventOver) != 0 {
@@ -122,6 +124,17 @@
 	return false
 }
 
+// End implements Conn.
+func (c *conn) End() error {
+	switch {
+	case c.broken || c.failed:
+		return ErrReset
+	case c.over:
+		return io.EOF
+	}
+	return nil
+}
+
 // CloseWrite implements Conn.
 func (c *conn) CloseWrite() error {
 	if c.fd < 0 {
--- a/internal/machine/inside.go
+++ b/internal/machine/inside.go
@@ -106,6 +106,16 @@
 	return !c.closed && !c.ended && len(c.in) == 0
 }
 
+// End implements Conn.
+func (c *insideConn) End() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended {
+		return io.EOF
+	}
+	return nil
+}
+
 // CloseWrite implements Conn.
 func (c *insideConn) CloseWrite() error {
 	c.mu.Lock()
--- a/internal/machine/listener.go
+++ b/internal/machine/listener.go
@@ -21,6 +21,8 @@
 	accept  func(Conn) Handler
 	paused  bool   // by its owner
 	waiting *timer // for a descriptor; nil where it does not
+	done    func() // to be called once what waits is taken in; nil where it is not to end
+	last    int    // connections that are taken in until then, at most
 }
 
 // Listen implements Machine. At [::] it takes in IPv4 as well.
@@ -56,6 +58,10 @@
 // event implements watcher.
 func (l *listener) event(uint32) {
 	for i := 0; i < acceptATurn && l.fd >= 0 && !l.paused; i++ {
+		if l.done != nil && l.last == 0 {
+			l.finish()
+			return
+		}
 		if !l.m.room() {
 			l.wait()
 			return
@@ -63,8 +69,12 @@
 		fd, sa, err := syscall.Accept4(l.fd, syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
 		switch err {
 		case nil:
+			l.last--
 			l.admit(fd, fromSockaddr(sa))
 		case syscall.EAGAIN:
+			if l.done != nil {
+				l.finish()
+			}
 			return
 		case syscall.EINTR, syscall.ECONNABORTED, syscall.EPROTO, syscall.EPERM:
 			// This one is gone; there may be others.
@@ -73,6 +83,7 @@
 			return
 		}
 	}
+	l.look()
 }
 
 func (l *listener) admit(fd int, remote netip.AddrPort) {
@@ -106,7 +117,9 @@
 	}
 	if err := l.m.poll.watch(l.fd, eventIn, l.at); err != nil {
 		l.wait() // the kernel has no memory for it at the moment
+		return
 	}
+	l.look()
 }
 
 // Addr implements Listener.
@@ -130,6 +143,30 @@
 	l.watch()
 }
 
+// Finish implements Listener. The danger: a connection that the kernel has taken in and the program has not may have
+// its request written already; a socket that is closed on it resets it, and the request is lost.
+func (l *listener) Finish(done func()) {
+	if l.fd < 0 || l.done != nil {
+		return
+	}
+	l.done, l.last = done, backlog
+	l.look()
+}
+
+// look has the queue looked at where nothing need have come: an empty one tells of no event.
+func (l *listener) look() {
+	if l.done != nil && !l.paused && l.waiting == nil {
+		l.m.Post(func() { l.event(eventIn) })
+	}
+}
+
+// finish ends a listener whose queue is empty.
+func (l *listener) finish() {
+	done := l.done
+	l.Close()
+	l.m.Post(done)
+}
+
 // Close implements Listener.
 func (l *listener) Close() {
 	if l.fd < 0 {
--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -139,6 +139,10 @@
 	// Quiet reports whether the connection is open and nothing waits in it to be read: neither
 	// bytes nor the end. It takes nothing out.
 	Quiet() bool
+	// End is nil while the other side may send more, io.EOF once it has ended its sending, and ErrReset once the
+	// connection broke, as far as the machine has told its handler: also where bytes that came before are still unread.
+	// It takes nothing out.
+	End() error
 	// CloseWrite ends this side's sending; the other side reads what was sent and then the end.
 	CloseWrite() error
 	// Close ends the connection and gives its descriptor back. Where bytes that have come were not read, the
@@ -156,6 +160,10 @@
 	// is full), until Resume.
 	Pause()
 	Resume()
+	// Finish takes in what waits in the queue, also where that takes until Resume or until there are descriptors, then
+	// ends it and calls done, in a later turn of the loop. What comes meanwhile is taken in too, up to as much as a queue
+	// holds. Where Close comes first, done is not called.
+	Finish(done func())
 	// Close ends it. Connections that wait in the queue are reset; those taken in stay.
 	Close()
 }
--- a/internal/machine/machinetest/conns.go
+++ b/internal/machine/machinetest/conns.go
@@ -275,6 +275,105 @@
 	}
 }
 
+func endUnread(b *bench) {
+	for how, leave := range map[string]func(machine.Conn){
+		"closed":      machine.Conn.Close,
+		"half closed": func(c machine.Conn) { c.CloseWrite() },
+	} {
+		near, far := b.pair(false)
+		b.call(func() {
+			if err := far.conn.End(); err != nil {
+				b.Errorf("an open connection has ended: %v", err)
+			}
+			near.write("unread")
+		})
+		b.wait("the bytes", func() bool { return far.told > 0 })
+		b.call(func() {
+			if err := far.conn.End(); err != nil {
+				b.Errorf("bytes are taken for the end: %v", err)
+			}
+			leave(near.conn)
+		})
+		b.wait("the end, "+how, func() bool { return far.conn.End() == io.EOF })
+		b.call(func() {
+			far.readAll()
+			if string(far.got) != "unread" || far.err != io.EOF {
+				b.Errorf("%s: read %q, %v after it", how, far.got, far.err)
+			}
+		})
+	}
+	near, far := b.pair(false)
+	b.call(func() { near.write("unread there") })
+	b.wait("the bytes", func() bool { return far.told > 0 })
+	b.call(func() {
+		far.write("unread here")
+		near.reads = false
+	})
+	b.wait("bytes there", func() bool { return near.told > 0 })
+	b.call(near.conn.Close) // with bytes unread: it resets
+	b.wait("the reset", func() bool { return far.conn.End() == machine.ErrReset })
+}
+
+func finished(b *bench) {
+	for _, pause := range []bool{false, true} {
+		var l machine.Listener
+		var in *[]*end
+		var near, late *end
+		done := false
+		b.call(func() {
+			l, in = b.listen(true)
+			l.Pause()
+			near = b.dial(l.Addr(), nil)
+		})
+		b.wait("the connection", func() bool { return near.conn != nil })
+		came := false
+		b.call(func() {
+			near.write("waits")
+			b.B.At(b.B.Now()+20_000, func() { came = true })
+		})
+		b.wait("the connection in the queue", func() bool { return came })
+		b.call(func() {
+			if !pause {
+				l.Resume()
+			}
+			l.Finish(func() {
+				defer b.turn()()
+				done = true
+			})
+			if done {
+				b.Error("Finish called back at once")
+			}
+		})
+		if pause {
+			passed := false
+			b.call(func() { b.B.At(b.B.Now()+20_000, func() { passed = true }) })
+			b.wait("a while", func() bool { return passed })
+			if done || len(*in) > 0 {
+				b.Fatal("a paused listener went on")
+			}
+			b.call(l.Resume)
+		}
+		b.wait("the end of the listener", func() bool { return done })
+		b.wait("the connection that waited", func() bool { return len(*in) == 1 && string((*in)[0].got) == "waits" })
+		b.call(func() { late = b.dial(l.Addr(), nil) })
+		b.wait("the refusal", func() bool { return late.err != nil })
+	}
+}
+
+func notFinished(b *bench) {
+	done, passed := false, false
+	b.call(func() {
+		l, _ := b.listen(true)
+		l.Finish(func() { done = true })
+		l.Close()
+		b.B.At(b.B.Now()+20_000, func() { passed = true })
+	})
+	b.wait("a while", func() bool { return passed })
+	if done {
+		b.Error("a closed listener finished")
+	}
+}
+
 func refused(b *bench) {
 	var addr string
 	b.call(func() {
--- a/internal/router/bench_test.go
+++ b/internal/router/bench_test.go
@@ -76,10 +76,11 @@
 
 type bareListener struct{}
 
-func (bareListener) Addr() string { return "127.0.0.1:1" }
-func (bareListener) Pause()       {}
-func (bareListener) Resume()      {}
-func (bareListener) Close()       {}
+func (bareListener) Addr() string  { return "127.0.0.1:1" }
+func (bareListener) Pause()        {}
+func (bareListener) Resume()       {}
+func (bareListener) Finish(func()) {}
+func (bareListener) Close()        {}
 
 type bareDialing struct{}
 
@@ -112,6 +113,7 @@
 var carrying []*bareConn
 
 func (c *bareConn) Quiet() bool       { return len(c.in) == 0 }
+func (c *bareConn) End() error        { return nil }
 func (c *bareConn) CloseWrite() error { return nil }
 func (c *bareConn) Close()            {}
 func (c *bareConn) Local() string     { return "127.0.0.1:2" }
--- a/internal/sim/conn.go
+++ b/internal/sim/conn.go
@@ -189,6 +189,16 @@
 	return !c.closed && !c.ended && !c.broken && c.head == len(c.in)
 }
 
+func (c *Conn) End() error {
+	switch {
+	case c.broken:
+		return machine.ErrReset
+	case c.ended:
+		return io.EOF
+	}
+	return nil
+}
+
 func (c *Conn) CloseWrite() error {
 	if c.closed {
 		c.enterClosed()
--- a/internal/sim/listener.go
+++ b/internal/sim/listener.go
@@ -16,6 +16,7 @@
 	queued bool // an Accepting is on its way
 	paused bool
 	closed bool
+	done   func() // to be called once the queue is empty; nil where it is not to end
 }
 
 func (p *Process) Listen(addr string, accept func(machine.Conn) machine.Handler) (machine.Listener, error) {
@@ -55,6 +56,27 @@
 	l.takeLater()
 }
 
+func (l *listener) Finish(done func()) {
+	l.p.enter()
+	if l.closed || l.done != nil {
+		return
+	}
+	l.done = done
+	l.p.Post(l.finish)
+}
+
+// finish takes in what waits, and ends it once nothing does.
+func (l *listener) finish() {
+	if l.closed || l.done == nil {
+		return
+	}
+	if l.take(); len(l.queue) == 0 {
+		done := l.done
+		l.Close()
+		done()
+	}
+}
+
 func (l *listener) Close() {
 	if l.closed {
 		return
@@ -98,6 +120,9 @@
 		c.belong(p)
 		c.start(l.accept(c))
 	}
+	if len(l.queue) == 0 && l.done != nil {
+		l.p.Post(l.finish)
+	}
 }
 
 // openCame has a connection come up on the listener's side.
--- a/internal/standin/lab_test.go
+++ b/internal/standin/lab_test.go
@@ -110,6 +110,11 @@
 	}
 	d.queue = nil
 }
+func (d *labListener) Finish(done func()) {
+	d.Resume()
+	d.Close()
+	d.l.Post(done)
+}
 func (d *labListener) take(c *labConn) {
 	d.l.Post(func() {
 		c.handler = d.accept(c)
@@ -218,6 +223,15 @@
 }
 
 func (c *labConn) Quiet() bool { return !c.closed && !c.end && !c.reset && len(c.in) == 0 }
+func (c *labConn) End() error {
+	switch {
+	case c.reset:
+		return machine.ErrReset
+	case c.end:
+		return io.EOF
+	}
+	return nil
+}
 func (c *labConn) CloseWrite() error {
 	c.peer.end = true
 	c.peer.tell()
