Loop: timers of before a long turn wait for what came during it

Need: a turn that takes 50 ms has answers waiting with the kernel and the timers due that bound the wait for them; all of those fired before the answers were read.

Changed: of the timers that were set before a turn, only those fire that were due when the kernel was asked for events, so that all that had come by then is told first. Those set within the turn are as before.

Measured: tests of package machine pass with -race, among them the order of posts, timers and events.

--- a/internal/machine/real.go
+++ b/internal/machine/real.go
@@ -21,7 +21,7 @@
 // Real is the machine this process runs on: Linux, by its system calls (epoll(7), socket(7)).
 //
 // Its loop goes in turns: the events that the kernel has, then the functions posted before, then the
-// timers that are due, each kind bounded by what was there when its part of the turn began. Now is
+// timers that were due when it was asked for the events, each kind bounded by what was there when its part of the turn began. Now is
 // read once before each call of a handler, function or timer and stands still while the call lasts.
 // Timers fire up to a millisecond late, which is the kernel's measure for a wait.
 //
@@ -131,6 +131,8 @@
 	} else {
 		m.poll.poll()
 	}
+	m.tick()
+	looked, before := m.now, m.timers.set
 	posted, goesOn := m.inbox.take()
 	if !goesOn {
 		return false
@@ -150,11 +152,16 @@
 		f()
 	}
 
-	m.tick()
+	// The danger: a turn takes long, what came meanwhile is still with the kernel, and the timers that were to bound the wait
+	// for it are due. So of those set before it only those fire that were due when the kernel was asked: all that had come by
+	// then was told.
+	//
 	// Timers set meanwhile are due at this moment at the earliest and come behind those that are due: At
 	// sees to that. A timer that sets itself anew thus neither holds the turn up nor others back.
+	m.tick()
 	now, set := m.now, m.timers.set
-	for t := m.timers.first(); t != nil && t.at <= now && t.nr < set; t = m.timers.first() {
+	due := func(t *timer) bool { return t.nr < set && (t.at <= looked || t.nr >= before && t.at <= now) }
+	for t := m.timers.first(); t != nil && due(t); t = m.timers.first() {
 		t.take()()
 		m.tick()
 	}
