Drain: all is answered before SIGKILL may come, whatever the classes allow

To blame: the drain's end was computed from the classes' limits alone, and what was open at SIGTERM with a later deadline was nobody's.

Changed: the end is computed from the longest deadline up to 3 s; shortly before it, what is still open is answered, as refused where nothing was ever sent, else as failed. A SIGHUP in a drain opens nothing anew. The program takes signals before it reads its files; SIGTERM while it did so ended it.

--- a/cmd/starlingwinch/main_test.go
+++ b/cmd/starlingwinch/main_test.go
@@ -159,6 +159,41 @@
 	s.end(t)
 }
 
+// TestSignalsBeforeTheConfigurationIsReadAreKept: the program starts, and does what they say, in their order. The danger: a
+// signal that nobody takes ends it.
+func TestSignalsBeforeTheConfigurationIsReadAreKept(t *testing.T) {
+	cmd := program(t, "")
+	path := strings.TrimPrefix(cmd.Env[len(cmd.Env)-1], "BALANCER_CONFIG=")
+	if err := errors.Join(os.Remove(path), syscall.Mkfifo(path, 0o600)); err != nil {
+		t.Fatal(err)
+	}
+	var log bytes.Buffer
+	cmd.Stderr = &log
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	kill := time.AfterFunc(patience, func() { cmd.Process.Kill() })
+	defer kill.Stop()
+	file, err := os.OpenFile(path, os.O_WRONLY, 0) // once the program reads it
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, sig := range []os.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGTERM} {
+		if err := cmd.Process.Signal(sig); err != nil {
+			t.Fatal(err)
+		}
+	}
+	fmt.Fprintf(file, config, "127.0.0.1:0")
+	file.Close()
+	// What SIGHUP has read anew finds a pipe that nobody writes to: the drain does not wait for it.
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("it ended with %v", err)
+	}
+	if text := log.String(); !strings.Contains(text, "serving on") || !strings.Contains(text, "draining") {
+		t.Errorf("log: %q", text)
+	}
+}
+
 func TestBadConfigurationEndsWithOneLine(t *testing.T) {
 	cmd := program(t, fmt.Sprintf(config, "nowhere"))
 	var stderr bytes.Buffer
--- a/cmd/starlingwinch/run.go
+++ b/cmd/starlingwinch/run.go
@@ -69,15 +69,16 @@
 
 // run serves until a signal ends it.
 func (s inputs) run() error {
+	// The danger: a signal that comes while the files are being read ends the process. The machine keeps it.
+	m, err := machine.New(machine.Options{Log: log.Writer()})
+	if err != nil {
+		return fmt.Errorf("starlingwinch: %w", err)
+	}
 	cfg, warnings, err := s.load()
 	if err != nil {
 		return err
 	}
 	cfg.Limits.Apply()
-	m, err := machine.New(machine.Options{Log: log.Writer()})
-	if err != nil {
-		return fmt.Errorf("starlingwinch: %w", err)
-	}
 	r, err := router.Start(m, cfg)
 	if err != nil { // what was only a warning may name the cause in the file's own words
 		return errors.New(strings.Join(append(warnings, "starlingwinch: "+err.Error()), "\n"))
--- /dev/null
+++ b/internal/router/endings_test.go
@@ -0,0 +1,219 @@
+package router
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"starlingwinch/decide"
+	"starlingwinch/internal/routertest"
+)
+
+// TestNothingGoesOutForAClientThatHasLeft while its request waited: for a connection, for a cache to be met again, behind QUIT,
+// with as many answers due as one connection may have. Nothing is left of it either.
+func TestNothingGoesOutForAClientThatHasLeft(t *testing.T) {
+	for name, c := range map[string]struct {
+		pipelined int
+		wire      string
+	}{
+		"read on":              {64, get("r1")},
+		"behind QUIT":          {64, get("r1") + words("QUIT")},
+		"behind a bad command": {64, get("r1") + "*x\r\n"},
+		"too many are due":     {2, get("r1") + get("r2") + get("r3")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cache := newFakeCache(t)
+			cfg := testConfig(t, routertest.SilentDiscovery(t), nil, host("c1", cache.Addr(), "in_service"))
+			cfg.Bounds.Clients.Pipelined = c.pipelined
+			cfg.Bounds.Caches.LeastConnections, cfg.Bounds.Caches.FleetConnections = 1, 1
+			r := start(t, cfg, nil, nil)
+			busy := dial(t, r.addr)
+			busy.Send(get("first"))
+			first := receive(t, cache.Commands, "command")
+			leaves := dial(t, r.addr)
+			leaves.Send(c.wire) // it waits for the one connection
+			r.Until("a request that waits", func() bool { return r.r.open >= 2 })
+			leaves.Close()
+			r.Until("that nobody waits for", func() bool { return r.r.open == 1 })
+			first.Reply(t, served)
+			busy.Want("value")
+			busy.Send(get("last"))
+			if cmd := receive(t, cache.Commands, "command"); cmd.Args[2] != "last" {
+				t.Errorf("%s was sent on though its client had left", cmd.Args[2])
+			} else {
+				cmd.Reply(t, served)
+			}
+			busy.Want("value")
+			r.idle()
+		})
+	}
+}
+
+// TestIdOfARequestWhoseAttemptIsOutIsNotTakenAgain. The danger: what may be running runs twice.
+func TestIdOfARequestWhoseAttemptIsOutIsNotTakenAgain(t *testing.T) {
+	cache := newFakeCache(t)
+	r := start(t, testConfig(t, routertest.SilentDiscovery(t), func(in map[string]any) {
+		in["settings"].(map[string]any)["limits"].(map[string]any)["cancel"] = false
+	}, host("c1", cache.Addr(), "in_service")), nil, nil)
+	first, second := dial(t, r.addr), dial(t, r.addr)
+	first.Send(get("r1"))
+	cmd := receive(t, cache.Commands, "command")
+	first.Close()
+	r.Until("that nobody waits for it", func() bool { return r.r.open == 0 })
+	second.Send(get("r1"))
+	if got := second.Line(); !strings.HasPrefix(got, "-ERR the id") {
+		t.Errorf("answer %q", got)
+	}
+	cmd.Reply(t, served)
+	r.idle()
+	second.Send(get("r1"))
+	receive(t, cache.Commands, "command").Reply(t, served)
+	second.Want("value")
+	r.idle()
+}
+
+// TestWhatOutlivesADrainIsAnsweredBeforeItsEnd: a class allows more time than a planned restart gives. What was sent on has
+// failed, what never was is refused, and the process ends when the longest deadline that counts is over.
+func TestWhatOutlivesADrainIsAnsweredBeforeItsEnd(t *testing.T) {
+	hangs, silent := newFakeCache(t), routertest.Unreachable(t)
+	for name, addr := range map[string]string{"at a cache that hangs": hangs.Addr(), "for a connection": silent} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var endsIn Time
+			r := start(t, testConfig(t, routertest.SilentDiscovery(t), nil, host("c1", addr, "in_service")), nil, nil)
+			c := dial(t, r.addr)
+			c.Send(get("r1") + words("C.SET", "k", "w1", "c=put,d=20000,k=1", "v"))
+			r.Until("requests in hand", func() bool { return r.r.open == 2 && r.r.pool.Attempts() == 2 })
+			r.drain()
+			r.Do(func() { endsIn = r.r.endsBy - r.Now() })
+			if endsIn > drainPatience+drainSlack {
+				t.Errorf("the drain ends in %d µs, SIGKILL comes %d µs after SIGTERM", endsIn, drainPatience+700_000)
+			}
+			c.Want("-ERR failed")
+			c.Want("-ERR failed")
+			c.WantClosed()
+			receive(t, r.ended, "end of the router")
+			r.Do(func() {
+				for what, n := range r.r.Left() {
+					if n > 0 && what != "timers" && what != "attempts" {
+						t.Errorf("%d %s are left", n, what)
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestWhatIsTakenLateInADrainIsAnsweredBeforeItsEnd, also at a cache that hangs, on a connection that never pauses.
+func TestWhatIsTakenLateInADrainIsAnsweredBeforeItsEnd(t *testing.T) {
+	cache := newFakeCache(t)
+	r := start(t, testConfig(t, routertest.SilentDiscovery(t), nil, host("c1", cache.Addr(), "in_service")), nil,
+		func(r *Router) { r.longest = 300_000 })
+	c := dial(t, r.addr)
+	c.Send(get("r0"))
+	receive(t, cache.Commands, "command")
+	r.drain()
+	asked := make(chan int)
+	stop := make(chan struct{})
+	go func() {
+		for n := 1; ; n++ {
+			select {
+			case <-stop:
+				asked <- n
+				return
+			case <-time.After(5 * time.Millisecond): // the pace of a client, not a wait for something
+			}
+			if _, err := fmt.Fprint(c.TCPConn, get(fmt.Sprint("r", n))); err != nil {
+				<-stop
+				asked <- n
+				return
+			}
+		}
+	}()
+	receive(t, r.ended, "end of the router")
+	close(stop)
+	receive(t, asked, "end of the client")
+	answers := 0
+	r.Do(func() {
+		if n := len(r.r.requests) - r.r.pool.Attempts(); r.r.open != 0 || n > 0 {
+			t.Errorf("%d requests are open", r.r.open)
+		}
+	})
+	for {
+		var line [1]byte
+		if _, err := c.Read(line[:]); err != nil {
+			break
+		}
+		if line[0] == '\n' {
+			answers++
+		}
+	}
+	if answers == 0 {
+		t.Error("no answer came before the end")
+	}
+}
+
+// TestReloadInADrainOpensNothingAnew. The danger: a watch, or a folder, that was closed for the end is held again.
+func TestReloadInADrainOpensNothingAnew(t *testing.T) {
+	moved, calls := routertest.Discovery(t)
+	lines := make(routertest.Lines, 1000)
+	cfg := testConfig(t, routertest.SilentDiscovery(t), nil)
+	next := *cfg
+	next.Discovery = moved
+	r := start(t, cfg, lines, nil)
+	c := dial(t, r.addr)
+	c.Send(words("PING"))
+	c.Line()
+	r.drain()
+	r.Do(func() { r.r.Reload(&next) })
+	lines.Want(t, "about to end")
+	c.WantClosed()
+	receive(t, r.ended, "end of the router")
+	r.Do(func() {
+		r.r.Reload(&next)
+		if n := r.r.Left()["connections"]; n != 0 {
+			t.Errorf("%d connections", n)
+		}
+	})
+	select {
+	case c := <-calls:
+		t.Errorf("the new discovery was asked %s", c.Query)
+	default:
+	}
+}
+
+// TestDrainToldInTheTurnOfASend: what waits for a connection, for room or for another try is not sent once it is known that the
+// cache drains, whatever else the same turn brings.
+func TestDrainToldInTheTurnOfASend(t *testing.T) {
+	cache := newFakeCache(t)
+	cfg := testConfig(t, routertest.SilentDiscovery(t), nil, host("c1", cache.Addr(), "in_service"))
+	cfg.Bounds.Caches.LeastConnections, cfg.Bounds.Caches.FleetConnections = 1, 1
+	r := start(t, cfg, nil, nil)
+	busy, waits, late := dial(t, r.addr), dial(t, r.addr), dial(t, r.addr)
+	busy.Send(get("first"))
+	first := receive(t, cache.Commands, "command")
+	waits.Send(get("waits"))
+	r.Until("a request that waits", func() bool { return r.r.open == 2 })
+	drains := parse(t, hosts(2, false, host("c1", cache.Addr(), "terminating")))
+	r.Do(func() { // the list, the answer that frees the connection, and a new request come in one turn
+		late.Send(get("late"))
+		first.Reply(t, served)
+		r.r.sources.Listed(drains)
+	})
+	busy.Want("value")
+	for _, c := range []*routertest.Client{waits, late} {
+		if got := c.Line(); !strings.HasPrefix(got, "-BUSY") {
+			t.Errorf("answer %q", got)
+		}
+	}
+	r.idle()
+	if n := len(cache.Commands); n > 0 {
+		t.Errorf("%d commands were sent to a cache that drains", n)
+	}
+	r.Do(func() {
+		if h := r.r.caches["c1"]; h.entry.Condition != decide.Draining {
+			t.Error("the drain was not taken over")
+		}
+	})
+}
--- a/internal/router/list.go
+++ b/internal/router/list.go
@@ -111,6 +111,11 @@
 
 // Reload takes over a new configuration: where discovery is, the file with the fixed list, and where the state is kept.
 func (r *Router) Reload(cfg *Config) {
+	if r.closed || r.onDrained != nil {
+		// The danger: what was closed for the end is opened again. The router ends before a new discovery counts.
+		r.Log("SIGHUP: the router is about to end; nothing is read anew")
+		return
+	}
 	if cfg.Listen != r.cfg.Listen || cfg.Limits != r.cfg.Limits || !reflect.DeepEqual(cfg.Settings, r.cfg.Settings) ||
 		cfg.Transport != r.cfg.Transport || cfg.Bounds != r.cfg.Bounds || cfg.Storm != r.cfg.Storm || !reflect.DeepEqual(cfg.Fleet, r.cfg.Fleet) ||
 		!reflect.DeepEqual(cfg.Membership, r.cfg.Membership) || !reflect.DeepEqual(cfg.Eureka, r.cfg.Eureka) {
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -187,12 +187,7 @@
 	for _, s := range slots {
 		if q := r.requests[s.ID]; q != nil && !q.over {
 			gone = append(gone, q)
-			if q.judged {
-				r.hooks.Gone(q.id)
-				q.judged = false
-			} else {
-				r.say(q, &decide.Departed{ID: q.id})
-			}
+			r.abandon(q)
 		}
 	}
 	for _, q := range gone { // all departures are told before what ends with them
@@ -201,6 +196,16 @@
 	}
 }
 
+// abandon tells hooks or the module that a request is theirs no more.
+func (r *Router) abandon(q *request) {
+	if q.judged {
+		r.hooks.Gone(q.id)
+		q.judged = false
+	} else {
+		r.say(q, &decide.Departed{ID: q.id})
+	}
+}
+
 // say queues an event about a request for the module. The danger: a request that is forgotten
 // before the module has heard that it is over may be sent once more in between, and an attempt that
 // nobody makes has no outcome: its cache's place is taken for good.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -8,6 +8,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 
 	"starlingwinch/decide"
 	"starlingwinch/internal/alarm"
@@ -17,6 +19,7 @@
 	"starlingwinch/internal/hooks"
 	"starlingwinch/internal/machine"
 	"starlingwinch/internal/membership"
+	"starlingwinch/internal/plugin"
 	"starlingwinch/internal/sources"
 	"starlingwinch/internal/upstream"
 )
@@ -27,7 +30,8 @@
 const (
 	lastArrivals  = 500_000   // new connections may still come so long after SIGTERM
 	drainAnswers  = 50_000    // before a drain's end, by which all is to be answered
-	drainSlack    = 650_000   // beyond the longest deadline, for the drain after SIGTERM: SIGKILL may follow 50 ms later
+	drainPatience = 3_000_000 // of the longest deadline, what a planned restart waits for: clients that wait longer may not
+	drainSlack    = 650_000   // beyond that, for the drain after SIGTERM: SIGKILL may follow 50 ms later
 	doorWait      = 500_000   // that a client is to stay away for which there is no descriptor, at most
 	sweepInterval = 1_000_000 // between looks for idle connections and what the books miss
 )
@@ -174,8 +178,9 @@
 	if r.enrolled != nil {
 		r.enrolled.Drain()
 	}
-	r.endsBy = r.m.Now() + r.longest + drainSlack
+	r.endsBy = r.m.Now() + min(r.longest, drainPatience) + drainSlack
 	limit := r.m.At(r.endsBy, r.Close)
+	r.m.At(r.endsBy-drainAnswers/2, r.answerAll)
 	r.m.At(r.endsBy-beforeEnd, func() {
 		if !r.closed {
 			r.keeper.finish(func() {})
@@ -203,6 +208,25 @@
 	})
 }
 
+// answerAll answers what is still open shortly before a drain's end. The danger: a class allows more time than a planned
+// restart gives, or nobody bounds it; what was taken before SIGTERM is open when the process ends, and lost with it.
+func (r *Router) answerAll() {
+	if r.closed {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(r.requests)) {
+		if q := r.requests[id]; !q.over {
+			r.abandon(q)
+			if len(q.attempts) == 0 { // trying again is harmless
+				r.finish(q, front.AppendBusy(nil, r.cfg.Settings.RefuseWait), plugin.WasRefused)
+			} else {
+				r.finish(q, []byte(front.FailedReply), plugin.WasFailed)
+			}
+		}
+	}
+	r.Settle()
+}
+
 // Close ends all at once: what is not answered is lost.
 func (r *Router) Close() {
 	if r.closed {
