Windows and idle connections: nothing is written at their very end

The first wait after a lost list grew with askEvery without a bound: with a minute 1.5 to 3 s, longer than any grace.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -30,6 +30,7 @@
 	fewCaches       = 64   // that are summed up for each request
 	leastLimit      = .1   // where the limit stops falling; under 1 it is the share of time in use
 	holdShare       = .4   // of the aim that a request may wait for room
+	windowPart      = .95  // of the window in which caches drop repeats, in which one is written
 	retryShare      = .05  // retries and hedges a request, in the long run
 	hotPart         = .5   // of a cache's fair share of requests that one key may take
 	hotLeast        = 2    // requests for a key before it can be hot
@@ -254,6 +255,9 @@
 		// Routers that lose the list together must not ask together: the list serves few calls.
 		r.calls++
 		wait := float64(max(r.set.AskEvery, 1e6)) / 40 * math.Exp2(float64(min(r.calls, backoffMost)))
+		if r.calls == 1 { // the danger: drains are missed meanwhile, and count as told
+			wait = min(wait, float64(r.set.DrainGrace)/2)
+		}
 		r.at(r.now+Time(wait*(0.5+r.random()/2)), func() { r.do(Watch{}) })
 		if r.calls == 1 {
 			r.logf("list lost, asking again")
@@ -643,7 +647,7 @@
 			continue
 		}
 		// It may have run: its effect must not happen twice.
-		if q.class.Effect == Unsafe || !sameGroup(q.class.Scope, a.to, c) || r.now >= a.sent+q.class.KeyTTL {
+		if q.class.Effect == Unsafe || !sameGroup(q.class.Scope, a.to, c) || r.now >= q.class.remembers(a.sent) {
 			return false
 		}
 	}
@@ -655,13 +659,17 @@
 // and is written when its repeat is no longer dropped.
 func (q *request) remembered(n int) (until Time) {
 	for _, a := range q.attempts[:n] {
-		if q.class.Effect == Keyed && !a.neverRan && (until == 0 || a.sent+q.class.KeyTTL < until) {
-			until = a.sent + q.class.KeyTTL
+		if t := q.class.remembers(a.sent); q.class.Effect == Keyed && !a.neverRan && (until == 0 || t < until) {
+			until = t
 		}
 	}
 	return until
 }
 
+// remembers is until when a repeat of what was sent may be written. The danger: it takes its way, and the
+// clock stands still in a turn.
+func (c *Class) remembers(sent Time) Time { return sent + Time(windowPart*float64(c.KeyTTL)) }
+
 func sameGroup(s Scope, a, b *cache) bool {
 	return s == ScopeAll || s == ScopeZone && a.Zone == b.Zone || s == ScopeCell && a.Cell == b.Cell
 }
--- a/internal/upstream/cache.go
+++ b/internal/upstream/cache.go
@@ -150,7 +150,7 @@
 		if c.idleSince > now-u.rest {
 			break
 		}
-		if c.nc.Quiet() {
+		if c.idleSince > now-u.pool.idleMost() && c.nc.Quiet() {
 			u.idle = slices.Delete(u.idle, i, i+1)
 			u.pool.idle--
 			return c
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -159,13 +159,19 @@
 // once a second.
 func (p *Pool) Sweep() {
 	for _, u := range slices.Clone(p.order) {
-		u.closeIdle(p.m.Now() - p.o.Keepalive*3/4)
+		u.closeIdle(p.m.Now() - p.idleMost())
 	}
 	if p.inTrouble > 0 {
 		p.sayDead()
 	}
 }
 
+// idleMost is how long a connection may have stood idle. The danger: its cache closes it just then, and the request that is
+// written to it may have run or not. One has to rest first, however short the time is.
+func (p *Pool) idleMost() Time {
+	return max(p.o.Keepalive*3/4, 2*p.o.Bounds.RestTime.Microseconds())
+}
+
 // Close ends all connections. Attempts that are out get no outcome, and nothing is dialled any more.
 func (p *Pool) Close() {
 	for _, u := range slices.Clone(p.order) {
