--- a/decide/api.go
+++ b/decide/api.go
@@ -174,6 +174,7 @@
 	Since    Time // when its client first asked, where this is known to be a retry; 0 where it is not
 	Cost     Time // expected work; 0 where unknown
 	Write    bool // goes on to the origin
+	Unkeyed  bool // of a keyed class, without a key: no cache drops a repeat
 }
 
 // Started says that a streamed answer has begun: it belongs to the client now.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -691,6 +691,9 @@
 	q := &request{Request: ev, class: r.classes[ev.Class], arrived: r.now}
 	if q.class == nil {
 		q.class = &unknownClass
+	} else if ev.Unkeyed {
+		unkeyed := *q.class
+		unkeyed.Effect, q.class = Unsafe, &unkeyed
 	}
 	if r.pressure.On && ev.Since > 0 {
 		// The danger: a request that is refused comes back until its client gives up, and what caches can
--- a/internal/router/hooks.go
+++ b/internal/router/hooks.go
@@ -96,7 +96,7 @@
 func (r *Router) submit(q *request) {
 	c := q.cmd
 	q.event = decide.Request{ID: q.id, Class: c.Class, Tenant: c.Tenant, Key: c.Hash, HasKey: true,
-		Deadline: q.deadline, Since: q.told.Since, Cost: c.Cost, Write: c.Write}
+		Deadline: q.deadline, Since: q.told.Since, Cost: c.Cost, Write: c.Write, Unkeyed: c.Unkeyed}
 	r.backlog = append(r.backlog, &q.event)
 }
 
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -110,6 +110,26 @@
 	r.want(decide.Served)
 }
 
+// TestConnectionThatIsAboutToIdleOutIsNotUsed, also between two sweeps. The danger: its cache closes it as the request is written,
+// and nobody knows whether that has run.
+func TestConnectionThatIsAboutToIdleOutIsNotUsed(t *testing.T) {
+	cache := routertest.NewCache(t)
+	r := newRig(t, cache.Addr(), nil)
+	r.send(r.request(nil), long)
+	first := r.command(cache)
+	first.Reply(t, served)
+	r.want(decide.Served)
+	r.Do(func() { r.pool.caches["c1"].idle[0].idleSince -= r.pool.o.Keepalive * 3 / 4 })
+	r.send(r.request(nil), long)
+	if second := r.command(cache); second.Conn == first.Conn {
+		t.Error("it was used")
+	} else {
+		second.Reply(t, served)
+	}
+	r.want(decide.Served)
+	r.end(cache)
+}
+
 func TestConnectionRests(t *testing.T) {
 	cache := routertest.NewCache(t)
 	r := newRig(t, cache.Addr(), func(o *Options) { o.Bounds.RestTime = 4 * time.Millisecond })
