Rules: nothing is sent on 0.3 s after its client has left; five endings planted

Planted: a departure not seen, a watch never opened anew, windows taken for five times as long, a drain that ends with the aims, what waits at the listener dropped.

--- a/internal/lab/planted/machine.go
+++ b/internal/lab/planted/machine.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"strings"
 	"time"
 
+	"starlingwinch/decide"
 	"starlingwinch/internal/lab"
 	"starlingwinch/internal/machine"
 )
@@ -65,6 +67,37 @@
 		tampered("a client's connection not read after its twentieth event", "lost", func(t *tamper) { t.deafAfter = 20 }),
 		tampered("connections to caches never closed", "left behind", func(t *tamper) { t.keepsOpen = true }),
 		long(12*time.Second, tampered("the list read once and never again", "late drain", func(t *tamper) { t.listOnce = true })),
+		tampered("a client's departure not seen", "sent after its client had left", func(t *tamper) { t.blindToEnd = true }),
+		long(12*time.Second, wrap("a watch that has failed never opened anew", "late drain", func() filter {
+			opened := false
+			return filter{action: func(a decide.Action) []decide.Action {
+				if _, ok := a.(decide.Watch); ok {
+					if opened {
+						return nil
+					}
+					opened = true
+				}
+				return []decide.Action{a}
+			}}
+		})),
+		configured("windows taken for five times as long", "keyed request sent again", func(settings map[string]any) {
+			for _, c := range settings["categories"].([]any) {
+				if c := c.(map[string]any); c["keyTtl"] != nil {
+					c["keyTtl"] = c["keyTtl"].(float64) * 5
+				}
+			}
+		}),
+		ending("a drain that ends with the aims", "lost", func(m machine.Machine, n lab.Node) {
+			m.At(m.Now()+700_000, func() { n.(interface{ Close() }).Close() })
+		}),
+		{Name: "what waits at the listener dropped with it", Rule: "lost", Apply: func(o *lab.Options) {
+			start := o.Node
+			o.Node = func(m machine.Machine, c lab.NodeConfig) (lab.Node, error) {
+				t := &tamper{Machine: m, dropsQueue: true}
+				n, err := start(t, c)
+				return atDrain{n, func() { t.listener.Pause() }}, err
+			}
+		}},
 		{Name: "all dropped on SIGTERM", Rule: "lost", Apply: func(o *lab.Options) {
 			start := o.Node
 			o.Node = func(m machine.Machine, c lab.NodeConfig) (lab.Node, error) {
@@ -75,6 +108,46 @@
 	}
 }
 
+// atDrain is a router that does something else first when it is asked to drain.
+type atDrain struct {
+	lab.Node
+	first func()
+}
+
+func (a atDrain) Drain(done func()) {
+	a.first()
+	a.Node.Drain(done)
+}
+
+func ending(name, rule string, at func(machine.Machine, lab.Node)) Defect {
+	return Defect{Name: name, Rule: rule, Apply: func(o *lab.Options) {
+		start := o.Node
+		o.Node = func(m machine.Machine, c lab.NodeConfig) (lab.Node, error) {
+			n, err := start(m, c)
+			return atDrain{n, func() { at(m, n) }}, err
+		}
+	}}
+}
+
+// configured is a defect of a router that takes its settings for others.
+func configured(name, rule string, change func(settings map[string]any)) Defect {
+	return Defect{Name: name, Rule: rule, Apply: func(o *lab.Options) {
+		start := o.Node
+		o.Node = func(m machine.Machine, c lab.NodeConfig) (lab.Node, error) {
+			var file map[string]any
+			if err := json.Unmarshal(c.JSON, &file); err != nil {
+				return nil, err
+			}
+			change(file["settings"].(map[string]any))
+			var err error
+			if c.JSON, err = json.Marshal(file); err != nil {
+				return nil, err
+			}
+			return start(m, c)
+		}
+	}}
+}
+
 // abrupt is a router that ends at once when it is asked to drain.
 type abrupt struct{ lab.Node }
 
@@ -105,6 +178,9 @@
 	clientWrite, cacheWrite write
 	deafAfter               int
 	keepsOpen               bool
+	blindToEnd              bool // a client's end is not told
+	dropsQueue              bool // a listener does not take in what waits before it ends
+	listener                machine.Listener
 	keepsWorkers            bool
 	listOnce                bool
 	// registryRead changes what was read of a registry.
@@ -129,14 +205,30 @@
 }
 
 func (t *tamper) Listen(addr string, accept func(machine.Conn) machine.Handler) (machine.Listener, error) {
-	return t.Machine.Listen(addr, func(c machine.Conn) machine.Handler {
-		k := &wrongConn{Conn: c, write: t.clientWrite}
+	ln, err := t.Machine.Listen(addr, func(c machine.Conn) machine.Handler {
+		k := &wrongConn{Conn: c, write: t.clientWrite, blind: t.blindToEnd}
 		h := accept(k)
 		if h == nil || t.deafAfter == 0 {
 			return h
 		}
 		return &deaf{Handler: h, left: t.deafAfter}
 	})
+	if t.dropsQueue && err == nil {
+		ln = dropping{ln, t.Machine}
+	}
+	t.listener = ln
+	return ln, err
+}
+
+// dropping is a listener that ends with what waits in its queue.
+type dropping struct {
+	machine.Listener
+	m machine.Machine
+}
+
+func (d dropping) Finish(done func()) {
+	d.Close()
+	d.m.Post(done)
 }
 
 func (t *tamper) Dial(addr string, timeout machine.Time, done func(machine.Conn, error) machine.Handler) machine.Dialing {
@@ -169,6 +261,7 @@
 	write     write
 	keepsOpen bool
 	listOnce  bool
+	blind     bool
 	asked     int // calls for the list on it
 }
 
@@ -187,6 +280,21 @@
 	return c.write(c.Conn, b)
 }
 
+func (c *wrongConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if c.blind && err != nil {
+		err = machine.ErrWait
+	}
+	return n, err
+}
+
+func (c *wrongConn) End() error {
+	if c.blind {
+		return nil
+	}
+	return c.Conn.End()
+}
+
 func (c *wrongConn) Close() {
 	if !c.keepsOpen || c.asked > 0 {
 		c.Conn.Close()
--- a/internal/rules/attempts.go
+++ b/internal/rules/attempts.go
@@ -100,6 +100,10 @@
 		v.Rule = SentAfterFinal
 		v.Text = fmt.Sprintf("sent %s after it was %s", span(a.earliest-r.finalAt), r.final)
 		w.violate(r, v)
+	} else if r.state == left && a.earliest > r.leftAt+leftGrace+w.set.Slack {
+		v.Rule = SentAfterLeft
+		v.Text = fmt.Sprintf("sent %s after that", span(a.earliest-r.leftAt))
+		w.violate(r, v)
 	} else if r.state == answered && r.final == Refused && !r.class.refusable() {
 		v.Rule, v.Text = RefusedAfterRun, "an attempt was under way when it was refused"
 		w.violate(r, v)
--- a/internal/rules/events.go
+++ b/internal/rules/events.go
@@ -32,6 +32,7 @@
 	Sent     Time   // when its last byte was written to a connection that the router's machine accepted
 	Deadline Time   // when the client stops waiting
 	Write    bool
+	Forgone  bool // nobody waits for its answer, though the connection stays open
 }
 
 // Attempt is one command as a cache got it.
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -73,6 +73,7 @@
 	Doubled                     // a second answer
 	WrongValue                  // served with what no cache made for the request
 	SentAfterFinal              // an attempt was begun after the final answer
+	SentAfterLeft               // an attempt was begun a while after its client had gone
 	EffectTwice                 // the routers' doing
 	RefusedAfterRun             // refused, though an attempt may have run
 	UnsafeResent                // sent again, though an earlier attempt may have run
@@ -90,7 +91,7 @@
 
 var ruleNames = [ruleCount]string{
 	"lost", "answered after the deadline", "answered twice", "wrong value", "sent after the final answer",
-	"effect twice", "refused after it may have run", "unsafe request sent again", "keyed request sent again",
+	"sent after its client had left", "effect twice", "refused after it may have run", "unsafe request sent again", "keyed request sent again",
 	"second copy", "too many attempts", "late drain", "cold cache pushed over", "store pushed over",
 	"bad command", "too many descriptors", "left behind",
 }
--- a/internal/rules/rules_test.go
+++ b/internal/rules/rules_test.go
@@ -236,6 +236,16 @@
 		s.Answered(10*ms, "q", Refused, "")
 		s.begin(15*ms, "a", "q", "read")
 	}},
+	{"an attempt sent long after the client has left", []Rule{SentAfterLeft}, func(s *scene) {
+		s.ask(0, "q", "read")
+		s.Left(100*ms, "q")
+		s.begin(460*ms, "a", "q", "read") // sent at 455
+	}},
+	{"an attempt sent while the news of its client's departure is on its way", nil, func(s *scene) {
+		s.ask(0, "q", "read")
+		s.Left(100*ms, "q")
+		s.begin(455*ms, "a", "q", "read") // sent at 450
+	}},
 	{"an attempt sent nobody knows when, long after the final answer", []Rule{SentAfterFinal}, func(s *scene) {
 		s.ask(0, "q", "read")
 		s.Answered(10*ms, "q", Refused, "")
--- a/internal/rules/watcher.go
+++ b/internal/rules/watcher.go
@@ -13,6 +13,8 @@
 	forgetAfter Time = 1_000_000
 	// mostClasses bounds the classes that are counted by name: names come from clients.
 	mostClasses = 64
+	// leftGrace is how long after its client has left a request may still be sent on.
+	leftGrace Time = 300_000
 	// mostKept bounds the requests with a broken rule whose life is kept to the end.
 	mostKept = 100
 	// longestKept bounds the values that are held past the deadline, in bytes.
@@ -85,6 +87,7 @@
 	finalAt  Time
 	broken   bool // its connection has ended; the verdict waits for deathNotice
 	brokenAt Time
+	leftAt   Time // by its client, before its deadline
 	effects  int
 	attempts []attempt
 	moments  []moment
@@ -272,6 +275,10 @@
 		r.state = excused
 		r.class.tally.Excused++
 	}
+	if a.Forgone && r.state == open {
+		r.state, r.leftAt = left, a.Deadline // no router can see it
+		r.class.tally.Left++
+	}
 	w.due.push(due{at: a.Deadline + w.set.Slack, kind: dueDeadline, r: r})
 }
 
@@ -357,7 +364,7 @@
 	}
 	r.note(moment{at: now, kind: hasLeft})
 	if r.state == open && !r.broken && now < r.ask.Deadline {
-		r.state = left
+		r.state, r.leftAt = left, now
 		r.class.tally.Left++
 	}
 }
--- a/internal/standin/cache_test.go
+++ b/internal/standin/cache_test.go
@@ -35,7 +35,11 @@
 func (n *notes) Listed(_ Time, router, cache string, works bool) {
 	n.add("listed %s %s %t", router, cache, works)
 }
-func (n *notes) Asked(_ Time, a rules.Ask) { n.add("asked %s", a.Class) }
+func (n *notes) Asked(_ Time, a rules.Ask) {
+	if n.add("asked %s", a.Class); a.Forgone {
+		n.add("forgone")
+	}
+}
 func (n *notes) Answered(_ Time, _ string, kind rules.Answer, _ string) {
 	n.add("answered %s", kind)
 }
--- a/internal/standin/client_test.go
+++ b/internal/standin/client_test.go
@@ -374,7 +374,11 @@
 		if h.Open() != open || s.notes.count("asked call-lookup") != asked || len(s.router.conns) != 1 {
 			t.Errorf("%s: %d open, %d asked", harm, h.Open(), s.notes.count("asked call-lookup"))
 		}
-		s.notes.has(t, "left", asked)
+		gone := "left"
+		if harm == NeverReads { // its connection stays
+			gone = "forgone"
+		}
+		s.notes.has(t, gone, asked)
 		h.Stop()
 		s.run(t, 20*Second)
 		if h.Open() != 0 || !s.router.conns[0].closed {
--- a/internal/standin/hostile.go
+++ b/internal/standin/hostile.go
@@ -124,10 +124,10 @@
 		b, _ := c.read()
 		c.send(b[:len(b)-3])
 	case Abandons:
-		c.reads(router, abandoned)
+		c.reads(router, abandoned, false)
 		c.drop()
 	case NeverReads:
-		c.reads(router, deafReads)
+		c.reads(router, deafReads, true)
 	}
 }
 
@@ -141,7 +141,7 @@
 }
 
 // reads writes whole reads, one behind the other. It waits for none of them: nothing is owed for them.
-func (c *hostileConn) reads(router string, n int) {
+func (c *hostileConn) reads(router string, n int, stays bool) {
 	now := c.h.m.Now()
 	for range n {
 		b, t := c.read()
@@ -149,8 +149,10 @@
 			return // it did not go out whole
 		}
 		c.h.obs.Asked(now, rules.Ask{ID: t.id, Router: router, Class: c.h.o.Class.Name, Key: t.req.key, Sent: now,
-			Deadline: t.deadline})
-		c.h.obs.Left(now, t.id)
+			Deadline: t.deadline, Forgone: stays})
+		if !stays {
+			c.h.obs.Left(now, t.id)
+		}
 	}
 }
 
