--- a/decide/random_test.go
+++ b/decide/random_test.go
@@ -109,13 +109,36 @@
 	if rng.Intn(4) == 0 {
 		s.ColdTime, s.ColdShare, s.TipTime, s.AskEvery = 0, 0, 0, 0
 	}
+	if rng.Intn(2) == 0 {
+		return s
+	}
+	// Another customer's: what is legal, whatever it is.
+	s.Routers = []int{0, 1, 3, sparseFrom, sparseFrom + 1, 100, 300}[rng.Intn(7)]
+	s.DrainGrace = Time(100+rng.Intn(2000)) * ms
+	s.ProbePrice, s.ConnPrice, s.DialPrice = rng.Float64()/10, rng.Float64()/10, rng.Float64()/10
+	s.RefuseWait, s.LiveSizes = Time(rng.Intn(2000))*ms, rng.Intn(3) == 0
+	if s.AskEvery > 0 {
+		s.AskEvery = Time(100+rng.Intn(60_000)) * ms
+	}
+	for i := range s.Classes {
+		c := &s.Classes[i]
+		c.Effect, c.Scope = Effect(rng.Intn(3)), Scope(rng.Intn(3))
+		c.KeyTTL, c.Aim = Time(rng.Intn(1500))*ms, Time(rng.Intn(400))*ms
+		c.Limit = c.Aim + Time(rng.Intn(3000))*ms
+	}
 	return s
 }
 
 // play feeds a random stream of events drawn from seed and returns all actions.
-func play(t *testing.T, seed int64, steps int) []Action {
+func play(t *testing.T, seed int64, steps int) []Action { return playNamed(t, seed, steps, "") }
+
+// playNamed is play where each class and tenant has another name, which begins so.
+func playNamed(t *testing.T, seed int64, steps int, prefix string) []Action {
 	rng := rand.New(rand.NewSource(seed))
 	s := randomSettings(rng)
+	for i := range s.Classes {
+		s.Classes[i].Name = prefix + s.Classes[i].Name
+	}
 	b := newBench(t, s)
 	w := &watcher{t: t, set: s, reqs: map[int64]*watched{}, told: map[string]Time{}, known: map[string]Entry{}}
 	classes := map[string]Class{}
@@ -169,10 +192,10 @@
 		b.now = end
 		switch x := rng.Intn(100); {
 		case x < 50:
-			name := names[rng.Intn(len(names))]
+			name := prefix + names[rng.Intn(len(names))]
 			q := &watched{class: classes[name], deadline: b.now + Time(rng.Intn(900*ms)) - 20*ms}
 			w.reqs[id] = q
-			feed(&Request{ID: id, Class: name, Tenant: []string{"x", "y", ""}[rng.Intn(3)], Key: uint64(rng.Intn(40)),
+			feed(&Request{ID: id, Class: name, Tenant: prefix + []string{"x", "y", ""}[rng.Intn(3)], Key: uint64(rng.Intn(40)),
 				HasKey: rng.Intn(9) > 0, Deadline: q.deadline, Cost: Time(rng.Intn(60 * ms))})
 		case x < 53:
 			gone := id - 1 - int64(rng.Intn(20))
@@ -242,3 +265,12 @@
 		}
 	}
 }
+
+// TestNamesChangeNothing: what classes and tenants are called decides nothing.
+func TestNamesChangeNothing(t *testing.T) {
+	for seed := range int64(40) {
+		if !reflect.DeepEqual(play(t, seed, 800), playNamed(t, seed, 800, "kiln-")) {
+			t.Fatalf("seed %d: other names, other actions", seed)
+		}
+	}
+}
