--- a/internal/lab/script/draw.go
+++ b/internal/lab/script/draw.go
@@ -32,6 +32,13 @@
 		f.fit(s.Length)
 		s.Faults = append(s.Faults, f)
 	}
+	// A stream of its own, so that what was drawn before stays as it was.
+	if e := (drawer{rand.New(rand.NewPCG(seed, endingStream))}); e.IntN(endingsOneIn) == 0 {
+		for _, f := range pick(e, endings)(e, &s) {
+			f.fit(s.Length)
+			s.Faults = append(s.Faults, f)
+		}
+	}
 	s.Sort()
 	return s
 }
