Clients: nothing goes out in the turn that brings the client's end behind its send

Forced on sockets: "leaves was sent on" in three of three ways of leaving.

Ruled out: the departure's path (it is told a moment later, and the attempt is given up). To blame: sending.Open looked at what was told so far.

Changed: the last look before an attempt's first byte asks the client's connection for its end; the real machine notes the ends of a whole turn's events before it tells of the first. The virtual one knew them already.

--- a/internal/front/slot.go
+++ b/internal/front/slot.go
@@ -97,5 +97,8 @@
 // Broken reports whether the connection that it came on has broken off, where its client did not end it.
 func (s *Slot) Broken() bool { return s.client.broken }
 
+// Gone reports whether the client has left, also where nobody has been told of that yet.
+func (s *Slot) Gone() bool { return s.client.closed || s.client.nc.End() != nil }
+
 // Client is a hash of the address that the request came from, without its port.
 func (s *Slot) Client() uint64 { return s.client.from }
--- a/internal/machine/conn.go
+++ b/internal/machine/conn.go
@@ -29,8 +29,7 @@
 	held := c.held // as it was before: what Readable writes gets an event of its own
 	if mask&(eventIn|eventEnd|eventOver) != 0 {
 		c.empty = false
-		c.over = c.over || mask&(eventEnd|eventOver) != 0
-		c.failed = c.failed || mask&syscall.EPOLLERR != 0
+		c.note(mask)
 		c.h.Readable()
 	}
 	if held && c.fd >= 0 && mask&(eventOut|eventOver) != 0 {
@@ -38,6 +37,12 @@
 	}
 }
 
+// note takes in what an event says of the connection's end.
+func (c *conn) note(mask uint32) {
+	c.over = c.over || mask&(eventEnd|eventOver) != 0
+	c.failed = c.failed || mask&syscall.EPOLLERR != 0
+}
+
 // Read implements Conn.
 func (c *conn) Read(b []byte) (int, error) {
 	if c.fd < 0 {
--- a/internal/machine/real.go
+++ b/internal/machine/real.go
@@ -138,6 +138,12 @@
 		return false
 	}
 
+	// The danger: what one connection's event sets off is for another one whose end is told of behind it, in the same turn.
+	for i := range m.poll.n {
+		if c, ok := m.poll.owner(&m.poll.events[i]).(*conn); ok {
+			c.note(m.poll.events[i].Events)
+		}
+	}
 	for i := 0; i < m.poll.n; i++ {
 		ev := &m.poll.events[i]
 		if w := m.poll.owner(ev); w != nil {
--- a/internal/router/endings_test.go
+++ b/internal/router/endings_test.go
@@ -50,6 +50,43 @@
 	}
 }
 
+// TestNothingGoesOutForAClientThatLeavesInTheTurnOfItsSend: the answer that frees the connection comes first in the turn, the
+// client's end behind it.
+func TestNothingGoesOutForAClientThatLeavesInTheTurnOfItsSend(t *testing.T) {
+	for name, leave := range map[string]func(c *routertest.Client){
+		"by its end":      func(c *routertest.Client) { c.Close() },
+		"by a reset":      func(c *routertest.Client) { c.SetLinger(0); c.Close() },
+		"by a half close": func(c *routertest.Client) { c.CloseWrite() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			cache := newFakeCache(t)
+			cfg := testConfig(t, routertest.SilentDiscovery(t), nil, host("c1", cache.Addr(), "in_service"))
+			cfg.Bounds.Caches.LeastConnections, cfg.Bounds.Caches.FleetConnections, cfg.Bounds.Caches.RestTime = 1, 1, 0
+			r := start(t, cfg, nil, nil)
+			busy, leaves := dial(t, r.addr), dial(t, r.addr)
+			busy.Send(get("first"))
+			first := receive(t, cache.Commands, "command")
+			leaves.Send(get("leaves"))
+			r.Until("a request that waits", func() bool { return r.r.open == 2 })
+			r.Do(func() {
+				first.Reply(t, served)
+				leave(leaves)
+			})
+			busy.Want("value")
+			busy.Send(get("last"))
+			cmd := receive(t, cache.Commands, "command")
+			if cmd.Args[2] != "last" {
+				t.Errorf("%s was sent on", cmd.Args[2])
+			}
+			cmd.Reply(t, served)
+			if cmd.Args[2] == "last" {
+				busy.Want("value")
+				r.idle()
+			}
+		})
+	}
+}
+
 // TestIdOfARequestWhoseAttemptIsOutIsNotTakenAgain. The danger: what may be running runs twice.
 func TestIdOfARequestWhoseAttemptIsOutIsNotTakenAgain(t *testing.T) {
 	cache := newFakeCache(t)
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -44,8 +44,8 @@
 // Encode implements upstream.Work.
 func (s *sending) Encode(b []byte, wait Time) []byte { return s.request.cmd.Encode(b, wait) }
 
-// Open implements upstream.Work.
-func (s *sending) Open() bool { return !s.request.over }
+// Open implements upstream.Work. The danger: a turn brings what lets a request go out, and behind that its client's end.
+func (s *sending) Open() bool { return !s.request.over && !s.request.slot.Gone() }
 
 // Key implements upstream.Work.
 func (s *sending) Key() uint64 { return s.request.cmd.Hash }
