Watches: one that has lapsed is heard until the next one answers

Ruled out: the list's merge and the module, which never saw it. At fault: httpc's own limit closed the connection of a late call (watch.go, next), and Sources.Watch that of a doubted one.

Change: a call without an answer in time has lapsed; its connection stays beside the next call's, one at most, and whichever answers goes on. Move still ends both.

--- a/internal/routertest/discovery.go
+++ b/internal/routertest/discovery.go
@@ -11,8 +11,9 @@
 // Call is one call of discovery.
 type Call struct {
 	Query   string
-	Reply   chan string   // takes a body, or "" for 503
-	Written chan struct{} // closed when the answer is on its way, whole
+	Reply   chan string     // takes a body, or "" for 503
+	Written chan struct{}   // closed when the answer is on its way, whole
+	Gone    <-chan struct{} // closed when the caller's connection has ended, or the call is over
 }
 
 // Discovery is a discovery that hands each call to the test.
@@ -21,7 +22,7 @@
 	handed := make(chan Call)
 	over := make(chan struct{})
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		c := Call{r.URL.String(), make(chan string, 1), make(chan struct{})}
+		c := Call{r.URL.String(), make(chan string, 1), make(chan struct{}), r.Context().Done()}
 		select {
 		case handed <- c:
 		case <-over:
--- a/internal/sources/sources.go
+++ b/internal/sources/sources.go
@@ -54,6 +54,7 @@
 	waking   machine.Timer // for members
 	index    int64         // version of the platform's list; NoIndex has the whole one asked for
 	watching *discovery.Watch
+	lapsed   *discovery.Watch // the one before, where it has not answered: it is heard until the other one is
 	registry *eureka.Client
 	over     bool
 }
@@ -102,10 +103,7 @@
 // Stop ends all calls.
 func (s *Sources) Stop() {
 	s.over = true
-	if s.watching != nil {
-		s.watching.Stop()
-		s.watching = nil
-	}
+	s.unwatch()
 	if s.registry != nil {
 		s.registry.Stop()
 	}
@@ -178,9 +176,59 @@
 		return
 	}
 	if s.watching != nil {
-		s.watching.Stop()
+		s.putBy(s.watching)
+	}
+	var w *discovery.Watch
+	w = discovery.Follow(s.m, s.cfg.Discovery, s.cfg.Bounds, s.index, func(list discovery.List) {
+		s.heard(w)
+		s.Listed(list)
+	}, func(err error) { s.failed(w, err) })
+	s.watching = w
+}
+
+// putBy keeps a watch that has not answered, beside the next one. There is one of them at most.
+func (s *Sources) putBy(w *discovery.Watch) {
+	if s.lapsed != nil {
+		s.lapsed.Stop()
+	}
+	s.lapsed, s.watching = w, nil
+}
+
+// heard ends the other watch: the one that has answered goes on, and asks for all that came after that.
+func (s *Sources) heard(w *discovery.Watch) {
+	other := s.lapsed
+	if w == s.lapsed {
+		other = s.watching
+	}
+	if s.watching, s.lapsed = w, nil; other != nil {
+		other.Stop()
+	}
+}
+
+// unwatch ends both.
+func (s *Sources) unwatch() {
+	for _, w := range []*discovery.Watch{s.watching, s.lapsed} {
+		if w != nil {
+			w.Stop()
+		}
+	}
+	s.watching, s.lapsed = nil, nil
+}
+
+// failed takes the news that a watch has failed, or its call has lapsed.
+func (s *Sources) failed(w *discovery.Watch, err error) {
+	switch {
+	case w == s.lapsed: // the next one is asked, or soon will be
+		if !w.Lapsed() {
+			s.lapsed = nil
+		}
+	case w.Lapsed():
+		s.putBy(w)
+		s.lost(err)
+	default:
+		s.watching = nil
+		s.lost(err)
 	}
-	s.watching = discovery.Follow(s.m, s.cfg.Discovery, s.cfg.Bounds, s.index, s.Listed, s.lost)
 }
 
 // Version is that of the last list of the platform's discovery; below 0 where there is none.
@@ -195,9 +243,8 @@
 	s.owner.Settle()
 }
 
-// lost takes the news that a call has failed.
+// lost takes the news that there is no watch any more.
 func (s *Sources) lost(err error) {
-	s.watching = nil
 	if !errors.Is(err, discovery.ErrCrowded) && !errors.Is(err, discovery.ErrSilent) {
 		// The danger: a discovery that has started anew counts its versions anew, and has nothing to say for long of what
 		// comes after the old ones. One that was only silent is asked for what it has missed to tell, which is one call
@@ -213,11 +260,7 @@
 // versions need not go on from those of the old one.
 func (s *Sources) Move(addr string) {
 	s.cfg.Discovery = addr
-	if s.watching != nil {
-		// What the old one has yet to say is not heard: a late answer must not overwrite what the new one has told.
-		s.watching.Stop()
-		s.watching = nil
-	}
+	s.unwatch() // what the old one has yet to say is not heard: it must not overwrite what the new one has told
 	s.index = discovery.NoIndex
 	s.Watch()
 }
--- a/internal/sources/sources_test.go
+++ b/internal/sources/sources_test.go
@@ -202,3 +202,45 @@
 	r.want("c2", decide.Up, "")
 	r.want("c1", decide.Removed, "")
 }
+
+// TestLapsedWatchIsHeardUntilTheNextOneAnswers. The danger: discovery writes a drain to a watch just as the router gives it up for
+// another. It counts as told, and the next call, which hangs, brings it when it is too late.
+func TestLapsedWatchIsHeardUntilTheNextOneAnswers(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		first bool // the one that has lapsed is answered first
+	}{{"the old one answers", true}, {"the new one answers", false}} {
+		t.Run(c.name, func(t *testing.T) {
+			addr, calls := routertest.Discovery(t)
+			r := newRig(t, []string{membership.Discovery}, addr)
+			r.Do(func() {
+				r.sources.cfg.Bounds.WatchTime, r.sources.cfg.Bounds.AnswerTime = 20*time.Millisecond, 20*time.Millisecond
+				r.sources.Start()
+			})
+			routertest.Receive(t, calls, "the first call").Reply <- routertest.Hosts(7, true, routertest.Host("c1", "127.0.0.1:7001", "in_service"))
+			old := routertest.Receive(t, calls, "the watch")
+			r.Until("its silence", func() bool { return r.owner.failed == 1 })
+			r.Do(func() {
+				r.sources.cfg.Bounds.WatchTime, r.sources.cfg.Bounds.AnswerTime = time.Minute, time.Minute
+				r.sources.Watch()
+			})
+			again := routertest.Receive(t, calls, "the watch, opened anew")
+			one, other := again, old
+			if c.first {
+				one, other = old, again
+			}
+			one.Reply <- routertest.Hosts(8, false, routertest.Host("c1", "127.0.0.1:7001", "terminating"))
+			r.want("c1", decide.Draining, "")
+			routertest.Receive(t, other.Gone, "end of the other one")
+			next := routertest.Receive(t, calls, "the next call")
+			if !strings.Contains(next.Query, "?after=8&") {
+				t.Errorf("asked %s, want what comes after 8", next.Query)
+			}
+			r.Do(func() {
+				if r.sources.lapsed != nil || r.sources.watching == nil || r.owner.failed != 1 {
+					t.Errorf("lapsed %v, watching %v, failed %d", r.sources.lapsed, r.sources.watching, r.owner.failed)
+				}
+			})
+		})
+	}
+}
