Rules: a departure counts from when it has reached the router's machine

The rule was wrong, not the router.

Change: the virtual connection tells an onlooker whether the other side's machine has its end; the rule counts its 0.3 s from then, exactly, for every request and not for those alone that come from another zone.

--- a/internal/lab/eyes.go
+++ b/internal/lab/eyes.go
@@ -13,14 +13,15 @@
 type eyes struct {
 	*rules.Watcher
 	w       *world
-	history []string        // of the request that is followed
-	last    rules.Tally     // as the window before has ended
-	asked   map[string]Time // when, by id; nil where no router is stopped
-	left    map[string]Time // when the client left, by id
+	history []string               // of the request that is followed
+	last    rules.Tally            // as the window before has ended
+	asked   map[string]Time        // when, by id; nil where no router is stopped
+	left    map[string]Time        // when the client left, by id
+	ended   map[string]func() bool // whether the router's machine has the end of its connection, by id
 }
 
 func newEyes(w *world) *eyes {
-	e := &eyes{Watcher: w.watcher, w: w, left: map[string]Time{}}
+	e := &eyes{Watcher: w.watcher, w: w, left: map[string]Time{}, ended: map[string]func() bool{}}
 	if slices.ContainsFunc(w.s.Faults, func(f script.Fault) bool { return f.Kind == script.Stall }) {
 		e.asked = map[string]Time{}
 	}
@@ -133,12 +134,14 @@
 	if r := e.w.registry; r != nil {
 		r.known.asks(a.Router, now)
 	}
+	e.ended[a.ID] = a.Ended
 	e.Watcher.Asked(now, a)
 	e.follow(a.ID)
 }
 
 // Answered implements rules.Observer.
 func (e *eyes) Answered(now Time, id string, kind rules.Answer, value string) {
+	delete(e.ended, id)
 	e.Watcher.Answered(now, id, kind, value)
 	e.follow(id)
 }
@@ -147,6 +150,19 @@
 func (e *eyes) Left(now Time, id string) {
 	e.left[id] = now
 	e.Watcher.Left(now, id)
+	e.departs(id)
+}
+
+// departs has the watcher count from when the end of its connection has reached the router's machine. The danger: between zones
+// that are cut off from each other, or on a long way, a router reads a request and can't know that its client has left.
+func (e *eyes) departs(id string) {
+	if ended := e.ended[id]; ended != nil && !ended() {
+		now := e.w.sim.Now()
+		e.Watcher.Unseen(id, now+pollCut)
+		e.w.sim.At(now+pollCut, func() { e.departs(id) })
+		return
+	}
+	delete(e.ended, id)
 }
 
 // follow keeps the life of the request that is followed: the watcher forgets those that are over.
--- a/internal/rules/events.go
+++ b/internal/rules/events.go
@@ -33,6 +33,9 @@
 	Deadline Time   // when the client stops waiting
 	Write    bool
 	Forgone  bool // nobody waits for its answer, though the connection stays open
+
+	// Ended, where it is not nil, tells whether the router's machine has the end of its connection by now.
+	Ended func() bool
 }
 
 // Attempt is one command as a cache got it.
--- a/internal/rules/rules_test.go
+++ b/internal/rules/rules_test.go
@@ -246,6 +246,19 @@
 		s.Left(100*ms, "q")
 		s.begin(455*ms, "a", "q", "read") // sent at 450
 	}},
+	{"an attempt sent while the client's end is held up on its way", nil, func(s *scene) {
+		s.ask(0, "q", "read")
+		s.Left(100*ms, "q")
+		s.Unseen("q", 400*ms)
+		s.Unseen("q", 300*ms)             // what is known does not go back
+		s.begin(755*ms, "a", "q", "read") // sent at 750
+	}},
+	{"an attempt sent long after the client's end has come at last", []Rule{SentAfterLeft}, func(s *scene) {
+		s.ask(0, "q", "read")
+		s.Left(100*ms, "q")
+		s.Unseen("q", 400*ms)
+		s.begin(760*ms, "a", "q", "read") // sent at 755
+	}},
 	{"an attempt sent nobody knows when, long after the final answer", []Rule{SentAfterFinal}, func(s *scene) {
 		s.ask(0, "q", "read")
 		s.Answered(10*ms, "q", Refused, "")
--- a/internal/rules/watcher.go
+++ b/internal/rules/watcher.go
@@ -87,7 +87,7 @@
 	finalAt  Time
 	broken   bool // its connection has ended; the verdict waits for deathNotice
 	brokenAt Time
-	leftAt   Time // by its client, before its deadline
+	leftAt   Time // by its client, before its deadline; the earliest at which its router can have seen it
 	effects  int
 	attempts []attempt
 	moments  []moment
@@ -369,6 +369,13 @@
 	}
 }
 
+// Unseen says that a request's router can't have seen before at that its client has left: the way there was cut, or long.
+func (w *Watcher) Unseen(id string, at Time) {
+	if r := w.requests[id]; r != nil && r.state == left {
+		r.leftAt = max(r.leftAt, at)
+	}
+}
+
 // Broken implements Observer. The danger: a killed router's connections break before anybody has noticed
 // that its process is gone, so the verdict waits.
 func (w *Watcher) Broken(now Time, id string) {
--- a/internal/sim/conn.go
+++ b/internal/sim/conn.go
@@ -359,6 +359,13 @@
 	return c.marks[i].sent
 }
 
+// Ended reports whether the other side's machine has the end of the connection, as an onlooker there would know it: a cut or a
+// slow link delays it by any time. It is for stand-ins that watch, not for the code under test.
+func (c *Conn) Ended() bool {
+	o := c.peer
+	return o.ended || o.broken || o.closed || o.host.gone
+}
+
 // takeIn adds bytes to those that wait.
 func (c *Conn) takeIn(ev *event) {
 	if len(c.marks) == mostMarks {
--- a/internal/sim/faults_test.go
+++ b/internal/sim/faults_test.go
@@ -497,3 +497,21 @@
 		t.Errorf("%d marks are held", len(c.marks))
 	}
 }
+
+// TestAnOnlookerKnowsWhenAnEndHasCome, whatever holds it up on its way.
+func TestAnOnlookerKnowsWhenAnEndHasCome(t *testing.T) {
+	f := newField(t, HostOptions{}, HostOptions{})
+	near, _ := f.pair()
+	conn := near.conn.(*Conn)
+	f.Cut("c", "s")
+	near.conn.Close()
+	f.after(Second)
+	if conn.Ended() {
+		t.Error("the end has crossed a cut")
+	}
+	f.Heal("c", "s")
+	f.after(Second)
+	if !conn.Ended() {
+		t.Error("the end has not come after the heal")
+	}
+}
--- a/internal/standin/clientconn.go
+++ b/internal/standin/clientconn.go
@@ -139,8 +139,12 @@
 	err := cc.send(t.words(now))
 	t.sent = now
 	r.tally.Tries++
-	c.obs.Asked(now, rules.Ask{ID: t.id, Router: cc.target.Name, Class: r.class.Name, Key: r.key, IdemKey: r.idem,
-		Sent: now, Deadline: t.deadline, Write: r.class.Write})
+	ask := rules.Ask{ID: t.id, Router: cc.target.Name, Class: r.class.Name, Key: r.key, IdemKey: r.idem,
+		Sent: now, Deadline: t.deadline, Write: r.class.Write}
+	if conn, virtual := cc.conn.(interface{ Ended() bool }); virtual {
+		ask.Ended = conn.Ended
+	}
+	c.obs.Asked(now, ask)
 	if err != nil {
 		c.m.At(now, cc.broken)
 	}
