Pushed lists: an agent's silence is noticed within half of the grace, its word goes first

A call that is out while the agent is silent is never answered, lasted 2 s, and the module's pause before the next one grew to 4 s (decide.list), as it must where discovery has to be asked. The order of events at the 210 killed routers was ruled out: each had the agent's list 3 ms after its start. But in these 3 ms they went by the list as last known, though what the agent has counts as told from the first moment of a process on.

The lab draws pushed lists, a grace of 500 ms, and forgets what a restarted router was told, which hid drains from before its start.

--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -5,7 +5,6 @@
 	"fmt"
 
 	"starlingwinch/internal/httpc"
-	"starlingwinch/internal/limits"
 	"starlingwinch/internal/machine"
 )
 
@@ -53,9 +52,9 @@
 // each answer, in order; failed is called when a call has failed or lapsed. After one that has failed there is nothing more;
 // one that has Lapsed may still be answered, or fail. Neither is called from within Follow. The next call follows an answer
 // at once, as a pause would end the watch.
-func Follow(m machine.Machine, addr string, bounds limits.Discovery, after int64, told func(List), failed func(error)) *Watch {
-	w := &Watch{m: m, addr: addr, spans: spansOf(bounds, m.Entropy()), told: told, failed: failed, after: after, credit: callBurst, last: m.Now()}
-	w.client = httpc.New(m, addr, httpc.Options{DialTime: bounds.AnswerTime.Microseconds(), MostBody: int(bounds.ListSize)})
+func Follow(m machine.Machine, addr string, o Options, after int64, told func(List), failed func(error)) *Watch {
+	w := &Watch{m: m, addr: addr, spans: spansOf(o, m.Entropy()), told: told, failed: failed, after: after, credit: callBurst, last: m.Now()}
+	w.client = httpc.New(m, addr, httpc.Options{DialTime: w.spans.answer, MostBody: int(o.ListSize)})
 	w.next()
 	return w
 }
@@ -94,6 +93,9 @@
 	w.client.Do(httpc.Request{Method: "GET", Path: path, Headers: accept}, mostWait, w.answered)
 }
 
+// Again is the pause from a failure to the next call; 0 where that is the owner's to say.
+func (w *Watch) Again() Time { return w.spans.again }
+
 // Lapsed reports whether the call that is out should have been answered by now.
 func (w *Watch) Lapsed() bool { return w.lapsed && !w.over }
 
--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -33,7 +33,7 @@
 		edit(&bounds)
 	}
 	f.Do(func() {
-		f.w = Follow(f.Loop, addr, bounds, after, func(l List) { f.told <- l }, func(err error) { f.failed <- err })
+		f.w = Follow(f.Loop, addr, Options{Discovery: bounds}, after, func(l List) { f.told <- l }, func(err error) { f.failed <- err })
 	})
 	return f
 }
@@ -400,7 +400,7 @@
 		addr, calls := rawDiscovery(t)
 		f := &follower{Loop: routertest.NewLoop(t, nil), t: t, told: make(chan List, 9), failed: make(chan error, 9)}
 		f.Do(func() {
-			f.w = Follow(f.Loop, addr, limits.Default().Discovery, 5, func(l List) { f.told <- l },
+			f.w = Follow(f.Loop, addr, Options{Discovery: limits.Default().Discovery}, 5, func(l List) { f.told <- l },
 				func(err error) { f.failed <- err })
 			f.w.Stop()
 		})
--- a/internal/lab/router.go
+++ b/internal/lab/router.go
@@ -66,6 +66,7 @@
 	r.ending = false
 	r.w.hooked.play(r)
 	r.w.eyes.RouterUp(r.w.sim.Now(), r.name)
+	r.w.fleet.Discovery.Forget(r.name)
 	node, err := r.w.o.Node(m, r.config())
 	if err != nil {
 		r.w.err = fmt.Errorf("router %s does not start: %w", r.name, err)
--- a/internal/lab/script/draw.go
+++ b/internal/lab/script/draw.go
@@ -8,7 +8,10 @@
 )
 
 // drawStream keeps the draws of scripts apart from those of the worlds of the same seed.
-const drawStream = 0x5c12_9f01
+const (
+	drawStream   = 0x5c12_9f01
+	pushedStream = 0x7a57_ed01
+)
 
 // mostDrawn is how many faults a drawn script has at most.
 const mostDrawn = 5
@@ -23,6 +26,10 @@
 	s.Seed = int64(seed & math.MaxInt64) // whole numbers of a file have 63 bits
 	s.Length = length
 	d.world(&s)
+	// A stream of its own, so that what is drawn else stays as it was.
+	p := drawer{rand.New(rand.NewPCG(seed, pushedStream))}
+	s.Fleet.Pushed = p.IntN(4) == 0
+	s.Fleet.DrainGrace = pick(p, []time.Duration{time.Second, time.Second, 500 * time.Millisecond})
 	// Troubles that come together break what each alone does not: half of the faults begin while another lasts.
 	for n := 1 + d.IntN(mostDrawn); len(s.Faults) < n; {
 		f := d.fault(&s)
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -169,7 +169,7 @@
 	if s.Registry.Enabled {
 		o.Cache.RouterOf = w.routerAt
 	}
-	o.Discovery.Delay = microseconds(s.Fleet.ListDelay)
+	o.Discovery.Delay, o.Discovery.Pushed = microseconds(s.Fleet.ListDelay), s.Fleet.Pushed
 	o.Clients = s.Clients.Groups
 	c := &o.Client
 	c.Rate, c.Retries, c.Honour, c.TryShare = s.Rate, s.Clients.Retries, s.Clients.Honour, s.Clients.TryShare
@@ -207,6 +207,7 @@
 	s.Sockets, s.Routers, s.Classes = w.s.Fleet.Sockets, w.s.Routers, w.classes
 	s.MaxAttempts, s.Copies, s.Probes = w.s.Fleet.MaxAttempts, w.s.Fleet.Copies, w.s.Fleet.Probes
 	s.Cancel = w.s.Fleet.Cancel != "none"
+	s.Pushed, s.DrainGrace = w.s.Fleet.Pushed, microseconds(w.s.Fleet.DrainGrace)
 	return s
 }
 
@@ -217,7 +218,7 @@
 func (w *world) rules() rules.Settings {
 	set := rules.Settings{
 		Classes: map[string]rules.Class{}, MaxAttempts: w.s.Fleet.MaxAttempts, Slack: slack, Flight: 50 * millisecond,
-		Copies: w.s.Fleet.Copies || w.hidesCloses(), DrainGrace: second,
+		Copies: w.s.Fleet.Copies || w.hidesCloses(), DrainGrace: microseconds(w.s.Fleet.DrainGrace),
 		Remember:     w.longestHeld(),
 		FallMultiple: 3, FallFor: 3 * second, FallSlack: 0.05, StoreFallFor: 3 * second, StoreColdShare: 0.5,
 	}
--- a/internal/router/discovery_test.go
+++ b/internal/router/discovery_test.go
@@ -98,6 +98,37 @@
 	}
 }
 
+// TestNothingIsSentByAnOldListWhereListsArePushed: what the agent has counts as told from the first moment of a process on.
+func TestNothingIsSentByAnOldListWhereListsArePushed(t *testing.T) {
+	drained, fresh := newFakeCache(t), newFakeCache(t)
+	addr, calls := routertest.Discovery(t)
+	r := start(t, testConfig(t, addr, func(in map[string]any) {
+		settings := in["settings"].(map[string]any)
+		settings["discovery"] = "automatic"
+		settings["rules"].(map[string]any)["drainGrace"] = 60_000_000 // so that the call is not given up
+	}, host("c1", drained.Addr(), "in_service")), nil, nil)
+	call := receive(t, calls, "call")
+	c := dial(t, r.addr)
+	c.Send(words("PING"))
+	if got := c.Line(); !strings.HasPrefix(got, "-LOADING") {
+		t.Errorf("a router that knows nothing new says %q", got)
+	}
+	c.Send(get("r1"))
+	if got := c.Line(); !strings.HasPrefix(got, "-BUSY") {
+		t.Errorf("and %q to a request", got)
+	}
+	call.Reply <- hosts(7, true, host("c1", drained.Addr(), "terminating"), host("c2", fresh.Addr(), "in_service"))
+	receive(t, calls, "watch")
+	c.Send(get("r2"))
+	receive(t, fresh.Commands, "command").Reply(t, served)
+	c.Want("value")
+	select {
+	case <-drained.Commands:
+		t.Error("a command went to a cache that drains")
+	default:
+	}
+}
+
 // moved is the configuration with discovery at another address.
 func moved(cfg *Config, addr string) *Config {
 	next := *cfg
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -14,6 +14,7 @@
 	"starlingwinch/decide"
 	"starlingwinch/internal/alarm"
 	"starlingwinch/internal/books"
+	"starlingwinch/internal/discovery"
 	"starlingwinch/internal/eureka"
 	"starlingwinch/internal/front"
 	"starlingwinch/internal/hooks"
@@ -154,7 +155,8 @@
 
 // SourcesOf says whom a router with that configuration asks for caches.
 func SourcesOf(cfg *Config) sources.Config {
-	return sources.Config{Discovery: cfg.Discovery, Bounds: cfg.Bounds.Discovery, Known: cfg.Known,
+	asked := discovery.Options{Discovery: cfg.Bounds.Discovery, Pushed: !cfg.Settings.MustWatch, Grace: cfg.Settings.DrainGrace}
+	return sources.Config{Discovery: cfg.Discovery, Asked: asked, Known: cfg.Known,
 		Membership: cfg.Membership, Eureka: cfg.Eureka}
 }
 
--- a/internal/sources/sources.go
+++ b/internal/sources/sources.go
@@ -13,7 +13,6 @@
 	"starlingwinch/decide"
 	"starlingwinch/internal/discovery"
 	"starlingwinch/internal/eureka"
-	"starlingwinch/internal/limits"
 	"starlingwinch/internal/machine"
 	"starlingwinch/internal/membership"
 )
@@ -26,7 +25,7 @@
 // Config says whom to ask.
 type Config struct {
 	Discovery  string // address of the platform's discovery
-	Bounds     limits.Discovery
+	Asked      discovery.Options
 	Known      discovery.List // the caches as last known; may be old
 	Membership membership.Config
 	Eureka     eureka.Config
@@ -36,8 +35,8 @@
 type Owner interface {
 	// Publish brings what has changed in the merged list, bad news first.
 	Publish(membership.Publish)
-	// Answered says that the platform's discovery has answered a call, and Failed that a call has failed: the
-	// owner says when to Watch again.
+	// Answered says that the platform's discovery has answered a call, and Failed that a call has failed where discovery
+	// has to be asked: the owner says when to Watch again.
 	Answered()
 	Failed()
 	// Settle follows in the same turn.
@@ -52,27 +51,46 @@
 	owner    Owner
 	members  *membership.Members
 	waking   machine.Timer // for members
+	again    machine.Timer // for the next call of an agent that has lists pushed to it
 	index    int64         // version of the platform's list; NoIndex has the whole one asked for
+	unheard  bool          // neither has the platform answered, nor was the list as last known taken over
 	watching *discovery.Watch
 	lapsed   *discovery.Watch // the one before, where it has not answered: it is heard until the other one is
 	registry *eureka.Client
 	over     bool
 }
 
-// New makes sources, and publishes the list as last known in the same call. Nobody is asked before Start.
+// New makes sources. Nobody is asked before Start. Where discovery has to be asked, the list as last known is published in the
+// same call. Where lists are pushed, what the agent has counts as told from the first moment of a process on: the list as last
+// known is published only where the agent can't be had, or does not answer for as long as any discovery may take.
 func New(m machine.Machine, cfg Config, owner Owner) (*Sources, error) {
 	s := &Sources{m: m, cfg: cfg, owner: owner, index: cfg.Known.Index}
 	var err error
 	if s.members, err = membership.New(cfg.Membership.Options(s.inUse())); err != nil {
 		return nil, err
 	}
-	if s.asks(membership.Discovery) {
-		s.hear(&membership.Heard{Source: membership.Discovery, Full: true, Stale: true, Claims: claims(&cfg.Known),
-			Unread: cfg.Known.Unread})
+	if s.unheard = s.asks(membership.Discovery); !cfg.Asked.Pushed {
+		s.fallBack()
+	} else {
+		s.index = discovery.NoIndex // the agent answers at once
+		m.At(m.Now()+cfg.Asked.AnswerTime.Microseconds(), func() {
+			s.fallBack()
+			s.owner.Settle()
+		})
 	}
 	return s, nil
 }
 
+// fallBack takes the list as last known over, where nobody has told a newer one.
+func (s *Sources) fallBack() {
+	if !s.unheard {
+		return
+	}
+	s.unheard = false
+	s.hear(&membership.Heard{Source: membership.Discovery, Full: true, Stale: true, Claims: claims(&s.cfg.Known),
+		Unread: s.cfg.Known.Unread})
+}
+
 // inUse names the sources that the files switch on.
 func (s *Sources) inUse() (names []string) {
 	for _, name := range s.cfg.Membership.Order {
@@ -175,11 +193,12 @@
 	if s.over || !s.asks(membership.Discovery) {
 		return
 	}
+	s.noCall()
 	if s.watching != nil {
 		s.putBy(s.watching)
 	}
 	var w *discovery.Watch
-	w = discovery.Follow(s.m, s.cfg.Discovery, s.cfg.Bounds, s.index, func(list discovery.List) {
+	w = discovery.Follow(s.m, s.cfg.Discovery, s.cfg.Asked, s.index, func(list discovery.List) {
 		s.heard(w)
 		s.Listed(list)
 	}, func(err error) { s.failed(w, err) })
@@ -196,6 +215,7 @@
 
 // heard ends the other watch: the one that has answered goes on, and asks for all that came after that.
 func (s *Sources) heard(w *discovery.Watch) {
+	s.noCall()
 	other := s.lapsed
 	if w == s.lapsed {
 		other = s.watching
@@ -213,6 +233,15 @@
 		}
 	}
 	s.watching, s.lapsed = nil, nil
+	s.noCall()
+}
+
+// noCall takes back the next call of an agent.
+func (s *Sources) noCall() {
+	if s.again != nil {
+		s.again.Stop()
+		s.again = nil
+	}
 }
 
 // failed takes the news that a watch has failed, or its call has lapsed.
@@ -224,10 +253,11 @@
 		}
 	case w.Lapsed():
 		s.putBy(w)
-		s.lost(err)
+		s.lost(err, w.Again())
 	default:
 		s.watching = nil
-		s.lost(err)
+		s.fallBack()
+		s.lost(err, w.Again())
 	}
 }
 
@@ -236,23 +266,27 @@
 
 // Listed takes an answer of the platform's discovery, however it came.
 func (s *Sources) Listed(list discovery.List) {
-	s.index = list.Index
+	s.index, s.unheard = list.Index, false
 	s.sayFaults(&list)
 	s.hear(&membership.Heard{Source: membership.Discovery, Full: list.Full, Claims: claims(&list), Unread: list.Unread})
 	s.owner.Answered() // also where nothing has changed
 	s.owner.Settle()
 }
 
-// lost takes the news that there is no watch any more.
-func (s *Sources) lost(err error) {
-	if !errors.Is(err, discovery.ErrCrowded) && !errors.Is(err, discovery.ErrSilent) {
+// lost takes the news that there is no watch any more. Where it has its own pause, the next call follows that.
+func (s *Sources) lost(err error, pause machine.Time) {
+	if pause > 0 || !errors.Is(err, discovery.ErrCrowded) && !errors.Is(err, discovery.ErrSilent) {
 		// The danger: a discovery that has started anew counts its versions anew, and has nothing to say for long of what
 		// comes after the old ones. One that was only silent is asked for what it has missed to tell, which is one call
-		// instead of two, and a short one; where it is silent to that too, it is asked for all.
+		// instead of two, and a short one; where it is silent to that too, it is asked for all. An agent's calls cost nothing.
 		s.index = discovery.NoIndex
 	}
 	s.hear(&membership.Lost{Source: membership.Discovery, Why: err.Error()})
-	s.owner.Failed()
+	if pause > 0 {
+		s.again = s.m.At(s.m.Now()+pause, s.Watch)
+	} else {
+		s.owner.Failed()
+	}
 	s.owner.Settle()
 }
 
--- a/internal/sources/sources_test.go
+++ b/internal/sources/sources_test.go
@@ -42,12 +42,35 @@
 }
 
 func newRig(t *testing.T, order []string, discoveryAddr string) *rig {
+	t.Helper()
+	return newEditedRig(t, order, discoveryAddr, nil)
+}
+
+// newPushedRig has lists pushed to the agent at an address; c1 takes work, as last known.
+func newPushedRig(t *testing.T, agent string, edit func(*Config)) *rig {
+	t.Helper()
+	return newEditedRig(t, []string{membership.Discovery}, agent, func(c *Config) {
+		c.Asked.Pushed, c.Asked.Grace = true, 400_000
+		var err error
+		if c.Known, err = discovery.Parse([]byte(routertest.Hosts(3, true, routertest.Host("c1", "127.0.0.1:7001", "in_service")))); err != nil {
+			t.Fatal(err)
+		}
+		if edit != nil {
+			edit(c)
+		}
+	})
+}
+
+func newEditedRig(t *testing.T, order []string, discoveryAddr string, edit func(*Config)) *rig {
 	t.Helper()
 	r := &rig{Loop: routertest.NewLoop(t, nil), t: t, path: filepath.Join(t.TempDir(), "caches.json"),
 		owner: &owner{caches: map[string]decide.Entry{}, addrs: map[string]string{}}}
-	cfg := Config{Discovery: discoveryAddr, Bounds: limits.Default().Discovery,
+	cfg := Config{Discovery: discoveryAddr, Asked: discovery.Options{Discovery: limits.Default().Discovery},
 		Known: discovery.List{Index: discovery.NoIndex}, Membership: membership.DefaultConfig()}
 	cfg.Membership.Order, cfg.Membership.File = order, r.path
+	if edit != nil {
+		edit(&cfg)
+	}
 	r.Do(func() {
 		var err error
 		if r.sources, err = New(r.Real, cfg, r.owner); err != nil {
@@ -172,7 +195,7 @@
 	addr, calls := routertest.Discovery(t)
 	r := newRig(t, []string{membership.Discovery}, addr)
 	r.Do(func() {
-		r.sources.cfg.Bounds.WatchTime, r.sources.cfg.Bounds.AnswerTime = 200*time.Millisecond, 100*time.Millisecond
+		r.sources.cfg.Asked.WatchTime, r.sources.cfg.Asked.AnswerTime = 200*time.Millisecond, 100*time.Millisecond
 		r.sources.Start()
 	})
 	ask := func(after string) routertest.Call {
@@ -214,14 +237,14 @@
 			addr, calls := routertest.Discovery(t)
 			r := newRig(t, []string{membership.Discovery}, addr)
 			r.Do(func() {
-				r.sources.cfg.Bounds.WatchTime, r.sources.cfg.Bounds.AnswerTime = 20*time.Millisecond, 20*time.Millisecond
+				r.sources.cfg.Asked.WatchTime, r.sources.cfg.Asked.AnswerTime = 20*time.Millisecond, 20*time.Millisecond
 				r.sources.Start()
 			})
 			routertest.Receive(t, calls, "the first call").Reply <- routertest.Hosts(7, true, routertest.Host("c1", "127.0.0.1:7001", "in_service"))
 			old := routertest.Receive(t, calls, "the watch")
 			r.Until("its silence", func() bool { return r.owner.failed == 1 })
 			r.Do(func() {
-				r.sources.cfg.Bounds.WatchTime, r.sources.cfg.Bounds.AnswerTime = time.Minute, time.Minute
+				r.sources.cfg.Asked.WatchTime, r.sources.cfg.Asked.AnswerTime = time.Minute, time.Minute
 				r.sources.Watch()
 			})
 			again := routertest.Receive(t, calls, "the watch, opened anew")
@@ -244,3 +267,78 @@
 		})
 	}
 }
+
+// TestWhatAnAgentHasGoesBeforeTheListAsLastKnown. The danger: what it has counts as told from a process's first moment on, and
+// the router sends to a cache that drained before its start.
+func TestWhatAnAgentHasGoesBeforeTheListAsLastKnown(t *testing.T) {
+	addr, calls := routertest.Discovery(t)
+	r := newPushedRig(t, addr, func(c *Config) { c.Asked.Grace = 800_000_000 })
+	r.Do(func() { r.sources.Start() })
+	first := routertest.Receive(t, calls, "the first call")
+	if strings.Contains(first.Query, "?") {
+		t.Errorf("asked %s, which may wait", first.Query)
+	}
+	r.Do(func() {
+		if len(r.owner.caches) > 0 {
+			t.Errorf("%v is published before the agent has spoken", r.owner.caches)
+		}
+	})
+	first.Reply <- routertest.Hosts(9, true, routertest.Host("c2", "127.0.0.1:7002", "in_service"))
+	r.want("c2", decide.Up, "")
+	r.Do(func() {
+		r.sources.fallBack()
+		if _, old := r.owner.caches["c1"]; old {
+			t.Error("the list as last known is published behind a newer one")
+		}
+	})
+}
+
+// TestListAsLastKnownServesWhereNoAgentSpeaks: at once where there is none, after a while where it is silent.
+func TestListAsLastKnownServesWhereNoAgentSpeaks(t *testing.T) {
+	for name, agent := range map[string]string{"none": routertest.Refusing(t), "silent": routertest.SilentDiscovery(t)} {
+		t.Run(name, func(t *testing.T) {
+			r := newPushedRig(t, agent, func(c *Config) {
+				if c.Asked.AnswerTime = time.Hour; name == "silent" {
+					c.Asked.AnswerTime = 300 * time.Millisecond
+				}
+			})
+			r.Do(func() { r.sources.Start() })
+			r.want("c1", decide.Up, "127.0.0.1:7001")
+		})
+	}
+}
+
+// TestSilentAgentIsAskedAgainAndAgain, without its owner, and each call that is answered counts. The danger: it is silent while
+// discovery is down, and what it gets at the return counts as told; a pause that grows with each failure lasts longer than the grace.
+func TestSilentAgentIsAskedAgainAndAgain(t *testing.T) {
+	addr, calls := routertest.Discovery(t)
+	r := newPushedRig(t, addr, nil)
+	r.Do(func() { r.sources.Start() })
+	var latest routertest.Call
+	for range 8 {
+		latest = routertest.Receive(t, calls, "call")
+	}
+	latest.Reply <- routertest.Hosts(9, true, routertest.Host("c1", "127.0.0.1:7001", "terminating"))
+	r.want("c1", decide.Draining, "")
+	watch := routertest.Receive(t, calls, "the watch") // which falls silent
+	if !strings.Contains(watch.Query, "?after=9&") {
+		t.Errorf("asked %s", watch.Query)
+	}
+	again := routertest.Receive(t, calls, "the next call")
+	if strings.Contains(again.Query, "?") {
+		t.Errorf("asked %s after a silence, want the whole list: its versions may have begun anew", again.Query)
+	}
+	again.Reply <- routertest.Hosts(9, true, routertest.Host("c2", "127.0.0.1:7002", "in_service"))
+	r.want("c2", decide.Up, "")
+	r.Do(func() {
+		if r.owner.failed != 0 {
+			t.Errorf("the owner is to ask again, %d times", r.owner.failed)
+		}
+	})
+	r.Do(func() { r.sources.Stop() })
+	r.Do(func() {
+		if r.sources.again != nil {
+			t.Error("a call is due after the end")
+		}
+	})
+}
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -42,6 +42,11 @@
 	Routers  []string
 	AskEvery Time
 
+	// Pushed: it stands for the agents beside the routers, to which the list is pushed. A change counts as told with its
+	// showing, and to a new process from its first moment on; calls cost nothing. While discovery is down the agents are
+	// silent and learn nothing, and what was asked of them meanwhile or before is never answered.
+	Pushed bool
+
 	// RouterOf names the router at a remote address, for the addresses that were opened for no router.
 	RouterOf func(remote string) string
 }
@@ -149,6 +154,19 @@
 	if c := d.callers[router]; c != nil {
 		c.last = d.m.Now()
 	}
+	if d.o.Pushed {
+		d.push(router)
+	}
+}
+
+// push has an agent get the list.
+func (d *Discovery) push(router string) {
+	if d.bad != "" {
+		return // what can't be read tells nothing
+	}
+	for _, l := range d.lines {
+		d.tell(router, l)
+	}
 }
 
 // Remove takes a cache off the list; watches are told that it is terminated.
@@ -178,6 +196,9 @@
 		d.timer.Stop()
 		d.timer = nil
 	}
+	if d.o.Pushed && d.silent {
+		return
+	}
 	now, lag := d.m.Now(), d.o.Delay+d.late
 	due := 0
 	for due < len(d.coming) && d.coming[due].at+lag <= now {
@@ -204,7 +225,11 @@
 		}
 	}
 	for _, r := range d.o.Routers {
-		d.overdue(r)
+		if d.o.Pushed {
+			d.push(r)
+		} else {
+			d.overdue(r)
+		}
 	}
 }
 
@@ -323,7 +348,7 @@
 		c.timer.Stop()
 		c.timer = nil
 	}
-	if d.o.AskEvery == 0 || c.waiting > 0 {
+	if d.o.AskEvery == 0 || d.o.Pushed || c.waiting > 0 {
 		return
 	}
 	if due := c.last + d.o.AskEvery; d.m.Now() < due {
@@ -346,6 +371,10 @@
 
 // Down ends all watches. Calls are answered 503, or by the connection's end.
 func (d *Discovery) Down(on, resets bool) {
+	if d.o.Pushed {
+		d.Silent(on)
+		return
+	}
 	d.down, d.resets = on, resets
 	for _, door := range d.doors {
 		door.http.Refuse(on && resets)
@@ -362,10 +391,17 @@
 func (d *Discovery) Silent(on bool) {
 	d.silent = on
 	if on {
+		if d.o.Pushed {
+			d.LoseWatches()
+		}
 		return
 	}
 	held := d.held
 	d.held = nil
+	if d.o.Pushed {
+		d.publish()
+		return
+	}
 	for _, k := range held {
 		d.take(k)
 	}
@@ -444,4 +480,8 @@
 }
 
 // Spoil has every answer hold something that no list may hold; the empty string ends that.
-func (d *Discovery) Spoil(how BadEntry) { d.bad = how }
+func (d *Discovery) Spoil(how BadEntry) {
+	if d.bad = how; how == "" && d.o.Pushed && !d.silent {
+		d.wake()
+	}
+}
--- a/internal/standin/discoverycall.go
+++ b/internal/standin/discoverycall.go
@@ -109,7 +109,7 @@
 	k.waits = false
 	now := d.m.Now()
 	cost := d.o.CallCost + Time(len(d.lines))*d.o.LineCost
-	if cost == 0 {
+	if cost == 0 || d.o.Pushed {
 		k.reply()
 		return
 	}
--- a/internal/standin/settings.go
+++ b/internal/standin/settings.go
@@ -28,6 +28,7 @@
 	DrainGrace  Time
 	Fall        Time
 	ColdShare   float64
+	Pushed      bool // lists are pushed; else discovery has to be asked
 
 	ProbePrice, ConnPrice, DialPrice float64
 
@@ -57,12 +58,16 @@
 		categories = append(categories, object{"name": c.Name, "effect": effectNames[c.Effect], "dedupScope": "all",
 			"keyTtl": c.Window, "aim": c.Aim, "hardLimit": c.Deadline, "worth": c.Worth, "lateWorth": c.LateWorth})
 	}
+	mode, askEvery := "subscribe", s.AskEvery
+	if s.Pushed {
+		mode, askEvery = "automatic", 0
+	}
 	settings := object{
-		"instances": s.Routers, "discovery": "subscribe", "weights": "none", "categories": categories,
+		"instances": s.Routers, "discovery": mode, "weights": "none", "categories": categories,
 		"limits": object{"cancel": s.Cancel, "probes": s.Probes, "secondCopies": s.Copies, "retryAfter": s.RetryAfter,
 			"maxAttempts": s.MaxAttempts, "maxRetryAfter": s.MaxWait, "maxOpen": s.MaxOpen,
 			"dialTimeout": s.DialTimeout, "keepalive": s.Keepalive},
-		"rules": object{"askEvery": s.AskEvery, "cold": s.Cold, "drainGrace": s.DrainGrace, "fall": s.Fall,
+		"rules": object{"askEvery": askEvery, "cold": s.Cold, "drainGrace": s.DrainGrace, "fall": s.Fall,
 			"startCapacity": s.ColdShare},
 		"penalties": object{"probe": s.ProbePrice, "connection": s.ConnPrice, "handshake": s.DialPrice},
 	}
