--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -96,6 +96,9 @@
 // Again is the pause from a failure to the next call; 0 where that is the owner's to say.
 func (w *Watch) Again() Time { return w.spans.again }
 
+// Told reports whether it has told something yet.
+func (w *Watch) Told() bool { return w.heard }
+
 // Lapsed reports whether the call that is out should have been answered by now.
 func (w *Watch) Lapsed() bool { return w.lapsed && !w.over }
 
--- a/internal/lab/eyes.go
+++ b/internal/lab/eyes.go
@@ -262,7 +262,7 @@
 	}
 	late := Time(0)
 	if w.s.Clients.Pipeline > 0 {
-		late = longestOpen // it may stand behind one that was asked before
+		late = w.longestOpen() // it may stand behind one that was asked before
 	}
 	for _, s := range r.stalled {
 		if v.At+slack >= s.from && w.eyes.asked[v.Request] <= s.to+late {
@@ -282,7 +282,7 @@
 		from, to, _, _ := script.LinkOf(x.Target)
 		begin := sim.Start + lead + microseconds(x.At)
 		end := sim.Start + lead + microseconds(x.Until(f.w.s.Length))
-		if (from == zone || to == zone) && begin <= at+slack && at <= end+longestOpen {
+		if (from == zone || to == zone) && begin <= at+slack && at <= end+f.w.longestOpen() {
 			return true
 		}
 	}
@@ -290,4 +290,9 @@
 }
 
 // longestOpen is how long a request may be open.
-const longestOpen = 3 * second
+func (w *world) longestOpen() (most Time) {
+	for _, c := range w.classes {
+		most = max(most, c.Deadline)
+	}
+	return most
+}
--- a/internal/lab/script/draw.go
+++ b/internal/lab/script/draw.go
@@ -29,6 +29,9 @@
 	// A stream of its own, so that what is drawn else stays as it was.
 	p := drawer{rand.New(rand.NewPCG(seed, pushedStream))}
 	s.Fleet.Pushed = p.IntN(4) == 0
+	s.Fleet.MaxAttempts = pick(p, []int{1, 2, 3, 3, 3, 3, 5, 6})
+	s.Fleet.Writes = pick(p, []string{"keyed", "keyed", "keyed", "keyed-zone", "keyed-cell", "unsafe", "safe"})
+	s.Fleet.Patience = pick(p, []float64{1, 1, 1, 0.25, 0.5, 1.2})
 	s.Fleet.DrainGrace = pick(p, []time.Duration{time.Second, time.Second, 500 * time.Millisecond})
 	// Troubles that come together break what each alone does not: half of the faults begin while another lasts.
 	for n := 1 + d.IntN(mostDrawn); len(s.Faults) < n; {
--- a/internal/lab/script/script.go
+++ b/internal/lab/script/script.go
@@ -57,6 +57,8 @@
 	Cancel      string        `toml:"cancel" words:"none,queued,all" doc:"work that stops when its request is given up"`
 	Probes      bool          `toml:"probes" doc:"routers may probe"`
 	Reports     bool          `toml:"reports" doc:"answers hold load reports"`
+	Writes      string        `toml:"writes" words:"keyed,keyed-zone,keyed-cell,unsafe,safe" doc:"what a write's repeat does, and who drops it"`
+	Patience    float64       `toml:"patience" min:"0.1" max:"10" doc:"times the usual aims and deadlines"`
 	Pushed      bool          `toml:"pushed" doc:"lists are pushed to an agent beside each router"`
 	DrainGrace  time.Duration `toml:"drain_grace" min:"100ms" max:"30s" doc:"for new work to a cache, from when its drain is told"`
 	ListDelay   time.Duration `toml:"list_delay" min:"0s" max:"30s" doc:"from a change to its showing in the list"`
@@ -96,7 +98,7 @@
 		Clients: Clients{Groups: 6, Retries: 1, Wait: "fixed", WaitTime: 50 * time.Millisecond, Honour: 0.6,
 			TryShare: 0.75, Writes: 1, Front: 2 * time.Second},
 		Fleet: Fleet{Sockets: 1024, MaxAttempts: 3, Copies: true, Cancel: "all", Probes: true,
-			DrainGrace: time.Second, ListDelay: 1500 * time.Millisecond, Speed: 1, KeyWindow: 1},
+			Writes: "keyed", Patience: 1, DrainGrace: time.Second, ListDelay: 1500 * time.Millisecond, Speed: 1, KeyWindow: 1},
 		Network:  Network{Near: 230 * time.Microsecond, Far: 7 * time.Millisecond, Jitter: 0.4, Split: 0.05},
 		Registry: defaultRegistry(),
 	}
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -150,15 +150,31 @@
 		if all[i].Write {
 			all[i].Share *= s.Clients.Writes
 			all[i].Window = Time(float64(all[i].Window) * s.Fleet.KeyWindow)
+			w := writes[s.Fleet.Writes]
+			all[i].Effect, all[i].Scope = w.effect, w.scope
 		}
 	}
 	if s.Clients.Unsafe > 0 {
 		all = append(all, standin.Class{Name: "merge-log", Share: s.Clients.Unsafe, Effect: standin.Unsafe, Write: true,
 			Aim: 800 * millisecond, Deadline: 2 * second, Worth: 4, LateWorth: 0.25, Work: 100 * millisecond, CV: 2})
 	}
+	for i := range all {
+		all[i].Aim = Time(float64(all[i].Aim) * s.Fleet.Patience)
+		all[i].Deadline = Time(float64(all[i].Deadline) * s.Fleet.Patience)
+	}
 	return all
 }
 
+// writes are the effects of writes by their words in scripts. Of several caches that drop repeats, all share one memory: what
+// a router sends past its group is the rules' to find.
+var writes = map[string]struct {
+	effect standin.Effect
+	scope  rules.Scope
+}{
+	"keyed": {standin.Keyed, rules.ScopeAll}, "keyed-zone": {standin.Keyed, rules.ScopeZone}, "keyed-cell": {standin.Keyed, rules.ScopeCell},
+	"unsafe": {standin.Unsafe, rules.ScopeAll}, "safe": {standin.Safe, rules.ScopeAll},
+}
+
 func (w *world) fleetOptions() standin.Options {
 	s, o := w.s, standin.DefaultOptions()
 	o.Caches, o.Zones, o.Classes, o.Homes = s.Caches, script.Zones(), w.classes, Homes
@@ -224,7 +240,7 @@
 	}
 	for _, c := range w.classes {
 		effect := [...]rules.Effect{standin.Safe: rules.Safe, standin.Keyed: rules.Keyed, standin.Unsafe: rules.Unsafe}
-		set.Classes[c.Name] = rules.Class{Effect: effect[c.Effect], Scope: rules.ScopeAll, Window: c.Window, Aim: c.Aim,
+		set.Classes[c.Name] = rules.Class{Effect: effect[c.Effect], Scope: c.Scope, Window: c.Window, Aim: c.Aim,
 			Deadline: c.Deadline, Worth: c.Worth, LateWorth: c.LateWorth}
 	}
 	return set
--- a/internal/routertest/cache.go
+++ b/internal/routertest/cache.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"syscall"
 	"testing"
 	"time"
@@ -132,6 +133,44 @@
 
 // Unreachable is an address at which connections never come up: its queue is full.
 func Unreachable(t testing.TB) string {
+	t.Helper()
+	addr, _ := fullQueue(t)
+	return addr
+}
+
+// Late is an address at which connections do not come up until release is called. Then they do, as their handshakes are tried
+// again (which takes a second, and then two), and each is handed to the test.
+func Late(t testing.TB) (addr string, release func() <-chan net.Conn) {
+	t.Helper()
+	addr, fd := fullQueue(t)
+	return addr, func() <-chan net.Conn {
+		own, err := syscall.Dup(fd)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f := os.NewFile(uintptr(own), addr)
+		ln, err := net.FileListener(f)
+		f.Close()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { ln.Close() })
+		conns := make(chan net.Conn, 100)
+		go func() {
+			for {
+				nc, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				conns <- nc
+			}
+		}()
+		return conns
+	}
+}
+
+// fullQueue is an address whose queue is full, and its descriptor, which is closed at the end.
+func fullQueue(t testing.TB) (string, int) {
 	t.Helper()
 	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
 	if err != nil {
@@ -153,7 +192,7 @@
 		nc, err := net.DialTimeout("tcp", addr, 300*time.Millisecond)
 		var ne net.Error
 		if errors.As(err, &ne) && ne.Timeout() {
-			return addr
+			return addr, fd
 		}
 		if err != nil {
 			t.Fatal(err)
@@ -161,5 +200,5 @@
 		t.Cleanup(func() { nc.Close() })
 	}
 	t.Fatal("the queue does not fill")
-	return ""
+	return "", 0
 }
--- a/internal/sources/sources.go
+++ b/internal/sources/sources.go
@@ -194,6 +194,9 @@
 		return
 	}
 	s.noCall()
+	if s.watching != nil && !s.watching.Told() {
+		return // it asks already; the danger: yet another call, for which the one that has lapsed is given up
+	}
 	if s.watching != nil {
 		s.putBy(s.watching)
 	}
--- a/internal/standin/settings.go
+++ b/internal/standin/settings.go
@@ -1,6 +1,10 @@
 package standin
 
-import "encoding/json"
+import (
+	"encoding/json"
+
+	"starlingwinch/internal/rules"
+)
 
 // RouterSettings are what a router is told at its start. DefaultRouterSettings holds the operators' figures.
 type RouterSettings struct {
@@ -50,12 +54,15 @@
 // The names that effects have in the settings.
 var effectNames = [...]string{Safe: "read_like", Keyed: "idempotency_key", Unsafe: "non_idempotent"}
 
+// The names that groups have in the settings.
+var scopeNames = [...]string{rules.ScopeCell: "cell", rules.ScopeZone: "zone", rules.ScopeAll: "all"}
+
 // JSON is the configuration as a router reads it. Times are in microseconds.
 func (s RouterSettings) JSON() []byte {
 	type object = map[string]any
 	categories := []object{}
 	for _, c := range s.Classes {
-		categories = append(categories, object{"name": c.Name, "effect": effectNames[c.Effect], "dedupScope": "all",
+		categories = append(categories, object{"name": c.Name, "effect": effectNames[c.Effect], "dedupScope": scopeNames[c.Scope],
 			"keyTtl": c.Window, "aim": c.Aim, "hardLimit": c.Deadline, "worth": c.Worth, "lateWorth": c.LateWorth})
 	}
 	mode, askEvery := "subscribe", s.AskEvery
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -29,14 +29,15 @@
 	Name      string
 	Share     float64 // of all requests
 	Effect    Effect
-	Write     bool    // goes on to the store
-	Aim       Time    // wanted within
-	Deadline  Time    // the client's whole patience
-	Window    Time    // for which the caches drop a repeat, of a Keyed class
-	Worth     float64 // of an answer within Aim
-	LateWorth float64 // share of Worth that a later one earns
-	Work      Time    // mean, on one core
-	CV        float64 // of the work: its standard deviation over its mean
+	Write     bool        // goes on to the store
+	Aim       Time        // wanted within
+	Deadline  Time        // the client's whole patience
+	Window    Time        // for which the caches drop a repeat, of a Keyed class
+	Scope     rules.Scope // which caches do
+	Worth     float64     // of an answer within Aim
+	LateWorth float64     // share of Worth that a later one earns
+	Work      Time        // mean, on one core
+	CV        float64     // of the work: its standard deviation over its mean
 }
 
 // Effect says what may happen when a request runs twice.
@@ -56,10 +57,10 @@
 		{Name: "log-page", Share: 0.473, Effect: Safe, Aim: Second, Deadline: 3 * Second,
 			Worth: 5, LateWorth: 0.2, Work: 175 * Millisecond, CV: 2},
 		{Name: "add-contact", Share: 0.026, Effect: Keyed, Write: true, Aim: 600 * Millisecond,
-			Deadline: 1200 * Millisecond, Window: 1200 * Millisecond, Worth: 3, LateWorth: 0.25,
+			Deadline: 1200 * Millisecond, Window: 1200 * Millisecond, Worth: 3, LateWorth: 0.25, Scope: rules.ScopeAll,
 			Work: 100 * Millisecond, CV: 2},
 		{Name: "confirm-contact", Share: 0.011, Effect: Keyed, Write: true, Aim: 1200 * Millisecond,
-			Deadline: 2500 * Millisecond, Window: 4 * Second, Worth: 5, LateWorth: 0.2,
+			Deadline: 2500 * Millisecond, Window: 4 * Second, Worth: 5, LateWorth: 0.2, Scope: rules.ScopeAll,
 			Work: 175 * Millisecond, CV: 2},
 	}
 }
