Endings: slow readers in a drain, a reset in an answer without a length, 200 caches at once

The silence between two chunks lapses, and what comes behind it is heard; a drain in the last of 201 entries holds in the turn of its list.

--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -436,3 +436,30 @@
 		f.quiet()
 	})
 }
+
+// TestResetIsNoEnd of an answer without a length, though all of it has come. The danger: the part that had come before a reset
+// passes for the whole list, and the drains behind it are not learned.
+func TestResetIsNoEnd(t *testing.T) {
+	addr, calls := rawDiscovery(t)
+	f := follow(t, addr, NoIndex, nil)
+	call := routertest.Receive(t, calls, "call")
+	call.answer(t, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"+hosts(8, true, host("c1", "127.0.0.1:1", "in_service")))
+	f.Until("the answer's bytes", func() bool { return f.w.client.Came() > 0 })
+	call.Conn.(*net.TCPConn).SetLinger(0)
+	call.Conn.Close()
+	f.wantFailed("ended before an answer")
+}
+
+// TestSilenceBetweenTwoChunksIsSilence, and what comes after it is heard all the same.
+func TestSilenceBetweenTwoChunksIsSilence(t *testing.T) {
+	addr, calls := rawDiscovery(t)
+	f := follow(t, addr, 5, func(b *limits.Discovery) { b.AnswerTime, b.WatchTime = 50*time.Millisecond, 50*time.Millisecond })
+	call := routertest.Receive(t, calls, "call")
+	body := hosts(8, false, host("c1", "127.0.0.1:1", "terminating"))
+	call.answer(t, fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", 20, body[:20]))
+	f.wantLapsed()
+	call.answer(t, fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body)-20, body[20:]))
+	if l := routertest.Receive(t, f.told, "list"); l.Index != 8 || len(l.Entries) != 1 {
+		t.Errorf("told %+v", l)
+	}
+}
--- a/internal/httpc/client.go
+++ b/internal/httpc/client.go
@@ -96,6 +96,14 @@
 // Busy reports whether a call is out.
 func (c *Client) Busy() bool { return c.call != nil }
 
+// Came is how many bytes have come of the answer to the call that is out.
+func (c *Client) Came() int {
+	if c.call == nil {
+		return 0
+	}
+	return len(c.call.came)
+}
+
 // Do makes a call that is given up after wait. done is called once, in a later turn, unless Cancel or Close
 // come first; the client is free again by then. There may be no other call out.
 func (c *Client) Do(r Request, wait Time, done func(*Response, error)) {
--- a/internal/router/drain_test.go
+++ b/internal/router/drain_test.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 
 	"starlingwinch/decide"
@@ -67,3 +69,41 @@
 		}
 	})
 }
+
+// TestSlowReaderHasItsAnswersBeforeADrainEnds. The danger: the answers are given, half of them is with a client that does not read
+// yet, and the connection is closed as if nothing were owed.
+func TestSlowReaderHasItsAnswersBeforeADrainEnds(t *testing.T) {
+	const asked = 200
+	cache := newFakeCache(t)
+	r := start(t, testConfig(t, routertest.SilentDiscovery(t), nil, host("c1", cache.Addr(), "in_service")), nil,
+		func(r *Router) { r.arrivals = 1000 })
+	value := strings.Repeat("v", 60_000)
+	answer := fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$3\r\nhit\r\n$-1\r\n", len(value), value)
+	go func() {
+		for range asked {
+			(<-cache.Commands).Conn.Write([]byte(answer))
+		}
+	}()
+	c := dial(t, r.addr)
+	for i := range asked {
+		c.Send(get(fmt.Sprint("r", i)))
+	}
+	r.Until("answers that wait for their reader", func() bool {
+		left := r.r.Left()
+		return left["attempts"] == 0 && left["requests"] == 0 && left["bytes"] > 1<<20
+	})
+	r.drain()
+	r.Until("a drain that waits for nothing else", func() bool { return r.r.front.Accepted() > 0 && r.r.onDrained != nil })
+	for i := range asked {
+		if got := c.Line(); got != value {
+			t.Fatalf("answer %d is not whole: %d bytes", i, len(got))
+		}
+	}
+	c.WantClosed()
+	receive(t, r.ended, "end of the router")
+	r.Do(func() {
+		if left := r.r.Left(); left["bytes"] != 0 || left["connections"] != 0 {
+			t.Errorf("left: %v", left)
+		}
+	})
+}
--- a/internal/router/list_test.go
+++ b/internal/router/list_test.go
@@ -165,3 +165,31 @@
 	r.list(4, true, host("c1", cache.Addr(), "in_service"))
 	want("c1 takes work (discovery: in_service)")
 }
+
+// TestDrainInTheLastOfManyEntriesIsKeptInTheTurnOfItsList, also where a send to that cache comes in the same turn.
+func TestDrainInTheLastOfManyEntriesIsKeptInTheTurnOfItsList(t *testing.T) {
+	cache := newFakeCache(t)
+	r := newRig(t, cache.Addr(), nil)
+	q := r.request()
+	var lines []string
+	for i := range 200 {
+		lines = append(lines, host(fmt.Sprintf("b%03d", i), "127.0.0.1:1", "in_service"))
+	}
+	list := parse(t, hosts(9, true, append(lines, host("c1", cache.Addr(), "terminating"))...))
+	r.Do(func() {
+		r.r.sources.Listed(list)
+		r.r.perform(decide.Send{ID: q.id, Cache: "c1"})
+		r.r.Settle()
+	})
+	r.want(decide.NotSent)
+	select {
+	case <-cache.Commands:
+		t.Error("a command went to a cache that drains")
+	default:
+	}
+	r.Do(func() {
+		if len(r.r.caches) != 201 {
+			t.Errorf("%d caches are known", len(r.r.caches))
+		}
+	})
+}
