--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -117,6 +117,14 @@
 		return sim.Link{Latency: l, Jitter: Time(float64(l) * n.Jitter), Split: n.Split}
 	}
 	w.sim.Near, w.sim.Far = link(n.Near), link(n.Far)
+	if w.s.Fleet.Pushed {
+		w.sim.Far = w.sim.Near // for a moment: links are made of what holds then
+		for _, zone := range script.Zones() {
+			w.sim.Link(agents, zone)
+			w.sim.Link(zone, agents)
+		}
+		w.sim.Far = link(n.Far)
+	}
 	w.sim.ShuffleTies = n.Shuffle
 }
 
@@ -132,11 +140,22 @@
 // centre is the zone that discovery and the store stand in.
 func centre() string { return script.Zones()[1] }
 
+// agents is where the agents are that lists are pushed to: beside the routers, so that no way to them is cut, or long.
+const agents = "agents"
+
+// listZone is where routers ask for the list.
+func (w *world) listZone() string {
+	if w.s.Fleet.Pushed {
+		return agents
+	}
+	return centre()
+}
+
 func (w *world) places() standin.Places {
 	return standin.Places{
 		Cache:     func(name, zone string) machine.Machine { return w.host(name, zone).Machine() },
 		Store:     func() machine.Machine { return w.host("store", centre()).Machine() },
-		Discovery: func() machine.Machine { return w.host("discovery", centre()).Machine() },
+		Discovery: func() machine.Machine { return w.host("discovery", w.listZone()).Machine() },
 		Client:    func(name, zone string) machine.Machine { return w.host(name, zone).Machine() },
 		Listen:    func(name, _ string) string { return w.hosts[name].IP() + ":0" },
 		Routers:   w.front.routers,
