--- a/decide/decide.go
+++ b/decide/decide.go
@@ -74,9 +74,9 @@
 
 // zone is what this router knows of the way to a zone.
 type zone struct {
-	fails   int  // failed connections in a row, to any of its caches
-	way, at Time // about the least that a hit there takes, as of then; 0 where none has come
-	trialAt Time // it is taken for cut until then; one request is its half-open trial
+	fails        int  // failed connections in a row, to any of its caches
+	way, wayTill Time // about the least that a hit there takes, and for how long; 0 where none has come
+	trialAt      Time // it is taken for cut until then; one request is its half-open trial
 }
 
 type attempt struct {
@@ -118,11 +118,11 @@
 	reqs                map[int64]*request
 	timers              map[int64]timer
 	token               int64
-	calls, round, beats int     // failed calls for the list in a row; rounds of probes; DrainGraces since the last one
+	calls, round, beats int     // failed calls for the list in a row; probe rounds; DrainGraces since
 	uses                int     // attempts ever sent
 	spare               float64 // probes earned by requests and not yet sent
 	started             bool
-	listedAt, doubtedAt Time                   // when the list told something last; when it was asked anew for a doubt
+	listedAt, doubtedAt Time                   // when the list told something; when it was doubted
 	turnOfList          int                    // number of the present list
 	order               rendezvous.Set[*cache] // of the ready ones, for the key being placed
 	swap                int                    // rank that stands first in place of the first one
@@ -135,7 +135,7 @@
 	budget              float64                // of retries
 	keys                [2]map[uint64]int      // requests by key, of this window and the one before
 	asked               [2]int                 // ... and of all keys
-	shed                [2]int                 // refused in this window for want of room: at caches, at the origin
+	shed                [2]int                 // refused in this window for want of room: at caches, origin
 	shedding            bool
 	erring, lost        float64 // fading shares of errors among all answers, and of lost attempts
 	passed              Time    // when the latest attempt was sent that the origin served in time, at any cache
@@ -1053,7 +1053,7 @@
 		if z.way == 0 {
 			z.way = took
 		}
-		z.way, z.at = min(took, z.way+(took-z.way)/recently), r.now
+		z.way, z.wayTill = min(took, z.way+(took-z.way)/recently), r.now+r.set.ColdTime
 	}
 	fetched := ev.Result == Served && a.fetch && float64(r.now-a.sent) < originShare*float64(q.class.Aim)
 	if failed := ev.Result == Errored; failed || ev.Result == Served {
--- a/decide/sparse.go
+++ b/decide/sparse.go
@@ -108,5 +108,5 @@
 // however little there is to do. The danger: connections can't be kept where routers are many, and what each
 // takes to come up passes for crowding. Now and then it is tried again: a way may have been long for a while.
 func (r *Router) far(q *request, c *cache) bool {
-	return r.sparse() && c.Zone != r.set.Zone && c.zone.way >= q.class.patience() && r.now < c.zone.at+r.set.ColdTime
+	return r.sparse() && c.Zone != r.set.Zone && c.zone.way >= q.class.patience() && r.now < c.zone.wayTill
 }
