--- a/internal/machine/conn.go
+++ b/internal/machine/conn.go
@@ -18,8 +18,8 @@
 
 	empty   bool // all that had come was read, and no event has come since
 	over    bool // the kernel has told of the end, or of an error: from here on there may be no more events
+	failed  bool // ... and it was an error
 	held    bool // a Write took less than it was given
-	failed  bool // ... of an error
 	broken  bool // an error was seen
 	noWrite bool // CloseWrite was called
 }
--- a/internal/standin/discovery_test.go
+++ b/internal/standin/discovery_test.go
@@ -271,3 +271,33 @@
 		}
 	}
 }
+
+// TestPushedListsCountAsToldWithTheirShowing, also to a router that asks nothing and to a new process of one, and while the agent is
+// silent nothing is learned: what is asked of it meanwhile, or waits, is never answered.
+func TestPushedListsCountAsToldWithTheirShowing(t *testing.T) {
+	r := newRegistry(t, DiscoveryOptions{Pushed: true, Routers: []string{"r-1"}, AskEvery: Second, CallCost: Second})
+	r.notes.has(t, "listed r-1 s-1 true", 1)
+	r.d.SetStatus("s-1", Terminating)
+	r.run(t, 0)
+	r.notes.has(t, "listed r-1 s-1 false", 1)
+	r.d.Forget("r-1")
+	r.notes.has(t, "listed r-1 s-1 false", 2)
+
+	waits, asks := r.dial(t, r.addr), r.dial(t, r.addr)
+	waits.send(t, hosts("?after=3&wait_ms=60000"))
+	r.run(t, Millisecond)
+	r.d.Down(true, true)
+	r.d.SetStatus("s-1", InService)
+	asks.send(t, hosts(""))
+	r.run(t, 10*Second)
+	r.notes.has(t, "listed r-1 s-1 true", 1)
+	r.d.Down(false, true)
+	r.run(t, 0)
+	r.notes.has(t, "listed r-1 s-1 true", 2)
+	r.run(t, 70*Second)
+	expect(t, "to calls of before the return", waits.take()+asks.take(), "")
+	again := r.dial(t, r.addr)
+	again.send(t, hosts(""))
+	r.run(t, Millisecond)
+	expect(t, "to a call after it, at no cost", body(t, again), listOf(4, true, first))
+}
