Tests of a lookalike last chunk and of an unread request at a connection's close

Need: two rows of docs/design/endings.md had a guard and no test that forces the crossing: a list in chunks with a blank line that ends a read, and a request that lies unread as its connection is to be closed after the last answer.

Change: one test each, on loopback sockets.

With the guard in httpc taken out the first fails with 'unexpected EOF'; with the look at the connection in closeQuiet taken out the second fails.

--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -463,3 +463,21 @@
 		t.Errorf("told %+v", l)
 	}
 }
+
+// TestChunkedBodyWithLastChunkLookalike: an indented list may hold a blank line. Where a read ends just behind it, the answer is
+// incomplete, not malformed.
+func TestChunkedBodyWithLastChunkLookalike(t *testing.T) {
+	addr, calls := rawDiscovery(t)
+	f := follow(t, addr, 5, nil)
+	call := routertest.Receive(t, calls, "call")
+	body := strings.Replace(hosts(8, false, host("c1", "127.0.0.1:1", "terminating")), ",", ",\r\n\r\n", 1)
+	wire := fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	lookalikeEnd := strings.Index(wire, ",\r\n\r\n") + len(",\r\n\r\n")
+	call.answer(t, wire[:lookalikeEnd])
+	f.Until("all of it", func() bool { return f.w.client.Came() == lookalikeEnd || f.w.over })
+	f.quiet()
+	call.answer(t, wire[lookalikeEnd:])
+	if l := routertest.Receive(t, f.told, "list"); l.Index != 8 || len(l.Entries) != 1 {
+		t.Errorf("told %+v", l)
+	}
+}
--- a/internal/front/retire_test.go
+++ b/internal/front/retire_test.go
@@ -115,3 +115,26 @@
 	routertest.Receive(t, drained, "end of the drain")
 	r.empty()
 }
+
+// TestRetireServesUnreadRequest: a second request lies unread on the connection when the last answer before its close is given.
+// A close at that moment would reset the connection and lose the request.
+func TestRetireServesUnreadRequest(t *testing.T) {
+	r := newRig(t, nil)
+	c := r.dial()
+	c.Send(get("first"))
+	first := r.next()
+	drained := r.retire()
+	r.Do(func() {
+		c.Send(get("second"))
+		if first.client.nc.Quiet() {
+			t.Error("the second request has not come")
+		}
+		first.Answer([]byte(value))
+	})
+	c.Want("value")
+	r.answer(r.next(), value)
+	c.Want("value")
+	c.WantClosed()
+	routertest.Receive(t, drained, "end of the drain")
+	r.empty()
+}
