--- a/internal/router/harness_test.go
+++ b/internal/router/harness_test.go
@@ -72,7 +72,13 @@
 // start starts a router. edit, which may be nil, changes it in the turn of its start; log may be nil.
 func start(t *testing.T, cfg *Config, log io.Writer, edit func(*Router)) *running {
 	t.Helper()
-	s := &running{Loop: routertest.NewLoop(t, log), ended: make(chan struct{})}
+	return startOn(t, routertest.NewLoop(t, log), cfg, edit)
+}
+
+// startOn starts a router on a machine.
+func startOn(t *testing.T, loop *routertest.Loop, cfg *Config, edit func(*Router)) *running {
+	t.Helper()
+	s := &running{Loop: loop, ended: make(chan struct{})}
 	s.Do(func() {
 		var err error
 		if s.r, err = Start(s.Loop, cfg); err != nil {
--- a/internal/routertest/routertest.go
+++ b/internal/routertest/routertest.go
@@ -44,10 +44,16 @@
 // NewLoop starts a machine. What it logs goes to log, or nowhere where that is nil.
 func NewLoop(t testing.TB, log io.Writer) *Loop {
 	t.Helper()
-	if log == nil {
-		log = io.Discard
+	return NewLoopOf(t, machine.Options{Log: log})
+}
+
+// NewLoopOf starts a machine with other options.
+func NewLoopOf(t testing.TB, o machine.Options) *Loop {
+	t.Helper()
+	if o.Log == nil {
+		o.Log = io.Discard
 	}
-	m, err := machine.New(machine.Options{Log: log})
+	m, err := machine.New(o)
 	if err != nil {
 		t.Fatal(err)
 	}
