--- a/cmd/lab/hunt.go
+++ b/cmd/lab/hunt.go
@@ -20,7 +20,8 @@
 )
 
 func huntCommand() *cobra.Command {
-	seeds, jobs, length, registry, hooks, tiers, long := "1-200", runtime.NumCPU(), 10*time.Second, false, false, false, false
+	seeds, jobs, length := "1-200", runtime.NumCPU(), 10*time.Second
+	registry, throng, hooks, tiers, long := false, false, false, false, false
 	cmd := &cobra.Command{
 		Use:   "hunt",
 		Short: "Play the scripts of many seeds and tell the rules that break",
@@ -41,8 +42,11 @@
 			bar := newBar(cmd.ErrOrStderr(), to-from+1)
 			h := lab.Hunt{From: from, To: to, Length: length, Jobs: jobs, Hooks: hooks, Options: lab.Options{Node: router},
 				Done: bar.done}
-			if registry {
+			switch {
+			case registry:
 				h.Draw = script.DrawRegistry
+			case throng:
+				h.Draw = script.DrawThrong
 			}
 			begin := time.Now()
 			sum, err := h.Run(ctx)
@@ -60,6 +64,7 @@
 	cmd.Flags().IntVar(&jobs, "jobs", jobs, "runs side by side")
 	cmd.Flags().DurationVar(&length, "length", length, "`length` of each script")
 	cmd.Flags().BoolVar(&registry, "registry", false, "draw worlds with a Eureka registry")
+	cmd.Flags().BoolVar(&throng, "throng", false, "draw worlds with twenty to thirty routers in step before a discovery that takes few calls")
 	cmd.Flags().BoolVar(&tiers, "fleet", false, "play the views that 30 routers keep of one another")
 	cmd.Flags().BoolVar(&long, "long", false, "with --fleet: 300 routers")
 	cmd.Flags().BoolVar(&hooks, "hooks", false, "routers have hooks, good and broken, drawn from each seed")
--- a/cmd/lab/run.go
+++ b/cmd/lab/run.go
@@ -25,6 +25,7 @@
 	faults []string
 	// registry has the script drawn with a registry.
 	registry bool
+	throng   bool
 	hooks    bool
 }
 
@@ -39,6 +40,7 @@
 	cmd.Flags().StringVar(&c.file, "script", "", "read the script from a `file`, or the name of a hard case")
 	cmd.Flags().DurationVar(&c.length, "length", 10*time.Second, "`length` of a script that is drawn")
 	cmd.Flags().BoolVar(&c.registry, "registry", false, "a world with a Eureka registry")
+	cmd.Flags().BoolVar(&c.throng, "throng", false, "with --seed, a world as in `hunt --throng`")
 	cmd.Flags().StringArrayVar(&c.faults, "fault", nil, "add a fault, as `hang:c2@3s+2s`")
 	cmd.Flags().BoolVar(&c.hooks, "hooks", false, "with --seed, routers have the hooks that are drawn from it")
 }
@@ -84,6 +86,8 @@
 		return script.Load(c.file)
 	case c.seed != unset && c.registry:
 		return script.DrawRegistry(uint64(c.seed), c.length), nil
+	case c.seed != unset && c.throng:
+		return script.DrawThrong(uint64(c.seed), c.length), nil
 	case c.seed != unset:
 		return script.DrawOf(uint64(c.seed), c.length), nil
 	}
--- a/internal/lab/planted/planted.go
+++ b/internal/lab/planted/planted.go
@@ -28,6 +28,8 @@
 	Registry bool
 	// Hooks tells that it shows where routers have hooks.
 	Hooks bool
+	// Throng tells that it shows where many routers start in step.
+	Throng bool
 	// Apply plants it.
 	Apply func(o *lab.Options)
 }
@@ -42,8 +44,11 @@
 	for from := 1; from <= most && !found; from += batch {
 		h := lab.Hunt{From: uint64(from), To: uint64(min(from+batch-1, most)), Length: length, Jobs: 2, Hooks: d.Hooks,
 			Options: o}
-		if d.Registry {
+		switch {
+		case d.Registry:
 			h.Draw = script.DrawRegistry
+		case d.Throng:
+			h.Draw = script.DrawThrong
 		}
 		sum, err := h.Run(ctx)
 		if err != nil || ctx.Err() != nil {
--- a/internal/lab/planted/planted_test.go
+++ b/internal/lab/planted/planted_test.go
@@ -21,7 +21,7 @@
 		t.Skip("played without the race detector by .ci/run")
 	}
 	for _, d := range slices.Concat(planted.InModule(), planted.InMachine(), planted.InRegistry(),
-		planted.InHooks()) {
+		planted.InHooks(), planted.InThrong()) {
 		t.Run(d.Name, func(t *testing.T) {
 			o := lab.Options{Node: node.Start}
 			if d.Masked {
--- a/internal/lab/script/script.go
+++ b/internal/lab/script/script.go
@@ -22,8 +22,8 @@
 type Script struct {
 	Seed    int64         `toml:"seed" min:"0" doc:"decides all chance of the run"`
 	Length  time.Duration `toml:"length" min:"100ms" max:"10m" doc:"clients ask for so long"`
-	Routers int           `toml:"routers" min:"1" max:"512" doc:"routers, dealt to the zones in turn"`
-	Caches  int           `toml:"caches" min:"1" max:"512" doc:"caches at the start, dealt to the zones in turn"`
+	Routers int           `toml:"routers" min:"1" max:"4096" doc:"routers, dealt to the zones in turn"`
+	Caches  int           `toml:"caches" min:"1" max:"4096" doc:"caches at the start, dealt to the zones in turn"`
 	Rate    float64       `toml:"rate" min:"0" max:"100000" doc:"requests a second, of all clients"`
 	Clients Clients       `toml:"clients"`
 	Fleet   Fleet         `toml:"fleet"`
@@ -63,6 +63,9 @@
 	DrainGrace  time.Duration `toml:"drain_grace" min:"100ms" max:"30s" doc:"for new work to a cache, from when its drain is told"`
 	ListDelay   time.Duration `toml:"list_delay" min:"0s" max:"30s" doc:"from a change to its showing in the list"`
 	Speed       float64       `toml:"speed" min:"0.01" max:"100" doc:"of the caches, as a multiple of the usual"`
+	Cores       float64       `toml:"cores" min:"0.1" max:"1000" doc:"of a cache"`
+	ColdBy      string        `toml:"cold_by" words:"work,calls" doc:"a cold cache bears a multiple of its work, or as many calls and twice their root"`
+	CallCost    time.Duration `toml:"call_cost" min:"0s" max:"10s" doc:"discovery's time for a new call; a fortieth for one that it turns away"`
 	KeyWindow   float64       `toml:"key_window" min:"0.01" max:"10" doc:"times the usual span in which repeats are dropped"`
 }
 
@@ -98,7 +101,8 @@
 		Clients: Clients{Groups: 6, Retries: 1, Wait: "fixed", WaitTime: 50 * time.Millisecond, Honour: 0.6,
 			TryShare: 0.75, Writes: 1, Front: 2 * time.Second},
 		Fleet: Fleet{Sockets: 1024, MaxAttempts: 3, Copies: true, Cancel: "all", Probes: true,
-			Writes: "keyed", Patience: 1, DrainGrace: time.Second, ListDelay: 1500 * time.Millisecond, Speed: 1, KeyWindow: 1},
+			Writes: "keyed", Patience: 1, DrainGrace: time.Second, ListDelay: 1500 * time.Millisecond, Speed: 1, Cores: 6,
+			ColdBy: "work", CallCost: 2 * time.Millisecond, KeyWindow: 1},
 		Network:  Network{Near: 230 * time.Microsecond, Far: 7 * time.Millisecond, Jitter: 0.4, Split: 0.05},
 		Registry: defaultRegistry(),
 	}
--- a/internal/rules/attempts.go
+++ b/internal/rules/attempts.go
@@ -286,7 +286,13 @@
 		return
 	}
 	r.note(moment{at: now, kind: hasEnded, who: cacheName})
-	if a := r.find(cacheName, isOut); a != nil {
+	// An attempt at a process before has ended with that process, whatever was seen of its connection.
+	here := w.cache(cacheName).life
+	a := r.find(cacheName, func(a *attempt) bool { return isOut(a) && a.life == here })
+	if a == nil {
+		a = r.find(cacheName, isOut)
+	}
+	if a != nil {
 		a.ended, a.over = true, now
 	}
 }
--- a/internal/rules/load.go
+++ b/internal/rules/load.go
@@ -1,6 +1,9 @@
 package rules
 
-import "fmt"
+import (
+	"fmt"
+	"math"
+)
 
 // bins is the number of parts that a window of load is summed in.
 const bins = 12
@@ -141,7 +144,11 @@
 	}
 	warmth := l.warmth(now)
 	able := l.capacity * warmth * float64(w.set.FallFor) / 1e6
-	over := float64(c.load.total) > w.set.FallMultiple*(1+w.set.FallSlack)*able
+	allowed := w.set.FallMultiple * (1 + w.set.FallSlack) * able
+	if w.set.MeanWork > 0 {
+		allowed = AllowedWork(w.set.FallMultiple*able, w.set.MeanWork)
+	}
+	over := float64(c.load.total) > allowed
 	switch {
 	case over && warmth < 1:
 		w.pushedOver(c, now, fmt.Sprintf("%.1f times what it can do, in the last %s",
@@ -152,6 +159,13 @@
 	c.over = over
 }
 
+// AllowedWork is what a cold cache bears before it falls, where its limit is work of N requests of mean work: that of
+// N + 2 x root of N + 2, as arrivals from many routers vary by chance.
+func AllowedWork(limit float64, mean Time) float64 {
+	n := limit / float64(mean)
+	return (n + 2*math.Sqrt(n) + 2) * float64(mean)
+}
+
 // toldShare is the part of a load that has to come from routers that know of a cache's start, for it to be theirs to
 // answer for; toldSlack is what the list's time of a start may lie before it, as it counts in milliseconds.
 const (
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -57,6 +57,8 @@
 	FallMultiple float64
 	FallFor      Time
 	FallSlack    float64
+	// MeanWork, where it is not 0, takes the place of FallSlack: a cold cache bears AllowedWork.
+	MeanWork Time
 
 	// The store's fall is the routers' where misses at cold caches were more than StoreColdShare of the
 	// fetches asked of it over the StoreFallFor before.
--- a/internal/rules/rules_test.go
+++ b/internal/rules/rules_test.go
@@ -239,25 +239,32 @@
 	{"an attempt sent long after the client has left", []Rule{SentAfterLeft}, func(s *scene) {
 		s.ask(0, "q", "read")
 		s.Left(100*ms, "q")
-		s.begin(460*ms, "a", "q", "read") // sent at 455
+		s.begin(260*ms, "a", "q", "read") // sent at 255
 	}},
 	{"an attempt sent while the news of its client's departure is on its way", nil, func(s *scene) {
 		s.ask(0, "q", "read")
 		s.Left(100*ms, "q")
-		s.begin(455*ms, "a", "q", "read") // sent at 450
+		s.begin(255*ms, "a", "q", "read") // sent at 250
+	}},
+	{"a further attempt sent long after the client has left", []Rule{SentAfterLeft}, func(s *scene) {
+		s.ask(0, "q", "read")
+		s.begin(10*ms, "a", "q", "read")
+		s.Left(100*ms, "q")
+		s.Replied(200*ms, "a", "q", Refused, "")
+		s.begin(260*ms, "b", "q", "read") // sent at 255
 	}},
 	{"an attempt sent while the client's end is held up on its way", nil, func(s *scene) {
 		s.ask(0, "q", "read")
 		s.Left(100*ms, "q")
 		s.Unseen("q", 400*ms)
 		s.Unseen("q", 300*ms)             // what is known does not go back
-		s.begin(755*ms, "a", "q", "read") // sent at 750
+		s.begin(555*ms, "a", "q", "read") // sent at 550
 	}},
 	{"an attempt sent long after the client's end has come at last", []Rule{SentAfterLeft}, func(s *scene) {
 		s.ask(0, "q", "read")
 		s.Left(100*ms, "q")
 		s.Unseen("q", 400*ms)
-		s.begin(760*ms, "a", "q", "read") // sent at 755
+		s.begin(560*ms, "a", "q", "read") // sent at 555
 	}},
 	{"an attempt sent nobody knows when, long after the final answer", []Rule{SentAfterFinal}, func(s *scene) {
 		s.ask(0, "q", "read")
@@ -273,6 +280,18 @@
 		a.Sent = a.First
 		s.Began(30*ms, a)
 	}},
+	{"a second attempt at a cache that has started anew, ended before the next one", nil, func(s *scene) {
+		s.set.Copies = false
+		s.CacheUp(0, "a", 0, 0, 0)
+		s.ask(0, "q", "read")
+		s.begin(10*ms, "a", "q", "read")
+		s.CacheUp(20*ms, "a", 0, 0, 0) // the first attempt ends with the process, and nobody sees its connection
+		s.begin(30*ms, "a", "q", "read")
+		s.Ended(40*ms, "a", "q")
+		s.begin(50*ms, "b", "q", "read")
+		s.serve(60*ms, "b", "q", "read")
+		s.Answered(300*ms, "q", Served, "value of q")
+	}},
 	{"an unsafe request runs twice", []Rule{UnsafeResent, EffectTwice}, func(s *scene) {
 		s.ask(0, "q", "once")
 		s.begin(10*ms, "a", "q", "once")
@@ -516,6 +535,20 @@
 		s.Offered(20*ms, "a", "r-2", 905*ms)
 		s.CacheDown(30*ms, "a", true)
 	}},
+	{"a cold cache gets as many calls as its budget and chance allow", nil, func(s *scene) {
+		s.set.MeanWork = 100 * ms
+		s.CacheUp(0, "a", 1e6, 0.1, 2_000_000*ms)
+		for i := range Time(17) { // 9 of mean work, twice their root and two
+			s.Offered(i*ms, "a", "", 100*ms)
+		}
+	}},
+	{"a cold cache gets more calls than that", []Rule{ColdPushedOver}, func(s *scene) {
+		s.set.MeanWork = 100 * ms
+		s.CacheUp(0, "a", 1e6, 0.1, 2_000_000*ms)
+		for i := range Time(18) {
+			s.Offered(i*ms, "a", "", 100*ms)
+		}
+	}},
 	{"a cold cache falls", []Rule{ColdPushedOver}, func(s *scene) {
 		s.CacheUp(0, "a", 1e6, 0.1, 20_000*ms)
 		s.CacheDown(19_999*ms, "a", true)
--- a/internal/rules/watcher.go
+++ b/internal/rules/watcher.go
@@ -13,8 +13,8 @@
 	forgetAfter Time = 1_000_000
 	// mostClasses bounds the classes that are counted by name: names come from clients.
 	mostClasses = 64
-	// leftGrace is how long after its client has left a request may still be sent on.
-	leftGrace Time = 300_000
+	// leftGrace is how long after its client has left an attempt, first or further, may still begin.
+	leftGrace Time = 100_000
 	// mostKept bounds the requests with a broken rule whose life is kept to the end.
 	mostKept = 100
 	// longestKept bounds the values that are held past the deadline, in bytes.
--- a/internal/standin/cache.go
+++ b/internal/standin/cache.go
@@ -251,8 +251,14 @@
 	c.obs.Offered(now, c.o.Name, router, work)
 	sum := c.offered.add(now, work)
 	o := &c.o.Capacity
-	if o.FallFor > 0 && o.FallMultiple > 0 && float64(sum) > o.FallMultiple*c.proc.able()*float64(o.FallFor) {
-		c.end(true)
+	if o.FallFor > 0 && o.FallMultiple > 0 {
+		allowed := o.FallMultiple * c.proc.able() * float64(o.FallFor)
+		if o.MeanWork > 0 {
+			allowed = rules.AllowedWork(allowed, o.MeanWork)
+		}
+		if float64(sum) > allowed {
+			c.end(true)
+		}
 	}
 	return c.up
 }
--- a/internal/standin/capacity.go
+++ b/internal/standin/capacity.go
@@ -23,6 +23,7 @@
 
 	FallMultiple float64 // sent more than this multiple of what it can do ...
 	FallFor      Time    // ... for this long, it falls over; 0 never
+	MeanWork     Time    // where it is not 0, rules.AllowedWork of that is borne
 
 	Choke Choke
 }
