lab run pacing: strategies of calling a crowded discovery; steady pauses of a second

Change: internal/lab/pacing plays the router's own watches against the stand-in's discovery, as routers start in step and after an outage of 20 s, with the pauses before, full jitter, decorrelated jitter, AIMD and the router's own.

--- /dev/null
+++ b/internal/lab/pacing/pacing.go
@@ -0,0 +1,134 @@
+// Package pacing measures how soon many clients are heard by a discovery that takes few calls, with several strategies of calling
+// again. The clients are the router's own watches of discovery on the virtual network, the discovery is the stand-in that turns
+// calls away at a cost.
+package pacing
+
+import (
+	"fmt"
+	"slices"
+
+	"starlingwinch/internal/discovery"
+	"starlingwinch/internal/limits"
+	"starlingwinch/internal/machine"
+	"starlingwinch/internal/sim"
+	"starlingwinch/internal/standin"
+)
+
+// Time is an instant or a span in microseconds.
+type Time = machine.Time
+
+const second Time = 1_000_000
+
+// Figures of the world: what a call is beside a refusal and a line was measured on the operators' bench.
+const (
+	caches          = 12
+	refusalsPerCall = 40
+	linesPerCall    = 50
+	callTimeout     = second
+	oneWay          = 7000
+)
+
+// World is one measurement.
+type World struct {
+	Clients  int
+	Capacity float64 // calls for the whole list that discovery can take in a second
+	Outage   Time    // discovery is down for so long after the clients have been heard; 0 has them start in step
+	Seed     uint64
+	Most     Time // the longest that is waited for
+}
+
+// Heard is how long after discovery could be reached clients were heard. Unheard is those that were not within Most, which count
+// with that.
+type Heard struct {
+	Median, P99, Last Time
+	Unheard           int
+	Refused           int // calls that were turned away, or failed
+}
+
+// client is one router's watch.
+type client struct {
+	m        machine.Machine
+	addr     string
+	strategy Strategy
+	watch    *discovery.Watch
+	heardAt  Time
+	refused  int
+}
+
+func (c *client) call() {
+	asked := discovery.Options{Discovery: limits.Default().Discovery, Grace: grace}
+	c.watch = discovery.Follow(c.m, c.addr, asked, discovery.NoIndex, func(discovery.List) {
+		c.strategy.Answered()
+		if c.heardAt == 0 {
+			c.heardAt = c.m.Now()
+		}
+	}, func(error) { c.again() })
+}
+
+func (c *client) again() {
+	c.refused++
+	c.watch.Stop() // also one that has lapsed
+	c.m.At(c.m.Now()+c.strategy.Failed(c.m.Now(), chance(c.m)), c.call)
+}
+
+// chance is drawn from a machine's entropy.
+func chance(m machine.Machine) float64 { return float64(m.Entropy()>>11) / (1 << 53) }
+
+// Play plays a world with a strategy.
+func Play(w World, kind Kind) (Heard, error) {
+	world := sim.New(w.Seed)
+	world.Near = sim.Link{Latency: oneWay, Jitter: oneWay / 4}
+	world.Far = world.Near
+	// A call for the whole list costs its lines too.
+	cost := Time(float64(second) / w.Capacity / (1 + float64(caches)/linesPerCall))
+	o := standin.DiscoveryOptions{CallCost: cost, LineCost: cost / linesPerCall, RefuseCost: cost / refusalsPerCall, Timeout: callTimeout}
+	for i := range w.Clients {
+		o.Routers = append(o.Routers, fmt.Sprintf("router-%d", i))
+	}
+	list := standin.NewDiscovery(world.Host("discovery", "10.0.0.1", sim.HostOptions{Descriptors: 2*w.Clients + 64}).Machine(), o, nil)
+	defer list.Close()
+	for i := range caches {
+		list.Add(standin.Entry{Name: fmt.Sprintf("s-%d", i), Address: fmt.Sprintf("10.2.0.%d:1", i+1), Zone: "a", Weight: 1})
+	}
+	var clients []*client
+	for i, name := range o.Routers {
+		host := world.Host(name, fmt.Sprintf("10.1.%d.%d", i/250, i%250+1), sim.HostOptions{})
+		addr, err := list.Open("10.0.0.1:0", name)
+		if err != nil {
+			return Heard{}, err
+		}
+		clients = append(clients, &client{m: host.Machine(), addr: addr, strategy: kind.New(w.Clients)})
+	}
+	reachable := world.Now()
+	if w.Outage > 0 {
+		list.Down(true, false)
+		reachable += w.Outage
+		world.At(reachable, func() { list.Down(false, false) })
+	}
+	for _, c := range clients {
+		world.At(world.Now()+c.strategy.Start(chance(c.m)), c.call)
+	}
+	all := func() bool {
+		return !slices.ContainsFunc(clients, func(c *client) bool { return c.heardAt == 0 })
+	}
+	for world.Now() < reachable+w.Most && !all() {
+		world.Run(world.Now() + second/10)
+	}
+	return summary(clients, reachable, w.Most), nil
+}
+
+func summary(clients []*client, reachable, most Time) (h Heard) {
+	var took []Time
+	for _, c := range clients {
+		h.Refused += c.refused
+		if c.heardAt == 0 {
+			h.Unheard++
+			took = append(took, most)
+			continue
+		}
+		took = append(took, c.heardAt-reachable)
+	}
+	slices.Sort(took)
+	h.Median, h.P99, h.Last = took[len(took)/2], took[len(took)*99/100], took[len(took)-1]
+	return h
+}
--- /dev/null
+++ b/internal/lab/pacing/pacing_test.go
@@ -0,0 +1,40 @@
+package pacing
+
+import "testing"
+
+// TestAllAreHeardWithinTheBound where discovery can take a call of each client in five seconds, as they start in step and after an
+// outage; with exponential backoff the last one is heard later.
+func TestAllAreHeardWithinTheBound(t *testing.T) {
+	kinds := Kinds()
+	own, fullJitter := kinds[len(kinds)-1], kinds[1]
+	for _, outage := range []Time{0, 20 * second} {
+		w := World{Clients: 32, Capacity: 6.4, Outage: outage, Seed: 1, Most: 60 * second}
+		heard, err := Play(w, own)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if heard.Unheard > 0 || heard.Last > 6*second {
+			t.Errorf("outage %d: %+v, want all heard within 6 s", outage, heard)
+		}
+		other, err := Play(w, fullJitter)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if other.Last < heard.Last+second {
+			t.Errorf("outage %d: with full jitter the last is heard after %d, no later than %d: the world tells them not apart", outage, other.Last, heard.Last)
+		}
+	}
+}
+
+// TestCapacityBoundsHowSoonAllAreHeard: no strategy hears faster than discovery can answer.
+func TestCapacityBoundsHowSoonAllAreHeard(t *testing.T) {
+	for _, kind := range Kinds() {
+		heard, err := Play(World{Clients: 20, Capacity: 5, Seed: 2, Most: 60 * second}, kind)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if heard.Last < 3900*second/1000 {
+			t.Errorf("%s: 20 calls at 5 a second are heard after %d", kind.Name, heard.Last)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/pacing/strategies.go
@@ -0,0 +1,94 @@
+package pacing
+
+import (
+	"math"
+
+	"starlingwinch/internal/retry"
+)
+
+// Strategy says when one client calls a shared service again. chance is in [0, 1).
+type Strategy interface {
+	// Start is the pause before the first call.
+	Start(chance float64) Time
+	// Failed is the pause after a call that failed.
+	Failed(now Time, chance float64) Time
+	// Answered takes in that a call was answered.
+	Answered()
+}
+
+// Kind is a strategy by its name.
+type Kind struct {
+	Name string
+	Doc  string
+	New  func(clients int) Strategy
+}
+
+// Kinds are the strategies that are compared: the one before, those of the field, and the router's own, last.
+func Kinds() []Kind {
+	return []Kind{
+		{"before", "doubled from 0.25 s to 4 s with half of it drawn, first calls at once", func(int) Strategy { return &doubling{base: second / 4, most: 4 * second, fixed: 0.5} }},
+		{"full-jitter", "drawn from 0 to a span doubled from 0.25 s to 8 s", func(int) Strategy { return &doubling{base: second / 4, most: 8 * second} }},
+		{"decorrelated", "drawn from 0.25 s to three times the pause before, 8 s at most", func(int) Strategy { return &decorrelated{last: second / 4} }},
+		{"aimd", "a rate that is halved by a refusal and grows with each answer", func(int) Strategy { return &aimd{rate: 2} }},
+		{"steady", "package retry's: a sixth of the bound, a third more or less", func(clients int) Strategy {
+			return steady{retry.NewPacer(retry.Options{Clients: clients, Grace: grace, AskEvery: askEvery})}
+		}},
+	}
+}
+
+// Settings of the clients: those of one of the operators' deployments.
+const (
+	grace    = second / 2
+	askEvery = 10 * second
+)
+
+// doubling is exponential backoff. Of each span, the fixed share is waited for and the rest drawn.
+type doubling struct {
+	base, most Time
+	fixed      float64
+	failures   int
+}
+
+func (d *doubling) Start(float64) Time { return 0 }
+
+func (d *doubling) Failed(_ Time, chance float64) Time {
+	span := math.Min(float64(d.most), float64(d.base)*math.Exp2(float64(d.failures)))
+	d.failures++
+	return Time(span * (d.fixed + (1-d.fixed)*chance))
+}
+
+func (d *doubling) Answered() { d.failures = 0 }
+
+// decorrelated draws each pause from the one before.
+type decorrelated struct{ last Time }
+
+func (d *decorrelated) Start(float64) Time { return 0 }
+
+func (d *decorrelated) Failed(_ Time, chance float64) Time {
+	const least, most = second / 4, 8 * second
+	d.last = min(most, least+Time(chance*float64(3*d.last-least)))
+	return d.last
+}
+
+func (d *decorrelated) Answered() { d.last = second / 4 }
+
+// aimd keeps a rate of calls a second.
+type aimd struct{ rate float64 }
+
+func (a *aimd) Start(float64) Time { return 0 }
+
+func (a *aimd) Failed(_ Time, chance float64) Time {
+	const least = 0.125
+	a.rate = max(least, a.rate/2)
+	return Time(float64(second) / a.rate * (0.5 + chance))
+}
+
+func (a *aimd) Answered() {
+	const most, step = 4, 0.25
+	a.rate = min(most, a.rate+step)
+}
+
+// steady is the router's own.
+type steady struct{ *retry.Pacer }
+
+func (s steady) Failed(now Time, chance float64) Time { return s.Pacer.Failed(now, chance).Pause }
--- a/internal/retry/pacer.go
+++ b/internal/retry/pacer.go
@@ -14,12 +14,11 @@
 
 // Figures of the pace. docs/design/retry.md has what was measured, and what would change them.
 const (
-	meanPart    = 4 // of the bound: the mean pause, so that each client calls about this often within it
-	jitter      = 3 // a pause differs from its mean by up to this part of it
-	steadyFor   = 5 // bounds without an answer until pauses grow
-	longestPart = 3 // times the usual mean that they grow to
-	askFailed   = 4 // times AskEvery for which a failed call counts
-	loneClient  = 1 // a client that has the service to itself need not wait for others
+	meanPart    = 6   // of the bound: the mean pause
+	jitter      = 3   // a pause differs from its mean by up to this part of it
+	steadyFor   = 3   // bounds without an answer until pauses grow
+	longestPart = 4.5 // times the usual mean that they grow to, so that the longest pause is the bound
+	askFailed   = 4   // times AskEvery for which a failed call counts
 )
 
 // Options say who calls.
@@ -31,7 +30,7 @@
 
 // Pacer says when one client calls again. Use NewPacer.
 //
-// Pauses neither grow with each failure nor shrink: the mean stays at a quarter of the bound. A service that takes one call
+// Pauses neither grow with each failure nor shrink: the mean stays at a sixth of the bound. A service that takes one call
 // of each client within the bound then always has calls waiting, while those that it turns away cost it little. Exponential
 // backoff leaves it idle in the end, as the last clients call seldom. Pauses that are much shorter have it spend its time
 // on turning calls away. Only after several bounds without an answer, when the service can't take all clients within the bound
@@ -49,7 +48,7 @@
 
 // NewPacer returns the pacer of one client.
 func NewPacer(o Options) *Pacer {
-	p := &Pacer{bound: toldAfterReachable, first: o.Grace / 2, alone: o.Clients <= loneClient}
+	p := &Pacer{bound: toldAfterReachable, first: o.Grace / 2, alone: o.Clients <= 1}
 	if o.AskEvery > 0 {
 		p.bound = min(p.bound, askFailed*o.AskEvery)
 	}
