--- a/internal/fleet/api.go
+++ b/internal/fleet/api.go
@@ -27,7 +27,7 @@
 // Bounds of what is taken in.
 const (
 	MostName    = 32   // bytes of a name
-	MostMembers = 1024 // members of a view, configured addresses included
+	MostMembers = 8192 // members of a view, configured addresses included
 	// MostDatagram is the longest datagram that is sent or taken in, which is the platform's bound.
 	MostDatagram = 256
 	// ahead is how far an incarnation may lie ahead of this router's clock. The danger: one near the largest number
--- a/internal/fleet/operator.go
+++ b/internal/fleet/operator.go
@@ -10,7 +10,7 @@
 // Operator is what operators may set, in a file of the kind "fleet".
 type Operator struct {
 	Enabled bool     `toml:"enabled" doc:"the router keeps a view of the others of its tier; the platform has to allow messages between routers"`
-	Seeds   []string `toml:"seeds" min:"0" max:"64" doc:"addresses of routers that are asked beside those that the platform names; who comes by them is taken in"`
+	Seeds   []string `toml:"seeds" min:"0" max:"8192" doc:"addresses of routers that are asked beside those that the platform names; who comes by them is taken in"`
 
 	Interval  time.Duration `toml:"interval" min:"50ms" max:"10s" doc:"between probes of other routers"`
 	Timeout   time.Duration `toml:"timeout" min:"10ms" max:"4s" doc:"within which a probe should be answered; under half of the interval"`
--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -35,7 +35,7 @@
 type LossSection struct {
 	Percent int           `toml:"percent" min:"1" max:"100" doc:"more than so many of the caches that took work are left out at once"`
 	Within  time.Duration `toml:"within" min:"10ms" max:"10s" doc:"an absence that nobody has confirmed or denied by then is obeyed"`
-	Least   int           `toml:"least" min:"1" max:"1000" doc:"with fewer caches that took work there is no check"`
+	Least   int           `toml:"least" min:"1" max:"10000" doc:"with fewer caches that took work there is no check"`
 }
 
 // DefaultConfig is what holds where no file says otherwise.
