Names of the field in sources and discovery: timed out, previous, last known

Need: the names of these two packages had to be explained (putBy, heard, unheard, lapsed, fallBack, most...).

Change: keepPrevious, onAnswer, listUnknown, TimedOut, useLastKnown, maxCaches and the like; comments in plain sentences. Nothing else.

--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -35,8 +35,8 @@
 const NoIndex = -1
 
 const (
-	mostName   = 256    // bytes of a cache's name, or a zone's
-	mostCaches = 10_000 // of one list
+	maxNameLength = 256    // bytes of a cache's name, or a zone's
+	maxCaches     = 10_000 // of one list
 )
 
 var conditions = map[string]decide.Condition{"in_service": decide.Up, "terminating": decide.Draining,
@@ -69,7 +69,7 @@
 		return List{}, errors.New("list of hosts: index and endpoints are needed")
 	}
 	h := List{Index: *in.Index, Full: in.Snapshot}
-	place := make(map[string]int, min(len(*in.Endpoints), mostCaches))
+	place := make(map[string]int, min(len(*in.Endpoints), maxCaches))
 	skipped := 0
 	for i, raw := range *in.Endpoints {
 		e, addr, ok := h.endpoint(i, raw)
@@ -83,7 +83,7 @@
 			}
 			continue
 		}
-		if e.Condition == decide.Up && len(h.Entries) >= mostCaches {
+		if e.Condition == decide.Up && len(h.Entries) >= maxCaches {
 			skipped++
 			continue
 		}
@@ -94,7 +94,7 @@
 		return List{}, fmt.Errorf("list of hosts: none of its entries can be used: %s", h.Faults[0])
 	}
 	if skipped > 0 {
-		h.Faults = append(h.Faults, fmt.Sprintf("endpoints: %d caches past the first %d are not used", skipped, mostCaches))
+		h.Faults = append(h.Faults, fmt.Sprintf("endpoints: %d caches past the first %d are not used", skipped, maxCaches))
 	}
 	return h, nil
 }
@@ -123,7 +123,7 @@
 	read("status", in.Status, &status)
 	read("since_ms", in.SinceMS, &since)
 	read("weight", in.Weight, &weight)
-	if e.ID == "" || len(e.ID) > mostName || len(e.Zone) > mostName {
+	if e.ID == "" || len(e.ID) > maxNameLength || len(e.Zone) > maxNameLength {
 		h.fault(i, "name", "empty or too long, or its zone's is")
 		return e, "", false
 	}
--- a/internal/discovery/list_test.go
+++ b/internal/discovery/list_test.go
@@ -66,7 +66,7 @@
 // TestListPastItsBound: the first caches are used, drains past the bound are heard.
 func TestListPastItsBound(t *testing.T) {
 	var lines []string
-	for i := range mostCaches + 5 {
+	for i := range maxCaches + 5 {
 		lines = append(lines, host(fmt.Sprint("n", i), "127.0.0.1:1", "in_service"))
 	}
 	lines = append(lines, host("c1", "127.0.0.1:1", "terminating"))
@@ -74,7 +74,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if n := len(h.Entries); n != mostCaches+1 || h.Entries[n-1].ID != "c1" || len(h.Faults) != 1 {
+	if n := len(h.Entries); n != maxCaches+1 || h.Entries[n-1].ID != "c1" || len(h.Faults) != 1 {
 		t.Errorf("%d entries, faults %q", n, h.Faults)
 	}
 }
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -14,9 +14,9 @@
 type Time = machine.Time
 
 const (
-	callBurst = 10 // calls in a row without a pause; from then on they are retry.CallPause apart
+	maxCallsInARow = 10 // calls in a row without a pause; from then on they are retry.CallPause apart
 
-	mostWait = 60_000_000 // "so many milliseconds (60,000 at most)": a call that has lapsed is over then
+	maxWait = 60_000_000 // "so many milliseconds (60,000 at most)": a call that has timed out is over then
 )
 
 // Options say how discovery is to be asked.
@@ -42,9 +42,9 @@
 // Watch calls the discovery service, one call at a time and one connection at most, and passes on what
 // changes after a version, until a call fails or Stop. Use Follow.
 //
-// A call that has no answer in time has lapsed: it has failed, but its connection stays, and what comes on it is told, and
-// followed on. The danger: discovery writes just as the call is given up. What it has written counts as told, and would be
-// heard by nobody until a call is due again.
+// A call that has no answer in time has timed out: it has failed, but its connection stays, and what comes on it is told, and
+// followed on. Discovery may write just as the call times out: what it has written counts as told, and nobody would read it
+// until a call is due again.
 type Watch struct {
 	m      machine.Machine
 	addr   string
@@ -52,23 +52,23 @@
 	told   func(List)
 	failed func(error)
 
-	after  int64
-	heard  bool    // it has told something
-	credit float64 // calls that may be made without a pause
-	last   Time    // as of then
-	client *httpc.Client
-	pause  machine.Timer
-	limit  machine.Timer // of the call that is out
-	lapsed bool
-	over   bool
+	after       int64
+	hasAnswered bool    // a call was answered
+	credit      float64 // calls that may be made without a pause
+	last        Time    // as of then
+	client      *httpc.Client
+	pause       machine.Timer
+	limit       machine.Timer // of the call that is out
+	timedOut    bool
+	over        bool
 }
 
 // Follow asks for what comes after a version, or for the whole list where after is NoIndex. told gets
-// each answer, in order; failed is called when a call has failed or lapsed. After one that has failed there is nothing more;
-// one that has Lapsed may still be answered, or fail. Neither is called from within Follow. The next call follows an answer
+// each answer, in order; failed is called when a call has failed or timed out. After one that has failed there is nothing more;
+// one that has TimedOut may still be answered, or fail. Neither is called from within Follow. The next call follows an answer
 // at once, as a pause would end the watch.
 func Follow(m machine.Machine, addr string, o Options, after int64, told func(List), failed func(error)) *Watch {
-	w := &Watch{m: m, addr: addr, spans: o.spans(m.Entropy()), told: told, failed: failed, after: after, credit: callBurst, last: m.Now()}
+	w := &Watch{m: m, addr: addr, spans: o.spans(m.Entropy()), told: told, failed: failed, after: after, credit: maxCallsInARow, last: m.Now()}
 	w.client = httpc.New(m, addr, httpc.Options{DialTime: w.spans.Answer, MostBody: int(o.ListSize)})
 	w.next()
 	return w
@@ -91,9 +91,9 @@
 
 // next makes the next call, or sets the time for it.
 func (w *Watch) next() {
-	// The danger: a discovery that answers every watch at once is called without end.
+	// Without a pace, a discovery that answers every watch at once would be called without end.
 	now := w.m.Now()
-	w.credit = min(callBurst, w.credit+float64(now-w.last)/retry.CallPause)
+	w.credit = min(maxCallsInARow, w.credit+float64(now-w.last)/retry.CallPause)
 	if w.last = now; w.credit < 1 {
 		w.pause = w.m.At(now+Time((1-w.credit)*retry.CallPause)+1, w.next)
 		return
@@ -104,21 +104,21 @@
 		path = fmt.Sprintf("%s?after=%d&wait_ms=%d", path, w.after, w.spans.Wait/1000)
 		wait = w.spans.Silent
 	}
-	w.limit = w.m.At(now+wait, func() { w.lapse(wait) })
-	w.client.Do(httpc.Request{Method: "GET", Path: path, Headers: accept}, mostWait, w.answered)
+	w.limit = w.m.At(now+wait, func() { w.onTimeout(wait) })
+	w.client.Do(httpc.Request{Method: "GET", Path: path, Headers: accept}, maxWait, w.answered)
 }
 
 // Again is the pause from a failure to the next call; 0 where that is the owner's to say.
 func (w *Watch) Again() Time { return w.spans.Again }
 
-// Lapsed reports whether the call that is out should have been answered by now.
-func (w *Watch) Lapsed() bool { return w.lapsed && !w.over }
+// TimedOut reports whether the call that is out should have been answered by now.
+func (w *Watch) TimedOut() bool { return w.timedOut && !w.over }
 
-// lapse says that a call has no answer in time.
-func (w *Watch) lapse(wait Time) {
-	w.lapsed = true
+// onTimeout says that a call has no answer in time.
+func (w *Watch) onTimeout(wait Time) {
+	w.timedOut = true
 	err := fmt.Errorf("%w within %d ms", httpc.ErrLate, wait/1000)
-	if w.after != NoIndex && w.heard {
+	if w.after != NoIndex && w.hasAnswered {
 		w.failed(fmt.Errorf("%w: %w", ErrSilent, err))
 		return
 	}
@@ -158,7 +158,7 @@
 		case err != nil:
 			w.fail(err)
 		default:
-			w.after, w.heard, w.lapsed = list.Index, true, false
+			w.after, w.hasAnswered, w.timedOut = list.Index, true, false
 			w.next() // first, so that the watch goes on; what it tells takes a turn at least
 			w.told(list)
 		}
--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -55,14 +55,14 @@
 	return err
 }
 
-// wantLapsed waits for the news that the call has no answer in time, and checks that its connection stays.
-func (f *follower) wantLapsed() {
+// wantTimedOut waits for the news that the call has no answer in time, and checks that its connection stays.
+func (f *follower) wantTimedOut() {
 	f.t.Helper()
 	if err := routertest.Receive(f.t, f.failed, "news of the late call"); !errors.Is(err, httpc.ErrLate) {
 		f.t.Errorf("error %q, want that it is late", err)
 	}
 	f.Do(func() {
-		if !f.w.Lapsed() || !f.w.client.Connected() {
+		if !f.w.TimedOut() || !f.w.client.Connected() {
 			f.t.Error("a lapsed call's connection is given up")
 		}
 	})
@@ -199,7 +199,7 @@
 			open = false
 		}
 	}
-	if most := callBurst + int(span.Microseconds()/retry.CallPause) + 1; made > most || len(f.told) < 2 {
+	if most := maxCallsInARow + int(span.Microseconds()/retry.CallPause) + 1; made > most || len(f.told) < 2 {
 		t.Errorf("%d calls in %v, at most %d wanted; %d answers", made, span, most, len(f.told))
 	}
 	if retry.CallPause >= 200_000 {
@@ -319,7 +319,7 @@
 	addr, calls := rawDiscovery(t)
 	f := follow(t, addr, 5, brief)
 	routertest.Receive(t, calls, "call")
-	f.wantLapsed()
+	f.wantTimedOut()
 	f.Do(f.w.Stop)
 	f = follow(t, routertest.Unreachable(t), 5, brief)
 	f.wantFailed("")
@@ -333,7 +333,7 @@
 	addr, calls := rawDiscovery(t)
 	f := follow(t, addr, NoIndex, func(b *limits.Discovery) { b.AnswerTime, b.WatchTime = 50*time.Millisecond, 50*time.Millisecond })
 	call := routertest.Receive(t, calls, "call")
-	f.wantLapsed()
+	f.wantTimedOut()
 	call.answer(t, withLength(routertest.Hosts(7, true, routertest.Host("c1", "127.0.0.1:7001", "terminating"))))
 	if l := routertest.Receive(t, f.told, "answer"); l.Index != 7 {
 		t.Errorf("told %+v", l)
@@ -343,7 +343,7 @@
 		t.Errorf("the watch does not go on: %s", next.RequestURI)
 	}
 	// Its end is told once more: by then it has failed.
-	f.wantLapsed()
+	f.wantTimedOut()
 	next.Conn.Close()
 	routertest.Receive(t, calls, "the same call, on a new connection").Conn.Close()
 	f.wantFailed("ended before an answer")
@@ -458,7 +458,7 @@
 	call := routertest.Receive(t, calls, "call")
 	body := hosts(8, false, host("c1", "127.0.0.1:1", "terminating"))
 	call.answer(t, fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", 20, body[:20]))
-	f.wantLapsed()
+	f.wantTimedOut()
 	call.answer(t, fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body)-20, body[20:]))
 	if l := routertest.Receive(t, f.told, "list"); l.Index != 8 || len(l.Entries) != 1 {
 		t.Errorf("told %+v", l)
--- a/internal/sources/sources.go
+++ b/internal/sources/sources.go
@@ -46,18 +46,18 @@
 
 // Sources follows them. Use New.
 type Sources struct {
-	m        machine.Machine
-	cfg      Config
-	owner    Owner
-	members  *membership.Members
-	waking   machine.Timer // for members
-	again    machine.Timer // for the next call of an agent that has lists pushed to it
-	index    int64         // version of the platform's list; NoIndex has the whole one asked for
-	unheard  bool          // neither has the platform answered, nor was the list as last known taken over
-	watching *discovery.Watch
-	lapsed   *discovery.Watch // the one before, where it has not answered: it is heard until the other one is
-	registry *eureka.Client
-	over     bool
+	m           machine.Machine
+	cfg         Config
+	owner       Owner
+	members     *membership.Members
+	waking      machine.Timer // for members
+	again       machine.Timer // for the next call of an agent that has lists pushed to it
+	index       int64         // version of the platform's list; NoIndex has the whole one asked for
+	listUnknown bool          // neither has the platform answered, nor was the list as last known taken over
+	watching    *discovery.Watch
+	previous    *discovery.Watch // the one before, where it has not answered: it is heard until the other one is
+	registry    *eureka.Client
+	over        bool
 }
 
 // New makes sources. Nobody is asked before Start. Where discovery has to be asked, the list as last known is published in the
@@ -69,24 +69,24 @@
 	if s.members, err = membership.New(cfg.Membership.Options(s.inUse())); err != nil {
 		return nil, err
 	}
-	if s.unheard = s.asks(membership.Discovery); !cfg.Asked.Pushed {
-		s.fallBack()
+	if s.listUnknown = s.asks(membership.Discovery); !cfg.Asked.Pushed {
+		s.useLastKnown()
 	} else {
 		s.index = discovery.NoIndex // the agent answers at once
 		m.At(m.Now()+cfg.Asked.AnswerTime.Microseconds(), func() {
-			s.fallBack()
+			s.useLastKnown()
 			s.owner.Settle()
 		})
 	}
 	return s, nil
 }
 
-// fallBack takes the list as last known over, where nobody has told a newer one.
-func (s *Sources) fallBack() {
-	if !s.unheard {
+// useLastKnown takes the list as last known over, where nobody has told a newer one.
+func (s *Sources) useLastKnown() {
+	if !s.listUnknown {
 		return
 	}
-	s.unheard = false
+	s.listUnknown = false
 	s.hear(&membership.Heard{Source: membership.Discovery, Full: true, Stale: true, Claims: claims(&s.cfg.Known),
 		Unread: s.cfg.Known.Unread})
 }
@@ -188,7 +188,7 @@
 	}
 }
 
-// Watch follows the platform's discovery. Where a call is out that has not lapsed, it is left alone: discovery ends a router's
+// Watch follows the platform's discovery. Where a call is out that has not timed out, it is left alone: discovery ends a router's
 // older call where it turns a newer one away, and a watch that works would be lost for one that does not.
 func (s *Sources) Watch() {
 	if s.over || !s.asks(membership.Discovery) {
@@ -200,40 +200,40 @@
 	}
 	var w *discovery.Watch
 	w = discovery.Follow(s.m, s.cfg.Discovery, s.cfg.Asked, s.index, func(list discovery.List) {
-		s.heard(w)
+		s.onAnswer(w)
 		s.Listed(list)
 	}, func(err error) { s.failed(w, err) })
 	s.watching = w
 }
 
-// putBy keeps a watch that has not answered, beside the next one. There is one of them at most.
-func (s *Sources) putBy(w *discovery.Watch) {
-	if s.lapsed != nil {
-		s.lapsed.Stop()
+// keepPrevious keeps a watch that has not answered, beside the next one. There is one of them at most.
+func (s *Sources) keepPrevious(w *discovery.Watch) {
+	if s.previous != nil {
+		s.previous.Stop()
 	}
-	s.lapsed, s.watching = w, nil
+	s.previous, s.watching = w, nil
 }
 
-// heard ends the other watch: the one that has answered goes on, and asks for all that came after that.
-func (s *Sources) heard(w *discovery.Watch) {
+// onAnswer ends the other watch: the one that has answered goes on, and asks for all that came after that.
+func (s *Sources) onAnswer(w *discovery.Watch) {
 	s.noCall()
-	other := s.lapsed
-	if w == s.lapsed {
+	other := s.previous
+	if w == s.previous {
 		other = s.watching
 	}
-	if s.watching, s.lapsed = w, nil; other != nil {
+	if s.watching, s.previous = w, nil; other != nil {
 		other.Stop()
 	}
 }
 
 // unwatch ends both.
 func (s *Sources) unwatch() {
-	for _, w := range []*discovery.Watch{s.watching, s.lapsed} {
+	for _, w := range []*discovery.Watch{s.watching, s.previous} {
 		if w != nil {
 			w.Stop()
 		}
 	}
-	s.watching, s.lapsed = nil, nil
+	s.watching, s.previous = nil, nil
 	s.noCall()
 }
 
@@ -245,19 +245,19 @@
 	}
 }
 
-// failed takes the news that a watch has failed, or its call has lapsed.
+// failed takes the news that a watch has failed, or its call has timed out.
 func (s *Sources) failed(w *discovery.Watch, err error) {
 	switch {
-	case w == s.lapsed: // the next one is asked, or soon will be
-		if !w.Lapsed() {
-			s.lapsed = nil
+	case w == s.previous: // the next one is asked, or soon will be
+		if !w.TimedOut() {
+			s.previous = nil
 		}
-	case w.Lapsed():
-		s.putBy(w)
+	case w.TimedOut():
+		s.keepPrevious(w)
 		s.lost(err, w.Again())
 	default:
 		s.watching = nil
-		s.fallBack()
+		s.useLastKnown()
 		s.lost(err, w.Again())
 	}
 }
@@ -267,7 +267,7 @@
 
 // Listed takes an answer of the platform's discovery, however it came.
 func (s *Sources) Listed(list discovery.List) {
-	s.index, s.unheard = list.Index, false
+	s.index, s.listUnknown = list.Index, false
 	s.sayFaults(&list)
 	s.hear(&membership.Heard{Source: membership.Discovery, Full: list.Full, Claims: claims(&list), Unread: list.Unread})
 	s.owner.Answered() // also where nothing has changed
@@ -277,8 +277,8 @@
 // lost takes the news that there is no watch any more. Where it has its own pause, the next call follows that.
 func (s *Sources) lost(err error, pause machine.Time) {
 	if pause > 0 || !errors.Is(err, discovery.ErrCrowded) && !errors.Is(err, discovery.ErrSilent) {
-		// The danger: a discovery that has started anew counts its versions anew, and has nothing to say for long of what
-		// comes after the old ones. One that was only silent is asked for what it has missed to tell, which is one call
+		// A discovery that has started anew counts its versions anew, and has nothing to say for long of what comes after the
+		// old ones. One that was only silent is asked for what it has missed to tell, which is one call
 		// instead of two, and a short one; where it is silent to that too, it is asked for all. An agent's calls cost nothing.
 		s.index = discovery.NoIndex
 	}
--- a/internal/sources/sources_test.go
+++ b/internal/sources/sources_test.go
@@ -271,8 +271,8 @@
 				t.Errorf("asked %s, want what comes after 8", next.Query)
 			}
 			r.Do(func() {
-				if r.sources.lapsed != nil || r.sources.watching == nil || r.owner.failed != 1 {
-					t.Errorf("lapsed %v, watching %v, failed %d", r.sources.lapsed, r.sources.watching, r.owner.failed)
+				if r.sources.previous != nil || r.sources.watching == nil || r.owner.failed != 1 {
+					t.Errorf("lapsed %v, watching %v, failed %d", r.sources.previous, r.sources.watching, r.owner.failed)
 				}
 			})
 		})
@@ -297,7 +297,7 @@
 	first.Reply <- routertest.Hosts(9, true, routertest.Host("c2", "127.0.0.1:7002", "in_service"))
 	r.want("c2", decide.Up, "")
 	r.Do(func() {
-		r.sources.fallBack()
+		r.sources.useLastKnown()
 		if _, old := r.owner.caches["c1"]; old {
 			t.Error("the list as last known is published behind a newer one")
 		}
