Calls of discovery are never made without a pause

Cause: read in review. The first pause after the loss of a watch was drawn from 0, and all pauses followed askEvery and the grace however short these are: a discovery that answers and breaks off again and again, or settings of a microsecond, would have been called at the pace of the way there.

Change: 50 ms at least after the loss of a watch, a mean of 100 ms at least otherwise; the grace's default counts for the pacer too.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -154,7 +154,6 @@
 	r := &Router{set: s, rng: seed, classes: map[string]*Class{}, caches: map[string]*cache{},
 		reqs: map[int64]*request{}, timers: map[int64]timer{}, budget: retryBurst,
 		keys: [2]map[uint64]int{{}, {}}, zones: map[string]*zone{}}
-	r.pacer = retry.NewPacer(retry.Options{Clients: s.Routers, Grace: s.DrainGrace, AskEvery: s.AskEvery})
 	for i := range s.Classes {
 		c := s.Classes[i]
 		r.classes[c.Name] = &c
@@ -165,6 +164,7 @@
 	if r.set.DrainGrace == 0 {
 		r.set.DrainGrace = 1e6
 	}
+	r.pacer = retry.NewPacer(retry.Options{Clients: s.Routers, Grace: r.set.DrainGrace, AskEvery: s.AskEvery})
 	return r, nil
 }
 
--- a/internal/retry/pacer.go
+++ b/internal/retry/pacer.go
@@ -34,7 +34,7 @@
 // of each client within the bound then always has calls waiting, while those that it turns away cost it little. Exponential
 // backoff leaves it idle in the end, as the last clients call seldom. Pauses that are much shorter have it spend its time
 // on turning calls away. Only after several bounds without an answer, when the service can't take all clients within the bound
-// or is down for long, do they grow, to less than the bound.
+// or is down for long, do they grow, up to the bound.
 type Pacer struct {
 	bound   Time
 	first   Time // longest pause after the loss of a watch that worked
@@ -48,9 +48,9 @@
 
 // NewPacer returns the pacer of one client.
 func NewPacer(o Options) *Pacer {
-	p := &Pacer{bound: toldAfterReachable, first: o.Grace / 2, alone: o.Clients <= 1}
+	p := &Pacer{bound: toldAfterReachable, first: max(o.Grace/2, CallPause), alone: o.Clients <= 1}
 	if o.AskEvery > 0 {
-		p.bound = min(p.bound, askFailed*o.AskEvery)
+		p.bound = max(min(p.bound, askFailed*o.AskEvery), meanPart*CallPause)
 	}
 	return p
 }
@@ -85,7 +85,8 @@
 	}
 	if f.Lost && p.heard {
 		// A watch that worked was lost, and what changes meanwhile is missed: this client asks within half of the grace.
-		f.Pause = Time(chance * float64(p.first))
+		// Without a least pause, a service that answers and breaks off again and again would be called without end.
+		f.Pause = minSpan + Time(chance*float64(p.first-minSpan))
 		return f
 	}
 	mean := float64(p.bound) / meanPart
--- a/internal/retry/pacer_test.go
+++ b/internal/retry/pacer_test.go
@@ -22,6 +22,22 @@
 	}
 }
 
+// TestCallsAreNeverMadeWithoutAPause, whatever the settings say and however often the service answers and breaks off.
+func TestCallsAreNeverMadeWithoutAPause(t *testing.T) {
+	for _, o := range []Options{{Clients: 1}, {Clients: 300, AskEvery: 1}, {Clients: 2, Grace: 1, AskEvery: 1000}, {Clients: 2, Grace: second}} {
+		p := NewPacer(o)
+		for now := Time(0); now < 10; now++ {
+			p.Answered()
+			if f := p.Failed(now, 0); f.Pause < minSpan {
+				t.Errorf("%+v: %d after the loss of a watch", o, f.Pause)
+			}
+			if f := p.Failed(now, 0); f.Pause < CallPause/2 {
+				t.Errorf("%+v: %d after a call that failed", o, f.Pause)
+			}
+		}
+	}
+}
+
 func TestPausesStayWithinTheBoundAndGrowOnlyAfterSeveral(t *testing.T) {
 	p := NewPacer(Options{Clients: 300, Grace: second, AskEvery: 10 * second})
 	rng := rand.New(rand.NewPCG(1, 1))
