--- a/internal/lab/loopback/world.go
+++ b/internal/lab/loopback/world.go
@@ -50,7 +50,7 @@
 		}
 	}
 	o.Homes = lab.Homes
-	o.Cache.Capacity.Speed = s.Fleet.Speed
+	lab.SizeCaches(*s, &o)
 	o.Cache.Probes, o.Cache.Reports = s.Fleet.Probes, s.Fleet.Reports
 	o.Cache.Cancel = map[string]standin.Cancel{"none": standin.CancelNone, "queued": standin.CancelQueued,
 		"all": standin.CancelAll}[s.Fleet.Cancel]
@@ -87,7 +87,7 @@
 		Classes: map[string]rules.Class{}, MaxAttempts: router.MaxAttempts, Copies: router.Copies,
 		Slack: slack, Flight: 50 * millisecond, DrainGrace: router.DrainGrace,
 		FallMultiple: capacity.FallMultiple, FallFor: capacity.FallFor, FallSlack: 0.1,
-		StoreFallFor: fleet.Store.FallFor, StoreColdShare: 0.5,
+		StoreFallFor: fleet.Store.FallFor, StoreColdShare: 0.5, MeanWork: capacity.MeanWork,
 	}
 	effects := [...]rules.Effect{standin.Safe: rules.Safe, standin.Keyed: rules.Keyed, standin.Unsafe: rules.Unsafe}
 	for _, c := range fleet.Classes {
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -198,7 +197,7 @@
 func (w *world) fleetOptions() standin.Options {
 	s, o := w.s, standin.DefaultOptions()
 	o.Caches, o.Zones, o.Classes, o.Homes = s.Caches, script.Zones(), w.classes, Homes
-	w.capacity(&o)
+	SizeCaches(s, &o)
 	o.Cache.Probes, o.Cache.Reports = s.Fleet.Probes, s.Fleet.Reports
 	o.Cache.Cancel = map[string]standin.Cancel{"none": standin.CancelNone, "queued": standin.CancelQueued,
 		"all": standin.CancelAll}[s.Fleet.Cancel]
@@ -207,9 +206,6 @@
 	}
 	o.Discovery.Delay, o.Discovery.Pushed = microseconds(s.Fleet.ListDelay), s.Fleet.Pushed
 	o.Discovery.Reachable = w.reachable
-	o.Discovery.CallCost = microseconds(s.Fleet.CallCost)
-	o.Discovery.LineCost = o.Discovery.CallCost / linesPerCall
-	o.Discovery.RefuseCost = o.Discovery.CallCost / refusalsPerCall
 	o.Clients = s.Clients.Groups
 	c := &o.Client
 	c.Rate, c.Retries, c.Honour, c.TryShare = s.Rate, s.Clients.Retries, s.Clients.Honour, s.Clients.TryShare
@@ -230,34 +226,6 @@
 	return o
 }
 
-// What discovery does in the time that it takes for a new call: lines of changes that watches are told, and calls turned away.
-const (
-	linesPerCall    = 50
-	refusalsPerCall = 40
-)
-
-// capacity gives caches the script's cores, and each core the usual slots and places to wait.
-func (w *world) capacity(o *standin.Options) {
-	c := &o.Cache.Capacity
-	c.Speed = w.s.Fleet.Speed
-	slots, queue := float64(c.Slots)/c.Cores, float64(c.Queue)/c.Cores
-	c.Cores = w.s.Fleet.Cores
-	c.Slots, c.Queue = int(math.Ceil(slots*c.Cores)), int(math.Ceil(queue*c.Cores))
-	c.MeanWork = w.meanWork()
-}
-
-// meanWork is the mean work of a request, where cold caches bear so many calls; else 0.
-func (w *world) meanWork() Time {
-	if w.s.Fleet.ColdBy != "calls" {
-		return 0
-	}
-	work, share := 0.0, 0.0
-	for _, c := range w.classes {
-		work, share = work+c.Share*float64(c.Work), share+c.Share
-	}
-	return Time(work / share)
-}
-
 // routerAt names the router at a remote address.
 func (w *world) routerAt(remote string) string {
 	for _, r := range w.routers {
@@ -289,7 +257,7 @@
 		Copies: w.s.Fleet.Copies || w.hidesCloses(), DrainGrace: microseconds(w.s.Fleet.DrainGrace),
 		Remember:     w.longestHeld(),
 		FallMultiple: 3, FallFor: 3 * second, FallSlack: 0.05, StoreFallFor: 3 * second, StoreColdShare: 0.5,
-		MeanWork: w.meanWork(),
+		MeanWork: meanWork(w.s, w.classes),
 	}
 	for _, c := range w.classes {
 		effect := [...]rules.Effect{standin.Safe: rules.Safe, standin.Keyed: rules.Keyed, standin.Unsafe: rules.Unsafe}
