--- a/decide/decide.go
+++ b/decide/decide.go
@@ -108,6 +108,7 @@
 	set          Settings
 	classes      map[string]*Class
 	rng          uint64
+	pacing       uint64 // random numbers of calls for the list: other draws stay as they are
 	now          Time
 	out          []Action
 	caches       map[string]*cache // all that are listed
@@ -151,7 +152,7 @@
 	if err := s.check(); err != nil {
 		return nil, err
 	}
-	r := &Router{set: s, rng: seed, classes: map[string]*Class{}, caches: map[string]*cache{},
+	r := &Router{set: s, rng: seed, pacing: mix(seed), classes: map[string]*Class{}, caches: map[string]*cache{},
 		reqs: map[int64]*request{}, timers: map[int64]timer{}, budget: retryBurst,
 		keys: [2]map[uint64]int{{}, {}}, zones: map[string]*zone{}}
 	for i := range s.Classes {
@@ -277,7 +278,7 @@
 		r.started = true
 		r.missing = 1
 		if r.set.MustWatch {
-			r.watchAfter(r.pacer.Start(r.random()))
+			r.watchAfter(r.pacer.Start(draw(&r.pacing)))
 		}
 		r.at(r.now, r.forget)
 		r.at(r.now, r.turn)
@@ -291,7 +292,7 @@
 
 // listFailed has the list asked for again, at a pace that all routers can keep.
 func (r *Router) listFailed() {
-	f := r.pacer.Failed(r.now, r.random())
+	f := r.pacer.Failed(r.now, draw(&r.pacing))
 	if f.Lost {
 		r.logf("list lost, asking again")
 	}
--- a/decide/hash.go
+++ b/decide/hash.go
@@ -16,7 +16,10 @@
 // unit maps a hash to [0, 1).
 func unit(x uint64) float64 { return float64(x>>11) / (1 << 53) }
 
-func (r *Router) random() float64 {
-	r.rng += 0x9e3779b97f4a7c15
-	return unit(mix(r.rng))
+func (r *Router) random() float64 { return draw(&r.rng) }
+
+// draw advances a stream of random numbers.
+func draw(stream *uint64) float64 {
+	*stream += 0x9e3779b97f4a7c15
+	return unit(mix(*stream))
 }
