lab run pacing: a rate from the number of instances and the shortest answer seen

Need: the issue names it among the strategies to compare; it was weighed in words alone.

Change: the strategy, told of answers' times; after an outage clients have seen one calm answer.

Tests of the package green.

--- a/internal/lab/pacing/pacing.go
+++ b/internal/lab/pacing/pacing.go
@@ -51,16 +51,18 @@
 	addr     string
 	strategy Strategy
 	watch    *discovery.Watch
+	calledAt Time // the first call of the watch that is open
 	heardAt  Time
 	refused  int
 }
 
 func (c *client) call() {
 	asked := discovery.Options{Discovery: limits.Default().Discovery, Grace: grace}
+	c.calledAt = c.m.Now()
 	c.watch = discovery.Follow(c.m, c.addr, asked, discovery.NoIndex, func(discovery.List) {
-		c.strategy.Answered()
 		if c.heardAt == 0 {
 			c.heardAt = c.m.Now()
+			c.strategy.Answered(c.heardAt - c.calledAt)
 		}
 	}, func(error) { c.again() })
 }
@@ -103,6 +105,9 @@
 	if w.Outage > 0 {
 		list.Down(true, false)
 		reachable += w.Outage
+		for _, c := range clients { // before the outage each was answered in a calm moment
+			c.strategy.Answered(cost + 2*oneWay)
+		}
 		world.At(reachable, func() { list.Down(false, false) })
 	}
 	for _, c := range clients {
--- a/internal/lab/pacing/strategies.go
+++ b/internal/lab/pacing/strategies.go
@@ -12,8 +12,8 @@
 	Start(chance float64) Time
 	// Failed is the pause after a call that failed.
 	Failed(now Time, chance float64) Time
-	// Answered takes in that a call was answered.
-	Answered()
+	// Answered takes in that a call was answered, and how long that took.
+	Answered(took Time)
 }
 
 // Kind is a strategy by its name.
@@ -30,6 +30,7 @@
 		{"full-jitter", "drawn from 0 to a span doubled from 0.25 s to 8 s", func(int) Strategy { return &doubling{base: second / 4, most: 8 * second} }},
 		{"decorrelated", "drawn from 0.25 s to three times the pause before, 8 s at most", func(int) Strategy { return &decorrelated{last: second / 4} }},
 		{"aimd", "a rate that is halved by a refusal and grows with each answer", func(int) Strategy { return &aimd{rate: 2} }},
+		{"rate", "a rate from the number of clients and the shortest answer seen", func(clients int) Strategy { return &rate{clients: clients} }},
 		{"steady", "package retry's: a sixth of the bound, a third more or less", func(clients int) Strategy {
 			return steady{retry.NewPacer(retry.Options{Clients: clients, Grace: grace, AskEvery: askEvery})}
 		}},
@@ -57,7 +58,7 @@
 	return Time(span * (d.fixed + (1-d.fixed)*chance))
 }
 
-func (d *doubling) Answered() { d.failures = 0 }
+func (d *doubling) Answered(Time) { d.failures = 0 }
 
 // decorrelated draws each pause from the one before.
 type decorrelated struct{ last Time }
@@ -70,7 +71,7 @@
 	return d.last
 }
 
-func (d *decorrelated) Answered() { d.last = second / 4 }
+func (d *decorrelated) Answered(Time) { d.last = second / 4 }
 
 // aimd keeps a rate of calls a second.
 type aimd struct{ rate float64 }
@@ -83,12 +84,40 @@
 	return Time(float64(second) / a.rate * (0.5 + chance))
 }
 
-func (a *aimd) Answered() {
+func (a *aimd) Answered(Time) {
 	const most, step = 4, 0.25
 	a.rate = min(most, a.rate+step)
 }
 
+// rate has all clients together make so many calls in the time that the service needs for one of each. What it needs for one is the
+// shortest answer seen; without any, what the bound allows for.
+type rate struct {
+	clients  int
+	shortest Time
+}
+
+const callsEach = 6
+
+func (r *rate) Start(float64) Time { return 0 }
+
+func (r *rate) Failed(_ Time, chance float64) Time {
+	const least, most = second / 5, 6 * second
+	mean := most / callsEach
+	if r.shortest > 0 {
+		mean = min(max(Time(r.clients)*r.shortest/callsEach, least), most)
+	}
+	return Time(float64(mean) * (2./3 + chance*2/3))
+}
+
+func (r *rate) Answered(took Time) {
+	if r.shortest == 0 || took < r.shortest {
+		r.shortest = took
+	}
+}
+
 // steady is the router's own.
 type steady struct{ *retry.Pacer }
 
+func (s steady) Answered(Time) { s.Pacer.Answered() }
+
 func (s steady) Failed(now Time, chance float64) Time { return s.Pacer.Failed(now, chance).Pause }
