One seam for the machine's system calls, and tests in which they fail

Change: struct Kernel holds each system call of internal/machine; package faultkernel makes them fail by a seed.

--- a/internal/machine/conn.go
+++ b/internal/machine/conn.go
@@ -57,7 +57,7 @@
 	if c.empty && !c.over {
 		return 0, ErrWait
 	}
-	n, err := recv(c.fd, b, 0)
+	n, err := c.m.recv(c.fd, b, 0)
 	switch {
 	case err == syscall.EAGAIN:
 		c.empty = true
@@ -87,7 +87,7 @@
 	sent := 0
 	// Up to EAGAIN: only after that the kernel owes an event.
 	for sent < len(b) {
-		n, err := send(c.fd, b[sent:])
+		n, err := c.m.send(c.fd, b[sent:])
 		if err == syscall.EAGAIN {
 			c.held = true
 			break
@@ -114,8 +114,7 @@
 	if c.fd < 0 || c.broken {
 		return false
 	}
-	var b [1]byte
-	_, err := recv(c.fd, b[:], syscall.MSG_PEEK)
+	_, err := c.m.recv(c.fd, c.m.peek[:], syscall.MSG_PEEK)
 	if err == syscall.EAGAIN {
 		return true
 	}
--- a/internal/machine/dial.go
+++ b/internal/machine/dial.go
@@ -36,12 +36,12 @@
 	if !d.m.room() {
 		return ErrDescriptors
 	}
-	fd, err := socket(d.remote, syscall.SOCK_STREAM)
+	fd, err := d.m.socket(d.remote, syscall.SOCK_STREAM)
 	if err != nil {
 		return err
 	}
 	syscall.SetsockoptInt(fd, syscall.IPPROTO_TCP, syscall.TCP_NODELAY, 1)
-	err = syscall.Connect(fd, toSockaddr(d.remote))
+	err = d.m.kernel.Connect(fd, toSockaddr(d.remote))
 	if err != nil && err != syscall.EINPROGRESS && err != syscall.EINTR {
 		syscall.Close(fd)
 		return failure("connect", err)
--- /dev/null
+++ b/internal/machine/faultkernel/parse.go
@@ -0,0 +1,38 @@
+package faultkernel
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Parse reads rates as text, such as "seed=7,short_reads=0.3,read_most=200,burst=50ms". Names are those of the fields of
+// Rates, in small letters.
+func Parse(text string) (seed uint64, rates Rates, err error) {
+	chances := map[string]*float64{"short_reads": &rates.ShortReads, "short_writes": &rates.ShortWrites,
+		"interrupted": &rates.Interrupted, "accept": &rates.Accept, "socket": &rates.Socket, "connect": &rates.Connect,
+		"register": &rates.Register, "wake": &rates.Wake, "memory": &rates.Memory, "broken": &rates.Broken,
+		"disk": &rates.Disk}
+	spans := map[string]*time.Duration{"burst": &rates.Burst, "clock_step": &rates.ClockStep,
+		"clock_after": &rates.ClockAfter}
+	for field := range strings.SplitSeq(text, ",") {
+		name, value, _ := strings.Cut(field, "=")
+		switch {
+		case name == "seed":
+			seed, err = strconv.ParseUint(value, 10, 64)
+		case name == "read_most":
+			rates.ReadMost, err = strconv.Atoi(value)
+		case chances[name] != nil:
+			*chances[name], err = strconv.ParseFloat(value, 64)
+		case spans[name] != nil:
+			*spans[name], err = time.ParseDuration(value)
+		default:
+			err = fmt.Errorf("unknown name")
+		}
+		if err != nil {
+			return 0, Rates{}, fmt.Errorf("%q: %w", field, err)
+		}
+	}
+	return seed, rates, nil
+}
--- a/internal/machine/inbox.go
+++ b/internal/machine/inbox.go
@@ -16,15 +16,16 @@
 	spare   []func() // the last batch's room, used again
 	resting bool     // the loop waits, and nothing has woken it yet
 	ended   bool
+	kernel  *Kernel
 	fd      int // an eventfd, below 0 once it is closed
 }
 
 func (in *inbox) open(p *poller) error {
-	fd, _, errno := syscall.Syscall(syscall.SYS_EVENTFD2, 0, syscall.O_NONBLOCK|syscall.O_CLOEXEC, 0)
-	if errno != 0 {
-		return os.NewSyscallError("eventfd2", errno)
+	in.kernel = p.kernel
+	var err error
+	if in.fd, err = in.kernel.EventFD(); err != nil {
+		return os.NewSyscallError("eventfd2", err)
 	}
-	in.fd = int(fd)
 	// By edges: each write is a new one, so that the number in it need never be read.
 	if _, err := p.add(in.fd, eventIn|eventEdge, bell{}); err != nil {
 		syscall.Close(in.fd)
@@ -63,7 +64,7 @@
 	}
 	in.resting = false
 	one := [8]byte{0: 1}
-	syscall.Write(in.fd, one[:])
+	in.kernel.Write(in.fd, one[:])
 }
 
 // rest reports whether nothing is there; from then on what comes wakes the loop.
--- /dev/null
+++ b/internal/machine/kernel.go
@@ -0,0 +1,118 @@
+package machine
+
+import (
+	"syscall"
+	"time"
+	"unsafe"
+)
+
+// Kernel is the system calls that a real machine makes, each under the name of its manual page and with the errors that
+// page documents. The machine calls nothing else of the kernel's but what the standard library does on its behalf
+// (signals, and the processes of workers).
+//
+// RealKernel is Linux. Tests and trial builds pass a copy of it in which some calls fail (package faultkernel), so that
+// what the machine makes of an error does not depend on having the kernel in that state.
+type Kernel struct {
+	EpollCreate func() (fd int, err error)
+	EpollCtl    func(epoll, op, fd int, event *syscall.EpollEvent) error
+	// EpollPoll is epoll_wait without waiting. As it can't block, the scheduler is not told of it.
+	EpollPoll func(epoll int, events []syscall.EpollEvent) (n int, err error)
+	EpollWait func(epoll int, events []syscall.EpollEvent, milliseconds int) (n int, err error)
+	EventFD   func() (fd int, err error)
+	Write     func(fd int, b []byte) (n int, err error)
+
+	Socket     func(family, kind int) (fd int, err error)
+	SocketPair func() (ends [2]int, err error)
+	Bind       func(fd int, at syscall.Sockaddr) error
+	Listen     func(fd, backlog int) error
+	Accept     func(fd int) (connection int, from syscall.Sockaddr, err error)
+	Connect    func(fd int, to syscall.Sockaddr) error
+	Recv       func(fd int, b []byte, flags int) (n int, err error)
+	Send       func(fd int, b []byte) (n int, err error)
+	SendTo     func(fd int, b []byte, to syscall.Sockaddr) error
+	// RecvMany is recvmmsg.
+	RecvMany func(fd int, messages []Message) (n int, err error)
+
+	// Wall is the system's clock, which may step.
+	Wall func() time.Time
+	Disk Disk
+}
+
+// Message is a struct mmsghdr of recvmmsg(2).
+type Message struct {
+	header syscall.Msghdr
+	n      uint32
+	_      [4]byte
+}
+
+// RealKernel is Linux itself.
+func RealKernel() Kernel {
+	return Kernel{
+		EpollCreate: func() (int, error) { return syscall.EpollCreate1(syscall.EPOLL_CLOEXEC) },
+		EpollCtl:    syscall.EpollCtl,
+		EpollPoll:   epollPoll,
+		EpollWait:   syscall.EpollWait,
+		EventFD:     eventFD,
+		Write:       syscall.Write,
+		Socket: func(family, kind int) (int, error) {
+			return syscall.Socket(family, kind|syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC, 0)
+		},
+		SocketPair: func() ([2]int, error) {
+			return syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+		},
+		Bind:   syscall.Bind,
+		Listen: syscall.Listen,
+		Accept: func(fd int) (int, syscall.Sockaddr, error) {
+			return syscall.Accept4(fd, syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+		},
+		Connect: syscall.Connect,
+		Recv: func(fd int, b []byte, flags int) (int, error) {
+			return transfer(syscall.SYS_RECVFROM, fd, b, flags|syscall.MSG_DONTWAIT)
+		},
+		Send: func(fd int, b []byte) (int, error) {
+			return transfer(syscall.SYS_SENDTO, fd, b, syscall.MSG_NOSIGNAL|syscall.MSG_DONTWAIT)
+		},
+		SendTo: func(fd int, b []byte, to syscall.Sockaddr) error {
+			return syscall.Sendto(fd, b, syscall.MSG_DONTWAIT|syscall.MSG_NOSIGNAL, to)
+		},
+		RecvMany: recvMany,
+		Wall:     time.Now,
+		Disk:     realDisk{},
+	}
+}
+
+func eventFD() (int, error) {
+	fd, _, errno := syscall.Syscall(syscall.SYS_EVENTFD2, 0, syscall.O_NONBLOCK|syscall.O_CLOEXEC, 0)
+	if errno != 0 {
+		return -1, errno
+	}
+	return int(fd), nil
+}
+
+func epollPoll(epoll int, events []syscall.EpollEvent) (int, error) {
+	n, _, errno := syscall.RawSyscall6(syscall.SYS_EPOLL_PWAIT, uintptr(epoll),
+		uintptr(unsafe.Pointer(unsafe.SliceData(events))), uintptr(len(events)), 0, 0, 0)
+	if errno != 0 {
+		return 0, errno
+	}
+	return int(n), nil
+}
+
+// transfer is a send or a receive on a connected socket.
+func transfer(call uintptr, fd int, b []byte, flags int) (int, error) {
+	n, _, errno := syscall.Syscall6(call, uintptr(fd),
+		uintptr(unsafe.Pointer(unsafe.SliceData(b))), uintptr(len(b)), uintptr(flags), 0, 0)
+	if errno != 0 {
+		return 0, errno
+	}
+	return int(n), nil
+}
+
+func recvMany(fd int, messages []Message) (int, error) {
+	n, _, errno := syscall.Syscall6(syscall.SYS_RECVMMSG, uintptr(fd), uintptr(unsafe.Pointer(unsafe.SliceData(messages))),
+		uintptr(len(messages)), syscall.MSG_DONTWAIT, 0, 0)
+	if errno != 0 {
+		return 0, errno
+	}
+	return int(n), nil
+}
--- a/internal/machine/listener.go
+++ b/internal/machine/listener.go
@@ -39,11 +39,11 @@
 	if err != nil {
 		return nil, err
 	}
-	fd, err := bound(ap, syscall.SOCK_STREAM)
+	fd, err := m.bound(ap, syscall.SOCK_STREAM)
 	if err != nil {
 		return nil, err
 	}
-	if err := syscall.Listen(fd, backlog); err != nil {
+	if err := m.kernel.Listen(fd, backlog); err != nil {
 		syscall.Close(fd)
 		return nil, failure("listen", err)
 	}
@@ -66,7 +66,7 @@
 			l.wait()
 			return
 		}
-		fd, sa, err := syscall.Accept4(l.fd, syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+		fd, sa, err := l.m.kernel.Accept(l.fd)
 		switch err {
 		case nil:
 			l.last--
--- a/internal/machine/packet.go
+++ b/internal/machine/packet.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		return nil, err
 	}
-	fd, err := bound(ap, syscall.SOCK_DGRAM)
+	fd, err := m.bound(ap, syscall.SOCK_DGRAM)
 	if err != nil {
 		return nil, err
 	}
@@ -50,7 +50,7 @@
 		return nil, err
 	}
 	if m.packets == nil {
-		m.packets = newPackets()
+		m.packets = newPackets(&m.kernel)
 	}
 	return p, nil
 }
@@ -119,7 +119,7 @@
 		ap = netip.AddrPortFrom(netip.AddrFrom16(ap.Addr().As16()), ap.Port())
 	}
 	for {
-		err := syscall.Sendto(p.fd, b, syscall.MSG_DONTWAIT|syscall.MSG_NOSIGNAL, toSockaddr(ap))
+		err := p.m.kernel.SendTo(p.fd, b, toSockaddr(ap))
 		switch err {
 		case nil:
 			return nil
--- a/internal/machine/packets.go
+++ b/internal/machine/packets.go
@@ -11,16 +11,10 @@
 // second cost a router a fifth of its quarter of a core.
 const packetsACall = 16
 
-// message is a struct mmsghdr of recvmmsg(2).
-type message struct {
-	hdr syscall.Msghdr
-	n   uint32
-	_   [4]byte
-}
-
 // packets is what datagrams are received into, many at a time. The machine has one, as its loop is in one place.
 type packets struct {
-	messages [packetsACall]message
+	kernel   *Kernel
+	messages [packetsACall]Message
 	pieces   [packetsACall]syscall.Iovec
 	from     [packetsACall]syscall.RawSockaddrAny
 	bytes    [packetsACall][packetMost]byte
@@ -33,12 +27,12 @@
 	text string
 }
 
-func newPackets() *packets {
-	p := &packets{}
+func newPackets(k *Kernel) *packets {
+	p := &packets{kernel: k}
 	for i := range p.messages {
 		p.pieces[i].Base = &p.bytes[i][0]
 		p.pieces[i].SetLen(packetMost)
-		h := &p.messages[i].hdr
+		h := &p.messages[i].header
 		h.Name, h.Iov, h.Iovlen = (*byte)(unsafe.Pointer(&p.from[i])), &p.pieces[i], 1
 	}
 	return p
@@ -47,20 +41,15 @@
 // receive takes in what has come, up to packetsACall of it, without waiting.
 func (p *packets) receive(fd int) (n int, err error) {
 	for i := range p.messages {
-		p.messages[i].hdr.Namelen = syscall.SizeofSockaddrAny
-	}
-	r, _, e := syscall.Syscall6(syscall.SYS_RECVMMSG, uintptr(fd), uintptr(unsafe.Pointer(&p.messages[0])), packetsACall,
-		syscall.MSG_DONTWAIT, 0, 0)
-	if e != 0 {
-		return 0, e
+		p.messages[i].header.Namelen = syscall.SizeofSockaddrAny
 	}
-	return int(r), nil
+	return p.kernel.RecvMany(fd, p.messages[:])
 }
 
 // at is the datagram that was received as number i, and its sender. whole is false where it was longer than what is taken in.
 func (p *packets) at(i int) (from string, b []byte, whole bool) {
 	m := &p.messages[i]
-	return p.name(i), p.bytes[i][:m.n], m.hdr.Flags&syscall.MSG_TRUNC == 0
+	return p.name(i), p.bytes[i][:m.n], m.header.Flags&syscall.MSG_TRUNC == 0
 }
 
 // name words a sender's address. Who sends often has been worded before.
--- a/internal/machine/poller.go
+++ b/internal/machine/poller.go
@@ -4,7 +4,6 @@
 	"math"
 	"os"
 	"syscall"
-	"unsafe"
 )
 
 // What a descriptor can be watched for. Connections are told of by edges, for which one call to the
@@ -42,6 +41,7 @@
 
 // poller is the machine's epoll instance.
 type poller struct {
+	kernel *Kernel
 	fd     int
 	slots  []slot
 	free   []int32
@@ -49,12 +49,12 @@
 	n      int // of events that the last fetch brought
 }
 
-func newPoller() (*poller, error) {
-	fd, err := syscall.EpollCreate1(syscall.EPOLL_CLOEXEC)
+func newPoller(k *Kernel) (*poller, error) {
+	fd, err := k.EpollCreate()
 	if err != nil {
 		return nil, os.NewSyscallError("epoll_create1", err)
 	}
-	return &poller{fd: fd}, nil
+	return &poller{kernel: k, fd: fd}, nil
 }
 
 // add has w told of what happens at fd.
@@ -93,12 +93,12 @@
 // watch and unwatch begin and end the kernel's interest in fd.
 func (p *poller) watch(fd int, mask uint32, at place) error {
 	ev := syscall.EpollEvent{Events: mask, Fd: at.slot, Pad: at.birth}
-	return os.NewSyscallError("epoll_ctl", syscall.EpollCtl(p.fd, syscall.EPOLL_CTL_ADD, fd, &ev))
+	return os.NewSyscallError("epoll_ctl", p.kernel.EpollCtl(p.fd, syscall.EPOLL_CTL_ADD, fd, &ev))
 }
 
 func (p *poller) unwatch(fd int) {
 	var ev syscall.EpollEvent
-	syscall.EpollCtl(p.fd, syscall.EPOLL_CTL_DEL, fd, &ev) // fails only where it was not watched
+	p.kernel.EpollCtl(p.fd, syscall.EPOLL_CTL_DEL, fd, &ev) // fails only where it was not watched
 }
 
 // owner is who is to be told of an event, if anyone.
@@ -117,12 +117,11 @@
 // poll fetches what has happened, without waiting. As it can't block, it needs no word to the scheduler
 // before and after.
 func (p *poller) poll() {
-	n, _, errno := syscall.RawSyscall6(syscall.SYS_EPOLL_PWAIT, uintptr(p.fd),
-		uintptr(unsafe.Pointer(&p.events)), eventsATurn, 0, 0, 0)
-	if errno != 0 {
+	n, err := p.kernel.EpollPoll(p.fd, p.events[:])
+	if err != nil {
 		n = 0
 	}
-	p.n = int(n)
+	p.n = n
 }
 
 // wait fetches what has happened, waiting for it for a time that is rounded up to a millisecond, or, below 0, for
@@ -140,7 +139,7 @@
 	if most >= 0 {
 		ms = min((most+999)/1000, math.MaxInt32)
 	}
-	n, err := syscall.EpollWait(p.fd, p.events[:], int(ms))
+	n, err := p.kernel.EpollWait(p.fd, p.events[:], int(ms))
 	if err != nil {
 		n = 0 // EINTR: the loop comes back
 	}
--- a/internal/machine/real.go
+++ b/internal/machine/real.go
@@ -16,6 +16,7 @@
 type Options struct {
 	Log         io.Writer // os.Stderr where it is nil
 	Descriptors int       // how many connections may be open at once; 0 is as many as the system lets
+	Kernel      *Kernel   // RealKernel where it is nil
 }
 
 // Real is the machine this process runs on: Linux, by its system calls (epoll(7), socket(7)).
@@ -27,6 +28,7 @@
 //
 // Until Run is called, the goroutine that called New takes the loop's place.
 type Real struct {
+	kernel  Kernel
 	start   time.Time
 	base    Time // Unix time at the start
 	now     Time
@@ -44,6 +46,7 @@
 	disk    work
 	signals signals
 	log     *logger
+	peek    [1]byte     // what Conn.Quiet looks into
 	roused  atomic.Bool // Work or Log has given a goroutine something to do
 	packets *packets    // what datagrams are received into; nil where none are
 
@@ -63,11 +66,14 @@
 
 // New gives a machine whose loop does not run yet. Signals are taken from here on.
 func New(opts Options) (*Real, error) {
-	m := &Real{start: time.Now(), most: opts.Descriptors, workers: map[*process]bool{}}
-	m.base = m.start.UnixMicro()
+	m := &Real{kernel: RealKernel(), start: time.Now(), most: opts.Descriptors, workers: map[*process]bool{}}
+	if opts.Kernel != nil {
+		m.kernel = *opts.Kernel
+	}
+	m.base = m.kernel.Wall().UnixMicro()
 	m.now = m.base
 	var err error
-	if m.poll, err = newPoller(); err != nil {
+	if m.poll, err = newPoller(&m.kernel); err != nil {
 		return nil, err
 	}
 	if err := m.inbox.open(m.poll); err != nil {
@@ -219,7 +225,7 @@
 }
 
 // Wall implements Machine.
-func (m *Real) Wall() Time { return time.Now().UnixMicro() }
+func (m *Real) Wall() Time { return m.kernel.Wall().UnixMicro() }
 
 // Entropy implements Machine.
 func (m *Real) Entropy() uint64 {
@@ -244,7 +250,7 @@
 
 // OnDisk implements Machine.
 func (m *Real) OnDisk(f func(Disk), done func()) {
-	m.disk.add(func() { f(realDisk{}) }, done)
+	m.disk.add(func() { f(m.kernel.Disk) }, done)
 	m.roused.Store(true)
 }
 
--- a/internal/machine/socket.go
+++ b/internal/machine/socket.go
@@ -6,7 +6,6 @@
 	"net/netip"
 	"os"
 	"syscall"
-	"unsafe"
 )
 
 // parse reads an IP address and a port. An IPv4 address in IPv6 clothes is an IPv4 address.
@@ -21,12 +20,12 @@
 func plain(ap netip.AddrPort) netip.AddrPort { return netip.AddrPortFrom(ap.Addr().Unmap(), ap.Port()) }
 
 // socket opens a socket that never blocks and that no child process inherits, for peers like ap.
-func socket(ap netip.AddrPort, kind int) (int, error) {
+func (m *Real) socket(ap netip.AddrPort, kind int) (int, error) {
 	family := syscall.AF_INET6
 	if ap.Addr().Is4() {
 		family = syscall.AF_INET
 	}
-	fd, err := syscall.Socket(family, kind|syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC, 0)
+	fd, err := m.kernel.Socket(family, kind)
 	if err != nil {
 		return -1, failure("socket", err)
 	}
@@ -34,8 +33,8 @@
 }
 
 // bound opens a socket at an address. At the IPv6 address of all interfaces it takes IPv4 peers too.
-func bound(ap netip.AddrPort, kind int) (int, error) {
-	fd, err := socket(ap, kind)
+func (m *Real) bound(ap netip.AddrPort, kind int) (int, error) {
+	fd, err := m.socket(ap, kind)
 	if err != nil {
 		return -1, err
 	}
@@ -49,7 +48,7 @@
 	if kind == syscall.SOCK_STREAM {
 		syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)
 	}
-	if err := syscall.Bind(fd, toSockaddr(ap)); err != nil {
+	if err := m.kernel.Bind(fd, toSockaddr(ap)); err != nil {
 		syscall.Close(fd)
 		return -1, failure("bind", err)
 	}
@@ -97,26 +96,28 @@
 	return os.NewSyscallError(call, err)
 }
 
-// send and recv are the system calls on a connected socket, without a wait and without a SIGPIPE.
-func send(fd int, b []byte) (int, error) {
-	const flags = syscall.MSG_NOSIGNAL | syscall.MSG_DONTWAIT
-	return transfer(syscall.SYS_SENDTO, fd, b, flags)
+// again makes a system call until no signal interrupts it.
+func again(call func() error) error {
+	for {
+		if err := call(); err != syscall.EINTR {
+			return err
+		}
+	}
 }
 
-func recv(fd int, b []byte, flags uintptr) (int, error) {
-	return transfer(syscall.SYS_RECVFROM, fd, b, flags|syscall.MSG_DONTWAIT)
+// recv and send are the calls on a connected socket, made again where a signal interrupts them.
+func (m *Real) recv(fd int, b []byte, flags int) (int, error) {
+	for {
+		if n, err := m.kernel.Recv(fd, b, flags); err != syscall.EINTR {
+			return n, err
+		}
+	}
 }
 
-func transfer(call uintptr, fd int, b []byte, flags uintptr) (int, error) {
+func (m *Real) send(fd int, b []byte) (int, error) {
 	for {
-		n, _, errno := syscall.Syscall6(call, uintptr(fd),
-			uintptr(unsafe.Pointer(unsafe.SliceData(b))), uintptr(len(b)), flags, 0, 0)
-		switch errno {
-		case 0:
-			return int(n), nil
-		case syscall.EINTR:
-		default:
-			return 0, errno
+		if n, err := m.kernel.Send(fd, b); err != syscall.EINTR {
+			return n, err
 		}
 	}
 }
--- a/internal/machine/worker.go
+++ b/internal/machine/worker.go
@@ -78,7 +78,7 @@
 	if m.most > 0 && m.conns+perWorker > m.most {
 		return nil, ErrDescriptors
 	}
-	ends, err := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	ends, err := m.kernel.SocketPair()
 	if err != nil {
 		return nil, failure("socketpair", err)
 	}
