Reads go on to EAGAIN, and lacks that pass end neither a start nor a connection

Cause, seen in the contract tests under failing calls: conn.Read took a read that filled less than its buffer for the last one (c.empty = n < len(b)) and edges tell of no more; listen, poller.add, eventfd2 and the datagram socket failed for good at the first ENFILE, ENOBUFS or ENOMEM; inbox.wake dropped the result of its write after resting was set to false; an accepted connection was closed unread where epoll_ctl had no memory; ENOBUFS and ENOMEM of send and recv ended the connection.

Change: only EAGAIN ends the reading; the start outlasts lacks for 3 s; what the poller can't watch yet it watches 10 ms later; a dial that lacks something is begun again until its timeout and says so (Dialing.Blocked, ErrLack); a wake-up is made again until it is written; a send or receive without memory comes back after 10 ms. The virtual machine draws short reads and blocked dials too.

--- a/internal/machine/conn.go
+++ b/internal/machine/conn.go
@@ -16,11 +16,12 @@
 	local  netip.AddrPort
 	remote netip.AddrPort
 
-	empty   bool // all that had come was read, and no event has come since
+	empty   bool // a read has found nothing more, and no event has come since
 	over    bool // the kernel has told of the end, or of an error: from here on there may be no more events
 	failed  bool // ... and it was an error
 	held    bool // a Write took less than it was given
 	broken  bool // an error was seen
+	again   bool // the kernel lacked something: the handler is told once more in a moment
 	noWrite bool // CloseWrite was called
 }
 
@@ -51,9 +52,9 @@
 	if len(b) == 0 {
 		return 0, nil
 	}
-	// A read that took less than there was room for has emptied the socket, and what comes later is an
-	// event: the call that would find nothing is saved (epoll(7), under "Possible pitfalls").
-	// The danger: the end may have come with the event that told of the bytes; then there is no other.
+	// The kernel tells of what comes once: only a read that found nothing may end the reading. A read may take less than
+	// has come for reasons of the kernel's own; taken for the last one, it leaves the rest unread until more comes.
+	// The end may have come with the event that told of the bytes; then there is no other.
 	if c.empty && !c.over {
 		return 0, ErrWait
 	}
@@ -62,6 +63,9 @@
 	case err == syscall.EAGAIN:
 		c.empty = true
 		return 0, ErrWait
+	case isLack(err):
+		c.tellAgain()
+		return 0, ErrWait
 	case err != nil:
 		return 0, c.breakOff(err)
 	case n == 0 && c.broken:
@@ -71,7 +75,7 @@
 	case n == 0:
 		return 0, io.EOF
 	}
-	c.empty = n < len(b)
+	c.empty = false
 	return n, nil
 }
 
@@ -92,6 +96,11 @@
 			c.held = true
 			break
 		}
+		if isLack(err) {
+			c.held = true
+			c.tellAgain()
+			break
+		}
 		if err != nil {
 			return sent, c.breakOff(err)
 		}
@@ -100,6 +109,21 @@
 	return sent, nil
 }
 
+// tellAgain has the handler come back in a moment: the kernel had no memory for a call, and tells of no event where it
+// has some again.
+func (c *conn) tellAgain() {
+	if c.again {
+		return
+	}
+	c.again = true
+	c.m.at(c.m.Now()+lackPause, func() {
+		c.again = false
+		if c.fd >= 0 {
+			c.event(eventIn | eventOut)
+		}
+	})
+}
+
 // breakOff is what an error of the kernel means to the connection: that it is broken, whatever the cause.
 func (c *conn) breakOff(err error) error {
 	c.broken = true
@@ -121,7 +145,7 @@
 	// The danger: what was seen here may have come after the last event that was told. A Read that still
 	// held the connection for empty would contradict this answer.
 	c.empty = false
-	if err != nil {
+	if err != nil && !isLack(err) {
 		// The danger: this look has taken the error off the socket, and the next read would find an end.
 		c.breakOff(err)
 	}
--- a/internal/machine/failing_calls_test.go
+++ b/internal/machine/failing_calls_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -36,7 +37,7 @@
 			keepsTheContract(t, machinetest.ByCommand, func() machine.Kernel {
 				seed++
 				return failing(t, seed, c.rates)
-			})
+			}, strings.Contains(c.rates, "memory"))
 		})
 	}
 }
--- a/internal/machine/inbox.go
+++ b/internal/machine/inbox.go
@@ -4,11 +4,15 @@
 	"os"
 	"sync"
 	"syscall"
+	"time"
 )
 
 // spareMost is the longest batch whose room is kept.
 const spareMost = 1024
 
+// wakePause is until a write that was to wake the loop, and failed, is made again.
+const wakePause = time.Millisecond
+
 // inbox holds the functions that were posted, from any goroutine, and wakes the loop for them.
 type inbox struct {
 	mu      sync.Mutex
@@ -20,14 +24,14 @@
 	fd      int // an eventfd, below 0 once it is closed
 }
 
-func (in *inbox) open(p *poller) error {
-	in.kernel = p.kernel
+func (in *inbox) open(m *Real) error {
+	in.kernel = &m.kernel
 	var err error
 	if in.fd, err = in.kernel.EventFD(); err != nil {
 		return os.NewSyscallError("eventfd2", err)
 	}
 	// By edges: each write is a new one, so that the number in it need never be read.
-	if _, err := p.add(in.fd, eventIn|eventEdge, bell{}); err != nil {
+	if _, err := m.attach(in.fd, eventIn|eventEdge, bell{}); err != nil {
 		syscall.Close(in.fd)
 		return err
 	}
@@ -62,9 +66,21 @@
 	if !in.resting || in.fd < 0 {
 		return
 	}
-	in.resting = false
 	one := [8]byte{0: 1}
-	in.kernel.Write(in.fd, one[:])
+	err := again(func() error {
+		_, err := in.kernel.Write(in.fd, one[:])
+		return err
+	})
+	if err == nil {
+		in.resting = false
+		return
+	}
+	// The loop still rests: what was posted would wait for an event that need not come.
+	time.AfterFunc(wakePause, func() {
+		in.mu.Lock()
+		defer in.mu.Unlock()
+		in.wake()
+	})
 }
 
 // rest reports whether nothing is there; from then on what comes wakes the loop.
--- a/internal/machine/listener.go
+++ b/internal/machine/listener.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"os"
 	"syscall"
 )
 
@@ -39,20 +40,28 @@
 	if err != nil {
 		return nil, err
 	}
-	fd, err := m.bound(ap, syscall.SOCK_STREAM)
-	if err != nil {
+	l := &listener{m: m, accept: accept}
+	if err := m.outlast(func() error { return l.open(ap) }); err != nil {
 		return nil, err
 	}
-	if err := m.kernel.Listen(fd, backlog); err != nil {
-		syscall.Close(fd)
-		return nil, failure("listen", err)
+	l.addr = localAddr(l.fd)
+	l.at = m.poll.seat(l)
+	l.watch()
+	return l, nil
+}
+
+// open opens the socket.
+func (l *listener) open(ap netip.AddrPort) error {
+	fd, err := l.m.bound(ap, syscall.SOCK_STREAM)
+	if err != nil {
+		return err
 	}
-	l := &listener{m: m, fd: fd, addr: localAddr(fd), accept: accept}
-	if l.at, err = m.poll.add(fd, eventIn, l); err != nil {
+	if err := l.m.kernel.Listen(fd, backlog); err != nil {
 		syscall.Close(fd)
-		return nil, err
+		return os.NewSyscallError("listen", err)
 	}
-	return l, nil
+	l.fd = fd
+	return nil
 }
 
 // event implements watcher.
@@ -90,7 +99,7 @@
 	syscall.SetsockoptInt(fd, syscall.IPPROTO_TCP, syscall.TCP_NODELAY, 1)
 	c := &conn{m: l.m, fd: fd, local: localAddr(fd), remote: remote}
 	var err error
-	if c.at, err = l.m.poll.add(fd, onEdges, c); err != nil {
+	if c.at, err = l.m.attach(fd, onEdges, c); err != nil {
 		syscall.Close(fd)
 		return
 	}
--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -33,6 +33,9 @@
 // ErrDescriptors says that the process holds as many descriptors as it may.
 var ErrDescriptors = errors.New("machine: no descriptor is left")
 
+// ErrLack says that this machine had no memory, port or route for a connection until its timeout.
+var ErrLack = errors.New("machine: nothing left to open a connection with")
+
 // ErrNoWorker says that this machine starts no workers.
 var ErrNoWorker = errors.New("machine: no workers here")
 
@@ -172,6 +175,8 @@
 type Dialing interface {
 	// Cancel gives it up: done is not called any more and the descriptor is given back.
 	Cancel()
+	// Blocked reports whether it has not begun yet, for a lack on this machine: the other side has not been asked.
+	Blocked() bool
 }
 
 // Worker says what a worker is to be.
--- a/internal/machine/machinetest/conns.go
+++ b/internal/machine/machinetest/conns.go
@@ -14,8 +14,9 @@
 	conn     machine.Conn
 	reads    bool
 	got      []byte
-	err      error // of the last read, ErrWait aside
-	told     int   // calls of Readable
+	err      error  // of the last read, ErrWait aside
+	told     int    // calls of Readable
+	rest     []byte // of a short write
 	writable func()
 }
 
@@ -29,11 +30,17 @@
 
 func (e *end) Writable() {
 	defer e.b.turn()()
-	if e.writable == nil {
+	if len(e.rest) > 0 {
+		e.writeRest()
+		return
+	}
+	if e.writable == nil && !e.b.TakesLess {
 		e.b.Error("Writable came though no Write was short")
 		return
 	}
-	e.writable()
+	if e.writable != nil {
+		e.writable()
+	}
 }
 
 // readAll reads up to ErrWait or another error.
@@ -58,11 +65,42 @@
 
 func (e *end) write(s string) {
 	e.b.Helper()
-	if n, err := e.conn.Write([]byte(s)); n != len(s) || err != nil {
+	n, err := e.conn.Write([]byte(s))
+	if e.b.TakesLess && err == nil {
+		e.rest = append(e.rest, s[n:]...)
+		return
+	}
+	if n != len(s) || err != nil {
 		e.b.Errorf("a Write of %d bytes gave %d, %v", len(s), n, err)
 	}
 }
 
+func (e *end) writeRest() {
+	n, err := e.conn.Write(e.rest)
+	if e.rest = e.rest[n:]; err != nil {
+		e.rest = nil
+	}
+}
+
+// quiet is Conn.Quiet. A machine that takes less at times may not be able to look.
+func (b *bench) quiet(c machine.Conn) bool {
+	for range 100 {
+		if c.Quiet() {
+			return true
+		}
+		if !b.TakesLess {
+			return false
+		}
+	}
+	return false
+}
+
+// flushed has what was written go out whole.
+func (e *end) flushed() {
+	e.b.Helper()
+	e.b.wait("the rest of a write", func() bool { return len(e.rest) == 0 })
+}
+
 // listen has the ends that come in at B put into a list, each ready to read.
 func (b *bench) listen(reads bool) (machine.Listener, *[]*end) {
 	b.Helper()
@@ -175,8 +213,9 @@
 
 func halfClose(b *bench) {
 	near, far := b.pair(true)
+	b.call(func() { near.write("question") })
+	near.flushed()
 	b.call(func() {
-		near.write("question")
 		if err := near.conn.CloseWrite(); err != nil {
 			b.Errorf("CloseWrite: %v", err)
 		}
@@ -188,10 +227,9 @@
 	if string(far.got) != "question" {
 		b.Errorf("got %q", far.got)
 	}
-	b.call(func() {
-		far.write("answer")
-		far.conn.Close()
-	})
+	b.call(func() { far.write("answer") })
+	far.flushed()
+	b.call(far.conn.Close)
 	b.wait("the answer", func() bool { return near.err == io.EOF })
 	if string(near.got) != "answer" {
 		b.Errorf("got %q", near.got)
@@ -200,10 +238,9 @@
 
 func closeIsEnd(b *bench) {
 	near, far := b.pair(true)
-	b.call(func() {
-		near.write("last words")
-		near.conn.Close()
-	})
+	b.call(func() { near.write("last words") })
+	near.flushed()
+	b.call(near.conn.Close)
 	b.wait("the end", func() bool { return far.err != nil })
 	if far.err != io.EOF || string(far.got) != "last words" {
 		b.Errorf("got %q, %v", far.got, far.err)
@@ -252,24 +289,30 @@
 func quiet(b *bench) {
 	near, far := b.pair(false)
 	b.call(func() {
-		if !far.conn.Quiet() {
+		if !b.quiet(far.conn) {
 			b.Error("a new connection is not quiet")
 		}
 		near.write("ab")
 	})
+	near.flushed()
 	b.wait("the bytes", func() bool { return far.told > 0 })
 	b.call(func() {
 		if far.conn.Quiet() {
 			b.Error("quiet though bytes wait")
 		}
 		far.readAll()
-		if !far.conn.Quiet() || string(far.got) != "ab" {
+		far.reads = true
+	})
+	b.wait("all of it", func() bool { return string(far.got) == "ab" })
+	b.call(func() {
+		if !b.quiet(far.conn) {
 			b.Errorf("not quiet after all was read: %q", far.got)
 		}
 		near.conn.Close()
 	})
 	b.wait("the end", func() bool { return !far.conn.Quiet() })
 	b.call(far.readAll)
+	b.wait("the end to be read", func() bool { return far.err != nil })
 	if far.err != io.EOF {
 		b.Errorf("read %v", far.err)
 	}
@@ -287,6 +330,7 @@
 			}
 			near.write("unread")
 		})
+		near.flushed()
 		b.wait("the bytes", func() bool { return far.told > 0 })
 		b.call(func() {
 			if err := far.conn.End(); err != nil {
@@ -295,15 +339,16 @@
 			leave(near.conn)
 		})
 		b.wait("the end, "+how, func() bool { return far.conn.End() == io.EOF })
-		b.call(func() {
-			far.readAll()
-			if string(far.got) != "unread" || far.err != io.EOF {
-				b.Errorf("%s: read %q, %v after it", how, far.got, far.err)
-			}
-		})
+		b.call(far.readAll)
+		far.reads = true
+		b.wait("what was unread", func() bool { return far.err != nil })
+		if string(far.got) != "unread" || far.err != io.EOF {
+			b.Errorf("%s: read %q, %v after it", how, far.got, far.err)
+		}
 	}
 	near, far := b.pair(false)
 	b.call(func() { near.write("unread there") })
+	near.flushed()
 	b.wait("the bytes", func() bool { return far.told > 0 })
 	b.call(func() {
 		far.write("unread here")
@@ -421,7 +466,7 @@
 	}
 	var got error
 	b.call(func() {
-		b.A.Dial(b.Nowhere, 20_000, func(_ machine.Conn, err error) machine.Handler {
+		b.A.Dial(b.Nowhere, 200_000, func(_ machine.Conn, err error) machine.Handler {
 			defer b.turn()()
 			got = err
 			return nil
@@ -489,6 +534,15 @@
 	})
 }
 
+// send sends a datagram as soon as the machine takes it.
+func send(p machine.PacketConn, to, text string) error {
+	for {
+		if err := p.Send(to, []byte(text)); err != machine.ErrWait {
+			return err
+		}
+	}
+}
+
 func datagrams(b *bench) {
 	var near, far machine.PacketConn
 	var got string
@@ -496,7 +550,7 @@
 		var err error
 		far, err = b.B.ListenPacket(b.IPB+":0", func(from string, data []byte) {
 			defer b.turn()()
-			if err := far.Send(from, append([]byte("re: "), data...)); err != nil {
+			if err := send(far, from, "re: "+string(data)); err != nil {
 				b.Errorf("Send: %v", err)
 			}
 		})
@@ -513,7 +567,7 @@
 		if err != nil {
 			b.Fatalf("ListenPacket: %v", err)
 		}
-		if err := near.Send(far.Addr(), []byte("hello")); err != nil {
+		if err := send(near, far.Addr(), "hello"); err != nil {
 			b.Errorf("Send: %v", err)
 		}
 	})
--- a/internal/machine/machinetest/machinetest.go
+++ b/internal/machine/machinetest/machinetest.go
@@ -28,6 +28,8 @@
 	Signal func(machine.Signal)
 	// Worker is how A starts one of the workers of the suite. Nil leaves those tests out.
 	Worker func(which string) machine.Worker
+	// TakesLess says that the machines may take less than they are given at any time, not only where much waits to be read.
+	TakesLess bool
 	// Nowhere is an address that gives no answer of any kind. Empty leaves those tests out.
 	Nowhere string
 }
--- a/internal/machine/packet.go
+++ b/internal/machine/packet.go
@@ -40,15 +40,17 @@
 	if err != nil {
 		return nil, err
 	}
-	fd, err := m.bound(ap, syscall.SOCK_DGRAM)
+	p := &packetConn{m: m, got: got}
+	err = m.outlast(func() (err error) {
+		p.fd, err = m.bound(ap, syscall.SOCK_DGRAM)
+		return err
+	})
 	if err != nil {
 		return nil, err
 	}
-	p := &packetConn{m: m, fd: fd, addr: localAddr(fd), got: got}
-	if p.at, err = m.poll.add(fd, eventIn, p); err != nil {
-		syscall.Close(fd)
-		return nil, err
-	}
+	p.addr = localAddr(p.fd)
+	p.at = m.poll.seat(p)
+	p.watch()
 	if m.packets == nil {
 		m.packets = newPackets(&m.kernel)
 	}
@@ -93,13 +95,20 @@
 		return
 	}
 	p.m.poll.unwatch(p.fd)
-	p.resting = p.m.at(now+restFor, func() {
+	p.watchLater(restFor)
+}
+
+// watch has the kernel tell of datagrams, now or, where it has no memory for it at the moment, later.
+func (p *packetConn) watch() {
+	if p.m.poll.watch(p.fd, eventIn, p.at) != nil {
+		p.watchLater(lackPause)
+	}
+}
+
+func (p *packetConn) watchLater(wait Time) {
+	p.resting = p.m.at(p.m.Now()+wait, func() {
 		p.resting = nil
-		// Where the kernel has no memory for it at the moment, later.
-		if p.m.poll.watch(p.fd, eventIn, p.at) != nil {
-			p.came = restAfter
-			p.rest(1)
-		}
+		p.watch()
 	})
 }
 
@@ -124,7 +133,7 @@
 		case nil:
 			return nil
 		case syscall.EINTR:
-		case syscall.EAGAIN:
+		case syscall.EAGAIN, syscall.ENOBUFS, syscall.ENOMEM:
 			return ErrWait
 		default:
 			return fmt.Errorf("send to %s: %w", to, failure("sendto", err))
--- a/internal/machine/poller.go
+++ b/internal/machine/poller.go
@@ -57,16 +57,6 @@
 	return &poller{kernel: k, fd: fd}, nil
 }
 
-// add has w told of what happens at fd.
-func (p *poller) add(fd int, mask uint32, w watcher) (place, error) {
-	at := p.seat(w)
-	if err := p.watch(fd, mask, at); err != nil {
-		p.leave(at)
-		return place{}, err
-	}
-	return at, nil
-}
-
 // seat gives w a place, before any descriptor is watched for it.
 func (p *poller) seat(w watcher) place {
 	if len(p.free) == 0 {
@@ -84,6 +74,12 @@
 // pass gives w the place of another watcher.
 func (p *poller) pass(at place, w watcher) { p.slots[at.slot].w = w }
 
+// holds reports whether a place is still its first owner's, or was passed on by it.
+func (p *poller) holds(at place) bool {
+	s := &p.slots[at.slot]
+	return s.birth == at.birth && s.w != nil
+}
+
 // leave frees a place: events that were fetched for it are told to nobody.
 func (p *poller) leave(at place) {
 	p.slots[at.slot].w = nil
--- a/internal/machine/real.go
+++ b/internal/machine/real.go
@@ -72,11 +72,14 @@
 	}
 	m.base = m.kernel.Wall().UnixMicro()
 	m.now = m.base
-	var err error
-	if m.poll, err = newPoller(&m.kernel); err != nil {
+	err := m.outlast(func() (err error) {
+		m.poll, err = newPoller(&m.kernel)
+		return err
+	})
+	if err != nil {
 		return nil, err
 	}
-	if err := m.inbox.open(m.poll); err != nil {
+	if err := m.outlast(func() error { return m.inbox.open(m) }); err != nil {
 		m.poll.shut()
 		return nil, err
 	}
--- a/internal/machine/socket.go
+++ b/internal/machine/socket.go
@@ -25,18 +25,14 @@
 	if ap.Addr().Is4() {
 		family = syscall.AF_INET
 	}
-	fd, err := m.kernel.Socket(family, kind)
-	if err != nil {
-		return -1, failure("socket", err)
-	}
-	return fd, nil
+	return m.kernel.Socket(family, kind)
 }
 
 // bound opens a socket at an address. At the IPv6 address of all interfaces it takes IPv4 peers too.
 func (m *Real) bound(ap netip.AddrPort, kind int) (int, error) {
 	fd, err := m.socket(ap, kind)
 	if err != nil {
-		return -1, err
+		return -1, os.NewSyscallError("socket", err)
 	}
 	if ap.Addr().Is6() {
 		only := 1
@@ -50,7 +46,7 @@
 	}
 	if err := m.kernel.Bind(fd, toSockaddr(ap)); err != nil {
 		syscall.Close(fd)
-		return -1, failure("bind", err)
+		return -1, os.NewSyscallError("bind", err)
 	}
 	return fd, nil
 }
@@ -83,6 +79,9 @@
 
 // failure puts an error of the kernel into the words of the contract; others keep their text.
 func failure(call string, err error) error {
+	if _, ofKernel := err.(syscall.Errno); !ofKernel {
+		return err
+	}
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return ErrRefused
--- a/internal/machine/worker.go
+++ b/internal/machine/worker.go
@@ -38,16 +38,30 @@
 		m.Post(func() { p.up(nil) })
 		return p
 	}
+	p.begin(w, m.Now()+startTime.Microseconds())
+	return p
+}
+
+// begin starts the process, now or after a lack that passes until the given time.
+func (p *process) begin(w Worker, until Time) {
+	m := p.m
 	far, err := p.connect()
-	if err != nil {
-		m.Post(func() { p.up(err) })
-		return p
+	switch {
+	case isLack(err) && m.Now() < until:
+		m.at(m.Now()+lackPause, func() {
+			if !p.over {
+				p.begin(w, until)
+			}
+		})
+		return
+	case err != nil:
+		m.Post(func() { p.up(failure("socketpair", err)) })
+		return
 	}
 	m.conns++
 	m.workers[p] = true
 	go p.run(w, far)
 	m.roused.Store(true)
-	return p
 }
 
 // handled is a connection whose handler can be named.
@@ -78,13 +92,17 @@
 	if m.most > 0 && m.conns+perWorker > m.most {
 		return nil, ErrDescriptors
 	}
-	ends, err := m.kernel.SocketPair()
+	var ends [2]int
+	err := again(func() (err error) {
+		ends, err = m.kernel.SocketPair()
+		return err
+	})
 	if err != nil {
-		return nil, failure("socketpair", err)
+		return nil, err
 	}
 	syscall.SetNonblock(ends[0], true)
 	c := &conn{m: m, fd: ends[0], h: nobody{}}
-	if c.at, err = m.poll.add(c.fd, onEdges, c); err != nil {
+	if c.at, err = m.attach(c.fd, onEdges, c); err != nil {
 		syscall.Close(ends[0])
 		syscall.Close(ends[1])
 		return nil, err
--- a/internal/router/bench_test.go
+++ b/internal/router/bench_test.go
@@ -84,7 +84,8 @@
 
 type bareDialing struct{}
 
-func (bareDialing) Cancel() {}
+func (bareDialing) Cancel()       {}
+func (bareDialing) Blocked() bool { return false }
 
 type bareConn struct {
 	h     machine.Handler
--- a/internal/sim/host.go
+++ b/internal/sim/host.go
@@ -50,6 +50,8 @@
 	refuse     bool
 	swallow    bool
 	resetNew   bool
+	failing    FailingCalls
+	failures   *rand.Rand
 }
 
 // Host adds a host with a process that has just started. It panics where the name or the address is taken.
@@ -81,6 +83,7 @@
 		listeners: map[netip.AddrPort]*listener{},
 		packets:   map[netip.AddrPort]*packetConn{},
 		lastPort:  firstPort - 1,
+		failures:  w.Rand("failing calls " + name),
 	}
 	w.hosts = append(w.hosts, h)
 	w.byIP[addr] = h
--- a/internal/standin/lab_test.go
+++ b/internal/standin/lab_test.go
@@ -144,7 +144,8 @@
 }
 
 // Cancel makes a dial that is to come a Dialing.
-func (e *labEvent) Cancel() { e.f = nil }
+func (e *labEvent) Cancel()       { e.f = nil }
+func (e *labEvent) Blocked() bool { return false }
 
 func (l *lab) ListenPacket(string, func(string, []byte)) (machine.PacketConn, error) {
 	return nil, errors.New("the lab has no datagrams")
