--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -180,6 +180,16 @@
 	}
 }
 
+// A probe that was never sent, as this machine could open no connection, tells nothing of its cache.
+func TestProbeThatWasNotSentIsNoFailure(t *testing.T) {
+	b := newBench(t, settings())
+	b.feed(&List{Kind: ListStale, Entries: fleet(4)})
+	b.rounds(threshold+1, "c01", result(NotSent))
+	if c := b.r.caches["c01"]; !c.healthy || c.fails != 0 {
+		t.Errorf("healthy %v after %d failures", c.healthy, c.fails)
+	}
+}
+
 // A count that reaches the threshold within a round is judged when it completes.
 func TestJudgedWhenRoundCompletes(t *testing.T) {
 	b := newBench(t, settings())
--- a/internal/router/list_test.go
+++ b/internal/router/list_test.go
@@ -84,6 +84,24 @@
 	}
 }
 
+// TestClockThatStepsAwayLeavesColdCachesCold: the clock of this machine steps, that of the caches does not, and a cache
+// starts after that.
+func TestClockThatStepsAwayLeavesColdCachesCold(t *testing.T) {
+	const hour = 3600 * 1_000_000
+	for _, by := range []decide.Time{hour, -hour, 5_000_000, -5_000_000} {
+		cache := newFakeCache(t)
+		r, wall := stepped(t, cache.Addr())
+		started := wall.Load() - 2_000_000
+		wall.Add(by)
+		r.list(2, false, since(host("c2", cache.Addr(), "in_service"), started))
+		r.Do(func() {
+			if age := r.Now() - r.r.caches["c2"].entry.Start; age < 0 || age > 60_000_000 {
+				t.Errorf("after a step of %d a cache of 2 s is %d old", by, age)
+			}
+		})
+	}
+}
+
 // TestStartInTheFutureIsNow, until the list corrects it.
 func TestStartInTheFutureIsNow(t *testing.T) {
 	cache := newFakeCache(t)
--- a/internal/upstream/harness_test.go
+++ b/internal/upstream/harness_test.go
@@ -10,6 +10,7 @@
 
 	"starlingwinch/decide"
 	"starlingwinch/internal/limits"
+	"starlingwinch/internal/machine"
 	"starlingwinch/internal/resp"
 	"starlingwinch/internal/routertest"
 )
@@ -80,6 +81,12 @@
 func (r *rig) Log(line string) { r.lines.Write([]byte(line)) }
 
 func newRig(t *testing.T, addr string, edit func(*Options)) *rig {
+	t.Helper()
+	return newRigOn(t, machine.Options{}, addr, edit)
+}
+
+// newRigOn is a rig on a machine with other options.
+func newRigOn(t *testing.T, on machine.Options, addr string, edit func(*Options)) *rig {
 	t.Helper()
 	o := Options{Bounds: limits.Default().Caches, Routers: 1, Descriptors: 400, DialTimeout: 20_000_000,
 		Keepalive: 600_000_000, HungAfter: 2_500_000}
@@ -87,7 +94,7 @@
 	if edit != nil {
 		edit(&o)
 	}
-	r := &rig{Loop: routertest.NewLoop(t, nil), t: t, outcomes: make(chan outcome, 1000),
+	r := &rig{Loop: routertest.NewLoopOf(t, on), t: t, outcomes: make(chan outcome, 1000),
 		lines: make(routertest.Lines, 1000)}
 	r.pool = New(r.Loop, o, r)
 	r.list("c1", addr, true, false)
--- /dev/null
+++ b/internal/upstream/lack_test.go
@@ -0,0 +1,54 @@
+package upstream
+
+import (
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"starlingwinch/decide"
+	"starlingwinch/internal/machine"
+	"starlingwinch/internal/routertest"
+)
+
+// TestLocalLackSpeaksAgainstNoCache: this machine has no port for a connection. That is no failed connect: an attempt and a
+// probe were not sent, and the log names no cache.
+func TestLocalLackSpeaksAgainstNoCache(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		dialTimeout Time
+	}{
+		{"the dial gives up first", 30_000},
+		{"the attempt gives up first", 20_000_000},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			cache := routertest.NewCache(t)
+			var lacks atomic.Bool
+			lacks.Store(true)
+			k := machine.RealKernel()
+			connect := k.Connect
+			k.Connect = func(fd int, to syscall.Sockaddr) error {
+				if lacks.Load() {
+					return syscall.EADDRNOTAVAIL
+				}
+				return connect(fd, to)
+			}
+			r := newRigOn(t, machine.Options{Kernel: &k}, cache.Addr(), func(o *Options) { o.DialTimeout = c.dialTimeout })
+			for range 2 * troubleRow {
+				r.send(r.request(nil), time.Second)
+				r.want(decide.NotSent)
+			}
+			r.send(nil, time.Second)
+			r.want(decide.NotSent)
+			r.Do(func() {
+				if told := r.pool.caches["c1"].trouble.told; told != "" {
+					t.Errorf("the log holds against the cache: %s", told)
+				}
+			})
+			lacks.Store(false)
+			r.send(r.request(nil), long)
+			r.command(cache).Reply(t, served)
+			r.want(decide.Served)
+		})
+	}
+}
