A lack of this machine is no failure of a cache, and a start is dated by two clocks

Cause: conn.dialed and Attempt.Due ended every attempt without a connection as NoConnection, also where the dial never left this machine; decide counted a probe that was not sent as failed; Router.date used the system's clock alone, so a step of an hour made a cache of 2 s 3,602 s old.

Change: such attempts and probes end as NotSent, which speaks against nobody; the age of a start is the less of the two that the clock of now and the clock of the process's start give, where both are possible.

Left: a process that starts while its clock is wrong, and is never corrected, still misjudges the starts on its first list.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -413,6 +413,9 @@
 		return // too late: its round has been judged
 	}
 	c.probing = 0
+	if ev.Result == NotSent {
+		return // it tells nothing of the cache
+	}
 	if r.sparse() {
 		r.rest(c) // few routers come back to each cache soon
 	}
--- a/internal/router/list.go
+++ b/internal/router/list.go
@@ -95,8 +95,21 @@
 		e.Start = h.entry.Start
 		return
 	}
-	age := max(0, r.m.Wall()-told) // nothing has started in the future
-	e.Start = max(1, r.m.Now()-age)
+	e.Start = max(1, r.m.Now()-r.age(told))
+}
+
+// age is how long ago something started, which the list tells by the clock of its machine.
+//
+// Two clocks of this machine may agree with that one: the system's as it is now, and as it was when this process began. Either
+// may be wrong by a step. The less of the two ages counts, so that no cold cache passes for a warm one, unless it is
+// below 0: nothing has started in the future.
+func (r *Router) age(start Time) Time {
+	now, then := r.m.Wall()-start, r.m.Now()-start
+	least, most := min(now, then), max(now, then)
+	if least >= 0 {
+		return least
+	}
+	return max(0, most)
 }
 
 // Answered implements sources.Owner: also where nothing has changed, the module hears that discovery answers.
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -79,7 +79,7 @@
 	case now >= a.StopAt, a.Unwritten() && a.WriteBy > 0 && now >= a.WriteBy:
 		a.GiveUp(decide.NoAnswer)
 	case a.state == waiting && now >= a.connectBy:
-		a.end(decide.NoConnection, nil)
+		a.end(unconnected(a.cache.blocked()), nil)
 	default:
 		a.arm()
 	}
--- a/internal/upstream/cache.go
+++ b/internal/upstream/cache.go
@@ -218,6 +218,21 @@
 	}
 }
 
+// blocked reports whether connections are to come up, and none has begun for a lack on this machine.
+func (u *cache) blocked() bool {
+	blocked := false
+	for _, c := range u.conns {
+		if c.dialing == nil {
+			continue
+		}
+		if !c.dialing.Blocked() {
+			return false
+		}
+		blocked = true
+	}
+	return blocked
+}
+
 // hold reports whether what waits is to wait a moment more for one of the cache's connections that is out. The
 // danger: where descriptors are all in use each dial closes a connection that another cache's next request wants, and a
 // fleet larger than the descriptors opens connections for one another.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -34,7 +34,7 @@
 		u.opened = 0
 		c.close()
 		if len(u.waiting) > 0 {
-			u.waiting[0].end(decide.NoConnection, nil)
+			u.waiting[0].end(unconnected(machine.IsLocal(err)), nil)
 		}
 		u.pump()
 		return nil
@@ -45,6 +45,15 @@
 	return c
 }
 
+// unconnected is the outcome of an attempt that got no connection. Where this machine could open none, the cache was not
+// asked: counted as its failure, a lack here would speak against all caches at once.
+func unconnected(local bool) decide.Result {
+	if local {
+		return decide.NotSent
+	}
+	return decide.NoConnection
+}
+
 // close ends a connection.
 func (c *conn) close() {
 	if c.closed {
--- a/internal/upstream/lack_test.go
+++ b/internal/upstream/lack_test.go
@@ -38,7 +38,10 @@
 				r.send(r.request(nil), time.Second)
 				r.want(decide.NotSent)
 			}
-			r.send(nil, time.Second)
+			r.Do(func() {
+				probe := &Attempt{Sent: r.Now(), StopAt: r.Now() + time.Second.Microseconds()}
+				r.pool.Start("c1", probe)
+			})
 			r.want(decide.NotSent)
 			r.Do(func() {
 				if told := r.pool.caches["c1"].trouble.told; told != "" {
