A state's generation is replaced again until the folder is flushed

Cause: store.Write exchanged its generations before it flushed the folder's names; with two writes whose flush failed, the last flushed file was gone. Change: they are exchanged after the flush; flock is called again where a signal interrupts it.

--- a/internal/machine/disk.go
+++ b/internal/machine/disk.go
@@ -77,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+	if err := again(func() error { return syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB) }); err != nil {
 		f.Close()
 		if errors.Is(err, syscall.EWOULDBLOCK) {
 			return nil, fmt.Errorf("%s: %w", name, ErrLocked)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -195,9 +195,14 @@
 	if err := d.Rename(fresh, s.path(s.mine[0])); err != nil {
 		return err
 	}
-	s.mine = append(s.mine[1:], s.mine[0])
 	s.last = state
-	return d.SyncFolder(s.folder)
+	// Until the new name is flushed the other generation is the one that a loss of power leaves for sure: the next write
+	// replaces this one again.
+	if err := d.SyncFolder(s.folder); err != nil {
+		return err
+	}
+	s.mine = append(s.mine[1:], s.mine[0])
+	return nil
 }
 
 // Locked reports whether the folder's lock was had.
