--- a/cmd/starlingwinch/run.go
+++ b/cmd/starlingwinch/run.go
@@ -70,7 +70,11 @@
 // run serves until a signal ends it.
 func (s inputs) run() error {
 	// The danger: a signal that comes while the files are being read ends the process. The machine keeps it.
-	m, err := machine.New(machine.Options{Log: log.Writer()})
+	k, err := kernel()
+	if err != nil {
+		return fmt.Errorf("starlingwinch: %w", err)
+	}
+	m, err := machine.New(machine.Options{Log: log.Writer(), Kernel: k})
 	if err != nil {
 		return fmt.Errorf("starlingwinch: %w", err)
 	}
