--- a/cmd/lab/eurekaflap.go
+++ b/cmd/lab/eurekaflap.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"starlingwinch/decide"
-	"starlingwinch/internal/books"
+	"starlingwinch/internal/guard"
 	"starlingwinch/internal/lab"
 	"starlingwinch/internal/lab/script"
 )
@@ -42,12 +42,12 @@
 // moves counts how often lists that reach a router's decision module bring a cache back: each time its keys move
 // to it.
 type moves struct {
-	books.Module
+	guard.Module
 	n    *int
 	away map[string]bool
 }
 
-// Handle implements books.Module.
+// Handle implements guard.Module.
 func (m moves) Handle(now decide.Time, ev decide.Event) []decide.Action {
 	if l, ok := ev.(*decide.List); ok {
 		for _, e := range l.Entries {
@@ -69,7 +69,7 @@
 		for i, undamped := range []bool{false, true} {
 			n := 0
 			s := flapScript(pace, undamped)
-			r, err := lab.Run(s, lab.Options{Node: router, Wrap: func(m books.Module) books.Module {
+			r, err := lab.Run(s, lab.Options{Node: router, Wrap: func(m guard.Module) guard.Module {
 				return moves{m, &n, map[string]bool{}}
 			}})
 			if err != nil {
--- a/cmd/lab/state.go
+++ b/cmd/lab/state.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"starlingwinch/decide"
-	"starlingwinch/internal/books"
+	"starlingwinch/internal/guard"
 	"starlingwinch/internal/lab"
 	"starlingwinch/internal/lab/script"
 	"starlingwinch/internal/rules"
@@ -101,7 +101,7 @@
 				}
 			}
 		},
-		Wrap: func(m books.Module) books.Module {
+		Wrap: func(m guard.Module) guard.Module {
 			return sends{m, func(now lab.Time, cache string) {
 				if now >= at(0) && now < at(2) {
 					attempts[cache] = append(attempts[cache], now-at(0))
@@ -125,11 +125,11 @@
 
 // sends tells what a module sends to which cache. A cache that hangs sees nothing of it.
 type sends struct {
-	books.Module
+	guard.Module
 	tell func(now lab.Time, cache string)
 }
 
-// Handle implements books.Module.
+// Handle implements guard.Module.
 func (s sends) Handle(now decide.Time, ev decide.Event) []decide.Action {
 	actions := s.Module.Handle(now, ev)
 	for _, a := range actions {
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -39,6 +39,7 @@
 	last     bool // nothing more is read: it is closed behind the answers that are due
 	lingered int  // bytes read since it was told why it is closed
 	broken   bool // the client has ended it by a reset
+	gone     bool // the client has ended it
 	closed   bool
 }
 
@@ -63,7 +64,7 @@
 		c.depart(err)
 		return
 	}
-	for share := turnsShare; !c.closed; {
+	for share, reads := turnsShare, 0; !c.closed; reads++ {
 		if c.state == closing {
 			c.linger()
 			return
@@ -75,7 +76,7 @@
 			c.pause()
 			return
 		}
-		if share <= 0 {
+		if share <= 0 || reads > readsATurn {
 			c.readOn()
 			return
 		}
@@ -85,8 +86,9 @@
 			if c.closed || c.last {
 				return
 			}
-			if c.part = c.part[used:]; len(c.part) == 0 || cap(c.part) > readSize {
-				c.part = bytes.Clone(c.part) // a large command once must not keep its room
+			// A large command once must not keep its room; one that is still coming is not copied at each read.
+			if c.part = c.part[used:]; len(c.part) == 0 || used > 0 && cap(c.part) > readSize {
+				c.part = bytes.Clone(c.part)
 			}
 			if share <= 0 || len(c.queue) >= f.o.Bounds.Pipelined {
 				continue
@@ -109,7 +111,7 @@
 
 // depart takes the news that the client has gone. What it has sent and nobody has read is asked by nobody.
 func (c *client) depart(err error) {
-	c.broken = errors.Is(err, machine.ErrReset)
+	c.broken, c.gone = errors.Is(err, machine.ErrReset), true
 	c.close()
 }
 
@@ -391,6 +393,7 @@
 		n, err := c.nc.Write(b)
 		if err != nil {
 			c.unsent = b // it is counted
+			c.gone = true
 			c.close()
 			return
 		}
@@ -506,7 +509,11 @@
 
 // linger reads off what still comes, up to a bound.
 func (c *client) linger() {
-	for {
+	for reads := 0; ; reads++ {
+		if reads > readsATurn {
+			c.readOn()
+			return
+		}
 		n, err := c.nc.Read(c.front.in)
 		if errors.Is(err, machine.ErrWait) {
 			return
@@ -525,6 +532,7 @@
 	}
 	f := c.front
 	c.closed = true
+	byRouter := !c.gone && c.state != stuck // who takes no answers can't be given any
 	c.leave()
 	c.nc.Close()
 	f.clients--
@@ -538,7 +546,7 @@
 	}
 	c.queue, c.part, c.unsent = nil, nil, nil
 	if len(asked) > 0 {
-		f.desk.Departed(asked)
+		f.desk.Departed(asked, byRouter)
 	}
 	if f.full || f.lists[surplus].first != nil {
 		f.room(nil)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -24,6 +24,7 @@
 	commandGrace = 100_000 // for a command that has begun, or is about to on a new connection, when that is to close
 	lastReads    = 500_000 // requests on a connection that is to close are taken for so long, then refused
 	turnsShare   = 32      // commands of one connection in one turn: it must not crowd the others out
+	readsATurn   = 64      // ... and reads, each of which may bring as little as a byte
 	surplusMost  = 16      // connections past the bound that are taken in to be told so
 	surplusTime  = 200_000 // that such a one has to ask
 	readSize     = 16 << 10
@@ -36,8 +37,9 @@
 type Desk interface {
 	// Ask brings a request, the slot's Command, that was read whole at the given time. The desk answers s once.
 	Ask(s *Slot, read Time)
-	// Departed says that nobody waits for these answers any more. The desk may still give them.
-	Departed(slots []*Slot)
+	// Departed says that nobody waits for these answers any more: the client has gone, or, byRouter, its connection was
+	// closed from this side while it still took answers. The desk may still give them.
+	Departed(slots []*Slot, byRouter bool)
 	// Settle follows in the same turn, when all is in order here: the desk may act on what it was told.
 	Settle()
 	// Serving reports whether there is a cache that takes work.
--- a/internal/front/harness_test.go
+++ b/internal/front/harness_test.go
@@ -43,7 +43,7 @@
 func (r *rig) Ask(s *Slot, read Time) { r.asked <- asked{s, &s.Command, read} }
 func (r *rig) Settle()                {}
 func (r *rig) Serving() bool          { return !r.starting }
-func (r *rig) Departed(slots []*Slot) {
+func (r *rig) Departed(slots []*Slot, _ bool) {
 	for _, s := range slots {
 		r.departed <- s
 	}
--- a/internal/books/actions.go
+++ b/internal/guard/actions.go
@@ -1,4 +1,4 @@
-package books
+package guard
 
 import (
 	"fmt"
@@ -7,7 +7,7 @@
 )
 
 // allowed books what the module asks for and returns what the loop is to carry out.
-func (b *Books) allowed(actions []decide.Action) []decide.Action {
+func (b *Contract) allowed(actions []decide.Action) []decide.Action {
 	for i, a := range actions {
 		if b.allow(a) {
 			continue
@@ -24,7 +24,7 @@
 }
 
 // allow books one action. It reports whether the loop is to carry it out.
-func (b *Books) allow(a decide.Action) bool {
+func (b *Contract) allow(a decide.Action) bool {
 	switch a := a.(type) {
 	case decide.Send:
 		return b.send(a)
@@ -56,7 +56,7 @@
 	return true
 }
 
-func (b *Books) send(a decide.Send) bool {
+func (b *Contract) send(a decide.Send) bool {
 	q := b.requests[a.ID]
 	if q == nil {
 		b.ring.add(note{at: b.now, what: noteSend, id: a.ID, cache: a.Cache})
@@ -90,7 +90,7 @@
 
 // nextOfClosed is the number that the module gives its next attempt for a request that the books
 // have let go of.
-func (b *Books) nextOfClosed(id int64) int {
+func (b *Contract) nextOfClosed(id int64) int {
 	for i := range b.closed {
 		if c := &b.closed[i]; c.id == id && c.attempts > 0 {
 			c.attempts++
@@ -103,7 +103,7 @@
 }
 
 // settle books the outcome of an attempt that was not let out and returns it.
-func (b *Books) settle(o owed) decide.Event {
+func (b *Contract) settle(o owed) decide.Event {
 	last := true
 	if q := b.requests[o.id]; q != nil && o.attempt < len(q.attempts) && q.attempts[o.attempt].unsent {
 		b.end(q, o.attempt, decide.NotSent)
@@ -114,7 +114,7 @@
 		Load: decide.Load{Busy: -1}}
 }
 
-func (b *Books) cancel(a decide.Cancel) bool {
+func (b *Contract) cancel(a decide.Cancel) bool {
 	b.ring.add(note{at: b.now, what: noteCancel, id: a.ID, n: a.Attempt})
 	q := b.requests[a.ID]
 	if q == nil || a.Attempt < 0 || a.Attempt >= len(q.attempts) || !q.attempts[a.Attempt].out {
@@ -124,7 +124,7 @@
 	return !q.attempts[a.Attempt].unsent
 }
 
-func (b *Books) answer(id int64, what noteKind) bool {
+func (b *Contract) answer(id int64, what noteKind) bool {
 	b.ring.add(note{at: b.now, what: what, id: id})
 	q := b.requests[id]
 	if q == nil || q.over {
@@ -136,7 +136,7 @@
 	return true
 }
 
-func (b *Books) probe(a decide.Probe) bool {
+func (b *Contract) probe(a decide.Probe) bool {
 	b.ring.add(note{at: b.now, what: noteProbe, cache: a.Cache})
 	c := b.caches[a.Cache]
 	if c == nil || !c.listed {
--- a/internal/books/bench_test.go
+++ b/internal/guard/bench_test.go
@@ -1,4 +1,4 @@
-package books
+package guard
 
 import (
 	"container/heap"
@@ -61,7 +61,7 @@
 // Once the records are there, the books make nothing new for a request.
 func TestSteadyTrafficTakesNoMemory(t *testing.T) {
 	m := &steady{}
-	b := New(m, nil)
+	b := NewContract(m, nil)
 	b.Handle(1, &decide.List{Kind: decide.ListFull, Entries: []decide.Entry{{ID: "a"}}})
 	ask, reply := &decide.Request{Deadline: wanted}, &decide.Outcome{Result: decide.Served, Last: true}
 	timer := &decide.Timer{}
@@ -92,7 +92,7 @@
 // traffic is a module under load that it can take, with a loop that costs little.
 type traffic struct {
 	module Module
-	books  *Books
+	books  *Contract
 	now    decide.Time
 	timers timerHeap
 	sends  []decide.Send
@@ -113,7 +113,7 @@
 	}
 	t := &traffic{dropped: map[int64]bool{}, module: m, now: 1_000_000 * ms}
 	if inBooks {
-		t.books = New(m, nil)
+		t.books = NewContract(m, nil)
 		t.module = t.books
 	}
 	var es []decide.Entry
--- a/internal/books/books.go
+++ b/internal/guard/contract.go
@@ -13,7 +13,7 @@
 // Things cross: the loop tells events from a queue, so that the module may still ask for things on
 // behalf of a client that has left, or a cache that is gone. Only what the other side had been told
 // is held against it. Requests are numbered upwards, as the loop does.
-package books
+package guard
 
 import (
 	"slices"
@@ -21,7 +21,7 @@
 	"starlingwinch/decide"
 )
 
-// Module makes the decisions: *decide.Router, or a script in tests. Books is one itself.
+// Module makes the decisions: *decide.Router, or a script in tests. Contract is one itself.
 type Module interface {
 	Handle(now decide.Time, ev decide.Event) []decide.Action
 }
@@ -89,8 +89,8 @@
 	closedKept  = 64        // requests lately over whose number of attempts is kept
 )
 
-// Books is a Module around another one. Use New. Its methods belong to the loop's goroutine.
-type Books struct {
+// Contract is a Module around another one. Use New. Its methods belong to the loop's goroutine.
+type Contract struct {
 	// Every has all breaches reported with their trails, where else the first of each kind is and
 	// later ones are only counted: a breach that comes with each request must not cost more than it.
 	Every bool
@@ -159,8 +159,8 @@
 }
 
 // New returns books around a module. report is called with breaches, from within the methods.
-func New(module Module, report func(Breach)) *Books {
-	b := &Books{module: module, report: report, requests: map[int64]*request{}, caches: map[string]*cache{},
+func NewContract(module Module, report func(Breach)) *Contract {
+	b := &Contract{module: module, report: report, requests: map[int64]*request{}, caches: map[string]*cache{},
 		repairs: map[decide.Event]bool{}}
 	b.counter, _ = module.(Counter)
 	return b
@@ -168,7 +168,7 @@
 
 // Handle checks an event against the books, hands it to the module, and checks and books what the
 // module asks for.
-func (b *Books) Handle(now decide.Time, ev decide.Event) []decide.Action {
+func (b *Contract) Handle(now decide.Time, ev decide.Event) []decide.Action {
 	b.now = now
 	if !b.enter(ev) {
 		return nil
@@ -187,10 +187,10 @@
 }
 
 // Count is how many breaches of a kind there were.
-func (b *Books) Count(k Kind) int { return b.counts[k] }
+func (b *Contract) Count(k Kind) int { return b.counts[k] }
 
 // Breaches is how many there were of all kinds.
-func (b *Books) Breaches() (n int) {
+func (b *Contract) Breaches() (n int) {
 	for _, of := range b.counts {
 		n += of
 	}
@@ -198,7 +198,7 @@
 }
 
 // InFlight is the number of attempts at a cache that the loop owes an outcome for.
-func (b *Books) InFlight(cache string) int {
+func (b *Contract) InFlight(cache string) int {
 	if c := b.caches[cache]; c != nil {
 		return c.out
 	}
@@ -206,10 +206,10 @@
 }
 
 // Open is the number of requests not answered, or with an attempt out.
-func (b *Books) Open() int { return len(b.requests) }
+func (b *Contract) Open() int { return len(b.requests) }
 
 // breach counts and reports one.
-func (b *Books) breach(k Kind, id int64, cache, text string) {
+func (b *Contract) breach(k Kind, id int64, cache, text string) {
 	b.counts[k]++
 	if b.report == nil || b.counts[k] > 1 && !b.Every {
 		return
@@ -218,7 +218,7 @@
 }
 
 // open takes up a request.
-func (b *Books) open(ev *decide.Request) {
+func (b *Contract) open(ev *decide.Request) {
 	var q *request
 	if n := len(b.free); n > 0 {
 		q, b.free = b.free[n-1], b.free[:n-1]
@@ -232,7 +232,7 @@
 }
 
 // balance lets go of a request once nothing is owed by either side.
-func (b *Books) balance(q *request) {
+func (b *Contract) balance(q *request) {
 	if !q.over || q.out > 0 {
 		return
 	}
@@ -245,7 +245,7 @@
 }
 
 // name is the record of a cache, made where there is none.
-func (b *Books) name(name string) *cache {
+func (b *Contract) name(name string) *cache {
 	c := b.caches[name]
 	if c == nil {
 		c = &cache{name: name}
@@ -255,14 +255,14 @@
 }
 
 // drop lets go of a cache that is not listed once nothing is out there.
-func (b *Books) drop(c *cache) {
+func (b *Contract) drop(c *cache) {
 	if !c.listed && c.out == 0 && len(c.probes) == 0 {
 		delete(b.caches, c.name)
 	}
 }
 
 // end books the outcome of an attempt.
-func (b *Books) end(q *request, n int, result decide.Result) {
+func (b *Contract) end(q *request, n int, result decide.Result) {
 	a := &q.attempts[n]
 	a.out, a.result, a.ended = false, result, b.now
 	q.out--
--- a/internal/books/books_test.go
+++ b/internal/guard/contract_test.go
@@ -1,4 +1,4 @@
-package books
+package guard
 
 import (
 	"math"
@@ -34,7 +34,7 @@
 type bench struct {
 	t        *testing.T
 	module   *script
-	books    *Books
+	books    *Contract
 	now      decide.Time
 	breaches []Breach
 	handedOn bool // the event at which the last breach came about was
@@ -43,7 +43,7 @@
 
 func newBench(t *testing.T) *bench {
 	b := &bench{t: t, module: &script{}, now: 1000}
-	b.books = New(b.module, func(x Breach) { b.breaches = append(b.breaches, x) })
+	b.books = NewContract(b.module, func(x Breach) { b.breaches = append(b.breaches, x) })
 	b.books.Every = true
 	b.tell(&decide.List{Kind: decide.ListFull, Entries: []decide.Entry{{ID: "a"}}})
 	return b
@@ -296,7 +296,7 @@
 
 func TestAModuleThatSendsForEverIsRepairedInSteps(t *testing.T) {
 	m := &stubborn{}
-	b := New(m, nil)
+	b := NewContract(m, nil)
 	if actions := b.Handle(1, &decide.PeerMessage{}); len(actions) != 0 {
 		t.Errorf("let out %v", actions)
 	}
@@ -417,7 +417,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			m := &counted{atA: c.inModule, open: c.open}
 			var got []Kind
-			b := New(m, func(x Breach) { got = append(got, x.Kind) })
+			b := NewContract(m, func(x Breach) { got = append(got, x.Kind) })
 			b.Handle(1, &decide.List{Kind: decide.ListFull, Entries: []decide.Entry{{ID: "a"}}})
 			m.onNext = []decide.Action{send(1)}
 			b.Handle(2, asked(1))
--- a/internal/books/events.go
+++ b/internal/guard/events.go
@@ -1,4 +1,4 @@
-package books
+package guard
 
 import (
 	"fmt"
@@ -8,7 +8,7 @@
 
 // enter checks an event of the loop against the books and books it. It reports whether the module
 // is to be told.
-func (b *Books) enter(ev decide.Event) bool {
+func (b *Contract) enter(ev decide.Event) bool {
 	repair := len(b.repairs) > 0 && b.repairs[ev]
 	if repair {
 		delete(b.repairs, ev)
@@ -41,7 +41,7 @@
 }
 
 // list books which caches are listed, just as the module takes it.
-func (b *Books) list(ev *decide.List) {
+func (b *Contract) list(ev *decide.List) {
 	if ev.Kind == decide.ListFailed {
 		return
 	}
@@ -70,7 +70,7 @@
 	}
 }
 
-func (b *Books) unlist(c *cache) {
+func (b *Contract) unlist(c *cache) {
 	if c.listed {
 		c.listed, c.ours = false, 0
 		c.listing++
@@ -79,7 +79,7 @@
 	b.drop(c)
 }
 
-func (b *Books) started(ev *decide.Started) bool {
+func (b *Contract) started(ev *decide.Started) bool {
 	b.ring.add(note{at: b.now, what: noteStarted, id: ev.ID, n: ev.Attempt})
 	q := b.requests[ev.ID]
 	if q == nil || !q.isOut(ev.Attempt) {
@@ -95,7 +95,7 @@
 	return n >= 0 && n < len(q.attempts) && q.attempts[n].out && !q.attempts[n].unsent
 }
 
-func (b *Books) outcome(ev *decide.Outcome, repair bool) bool {
+func (b *Contract) outcome(ev *decide.Outcome, repair bool) bool {
 	q := b.requests[ev.ID]
 	if q == nil || !q.isOut(ev.Attempt) {
 		b.ring.add(note{at: b.now, what: noteOutcome, id: ev.ID, n: ev.Attempt, result: ev.Result})
@@ -118,7 +118,7 @@
 	return true
 }
 
-func (b *Books) departed(ev *decide.Departed, repair bool) bool {
+func (b *Contract) departed(ev *decide.Departed, repair bool) bool {
 	b.ring.add(note{at: b.now, what: noteDeparted, id: ev.ID})
 	q := b.requests[ev.ID]
 	switch {
@@ -138,7 +138,7 @@
 	return true
 }
 
-func (b *Books) probed(ev *decide.Probed, repair bool) bool {
+func (b *Contract) probed(ev *decide.Probed, repair bool) bool {
 	b.ring.add(note{at: b.now, what: noteProbed, cache: ev.Cache, result: ev.Result})
 	c := b.caches[ev.Cache]
 	if c == nil || len(c.probes) == 0 {
--- a/internal/books/overdue.go
+++ b/internal/guard/overdue.go
@@ -1,4 +1,4 @@
-package books
+package guard
 
 import (
 	"fmt"
@@ -14,7 +14,7 @@
 // An attempt without an outcome may have run, so it is NoAnswer; so is a probe. A request without an
 // answer is Departed: the module is told that nothing more is owed, and the loop has to answer the
 // client itself, with a failure.
-func (b *Books) Overdue(now decide.Time) []decide.Event {
+func (b *Contract) Overdue(now decide.Time) []decide.Event {
 	b.now = now
 	clear(b.repairs)
 	var late []int64
@@ -61,7 +61,7 @@
 	return a.out && !a.unsent && !a.streams && !a.told && now-slack > a.stopAt
 }
 
-func (b *Books) overdueRequest(events []decide.Event, q *request) []decide.Event {
+func (b *Contract) overdueRequest(events []decide.Event, q *request) []decide.Event {
 	for i := range q.attempts {
 		a := &q.attempts[i]
 		if !a.late(b.now) {
@@ -81,7 +81,7 @@
 	return events
 }
 
-func (b *Books) overdueProbes(events []decide.Event, c *cache) []decide.Event {
+func (b *Contract) overdueProbes(events []decide.Event, c *cache) []decide.Event {
 	for c.told < len(c.probes) && b.now > c.probes[c.told]+slack {
 		sent := c.probes[c.told]
 		c.told++
@@ -95,7 +95,7 @@
 // Check compares the books' counts with the module's and with what is on the sockets: the attempts,
 // probes not among them, that the loop has out at a cache. It wants everything told that has
 // happened: the loop's queue of events is empty.
-func (b *Books) Check(now decide.Time, onSockets func(cache string) int) {
+func (b *Contract) Check(now decide.Time, onSockets func(cache string) int) {
 	b.now = now
 	if b.counter != nil {
 		if n := b.counter.Open(); n != len(b.requests) {
@@ -117,4 +117,4 @@
 	}
 }
 
-func (b *Books) names() []string { return slices.Sorted(maps.Keys(b.caches)) }
+func (b *Contract) names() []string { return slices.Sorted(maps.Keys(b.caches)) }
--- /dev/null
+++ b/internal/guard/request_test.go
@@ -0,0 +1,144 @@
+package guard
+
+import (
+	"testing"
+
+	"starlingwinch/decide"
+)
+
+const window = 1_000_000
+
+// newGuard is a guard for three classes, with what it reports.
+func newGuard(copies bool) (*Guard, *[]Violation) {
+	var told []Violation
+	set := &decide.Settings{MaxAttempts: 3, Copies: copies, Classes: []decide.Class{
+		{Name: "read", Effect: decide.Safe},
+		{Name: "keyed", Effect: decide.Keyed, Scope: decide.ScopeZone, KeyTTL: window},
+		{Name: "keyed-all", Effect: decide.Keyed, Scope: decide.ScopeAll, KeyTTL: window},
+		{Name: "unsafe", Effect: decide.Unsafe}}}
+	return NewGuard(set, func(v Violation) { told = append(told, v) }), &told
+}
+
+var here, there = Cache{Name: "c1", Zone: "a"}, Cache{Name: "c2", Zone: "b"}
+
+// TestEachRuleIsDecidedAndItsBreachCounted: what MaySend forbids is prevented, and done all the same it is a violation.
+func TestEachRuleIsDecidedAndItsBreachCounted(t *testing.T) {
+	ran := func(g *Guard, q *Request) { // an attempt that may have run
+		g.Began(0, q, 0, here, 1, true)
+		q.Ended(0, decide.NoAnswer)
+	}
+	for _, c := range []struct {
+		name, class string
+		unkeyed     bool
+		copies      bool
+		before      func(*Guard, *Request)
+		now         decide.Time
+		to          Cache
+		want        Reason
+	}{
+		{"a first attempt", "unsafe", false, true, func(*Guard, *Request) {}, 1, here, Allowed},
+		{"after the answer", "read", false, true, func(g *Guard, q *Request) { g.Answer(1, q) }, 1, here, Answered},
+		{"a safe one again", "read", false, true, ran, 1, there, Allowed},
+		{"an unsafe one again", "unsafe", false, true, ran, 1, here, EffectMayRepeat},
+		{"one of no class again", "nobody's", false, true, ran, 1, here, EffectMayRepeat},
+		{"a keyed one without its key", "keyed-all", true, true, ran, 1, here, EffectMayRepeat},
+		{"a keyed one in its group", "keyed", false, true, ran, window - 1, here, Allowed},
+		{"a keyed one out of its group", "keyed", false, true, ran, 1, there, OutsideGroup},
+		{"a keyed one of all", "keyed-all", false, true, ran, 1, there, Allowed},
+		{"a keyed one past its window", "keyed-all", false, true, ran, window, here, WindowOver},
+		{"an unsafe one that never ran", "unsafe", false, true, func(g *Guard, q *Request) {
+			g.Began(0, q, 0, here, 1, true)
+			q.Ended(0, decide.Rejected)
+		}, 1, there, Allowed},
+		{"an unsafe one not written whole", "unsafe", false, true, func(g *Guard, q *Request) {
+			g.Began(0, q, 0, here, 1, false)
+			q.Ended(0, decide.NoConnection)
+		}, 1, there, Allowed},
+		{"an unsafe one written whole later", "unsafe", false, true, func(g *Guard, q *Request) {
+			g.Began(0, q, 0, here, 1, false)
+			q.Whole(0)
+		}, 1, there, EffectMayRepeat},
+		{"a second copy", "read", false, false, func(g *Guard, q *Request) { g.Began(0, q, 0, here, 1, true) }, 1, there, SecondCopy},
+		{"one too many", "read", false, true, func(g *Guard, q *Request) {
+			for n := range 3 {
+				g.Began(0, q, n, here, 1, true)
+			}
+		}, 1, there, TooManyAttempts},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g, told := newGuard(c.copies)
+			q := g.Open(7, "id", c.class, c.unkeyed, 10*window)
+			c.before(g, &q)
+			if got := g.MaySend(c.now, &q, c.to, false); got != c.want {
+				t.Errorf("decided %v, want %v", got, c.want)
+			}
+			g.Began(c.now, &q, 3, c.to, 1, true)
+			counts := g.Counts()
+			if c.want == Allowed {
+				if len(*told) > 0 || counts.Broken() > 0 {
+					t.Errorf("violations of what is allowed: %v", *told)
+				}
+				return
+			}
+			if len(*told) != 1 || (*told)[0].Reason != c.want || counts.Violations[c.want] != 1 || counts.Prevented[c.want] != 1 {
+				t.Errorf("reported %v, counted %+v", *told, counts)
+			}
+		})
+	}
+}
+
+func TestDepartedClientsAttemptIsPrevented(t *testing.T) {
+	g, _ := newGuard(true)
+	q := g.Open(7, "id", "read", false, window)
+	if got := g.MaySend(1, &q, here, true); got != ClientLeft || g.Counts().Prevented[ClientLeft] != 1 {
+		t.Errorf("decided %v", got)
+	}
+}
+
+func TestViolationsThatNoSendIs(t *testing.T) {
+	for want, do := range map[Reason]func(*Guard, *Request){
+		DeadlineExceeded: func(g *Guard, q *Request) { g.Began(1, q, 0, here, window, true) },
+		Answered: func(g *Guard, q *Request) {
+			g.Answer(1, q)
+			g.Answer(2, q)
+		},
+		ClosedUnanswered: func(g *Guard, q *Request) { g.Closed(1, q) },
+	} {
+		g, told := newGuard(true)
+		q := g.Open(7, "id", "read", false, window)
+		do(g, &q)
+		if len(*told) != 1 || (*told)[0].Reason != want {
+			t.Errorf("%v: reported %v", want, *told)
+		}
+	}
+}
+
+func TestRefusalAfterRun(t *testing.T) {
+	for class, want := range map[string]Reason{"read": Allowed, "keyed-all": Allowed, "keyed": RefusedAfterRun,
+		"unsafe": RefusedAfterRun} {
+		g, _ := newGuard(true)
+		q := g.Open(7, "id", class, false, window)
+		if got := g.MayRefuse(&q); got != Allowed {
+			t.Errorf("%s: %v before any attempt", class, got)
+		}
+		g.Began(1, &q, 0, here, 1, true)
+		if got := g.MayRefuse(&q); got != want {
+			t.Errorf("%s: %v, want %v", class, got, want)
+		}
+	}
+}
+
+func TestLookBeforeWriting(t *testing.T) {
+	for want, l := range map[Reason]Look{
+		Allowed:      {Now: 1, StopAt: 2, CacheUp: true},
+		CacheLeaving: {Now: 1, StopAt: 2},
+		TimeOver:     {Now: 2, StopAt: 2, CacheUp: true},
+	} {
+		if got := l.MayWrite(); got != want {
+			t.Errorf("%+v: %v, want %v", l, got, want)
+		}
+	}
+	if got := (Look{Now: 1, StopAt: 9, WriteBy: 1, CacheUp: true}).MayWrite(); got != TimeOver {
+		t.Errorf("past the time to be written: %v", got)
+	}
+}
--- a/internal/books/timers_test.go
+++ b/internal/guard/timers_test.go
@@ -1,4 +1,4 @@
-package books
+package guard
 
 import (
 	"math/rand"
--- a/internal/books/trail.go
+++ b/internal/guard/trail.go
@@ -1,4 +1,4 @@
-package books
+package guard
 
 import (
 	"fmt"
@@ -85,7 +85,7 @@
 
 // trail renders what led to a breach: the history of the request, which its record has in full, and
 // the latest notes on it and on the cache.
-func (b *Books) trail(id int64, cache string) []string {
+func (b *Contract) trail(id int64, cache string) []string {
 	var lines []string
 	q := b.requests[id]
 	if q != nil {
--- a/internal/books/world_test.go
+++ b/internal/guard/world_test.go
@@ -1,4 +1,4 @@
-package books
+package guard
 
 import (
 	"cmp"
@@ -26,7 +26,7 @@
 	rng      *rand.Rand
 	set      decide.Settings
 	module   *decide.Router
-	books    *Books
+	books    *Contract
 	now      decide.Time
 	defects  defects
 	backlog  []decide.Event
@@ -95,7 +95,7 @@
 		t.Fatal(err)
 	}
 	w.module = m
-	w.books = New(m, func(b Breach) { w.breaches = append(w.breaches, b) })
+	w.books = NewContract(m, func(b Breach) { w.breaches = append(w.breaches, b) })
 	w.books.Every = true
 	return w
 }
--- a/internal/httpc/call.go
+++ b/internal/httpc/call.go
@@ -13,6 +13,9 @@
 
 const readSize = 32 << 10
 
+// readsATurn bounds the reads of one connection in one turn, as each may bring as little as a byte.
+const readsATurn = 64
+
 // conn is a connection to the server.
 type conn struct {
 	client  *Client
@@ -29,6 +32,8 @@
 	unsent []byte
 	came   []byte
 	header int // length of the answer's header, once it is there
+	form   form
+	length int // of the body, where the form is sized
 	timer  machine.Timer
 	done   func(*Response, error)
 	again  bool // it may be made once more where a kept connection turns out to be closed
@@ -104,7 +109,11 @@
 		return
 	}
 	buf := make([]byte, readSize)
-	for {
+	for reads := 0; ; reads++ {
+		if reads == readsATurn {
+			n.readOn()
+			return
+		}
 		got, err := n.nc.Read(buf)
 		if errors.Is(err, machine.ErrWait) {
 			return
@@ -120,6 +129,15 @@
 	}
 }
 
+// readOn has the rest read in a turn of its own: a server may send on and on.
+func (n *conn) readOn() {
+	n.client.m.Post(func() {
+		if n.nc != nil && n.client.conn == n {
+			n.Readable()
+		}
+	})
+}
+
 // read looks whether the answer is whole. It reports whether the call is over.
 func (k *call) read(ended bool) bool {
 	if k.header == 0 {
@@ -142,6 +160,10 @@
 		k.fail(ErrTooLong)
 		return true
 	}
+	// The header is read once, not at each piece of the body: pieces may be as small as a byte.
+	if k.form != unknownForm && !ended && !k.mayBeWhole() {
+		return false
+	}
 	var asked *http.Request
 	if k.head {
 		asked = &http.Request{Method: http.MethodHead}
@@ -162,14 +184,9 @@
 		return true
 	}
 	chunked := len(resp.TransferEncoding) > 0
-	switch {
-	case ended:
-	case resp.ContentLength >= 0 && len(k.came) < k.header+int(resp.ContentLength):
-		return false
-	case chunked && !bytes.HasSuffix(k.came, []byte("\r\n\r\n")): // its last chunk ends so
+	k.length, k.form = int(resp.ContentLength), formOf(chunked, resp.ContentLength)
+	if !ended && !k.mayBeWhole() {
 		return false
-	case !chunked && resp.ContentLength < 0:
-		return false // it lasts until the connection ends
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(most)+1))
 	switch {
@@ -187,9 +204,40 @@
 	return true
 }
 
+// form is how the end of an answer's body is told.
+type form uint8
+
+const (
+	unknownForm form = iota // its header has not been read
+	sized                   // by its length
+	chunkedForm             // by its last chunk
+	unsized                 // by the end of the connection
+)
+
+func formOf(chunked bool, length int64) form {
+	switch {
+	case chunked:
+		return chunkedForm
+	case length >= 0:
+		return sized
+	}
+	return unsized
+}
+
+// mayBeWhole reports whether what has come may be all of the answer, while its connection is open.
+func (k *call) mayBeWhole() bool {
+	switch k.form {
+	case sized:
+		return len(k.came) >= k.header+k.length
+	case chunkedForm:
+		return bytes.HasSuffix(k.came, []byte("\r\n\r\n")) // its last chunk ends so
+	}
+	return false
+}
+
 // interim skips an answer that says that another one follows, such as 100.
 func (k *call) interim(ended bool) bool {
-	k.came, k.header = append([]byte(nil), k.came[k.header:]...), 0
+	k.came, k.header, k.form = append([]byte(nil), k.came[k.header:]...), 0, unknownForm
 	if len(k.came) == 0 && !ended {
 		return false
 	}
--- a/internal/lab/bare/bare.go
+++ b/internal/lab/bare/bare.go
@@ -11,7 +11,7 @@
 	"strings"
 
 	"starlingwinch/decide"
-	"starlingwinch/internal/books"
+	"starlingwinch/internal/guard"
 	"starlingwinch/internal/lab"
 	"starlingwinch/internal/machine"
 	"starlingwinch/internal/settings"
@@ -21,7 +21,7 @@
 	m        machine.Machine
 	c        config
 	set      decide.Settings
-	module   books.Module
+	module   guard.Module
 	backlog  []decide.Event
 	telling  bool
 	listener machine.Listener
--- a/internal/lab/hollow/hollow.go
+++ b/internal/lab/hollow/hollow.go
@@ -16,7 +16,7 @@
 	"time"
 
 	"starlingwinch/decide"
-	"starlingwinch/internal/books"
+	"starlingwinch/internal/guard"
 	"starlingwinch/internal/lab"
 	"starlingwinch/internal/lab/node"
 	"starlingwinch/internal/machine"
@@ -256,17 +256,17 @@
 
 // observer notes when a router's module is told of the list.
 type observer struct {
-	books.Module
+	guard.Module
 	fleet *fleet
 	heard bool
 }
 
-func (o *observer) wrap(m books.Module) books.Module {
+func (o *observer) wrap(m guard.Module) guard.Module {
 	o.Module = m
 	return o
 }
 
-// Handle implements books.Module.
+// Handle implements guard.Module.
 func (o *observer) Handle(now decide.Time, ev decide.Event) []decide.Action {
 	if l, ok := ev.(*decide.List); ok {
 		o.list(l)
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"starlingwinch/decide"
-	"starlingwinch/internal/books"
+	"starlingwinch/internal/guard"
 	"starlingwinch/internal/lab"
 	"starlingwinch/internal/lab/bare"
 	"starlingwinch/internal/lab/node"
@@ -148,7 +148,7 @@
 
 // hooked is a module with something done before each event.
 type hooked struct {
-	books.Module
+	guard.Module
 	before func(now decide.Time, ev decide.Event)
 }
 
@@ -158,7 +158,7 @@
 }
 
 func TestCrashIsABrokenRuleWithItsStack(t *testing.T) {
-	crash := lab.Options{Wrap: func(m books.Module) books.Module {
+	crash := lab.Options{Wrap: func(m guard.Module) guard.Module {
 		n := 0
 		return hooked{m, func(_ decide.Time, ev decide.Event) {
 			if _, ok := ev.(*decide.Request); ok {
@@ -228,10 +228,10 @@
 func TestRequestThatIsFollowedTellsItsLife(t *testing.T) {
 	s := calm(time.Second)
 	id := ""
-	mustRun(t, s, lab.Options{Wrap: func(m books.Module) books.Module { return m }, Timeline: func(lab.Time, string) {}})
+	mustRun(t, s, lab.Options{Wrap: func(m guard.Module) guard.Module { return m }, Timeline: func(lab.Time, string) {}})
 	s.Faults = []script.Fault{{Kind: script.Errors, Target: "all", Chance: 1}}
 	s.Faults[0].At = 10 * time.Millisecond
-	defect := lab.Options{Wrap: func(m books.Module) books.Module { return deaf{m} }}
+	defect := lab.Options{Wrap: func(m guard.Module) guard.Module { return deaf{m} }}
 	r := mustRun(t, s, defect)
 	if len(r.Broken) == 0 {
 		t.Fatal("a router that answers nothing breaks no rule")
@@ -246,7 +246,7 @@
 }
 
 // deaf is a module that never hears of a request.
-type deaf struct{ books.Module }
+type deaf struct{ guard.Module }
 
 func (d deaf) Handle(now decide.Time, ev decide.Event) []decide.Action {
 	if _, ok := ev.(*decide.Request); ok {
@@ -322,7 +322,7 @@
 	}
 }
 
-func crashOnError(m books.Module) books.Module {
+func crashOnError(m guard.Module) guard.Module {
 	return hooked{m, func(_ decide.Time, ev decide.Event) {
 		if o, ok := ev.(*decide.Outcome); ok && o.Result == decide.Errored {
 			panic("an error")
--- a/internal/lab/losses.go
+++ b/internal/lab/losses.go
@@ -7,7 +7,7 @@
 	"strings"
 
 	"starlingwinch/decide"
-	"starlingwinch/internal/books"
+	"starlingwinch/internal/guard"
 	"starlingwinch/internal/standin"
 )
 
@@ -45,12 +45,12 @@
 }
 
 // Wrap stands before the module of one process.
-func (l *Losses) Wrap(m books.Module) books.Module {
+func (l *Losses) Wrap(m guard.Module) guard.Module {
 	return &losing{Module: m, all: l, requests: map[int64]*lossy{}}
 }
 
 type losing struct {
-	books.Module
+	guard.Module
 	all      *Losses
 	requests map[int64]*lossy
 }
@@ -67,7 +67,7 @@
 	decide.NoAnswer: "no answer", decide.NoConnection: "no connection", decide.ConnLost: "connection lost",
 	decide.Cancelled: "called off", decide.NotSent: "not sent", decide.NotStored: "not stored"}
 
-// Handle implements books.Module.
+// Handle implements guard.Module.
 func (l *losing) Handle(now Time, ev decide.Event) []decide.Action {
 	switch ev := ev.(type) {
 	case *decide.Request:
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -1,7 +1,7 @@
 package lab
 
 import (
-	"starlingwinch/internal/books"
+	"starlingwinch/internal/guard"
 	"starlingwinch/internal/hooks"
 	"starlingwinch/internal/machine"
 	"starlingwinch/internal/store"
@@ -27,7 +27,7 @@
 	Operator []OperatorFile
 	Hooks    hooks.Config
 	// Wrap, where it is not nil, stands between the router and its decision module: this is how a defect is planted.
-	Wrap func(books.Module) books.Module
+	Wrap func(guard.Module) guard.Module
 	// State says where the router keeps what it has learned; the zero value is nowhere.
 	State store.Config
 	// Storm, where it is not nil, is what operators say of storms.
--- a/internal/lab/planted/hooks.go
+++ b/internal/lab/planted/hooks.go
@@ -4,7 +4,7 @@
 	"bytes"
 
 	"starlingwinch/decide"
-	"starlingwinch/internal/books"
+	"starlingwinch/internal/guard"
 	"starlingwinch/internal/hooks"
 	"starlingwinch/internal/lab"
 	"starlingwinch/internal/machine"
@@ -67,7 +67,7 @@
 // passedTwice carries out twice what the module says of a request that has just come to it.
 func passedTwice() filter {
 	x := newExtra()
-	return x.translate(filter{handle: func(m books.Module, now decide.Time, ev decide.Event) []decide.Action {
+	return x.translate(filter{handle: func(m guard.Module, now decide.Time, ev decide.Event) []decide.Action {
 		actions := m.Handle(now, ev)
 		if _, ok := ev.(*decide.Request); !ok {
 			return actions
--- a/internal/lab/planted/planted.go
+++ b/internal/lab/planted/planted.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"starlingwinch/decide"
-	"starlingwinch/internal/books"
+	"starlingwinch/internal/guard"
 	"starlingwinch/internal/lab"
 	"starlingwinch/internal/lab/script"
 )
@@ -149,7 +149,7 @@
 			}}
 		}),
 		wrap("timers set again for the same instant", lab.Stuck, func() filter {
-			return filter{handle: func(m books.Module, now decide.Time, ev decide.Event) []decide.Action {
+			return filter{handle: func(m guard.Module, now decide.Time, ev decide.Event) []decide.Action {
 				if t, ok := ev.(*decide.Timer); ok {
 					return []decide.Action{decide.SetTimer{Token: t.Token, At: now}}
 				}
@@ -164,7 +164,7 @@
 func coldSoughtOut() filter {
 	cold, since := "", decide.Time(0)
 	return filter{
-		handle: func(m books.Module, now decide.Time, ev decide.Event) []decide.Action {
+		handle: func(m guard.Module, now decide.Time, ev decide.Event) []decide.Action {
 			if l, ok := ev.(*decide.List); ok {
 				for _, e := range l.Entries {
 					if e.Start > now-5_000_000 && e.Condition == decide.Up {
@@ -190,12 +190,12 @@
 type filter struct {
 	event  func(decide.Event) decide.Event // nil keeps it from the module
 	action func(decide.Action) []decide.Action
-	handle func(m books.Module, now decide.Time, ev decide.Event) []decide.Action
+	handle func(m guard.Module, now decide.Time, ev decide.Event) []decide.Action
 }
 
 type filtered struct {
 	filter
-	module books.Module
+	module guard.Module
 }
 
 func (f *filtered) Handle(now decide.Time, ev decide.Event) []decide.Action {
@@ -206,7 +206,7 @@
 	}
 	handle := f.handle
 	if handle == nil {
-		handle = books.Module.Handle
+		handle = guard.Module.Handle
 	}
 	actions := handle(f.module, now, ev)
 	if f.action == nil {
@@ -222,7 +222,7 @@
 // wrap is a defect of a filter, of which each router gets one of its own.
 func wrap(name, rule string, f func() filter) Defect {
 	return Defect{Name: name, Rule: rule, Apply: func(o *lab.Options) {
-		o.Wrap = func(m books.Module) books.Module { return &filtered{f(), m} }
+		o.Wrap = func(m guard.Module) guard.Module { return &filtered{f(), m} }
 	}}
 }
 
@@ -346,7 +346,7 @@
 	}
 	last := map[int64]*sending{}
 	offset := map[int64]int{} // attempts that the module does not know
-	return filter{handle: func(m books.Module, now decide.Time, ev decide.Event) []decide.Action {
+	return filter{handle: func(m guard.Module, now decide.Time, ev decide.Event) []decide.Action {
 		if o, ok := ev.(*decide.Outcome); ok {
 			s := last[o.ID]
 			if s != nil && o.Result == decide.Rejected && !o.Last && s.times < mostPersistent {
--- a/internal/lab/planted/throng.go
+++ b/internal/lab/planted/throng.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 
 	"starlingwinch/decide"
-	"starlingwinch/internal/books"
+	"starlingwinch/internal/guard"
 	"starlingwinch/internal/httpc"
 	"starlingwinch/internal/lab"
 	"starlingwinch/internal/machine"
@@ -23,7 +23,7 @@
 func paced(name string, pause decide.Time) Defect {
 	d := wrap(name, "late drain", func() filter {
 		last := int64(-1) // its own timers have tokens below 0
-		return filter{handle: func(m books.Module, now decide.Time, ev decide.Event) []decide.Action {
+		return filter{handle: func(m guard.Module, now decide.Time, ev decide.Event) []decide.Action {
 			if l, ok := ev.(*decide.List); ok && l.Kind == decide.ListFailed {
 				last--
 				return []decide.Action{decide.SetTimer{Token: last, At: now + pause}}
@@ -56,7 +56,7 @@
 			return nil, err
 		}
 		unmet, doubted := 0, machine.Time(0)
-		c.Wrap = func(module books.Module) books.Module {
+		c.Wrap = func(module guard.Module) guard.Module {
 			return &filtered{filter{event: func(ev decide.Event) decide.Event {
 				o, ok := ev.(*decide.Outcome)
 				if !ok {
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -16,7 +16,7 @@
 	"slices"
 	"strings"
 
-	"starlingwinch/internal/books"
+	"starlingwinch/internal/guard"
 	"starlingwinch/internal/lab/script"
 	"starlingwinch/internal/rules"
 	"starlingwinch/internal/sim"
@@ -29,7 +29,7 @@
 type Options struct {
 	Node Start // the router under test
 	// Wrap stands between each router and its decision module; see NodeConfig.
-	Wrap func(books.Module) books.Module
+	Wrap func(guard.Module) guard.Module
 	// Storm is what operators say of storms; nil for nothing.
 	Storm *storm.Config
 	// Change, where it is not nil, changes each script before it is played.
--- a/internal/lab/storm.go
+++ b/internal/lab/storm.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"starlingwinch/decide"
-	"starlingwinch/internal/books"
+	"starlingwinch/internal/guard"
 	"starlingwinch/internal/lab/script"
 	"starlingwinch/internal/machine"
 	"starlingwinch/internal/sim"
@@ -155,12 +155,12 @@
 
 // hearing stands behind what a test plants, and hears what the module is told.
 type hearing struct {
-	books.Module
+	guard.Module
 	seen    *stood
 	retries float64
 }
 
-// Handle implements books.Module.
+// Handle implements guard.Module.
 func (h *hearing) Handle(now Time, ev decide.Event) []decide.Action {
 	if p, ok := ev.(*decide.Pressure); ok {
 		if p.On && h.retries > 0 {
@@ -173,11 +173,11 @@
 
 // standing stands before it, and sees what routers are told to do.
 type standing struct {
-	books.Module
+	guard.Module
 	seen *stood
 }
 
-// Handle implements books.Module.
+// Handle implements guard.Module.
 func (s *standing) Handle(now Time, ev decide.Event) []decide.Action {
 	actions := s.Module.Handle(now, ev)
 	for _, a := range actions {
@@ -209,7 +209,7 @@
 	base.Length = time.Duration(s.Before+s.Outage+s.For) * time.Microsecond
 	stood := &stood{waits: map[Time]int{}}
 	wrap := o.Wrap
-	o.Wrap = func(m books.Module) books.Module {
+	o.Wrap = func(m guard.Module) guard.Module {
 		m = &hearing{m, stood, 0}
 		if wrap != nil {
 			m = wrap(m)
--- a/internal/lab/storm_test.go
+++ b/internal/lab/storm_test.go
@@ -7,7 +7,7 @@
 	"testing"
 
 	"starlingwinch/decide"
-	"starlingwinch/internal/books"
+	"starlingwinch/internal/guard"
 	"starlingwinch/internal/lab"
 	"starlingwinch/internal/lab/node"
 	"starlingwinch/internal/storm"
@@ -108,7 +108,7 @@
 
 // tampered stands between a router and its module and changes what either says.
 type tampered struct {
-	books.Module
+	guard.Module
 	event  func(decide.Event) decide.Event
 	action func(decide.Action) decide.Action
 }
@@ -130,7 +130,7 @@
 func TestPlantedDefectWaitsAllEqualIsFound(t *testing.T) {
 	slow(t)
 	inStep := func(r *lab.StormResult) float64 { return r.InStep }
-	planted := lab.Options{Wrap: func(m books.Module) books.Module {
+	planted := lab.Options{Wrap: func(m guard.Module) guard.Module {
 		return &tampered{Module: m, action: func(a decide.Action) decide.Action {
 			if r, ok := a.(decide.Refuse); ok {
 				r.Wait = 500_000
@@ -147,7 +147,7 @@
 func TestPlantedDefectRetriesAsFirstTriesIsFound(t *testing.T) {
 	slow(t)
 	share := func(r *lab.StormResult) float64 { return r.Share() }
-	planted := lab.Options{Wrap: func(m books.Module) books.Module {
+	planted := lab.Options{Wrap: func(m guard.Module) guard.Module {
 		return &tampered{Module: m, event: func(ev decide.Event) decide.Event {
 			if q, ok := ev.(*decide.Request); ok {
 				q.Since = 0
@@ -182,7 +182,7 @@
 		s.Load = 0.1
 		return play(t, s, o).Jump
 	}
-	planted := lab.Options{Wrap: func(m books.Module) books.Module {
+	planted := lab.Options{Wrap: func(m guard.Module) guard.Module {
 		return &tampered{Module: m, event: func(ev decide.Event) decide.Event {
 			if p, ok := ev.(*decide.Pressure); ok && p.Retries > storm.Default().Retries {
 				p.Retries = 1
--- a/internal/machine/conn_test.go
+++ b/internal/machine/conn_test.go
@@ -10,6 +10,7 @@
 	"sync"
 	"syscall"
 	"testing"
+	"time"
 )
 
 // echo sends back what comes, in the order in which it came, and reads no more than it can send.
@@ -379,3 +380,33 @@
 		t.Cleanup(func() { syscall.Close(fd) })
 	}
 }
+
+// TestEndIsSeenInTurnThatStandsStill: the process is held up in a turn, and the other side leaves meanwhile. The kernel told
+// of nothing when the turn began.
+func TestEndIsSeenInTurnThatStandsStill(t *testing.T) {
+	for name, leave := range map[string]func(*net.TCPConn){
+		"closed":      func(c *net.TCPConn) { c.Close() },
+		"half closed": func(c *net.TCPConn) { c.CloseWrite() },
+		"reset": func(c *net.TCPConn) {
+			c.SetLinger(0)
+			c.Close()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, Options{})
+			c, other := r.pair(&hooks{})
+			r.do(func() {
+				if err := c.End(); err != nil {
+					t.Errorf("an open connection has ended: %v", err)
+				}
+				leave(other)
+				for end := time.Now().Add(patience); c.End() == nil; {
+					if time.Now().After(end) {
+						t.Error("the end is not seen in this turn")
+						return
+					}
+				}
+			})
+		})
+	}
+}
--- a/internal/router/bench_test.go
+++ b/internal/router/bench_test.go
@@ -195,7 +195,7 @@
 		done += n
 	}
 	b.StopTimer()
-	if r.open > 0 || r.books.Breaches() > 0 {
-		b.Fatalf("%d requests are open, %d breaches", r.open, r.books.Breaches())
+	if r.open > 0 || r.contract.Breaches() > 0 {
+		b.Fatalf("%d requests are open, %d breaches", r.open, r.contract.Breaches())
 	}
 }
--- a/internal/router/books_test.go
+++ b/internal/router/books_test.go
@@ -5,13 +5,13 @@
 	"testing"
 
 	"starlingwinch/decide"
-	"starlingwinch/internal/books"
+	"starlingwinch/internal/guard"
 	"starlingwinch/internal/routertest"
 )
 
 // forgetful is a module whose sends the loop loses: they never reach it.
 type forgetful struct {
-	books.Module
+	guard.Module
 	lost chan decide.Send
 }
 
@@ -41,7 +41,7 @@
 			t.Error(err)
 			return
 		}
-		// The loop loses what the books have let pass.
+		// The loop loses what the contract has let pass.
 		s.r.module = forgetful{s.r.module, lost}
 		s.addr = s.r.Addr()
 	})
@@ -55,9 +55,9 @@
 	if got := c.Line(); !strings.HasPrefix(got, "-") {
 		t.Errorf("answered %q", got)
 	}
-	lines.Want(t, "books: outcome-missing")
+	lines.Want(t, "contract: outcome-missing")
 	s.Until("the end of the request", func() bool {
-		return s.r.books.Open() == 0 && len(s.r.requests) == 0
+		return s.r.contract.Open() == 0 && len(s.r.requests) == 0
 	})
 	s.Do(func() {
 		if n := s.r.Left()["breaches"]; n == 0 {
--- a/internal/router/client_test.go
+++ b/internal/router/client_test.go
@@ -211,7 +211,7 @@
 	// The command on the wire is made huge: no socket takes it at once.
 	r.Do(func() {
 		request := r.r.requests[q.id]
-		s := &sending{request: request}
+		s := &sending{router: r.r, request: request}
 		s.Attempt = upstream.Attempt{Work: hugeWork{s}, Sent: r.Now(), StopAt: request.deadline}
 		request.attempts = append(request.attempts, s)
 		request.out++
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -10,10 +10,10 @@
 	"strconv"
 
 	"starlingwinch/decide"
-	"starlingwinch/internal/books"
 	"starlingwinch/internal/discovery"
 	"starlingwinch/internal/eureka"
 	"starlingwinch/internal/fleet"
+	"starlingwinch/internal/guard"
 	"starlingwinch/internal/hooks"
 	"starlingwinch/internal/limits"
 	"starlingwinch/internal/membership"
@@ -48,9 +48,9 @@
 	Storm      storm.Config
 	Fleet      fleet.Operator
 
-	// Wrap puts something between the books and the decision module; nil for nothing. It is there for
+	// Wrap puts something between the contract and the decision module; nil for nothing. It is there for
 	// tests that plant a defect.
-	Wrap func(books.Module) books.Module
+	Wrap func(guard.Module) guard.Module
 }
 
 // Limits are those of the router's machine.
--- a/internal/router/fleet_test.go
+++ b/internal/router/fleet_test.go
@@ -5,8 +5,8 @@
 	"testing"
 
 	"starlingwinch/decide"
-	"starlingwinch/internal/books"
 	"starlingwinch/internal/fleet"
+	"starlingwinch/internal/guard"
 	"starlingwinch/internal/machine"
 	"starlingwinch/internal/routertest"
 )
@@ -74,7 +74,7 @@
 
 // heardBy is a module that notes by how many routers it is told to divide.
 type heardBy struct {
-	books.Module
+	guard.Module
 	routers []int
 }
 
@@ -91,7 +91,7 @@
 	var routers [3]*running
 	for i := range routers {
 		cfg := fleetConfig(t, []string{"n0", "n1", "n2"}[i], addrs[i], addrs, nil)
-		cfg.Wrap = func(m books.Module) books.Module {
+		cfg.Wrap = func(m guard.Module) guard.Module {
 			modules[i] = &heardBy{Module: m}
 			return modules[i]
 		}
--- a/internal/router/harness_test.go
+++ b/internal/router/harness_test.go
@@ -98,7 +98,7 @@
 			s.r.Close()
 			left := s.r.Left()
 			if n := left["breaches"]; n > 0 {
-				t.Errorf("the books have %d breaches", n)
+				t.Errorf("the contract has %d breaches", n)
 			}
 			if left["bytes"] != 0 || left["clients"] != 0 || left["connections"] != 0 {
 				t.Errorf("a closed router holds %v", left)
@@ -164,7 +164,7 @@
 	r := &rig{script: newScript(), t: t}
 	r.running = start(t, cfg, log, func(router *Router) {
 		router.module = r.script
-		router.sweeping.Stop() // its look at the books, which hear of nothing here
+		router.sweeping.Stop() // its look at the contract, which hears of nothing here
 	})
 	return r
 }
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -5,8 +5,8 @@
 	"strings"
 
 	"starlingwinch/decide"
-	"starlingwinch/internal/books"
 	"starlingwinch/internal/front"
+	"starlingwinch/internal/guard"
 	"starlingwinch/internal/plugin"
 	"starlingwinch/internal/resp"
 	"starlingwinch/internal/storm"
@@ -26,8 +26,9 @@
 	read     Time
 	lost     bool // a connection to a cache broke under it
 	over     bool // the final answer is given, or nobody waits for it
-	out      int  // attempts without an outcome
-	untold   int  // events about it that the module is still to be told
+	guard    guard.Request
+	out      int // attempts without an outcome
+	untold   int // events about it that the module is still to be told
 	attempts []*sending
 	room     [1]*sending    // for the one attempt that most need
 	first    sending        // which is it
@@ -37,15 +38,28 @@
 // sending is an attempt of a request. It is what the upstream side sends.
 type sending struct {
 	upstream.Attempt
+	router  *Router
 	request *request
+	to      guard.Cache
 	outcome decide.Outcome // as the module is told of it
 }
 
 // Encode implements upstream.Work.
 func (s *sending) Encode(b []byte, wait Time) []byte { return s.request.cmd.Encode(b, wait) }
 
-// Open implements upstream.Work. The danger: a turn brings what lets a request go out, and behind that its client's end.
-func (s *sending) Open() bool { return !s.request.over && !s.request.slot.Gone() }
+// MaySend implements upstream.Work. A turn may bring what lets a request go out, and behind that its client's end: so the
+// client's connection is looked at again.
+func (s *sending) MaySend(now Time) bool {
+	q := s.request
+	return s.router.guard.MaySend(now, &q.guard, s.to, q.over || q.slot.Gone()) == guard.Allowed
+}
+
+// Began and Whole implement upstream.Work.
+func (s *sending) Began(now, wait Time, whole bool) {
+	s.router.guard.Began(now, &s.request.guard, s.Number, s.to, wait, whole)
+}
+
+func (s *sending) Whole() { s.request.guard.Whole(s.Number) }
 
 // Key implements upstream.Work.
 func (s *sending) Key() uint64 { return s.request.cmd.Hash }
@@ -105,7 +119,7 @@
 		if q := r.requests[a.ID]; q != nil {
 			q.lost = false // whatever broke before, what it lacks now is room
 			r.unserved(q)
-			r.finish(q, front.AppendBusy(nil, a.Wait), plugin.WasRefused)
+			r.refuse(q, a.Wait)
 		}
 	case decide.Fail:
 		if q := r.requests[a.ID]; q != nil {
@@ -173,6 +187,7 @@
 		q.deadline = min(q.deadline, r.endsBy-drainAnswers)
 	}
 	q.attempts = q.room[:0]
+	q.guard = r.guard.Open(q.id, name, cmd.Class, cmd.Unkeyed, q.deadline)
 	s.ID = q.id
 	r.requests[q.id] = q
 	r.open++
@@ -181,11 +196,14 @@
 	}
 }
 
-// Departed notes that a client has closed its connection.
-func (r *Router) Departed(slots []*front.Slot) {
+// Departed notes that a client has closed its connection, or that the router itself has.
+func (r *Router) Departed(slots []*front.Slot, byRouter bool) {
 	var gone []*request
 	for _, s := range slots {
 		if q := r.requests[s.ID]; q != nil && !q.over {
+			if byRouter {
+				r.guard.Closed(r.m.Now(), &q.guard)
+			}
 			gone = append(gone, q)
 			r.abandon(q)
 		}
@@ -206,6 +224,15 @@
 	}
 }
 
+// refuse gives a final answer that promises that another try does no harm; where it might, one that promises nothing.
+func (r *Router) refuse(q *request, wait Time) {
+	if r.guard.MayRefuse(&q.guard) != guard.Allowed {
+		r.finish(q, []byte(front.FailedReply), plugin.WasFailed)
+		return
+	}
+	r.finish(q, front.AppendBusy(nil, wait), plugin.WasRefused)
+}
+
 // say queues an event about a request for the module. The danger: a request that is forgotten
 // before the module has heard that it is over may be sent once more in between, and an attempt that
 // nobody makes has no outcome: its cache's place is taken for good.
@@ -235,6 +262,7 @@
 		}
 	}
 	if answer != nil {
+		r.guard.Answer(r.m.Now(), &q.guard)
 		q.slot.Answer(answer)
 		r.answered(q, o)
 	}
@@ -252,14 +280,17 @@
 func (r *Router) send(a decide.Send) {
 	q := r.requests[a.ID]
 	if q == nil {
-		return // the books have seen it, and make up for it
+		return // the contract has seen it, and make up for it
 	}
 	now := r.m.Now()
 	s := &q.first
 	if len(q.attempts) > 0 {
 		s = &sending{}
 	}
-	s.request = q
+	s.router, s.request, s.to = r, q, guard.Cache{Name: a.Cache}
+	if h := r.caches[a.Cache]; h != nil {
+		s.to.Zone, s.to.Cell = h.entry.Zone, h.entry.Cell
+	}
 	s.Attempt = upstream.Attempt{Work: s, Number: len(q.attempts), Sent: now, StopAt: a.StopAt, WriteBy: a.WriteBy}
 	if s.StopAt == 0 || s.StopAt > q.deadline {
 		s.StopAt = q.deadline
@@ -299,6 +330,7 @@
 		return
 	}
 	q := s.request
+	q.guard.Ended(a.Number, result)
 	q.out--
 	q.lost = q.lost || result == decide.ConnLost
 	r.met(result)
@@ -314,9 +346,9 @@
 	ev.Last = q.over
 }
 
-// balance looks for what the books miss, and makes up for it.
+// balance looks for what the contract misses, and makes up for it.
 func (r *Router) balance() {
-	for _, ev := range r.books.Overdue(r.m.Now()) {
+	for _, ev := range r.contract.Overdue(r.m.Now()) {
 		switch ev := ev.(type) {
 		case *decide.Outcome:
 			q := r.requests[ev.ID]
@@ -336,11 +368,11 @@
 		r.backlog = append(r.backlog, ev)
 	}
 	if len(r.backlog) == 0 {
-		r.books.Check(r.m.Now(), r.pool.InFlight)
+		r.contract.Check(r.m.Now(), r.pool.InFlight)
 	}
 }
 
-func breachLine(b books.Breach) string {
-	return fmt.Sprintf("books: %v, request %d, cache %q: %s; before: %s", b.Kind, b.Request, b.Cache, b.Text,
+func breachLine(b guard.Breach) string {
+	return fmt.Sprintf("contract: %v, request %d, cache %q: %s; before: %s", b.Kind, b.Request, b.Cache, b.Text,
 		strings.Join(b.Trail, " | "))
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -13,10 +13,10 @@
 
 	"starlingwinch/decide"
 	"starlingwinch/internal/alarm"
-	"starlingwinch/internal/books"
 	"starlingwinch/internal/discovery"
 	"starlingwinch/internal/eureka"
 	"starlingwinch/internal/front"
+	"starlingwinch/internal/guard"
 	"starlingwinch/internal/hooks"
 	"starlingwinch/internal/machine"
 	"starlingwinch/internal/membership"
@@ -34,15 +34,16 @@
 	drainPatience = 3_000_000 // of the longest deadline, what a planned restart waits for: clients that wait longer may not
 	drainSlack    = 650_000   // beyond that, for the drain after SIGTERM: SIGKILL may follow 50 ms later
 	doorWait      = 500_000   // that a client is to stay away for which there is no descriptor, at most
-	sweepInterval = 1_000_000 // between looks for idle connections and what the books miss
+	sweepInterval = 1_000_000 // between looks for idle connections and what the contract misses
 )
 
 // Router serves on a machine. Use Start; all methods are for the machine's loop.
 type Router struct {
 	m         machine.Machine
 	cfg       *Config
-	module    books.Module // the books, and the decision module behind them
-	books     *books.Books
+	module    guard.Module // the contract, and the decision module behind them
+	contract  *guard.Contract
+	guard     *guard.Guard
 	decider   *decide.Router // for what it has learned; all else goes through the module
 	keeper    *keeper        // nil where no state is kept
 	front     *front.Front
@@ -102,12 +103,13 @@
 			hungAfter = c.Aim / 2
 		}
 	}
-	var behind books.Module = module
+	var behind guard.Module = module
 	if cfg.Wrap != nil {
 		behind = cfg.Wrap(module)
 	}
-	r.books = books.New(behind, r.breach)
-	r.module = r.books
+	r.contract = guard.NewContract(behind, r.breach)
+	r.guard = guard.NewGuard(&cfg.Settings, r.violated)
+	r.module = r.contract
 	r.storm = newStormWatch(cfg)
 	limits := cfg.Limits
 	if cfg.Fleet.Enabled {
@@ -220,7 +222,7 @@
 		if q := r.requests[id]; !q.over {
 			r.abandon(q)
 			if len(q.attempts) == 0 { // trying again is harmless
-				r.finish(q, front.AppendBusy(nil, r.cfg.Settings.RefuseWait), plugin.WasRefused)
+				r.refuse(q, r.cfg.Settings.RefuseWait)
 			} else {
 				r.finish(q, []byte(front.FailedReply), plugin.WasFailed)
 			}
@@ -262,12 +264,23 @@
 // nothing is asked.
 func (r *Router) Left() map[string]int {
 	return map[string]int{"requests": len(r.requests), "ids": len(r.ids), "open": r.open, "attempts": r.pool.Attempts(),
-		"bytes": int(r.front.Held()), "events": len(r.backlog), "lists": len(r.lists), "breaches": r.books.Breaches(), "verdicts": r.hooks.Left()["verdicts owed"],
+		"bytes": int(r.front.Held()), "events": len(r.backlog), "lists": len(r.lists), "breaches": r.contract.Breaches(), "violations": r.violations(), "verdicts": r.hooks.Left()["verdicts owed"],
 		"timers": r.clock.Len(), "connections": r.pool.Conns() + r.front.Clients()}
 }
 
+// violations is how many rules were broken.
+func (r *Router) violations() int {
+	counts := r.guard.Counts()
+	return counts.Broken()
+}
+
+// violated logs a rule that was broken.
+func (r *Router) violated(v guard.Violation) {
+	r.Log("guard: violated: " + v.String())
+}
+
 // breach logs what broke the contract between the loop and the module, with what led to it.
-func (r *Router) breach(b books.Breach) {
+func (r *Router) breach(b guard.Breach) {
 	r.Log(breachLine(b))
 }
 
--- a/internal/seam/seam_test.go
+++ b/internal/seam/seam_test.go
@@ -19,7 +19,7 @@
 // virtual are the packages that run on a virtual machine.
 var virtual = []string{"decide", "internal/router", "internal/front", "internal/upstream", "internal/discovery",
 	"internal/eureka", "internal/httpc", "internal/httpd", "internal/membership", "internal/sources", "internal/aperture",
-	"internal/resp", "internal/books", "internal/rules", "internal/standin", "internal/standin/registry", "internal/sim",
+	"internal/resp", "internal/guard", "internal/rules", "internal/standin", "internal/standin/registry", "internal/sim",
 	"internal/hooks", "internal/hooks/policy", "internal/hooks/hookstest",
 	"internal/learned", "internal/store"}
 
--- a/internal/upstream/cache.go
+++ b/internal/upstream/cache.go
@@ -5,6 +5,7 @@
 	"sort"
 
 	"starlingwinch/decide"
+	"starlingwinch/internal/guard"
 )
 
 // holdTime is how long an attempt waits for a connection that is out before another cache's is closed for it: a
@@ -112,8 +113,8 @@
 
 // sendable is the last look before an attempt's first byte: all may have changed while it waited.
 func (u *cache) sendable(a *Attempt) bool {
-	now := u.pool.m.Now()
-	return u.up && now < a.StopAt && (a.WriteBy == 0 || now < a.WriteBy) && (a.Work == nil || a.Work.Open())
+	look := guard.Look{Now: u.pool.m.Now(), StopAt: a.StopAt, WriteBy: a.WriteBy, CacheUp: u.up}
+	return look.MayWrite() == guard.Allowed && (a.Work == nil || a.Work.MaySend(look.Now))
 }
 
 // pump gives idle connections to waiting attempts, first come first served, and
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -9,6 +9,9 @@
 	"starlingwinch/internal/resp"
 )
 
+// readsATurn bounds the reads of one connection in one turn, as each may bring as little as a byte.
+const readsATurn = 64
+
 // conn is one connection to a cache. It carries one request at a time: answers
 // come in order, and a quick one must not wait for a slow one.
 type conn struct {
@@ -100,6 +103,9 @@
 	}
 	u.waiting = slices.Delete(u.waiting, 0, 1)
 	c.attempt, a.conn = a, c
+	if now := p.m.Now(); n > 0 && a.Work != nil {
+		a.Work.Began(now, a.StopAt-now, err == nil && n == len(p.out))
+	}
 	switch {
 	case err != nil:
 		a.state = writing
@@ -126,6 +132,9 @@
 		c.broken()
 	case len(c.unwritten) == 0:
 		a.state, c.unwritten = written, nil
+		if a.Work != nil {
+			a.Work.Whole()
+		}
 	}
 }
 
@@ -154,7 +163,11 @@
 		}
 		return
 	}
-	for {
+	for reads := 0; ; reads++ {
+		if reads == readsATurn {
+			c.readOn()
+			return
+		}
 		n, err := c.nc.Read(p.in)
 		if errors.Is(err, machine.ErrWait) {
 			return
@@ -184,6 +197,16 @@
 	}
 }
 
+// readOn has the rest of an answer read in a turn of its own: it may come byte by byte.
+func (c *conn) readOn() {
+	a := c.attempt
+	c.cache.pool.m.Post(func() {
+		if !c.closed && c.attempt == a {
+			c.Readable()
+		}
+	})
+}
+
 // answered takes an answer. It is clean where nothing came behind it.
 func (c *conn) answered(rep *resp.Reply, clean bool) {
 	a := c.attempt
--- a/internal/upstream/harness_test.go
+++ b/internal/upstream/harness_test.go
@@ -33,7 +33,9 @@
 func (w *work) Key() uint64  { return w.key }
 func (w *work) Unsafe() bool { return w.unsafe }
 
-func (w *work) Open() bool { return !w.over }
+func (w *work) MaySend(Time) bool       { return !w.over }
+func (w *work) Began(_, _ Time, _ bool) {}
+func (w *work) Whole()                  {}
 
 func (w *work) Encode(b []byte, wait Time) []byte {
 	meta := fmt.Sprint("c=read,d=", wait/1000)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -26,8 +26,12 @@
 type Work interface {
 	// Encode appends the command as it goes over the wire. wait is how long the router waits.
 	Encode(b []byte, wait Time) []byte
-	// Open reports whether an answer is still wanted: nothing is sent where none is.
-	Open() bool
+	// MaySend is the last look before the first byte: whether it may be written now.
+	MaySend(now Time) bool
+	// Began tells that the first byte was written, and that the cache was told to have so long; whole says that the last
+	// one was too. Where it was not, Whole tells when it is.
+	Began(now, wait Time, whole bool)
+	Whole()
 	// Key is a hash of what it asks for. Unsafe reports whether a wrong word that the answer was lost does harm.
 	Key() uint64
 	Unsafe() bool
