A turn that is held up looks again whether a client has left

Cause: Slot.Gone asks Conn.End, which knows what the kernel told as the turn began; a router that stands still for 0.15 s in a turn sent on for clients that had left 0.1 s ago. Change: where the turn's events are older than 5 ms, End asks the kernel by poll(2).

--- a/internal/machine/conn.go
+++ b/internal/machine/conn.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/netip"
 	"syscall"
+	"time"
 )
 
 // conn is a connection that is up.
@@ -152,8 +153,15 @@
 	return false
 }
 
-// End implements Conn.
+// staleAfter is how old the events of a turn may be for what they tell of a connection's end.
+const staleAfter = 5 * time.Millisecond
+
+// End implements Conn. A turn may be held up, by its own work or by the machine, and the other side leaves meanwhile: where
+// the turn's events are old, the kernel is asked again.
 func (c *conn) End() error {
+	if c.fd >= 0 && !c.over && !c.broken && time.Since(c.m.polled) > staleAfter {
+		c.lookForEnd()
+	}
 	switch {
 	case c.broken || c.failed:
 		return ErrReset
@@ -163,6 +171,14 @@
 	return nil
 }
 
+// lookForEnd asks the kernel whether the connection has ended. It takes nothing out, and an event still tells of it.
+func (c *conn) lookForEnd() {
+	const ends = syscall.EPOLLRDHUP | syscall.EPOLLERR | syscall.EPOLLHUP // poll's numbers are the same
+	if happened, err := c.m.kernel.Poll(c.fd, syscall.EPOLLRDHUP); err == nil {
+		c.note(uint32(happened) & ends)
+	}
+}
+
 // CloseWrite implements Conn.
 func (c *conn) CloseWrite() error {
 	if c.fd < 0 {
--- a/internal/machine/kernel.go
+++ b/internal/machine/kernel.go
@@ -18,8 +18,10 @@
 	// EpollPoll is epoll_wait without waiting. As it can't block, the scheduler is not told of it.
 	EpollPoll func(epoll int, events []syscall.EpollEvent) (n int, err error)
 	EpollWait func(epoll int, events []syscall.EpollEvent, milliseconds int) (n int, err error)
-	EventFD   func() (fd int, err error)
-	Write     func(fd int, b []byte) (n int, err error)
+	// Poll is poll(2) on one descriptor, without waiting.
+	Poll    func(fd int, events int16) (revents int16, err error)
+	EventFD func() (fd int, err error)
+	Write   func(fd int, b []byte) (n int, err error)
 
 	Socket     func(family, kind int) (fd int, err error)
 	SocketPair func() (ends [2]int, err error)
@@ -52,6 +54,7 @@
 		EpollCtl:    syscall.EpollCtl,
 		EpollPoll:   epollPoll,
 		EpollWait:   syscall.EpollWait,
+		Poll:        pollNow,
 		EventFD:     eventFD,
 		Write:       syscall.Write,
 		Socket: func(family, kind int) (int, error) {
@@ -98,6 +101,22 @@
 	return int(n), nil
 }
 
+// pollFD is a struct pollfd of poll(2).
+type pollFD struct {
+	fd              int32
+	events, revents int16
+}
+
+func pollNow(fd int, events int16) (int16, error) {
+	p := pollFD{fd: int32(fd), events: events}
+	var now syscall.Timespec
+	_, _, errno := syscall.RawSyscall6(syscall.SYS_PPOLL, uintptr(unsafe.Pointer(&p)), 1, uintptr(unsafe.Pointer(&now)), 0, 0, 0)
+	if errno != 0 {
+		return 0, errno
+	}
+	return p.revents, nil
+}
+
 // transfer is a send or a receive on a connected socket.
 func transfer(call uintptr, fd int, b []byte, flags int) (int, error) {
 	n, _, errno := syscall.Syscall6(call, uintptr(fd),
--- a/internal/machine/real.go
+++ b/internal/machine/real.go
@@ -33,6 +33,7 @@
 	base    Time // Unix time at the start
 	now     Time
 	running bool
+	polled  time.Time // when the kernel was last asked for events
 
 	poll   *poller
 	timers timers
@@ -140,6 +141,7 @@
 	} else {
 		m.poll.poll()
 	}
+	m.polled = time.Now()
 	m.tick()
 	looked, before := m.now, m.timers.set
 	posted, goesOn := m.inbox.take()
