A log of events with fields and counters by reason; planted defects against the guard

Need: nothing said why a request was retried or refused or a connection closed, and nothing counted it.

Seven planted defects that the guard now prevents are played twice: with the guard, where the rule must not break in 40 runs, and with the guard counting only, where it must be found as before.

--- a/cmd/starlingwinch/run.go
+++ b/cmd/starlingwinch/run.go
@@ -12,6 +12,7 @@
 	"github.com/spf13/cobra"
 
 	"starlingwinch/internal/eureka"
+	"starlingwinch/internal/eventlog"
 	"starlingwinch/internal/fault"
 	"starlingwinch/internal/fleet"
 	"starlingwinch/internal/hooks"
@@ -26,7 +27,7 @@
 )
 
 // kinds are the operators' files that the program knows. A subsystem adds its own here.
-var kinds = opfile.Registry{limits.Kind, membership.Kind, eureka.Kind, hooks.Kind, store.Kind, storm.Kind, fleet.Kind}
+var kinds = opfile.Registry{limits.Kind, membership.Kind, eureka.Kind, hooks.Kind, store.Kind, storm.Kind, fleet.Kind, eventlog.Kind}
 
 const (
 	configVariable = "BALANCER_CONFIG"
@@ -151,6 +152,7 @@
 	cfg.Membership = opfile.Get[membership.Config](files, membership.Kind)
 	cfg.Fleet = opfile.Get[fleet.Operator](files, fleet.Kind)
 	cfg.Build = buildDigest()
+	cfg.Events = opfile.Get[eventlog.Config](files, eventlog.Kind)
 	cfg.Storm = opfile.Get[storm.Config](files, storm.Kind)
 	cfg.Eureka = opfile.Get[eureka.Config](files, eureka.Kind)
 	cfg.State = opfile.Get[store.Config](files, store.Kind)
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -525,6 +525,23 @@
 	}
 }
 
+// closeReason is why the connection ends, for the log.
+func (c *client) closeReason() string {
+	switch {
+	case c.broken:
+		return "reset-by-client"
+	case c.gone:
+		return "ended-by-client"
+	case c.front.closed:
+		return "router-ends"
+	case c.surplus:
+		return "too-many-clients"
+	case c.retired:
+		return "retired"
+	}
+	return "overdue-" + stateNames[c.state]
+}
+
 // close ends the connection. Requests that it still waits for are nobody's any more.
 func (c *client) close() {
 	if c.closed {
@@ -545,6 +562,7 @@
 		}
 	}
 	c.queue, c.part, c.unsent = nil, nil, nil
+	f.desk.ClientClosed(c.closeReason(), len(asked))
 	if len(asked) > 0 {
 		f.desk.Departed(asked, byRouter)
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -40,6 +40,8 @@
 	// Departed says that nobody waits for these answers any more: the client has gone, or, byRouter, its connection was
 	// closed from this side while it still took answers. The desk may still give them.
 	Departed(slots []*Slot, byRouter bool)
+	// ClientClosed says that a connection has ended, why, and how many of its requests were open then.
+	ClientClosed(why string, unanswered int)
 	// Settle follows in the same turn, when all is in order here: the desk may act on what it was told.
 	Settle()
 	// Serving reports whether there is a cache that takes work.
--- a/internal/front/harness_test.go
+++ b/internal/front/harness_test.go
@@ -40,9 +40,11 @@
 	starting bool // no cache is known
 }
 
-func (r *rig) Ask(s *Slot, read Time) { r.asked <- asked{s, &s.Command, read} }
-func (r *rig) Settle()                {}
-func (r *rig) Serving() bool          { return !r.starting }
+func (r *rig) Ask(s *Slot, read Time)   { r.asked <- asked{s, &s.Command, read} }
+func (r *rig) Settle()                  {}
+func (r *rig) Serving() bool            { return !r.starting }
+func (r *rig) ClientClosed(string, int) {}
+
 func (r *rig) Departed(slots []*Slot, _ bool) {
 	for _, s := range slots {
 		r.departed <- s
--- a/internal/front/overdue.go
+++ b/internal/front/overdue.go
@@ -17,6 +17,8 @@
 	states
 )
 
+var stateNames = [states]string{"fresh", "partial", "idle", "busy", "stuck", "surplus", "closing"}
+
 // list holds clients in the order in which they came into a state.
 type list struct{ first, last *client }
 
--- a/internal/guard/request.go
+++ b/internal/guard/request.go
@@ -73,7 +73,10 @@
 	maxAttempts int
 	copies      bool
 	counts      Counts
-	report      func(Violation)
+	// Unarmed has repeats and refusals that are not allowed counted and let through: it is there for tests that plant a
+	// defect, which the guard would prevent.
+	Unarmed bool
+	report  func(Violation)
 }
 
 // NewGuard is a guard for the settings. report is called with each violation.
@@ -154,8 +157,12 @@
 	default:
 		reason = g.mayRepeat(now, q, to)
 	}
-	if reason != Allowed {
-		g.counts.Prevented[reason]++
+	if reason == Allowed {
+		return Allowed
+	}
+	g.counts.Prevented[reason]++
+	if g.Unarmed && reason != Answered && reason != ClientLeft {
+		return Allowed
 	}
 	return reason
 }
@@ -255,6 +262,9 @@
 	for i := range q.attempts {
 		if a := &q.attempts[i]; a.whole && !a.neverRan {
 			g.counts.Prevented[RefusedAfterRun]++
+			if g.Unarmed {
+				return Allowed
+			}
 			return RefusedAfterRun
 		}
 	}
--- a/internal/guard/trail.go
+++ b/internal/guard/trail.go
@@ -32,7 +32,8 @@
 var resultNames = [...]string{"served", "errored", "rejected", "no answer", "no connection", "connection lost",
 	"cancelled", "not sent", "not stored"}
 
-func resultName(r decide.Result) string {
+// ResultName words the outcome of an attempt.
+func ResultName(r decide.Result) string {
 	if int(r) < len(resultNames) {
 		return resultNames[r]
 	}
@@ -78,7 +79,7 @@
 		s += " " + n.cache
 	}
 	if n.what == noteOutcome || n.what == noteProbed {
-		s += " " + resultName(n.result)
+		s += " " + ResultName(n.result)
 	}
 	return s
 }
@@ -108,7 +109,7 @@
 		a := &q.attempts[i]
 		lines = append(lines, fmt.Sprintf("%d send %d/%d %s, given up at %d", a.sent, q.id, i, a.to.name, a.stopAt))
 		if !a.out {
-			lines = append(lines, fmt.Sprintf("%d outcome %d/%d %s", a.ended, q.id, i, resultName(a.result)))
+			lines = append(lines, fmt.Sprintf("%d outcome %d/%d %s", a.ended, q.id, i, ResultName(a.result)))
 		}
 	}
 	if q.departed {
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -28,6 +28,8 @@
 	Hooks    hooks.Config
 	// Wrap, where it is not nil, stands between the router and its decision module: this is how a defect is planted.
 	Wrap func(guard.Module) guard.Module
+	// Unguarded has the router's guard prevent nothing, for defects that it would.
+	Unguarded bool
 	// State says where the router keeps what it has learned; the zero value is nowhere.
 	State store.Config
 	// Storm, where it is not nil, is what operators say of storms.
--- a/internal/lab/node/node.go
+++ b/internal/lab/node/node.go
@@ -27,7 +27,7 @@
 	}
 	cfg.Membership = opfile.Get[membership.Config](files, membership.Kind)
 	cfg.Eureka = opfile.Get[eureka.Config](files, eureka.Kind)
-	cfg.Wrap, cfg.State = c.Wrap, c.State
+	cfg.Wrap, cfg.Unguarded, cfg.State = c.Wrap, c.Unguarded, c.State
 	if c.Storm != nil {
 		cfg.Storm = *c.Storm
 	}
--- a/internal/lab/planted/hooks.go
+++ b/internal/lab/planted/hooks.go
@@ -41,7 +41,7 @@
 				return n, err
 			}
 		}),
-		wrap("requests that hooks pass sent twice", "second copy", passedTwice),
+		guarded(wrap("requests that hooks pass sent twice", "second copy", passedTwice)),
 		tampered("workers of hooks never ended", "left behind", func(t *tamper) { t.keepsWorkers = true }),
 	)
 }
--- a/internal/lab/planted/planted.go
+++ b/internal/lab/planted/planted.go
@@ -22,6 +22,8 @@
 	// Masked tells that the router's side of the caches does not carry out what the module wrongly asks for: such a
 	// defect shows in a router without that second guard only.
 	Masked bool
+	// Guarded tells that the router's guard prevents it: it shows where the guard is told to prevent nothing.
+	Guarded bool
 	// Length of the scripts that it shows in, where those of the search are too short; 0 where any will do.
 	Length time.Duration
 	// Registry tells that it shows in worlds with a registry only.
@@ -85,15 +87,15 @@
 				return []decide.Action{a}
 			}}
 		}),
-		wrap("failures told as refusals", "refused after it may have run", func() filter {
+		guarded(wrap("failures told as refusals", "refused after it may have run", func() filter {
 			return filter{action: func(a decide.Action) []decide.Action {
 				if f, ok := a.(decide.Fail); ok {
 					return []decide.Action{decide.Refuse{ID: f.ID}}
 				}
 				return []decide.Action{a}
 			}}
-		}),
-		wrap("errors taken for refusals of the cache", "unsafe request sent again", func() filter {
+		})),
+		guarded(wrap("errors taken for refusals of the cache", "unsafe request sent again", func() filter {
 			return filter{event: func(ev decide.Event) decide.Event {
 				if o, ok := ev.(*decide.Outcome); ok && o.Result == decide.Errored {
 					other := *o
@@ -102,13 +104,13 @@
 				}
 				return ev
 			}}
-		}),
-		wrap("unsafe writes taken for reads", "unsafe request sent again", func() filter {
+		})),
+		guarded(wrap("unsafe writes taken for reads", "unsafe request sent again", func() filter {
 			return takenForReads("merge-log")
-		}),
-		wrap("keyed writes taken for reads", "keyed request sent again", func() filter {
+		})),
+		guarded(wrap("keyed writes taken for reads", "keyed request sent again", func() filter {
 			return takenForReads("add-contact", "confirm-contact")
-		}),
+		})),
 		masked("drains taken for service", "late drain", func() filter {
 			return entries(func(e *decide.Entry) {
 				if e.Condition == decide.Draining {
@@ -130,8 +132,8 @@
 			}}
 		}),
 		wrap("a cold cache sought out", "cold cache pushed over", coldSoughtOut),
-		wrap("second copies whatever is allowed", "second copy", secondCopies),
-		wrap("attempts that were turned away made for ever", "too many attempts", persistent),
+		guarded(wrap("second copies whatever is allowed", "second copy", secondCopies)),
+		guarded(wrap("attempts that were turned away made for ever", "too many attempts", persistent)),
 		wrap("a connection that breaks not expected", lab.Crash, func() filter {
 			return filter{event: func(ev decide.Event) decide.Event {
 				if o, ok := ev.(*decide.Outcome); ok && o.Result == decide.ConnLost {
@@ -226,6 +228,12 @@
 	}}
 }
 
+// guarded is a defect that the router's guard prevents.
+func guarded(d Defect) Defect {
+	d.Guarded = true
+	return d
+}
+
 // masked is wrap for a defect that the router guards against a second time.
 func masked(name, rule string, f func() filter) Defect {
 	d := wrap(name, rule, f)
--- a/internal/lab/planted/planted_test.go
+++ b/internal/lab/planted/planted_test.go
@@ -13,7 +13,9 @@
 
 const (
 	mostSeeds = 500
-	length    = 3 * time.Second
+	// guardedSeeds is how many runs a defect that the guard prevents must not show in.
+	guardedSeeds = 40
+	length       = 3 * time.Second
 )
 
 func TestPlantedDefectsAreFound(t *testing.T) {
@@ -27,6 +29,12 @@
 			if d.Masked {
 				o.Node = bare.Start
 			}
+			if d.Guarded {
+				if run, broke, err := d.Find(t.Context(), o, guardedSeeds, length); broke || err != nil {
+					t.Errorf("the guard does not prevent it: %q breaks in run %d, %v", d.Rule, run, err)
+				}
+				o.Unguarded = true
+			}
 			runs, found, err := d.Find(t.Context(), o, mostSeeds, length)
 			switch {
 			case err != nil:
--- a/internal/lab/router.go
+++ b/internal/lab/router.go
@@ -79,7 +79,7 @@
 }
 
 func (r *router) config() NodeConfig {
-	return NodeConfig{JSON: r.w.routerSettings(r).JSON(), Wrap: r.w.o.Wrap, Hooks: r.w.hooked.config(), Operator: r.w.registry.files(r.addr),
+	return NodeConfig{JSON: r.w.routerSettings(r).JSON(), Wrap: r.w.o.Wrap, Unguarded: r.w.o.Unguarded, Hooks: r.w.hooked.config(), Operator: r.w.registry.files(r.addr),
 		State: r.w.o.State, Storm: r.w.o.Storm}
 }
 
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -30,6 +30,8 @@
 	Node Start // the router under test
 	// Wrap stands between each router and its decision module; see NodeConfig.
 	Wrap func(guard.Module) guard.Module
+	// Unguarded has the routers' guard prevent nothing; see NodeConfig.
+	Unguarded bool
 	// Storm is what operators say of storms; nil for nothing.
 	Storm *storm.Config
 	// Change, where it is not nil, changes each script before it is played.
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -12,6 +12,7 @@
 	"starlingwinch/decide"
 	"starlingwinch/internal/discovery"
 	"starlingwinch/internal/eureka"
+	"starlingwinch/internal/eventlog"
 	"starlingwinch/internal/fleet"
 	"starlingwinch/internal/guard"
 	"starlingwinch/internal/hooks"
@@ -46,11 +47,14 @@
 	Hooks      hooks.Config
 	State      store.Config
 	Storm      storm.Config
+	Events     eventlog.Config
 	Fleet      fleet.Operator
 
 	// Wrap puts something between the contract and the decision module; nil for nothing. It is there for
 	// tests that plant a defect.
 	Wrap func(guard.Module) guard.Module
+	// Unguarded has the guard count what is not allowed and prevent none of it. It is there for the same tests.
+	Unguarded bool
 }
 
 // Limits are those of the router's machine.
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"starlingwinch/decide"
+	"starlingwinch/internal/eventlog"
 	"starlingwinch/internal/front"
 	"starlingwinch/internal/guard"
 	"starlingwinch/internal/plugin"
@@ -119,11 +120,13 @@
 		if q := r.requests[a.ID]; q != nil {
 			q.lost = false // whatever broke before, what it lacks now is room
 			r.unserved(q)
+			r.unanswered(q, eventlog.RequestRefused, a.Why.String())
 			r.refuse(q, a.Wait)
 		}
 	case decide.Fail:
 		if q := r.requests[a.ID]; q != nil {
 			r.unserved(q)
+			r.unanswered(q, eventlog.RequestFailed, a.Why.String())
 			r.finish(q, []byte(front.FailedReply), plugin.WasFailed)
 		}
 	case decide.SetTimer:
@@ -285,6 +288,7 @@
 	now := r.m.Now()
 	s := &q.first
 	if len(q.attempts) > 0 {
+		r.retried(q, a.Cache)
 		s = &sending{}
 	}
 	s.router, s.request, s.to = r, q, guard.Cache{Name: a.Cache}
@@ -331,6 +335,7 @@
 	}
 	q := s.request
 	q.guard.Ended(a.Number, result)
+	r.attemptEnded(q, a, result, elapsed)
 	q.out--
 	q.lost = q.lost || result == decide.ConnLost
 	r.met(result)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -8,6 +8,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"maps"
 	"slices"
 
@@ -15,6 +16,7 @@
 	"starlingwinch/internal/alarm"
 	"starlingwinch/internal/discovery"
 	"starlingwinch/internal/eureka"
+	"starlingwinch/internal/eventlog"
 	"starlingwinch/internal/front"
 	"starlingwinch/internal/guard"
 	"starlingwinch/internal/hooks"
@@ -44,6 +46,8 @@
 	module    guard.Module // the contract, and the decision module behind them
 	contract  *guard.Contract
 	guard     *guard.Guard
+	events    *eventlog.Log
+	counted   Time           // when the counters of events were written last
 	decider   *decide.Router // for what it has learned; all else goes through the module
 	keeper    *keeper        // nil where no state is kept
 	front     *front.Front
@@ -109,6 +113,8 @@
 	}
 	r.contract = guard.NewContract(behind, r.breach)
 	r.guard = guard.NewGuard(&cfg.Settings, r.violated)
+	r.guard.Unarmed = cfg.Unguarded
+	r.events = eventlog.New(cfg.Events, m.Now, r.Log)
 	r.module = r.contract
 	r.storm = newStormWatch(cfg)
 	limits := cfg.Limits
@@ -147,6 +153,7 @@
 		r.Close()
 		return nil, err
 	}
+	r.counted = m.Now()
 	r.sweeping = m.At(m.Now()+sweepInterval, r.sweep)
 	if r.storm != nil {
 		r.tick()
@@ -236,6 +243,7 @@
 	if r.closed {
 		return
 	}
+	r.events.WriteCounters()
 	r.closed = true
 	r.sources.Stop()
 	if r.enrolled != nil {
@@ -276,7 +284,8 @@
 
 // violated logs a rule that was broken.
 func (r *Router) violated(v guard.Violation) {
-	r.Log("guard: violated: " + v.String())
+	r.events.Add(eventlog.Violation, v.Reason.String(), slog.Int64("request", v.Request), slog.String("id", v.Name),
+		slog.Int("attempt", v.Attempt), slog.String("cache", v.Cache), slog.Int64("by_us", v.Figure))
 }
 
 // breach logs what broke the contract between the loop and the module, with what led to it.
@@ -288,6 +297,10 @@
 func (r *Router) sweep() {
 	r.pool.Sweep()
 	r.divide() // a hold may be over
+	if now := r.m.Now(); now-r.counted >= r.cfg.Events.Counters.Microseconds() {
+		r.counted = now
+		r.events.WriteCounters()
+	}
 	r.Settle()
 	r.balance()
 	r.Settle()
