lab soak: router processes under troubles that overlap, failing calls among them

Need: troubles that coincide were played on the virtual machine alone, and failing calls in no process of our own.

--- a/internal/lab/loopback/faults.go
+++ b/internal/lab/loopback/faults.go
@@ -115,6 +115,10 @@
 		script.RouterTerm: {begin: func(fs *faults, x script.Fault) {
 			fs.routers(x, func(rt *router) { rt.term(true) })
 		}},
+		script.Stall: {
+			begin: func(fs *faults, x script.Fault) { fs.routers(x, func(rt *router) { rt.signal(syscall.SIGSTOP) }) },
+			end:   func(fs *faults, x script.Fault) { fs.routers(x, func(rt *router) { rt.signal(syscall.SIGCONT) }) },
+		},
 		script.HangUp: {begin: func(fs *faults, x script.Fault) {
 			fs.routers(x, func(rt *router) { rt.signal(syscall.SIGHUP) })
 		}},
@@ -162,6 +166,9 @@
 // end has no further fault begin, and ends the hostile clients.
 func (fs *faults) end() {
 	fs.over = true
+	for _, rt := range fs.r.routers {
+		rt.signal(syscall.SIGCONT) // one that stands still can't be told to end
+	}
 	for _, h := range fs.hostile {
 		h.Stop()
 	}
--- a/internal/lab/loopback/loopback.go
+++ b/internal/lab/loopback/loopback.go
@@ -37,6 +37,10 @@
 	Storm *Storm // nil for none
 	Fleet *Fleet // likewise
 
+	// Calls says which system calls of the routers fail, in the words of faultkernel.Parse; the program has to be one that
+	// BuildTrial has built. "" for none.
+	Calls string
+
 	Ready func(Addresses) // once all routers serve; may be nil
 	// See is called every second from then on; may be nil. An error ends the run like an interrupt: nobody looks on.
 	See func(Snapshot) error
@@ -89,9 +93,10 @@
 type RouterReport struct {
 	Name        string
 	Starts      int
-	PeakRSS     int64 // bytes, the most of any of its processes
-	Descriptors int   // the most that were seen
-	Lines       int   // of its log
+	PeakRSS     int64           // bytes, the most of any of its processes
+	Descriptors int             // the most that were seen
+	Lines       int             // of its log
+	Counters    map[string]bool // the names of those that its log tells of
 	Tail        []string
 }
 
--- a/internal/lab/loopback/router.go
+++ b/internal/lab/loopback/router.go
@@ -20,8 +20,12 @@
 const (
 	mostTail    = 40 // last lines of its log
 	servingLine = "serving on "
-	pingAgain   = 10 * millisecond
-	pingWithin  = second
+	// Lines by which a router tells that it broke a rule, or the contract between its parts, and what it has counted.
+	violationLine = "msg=violation "
+	contractLine  = "contract: "
+	countersLine  = "msg=counters "
+	pingAgain     = 10 * millisecond
+	pingWithin    = second
 )
 
 // stopDealing is how long after SIGTERM the front goes on dealing connections to a router.
@@ -135,6 +139,9 @@
 
 	cmd := exec.Command(r.program, rt.args...)
 	cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+rt.config)
+	if r.o.Calls != "" {
+		cmd.Env = append(cmd.Env, fmt.Sprintf("STARLINGWINCH_FAULTS=seed=%d,%s", r.o.Script.Seed, r.o.Calls))
+	}
 	line := func(text string) { r.m.Post(func() { rt.line(life, text) }) }
 	ended := func(s *os.ProcessState) { r.m.Post(func() { rt.ended(life, s) }) }
 	var p *process
@@ -176,6 +183,12 @@
 		rt.report.Tail = rt.report.Tail[1:]
 	}
 	rt.report.Tail = append(rt.report.Tail, text)
+	if strings.Contains(text, violationLine) || strings.Contains(text, contractLine) {
+		rt.r.trouble("%s says that it broke a rule: %s", rt.name, text)
+	}
+	if _, counters, told := strings.Cut(text, countersLine); told {
+		rt.count(counters)
+	}
 	_, addr, found := strings.Cut(text, servingLine)
 	if !found || rt.life != life || rt.state != coming {
 		return
@@ -186,6 +199,17 @@
 	rt.ping(life)
 }
 
+// count takes in the names of counters.
+func (rt *router) count(line string) {
+	if rt.report.Counters == nil {
+		rt.report.Counters = map[string]bool{}
+	}
+	for field := range strings.FieldsSeq(line) {
+		name, _, _ := strings.Cut(field, "=")
+		rt.report.Counters[strings.Trim(name, `"`)] = true
+	}
+}
+
 // ping asks the router until it answers +PONG: only then it is used.
 func (rt *router) ping(life int) {
 	if rt.life != life || rt.state != coming {
