--- a/decide/api.go
+++ b/decide/api.go
@@ -16,6 +16,10 @@
 // Time is an instant or a span in microseconds. The zero of the clock is arbitrary.
 type Time = int64
 
+// HeldUp is for how long a router may stand still between a look at its clock and the write that follows it: the operators'
+// terms name the figure.
+const HeldUp Time = 150_000
+
 // Effect says what may happen when a request is carried out twice.
 type Effect uint8
 
--- a/internal/guard/request.go
+++ b/internal/guard/request.go
@@ -32,10 +32,6 @@
 
 func (r Reason) String() string { return reasonNames[r] }
 
-// HeldUp is for how long a router may stand still between a look at its clock and the write that follows it: the operators'
-// terms name the figure.
-const HeldUp decide.Time = 150_000
-
 // Violation is a rule that was broken, as far as this router can see.
 type Violation struct {
 	Reason  Reason
