--- a/internal/machine/faultkernel/faultkernel.go
+++ b/internal/machine/faultkernel/faultkernel.go
@@ -27,6 +27,8 @@
 	Broken      float64 // send and recv on a connection that was dialed: it is broken, ETIMEDOUT or EHOSTUNREACH
 	Disk        float64 // a change on the disk: ENOSPC, EIO; a content may be half written
 
+	Hold float64 // the process stands still before a send, for up to the 0.15 s that the operators' terms name
+
 	Burst time.Duration // for how long a call goes on failing once it has failed for a lack of something
 
 	ClockStep  time.Duration // by which the system's clock is wrong
@@ -197,6 +199,7 @@
 		return real.Recv(fd, b[:s.shortened(len(b), s.rates.ShortReads, s.rates.ReadMost)], flags)
 	}
 	k.Send = func(fd int, b []byte) (int, error) {
+		s.hold()
 		if err := s.transferFails("send", fd); err != nil {
 			return 0, err
 		}
@@ -219,6 +222,23 @@
 	}
 }
 
+// longestHold is for how long a process may stand still.
+const longestHold = 150 * time.Millisecond
+
+// hold draws whether the process stands still, and does so.
+func (s *source) hold() {
+	if s.rates.Hold <= 0 {
+		return
+	}
+	s.mu.Lock()
+	holds := s.random.Float64() < s.rates.Hold
+	span := time.Duration(s.random.Int64N(int64(longestHold)))
+	s.mu.Unlock()
+	if holds {
+		time.Sleep(span)
+	}
+}
+
 // transferFails draws whether a call on a connected socket fails.
 func (s *source) transferFails(call string, fd int) error {
 	if s.interrupted() {
--- a/internal/machine/faultkernel/parse.go
+++ b/internal/machine/faultkernel/parse.go
@@ -12,7 +12,7 @@
 func Parse(text string) (seed uint64, rates Rates, err error) {
 	chances := map[string]*float64{"short_reads": &rates.ShortReads, "short_writes": &rates.ShortWrites,
 		"interrupted": &rates.Interrupted, "accept": &rates.Accept, "socket": &rates.Socket, "connect": &rates.Connect,
-		"register": &rates.Register, "wake": &rates.Wake, "memory": &rates.Memory, "broken": &rates.Broken,
+		"register": &rates.Register, "wake": &rates.Wake, "memory": &rates.Memory, "broken": &rates.Broken, "hold": &rates.Hold,
 		"disk": &rates.Disk}
 	spans := map[string]*time.Duration{"burst": &rates.Burst, "clock_step": &rates.ClockStep,
 		"clock_after": &rates.ClockAfter}
