Failing test: of two reloads the older file may win

Need: a SIGHUP while the files of an earlier one are still read starts a second reading beside it; whichever ends last counts. Forced by a pipe in the place of the configuration: discovery ends at the older file's address.

--- a/cmd/starlingwinch/main_test.go
+++ b/cmd/starlingwinch/main_test.go
@@ -47,6 +47,9 @@
 	cmd  *exec.Cmd
 	addr string
 	log  *bufio.Reader
+
+	moves    int    // how often the log said that discovery moves
+	lastMove string // ... and where to, last
 }
 
 func start(t *testing.T, cmd *exec.Cmd) *started {
@@ -73,12 +76,20 @@
 		if err != nil {
 			t.Fatalf("%q was not logged: %v", text, err)
 		}
+		s.note(line)
 		if _, rest, ok := strings.Cut(strings.TrimSpace(line), text); ok {
 			return rest
 		}
 	}
 }
 
+// note takes in what a line of the log tells.
+func (s *started) note(line string) {
+	if _, addr, ok := strings.Cut(strings.TrimSpace(line), "discovery moves to "); ok {
+		s.moves, s.lastMove = s.moves+1, addr
+	}
+}
+
 // end sends SIGTERM and waits for the program.
 func (s *started) end(t *testing.T) {
 	t.Helper()
@@ -86,6 +97,9 @@
 		t.Fatal(err)
 	}
 	rest, _ := io.ReadAll(s.log)
+	for line := range strings.Lines(string(rest)) {
+		s.note(line)
+	}
 	if err := s.cmd.Wait(); err != nil {
 		t.Errorf("after SIGTERM: %v\n%s", err, rest)
 	}
--- /dev/null
+++ b/cmd/starlingwinch/reload_test.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+)
+
+// TestReloadsTakeEffectInTheOrderOfTheirSignals: the first reload is held up as it reads (its file is a pipe), and a second
+// signal comes for a newer file meanwhile. The newer file is the one that counts in the end.
+func TestReloadsTakeEffectInTheOrderOfTheirSignals(t *testing.T) {
+	first := fmt.Sprintf(config, "127.0.0.1:0")
+	at := func(port int) string {
+		return strings.Replace(first, `"discovery":"127.0.0.1:1"`, fmt.Sprintf(`"discovery":"127.0.0.1:%d"`, port), 1)
+	}
+	path := file(t, "config.json", first)
+	s := start(t, command(t, "run", "--config", path))
+	pipe := filepath.Join(filepath.Dir(path), "pipe")
+	if err := syscall.Mkfifo(pipe, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Rename(pipe, path); err != nil {
+		t.Fatal(err)
+	}
+	s.hangUp(t)
+	older, err := os.OpenFile(path, os.O_WRONLY, 0) // waits until the program reads
+	if err != nil {
+		t.Fatal(err)
+	}
+	newer := file(t, "newer.json", at(3))
+	if err := os.Rename(newer, path); err != nil {
+		t.Fatal(err)
+	}
+	s.hangUp(t)
+	s.wait(t, "SIGHUP: ") // the second signal was taken
+	if _, err := older.WriteString(at(2)); err != nil {
+		t.Fatal(err)
+	}
+	older.Close()
+	for s.moves < 2 {
+		s.wait(t, "discovery moves to ")
+	}
+	s.end(t)
+	if last := s.lastMove; last != "127.0.0.1:3" {
+		t.Errorf("discovery is at %s in the end, the newest file says 127.0.0.1:3", last)
+	}
+}
