Reloads read one after another; signals are kept from the start's first moment

Cause: each SIGHUP began a reading of its own beside the loop, two of which may run at once, and the last to end counted; signals were taken only after the poller was open, which may now take seconds of retries. Change: a signal that comes while files are read has them read again afterwards; machine.New takes the signals first.

--- a/cmd/starlingwinch/run.go
+++ b/cmd/starlingwinch/run.go
@@ -89,9 +89,10 @@
 		return errors.New(strings.Join(append(warnings, "starlingwinch: "+err.Error()), "\n"))
 	}
 	warn(m, warnings)
+	reloads := reloader{inputs: s, m: m, router: r}
 	m.Signals(func(sig machine.Signal) {
 		if sig == machine.HangUp {
-			s.reload(m, r)
+			reloads.begin()
 		} else {
 			r.Drain(m.Stop)
 		}
@@ -100,21 +101,46 @@
 	return nil
 }
 
-// reload reads the files again, beside the loop, and has the router take them over.
-func (s inputs) reload(m machine.Machine, r *router.Router) {
+// reloader reads the files again at each SIGHUP, beside the loop, and has the router take them over. It reads one set of files
+// at a time: of two that were read side by side the older might be taken over last.
+type reloader struct {
+	inputs inputs
+	m      machine.Machine
+	router *router.Router
+	reads  bool // files are being read
+	again  bool // ... and a signal has come since
+}
+
+func (l *reloader) begin() {
+	if l.reads {
+		l.again = true
+		l.m.Log("SIGHUP: the files are read again once those of the signal before are")
+		return
+	}
+	l.reads = true
 	var next *router.Config
 	var warnings []string
 	var err error
-	m.Work(func() { next, warnings, err = s.load() }, func() {
-		if err != nil {
-			m.Log("SIGHUP: the old configuration stays: " + strings.ReplaceAll(err.Error(), "\n", "; "))
-			return
+	l.m.Work(func() { next, warnings, err = l.inputs.load() }, func() {
+		l.reads = false
+		l.take(next, warnings, err)
+		if l.again {
+			l.again = false
+			l.begin()
 		}
-		warn(m, warnings)
-		r.Reload(next)
 	})
 }
 
+// take has the router take over what was read.
+func (l *reloader) take(next *router.Config, warnings []string, err error) {
+	if err != nil {
+		l.m.Log("SIGHUP: the old configuration stays: " + strings.ReplaceAll(err.Error(), "\n", "; "))
+		return
+	}
+	warn(l.m, warnings)
+	l.router.Reload(next)
+}
+
 // warn logs what is wrong and does not keep the router from serving.
 func warn(m machine.Machine, warnings []string) {
 	for i, w := range warnings {
--- a/internal/machine/real.go
+++ b/internal/machine/real.go
@@ -73,15 +73,10 @@
 	}
 	m.base = m.kernel.Wall().UnixMicro()
 	m.now = m.base
-	err := m.outlast(func() (err error) {
-		m.poll, err = newPoller(&m.kernel)
-		return err
-	})
-	if err != nil {
-		return nil, err
-	}
-	if err := m.outlast(func() error { return m.inbox.open(m) }); err != nil {
-		m.poll.shut()
+	// First of all: what follows may have to wait, and a SIGHUP that nobody takes ends the process.
+	m.signals.begin(m.Post)
+	if err := m.open(); err != nil {
+		m.signals.end()
 		return nil, err
 	}
 	w := opts.Log
@@ -91,10 +86,25 @@
 	m.log = newLogger(w)
 	m.work.post, m.work.most = m.Post, workers
 	m.disk.post, m.disk.most = m.Post, 1
-	m.signals.begin(m.Post)
 	return m, nil
 }
 
+// open opens the poller and what wakes it.
+func (m *Real) open() error {
+	err := m.outlast(func() (err error) {
+		m.poll, err = newPoller(&m.kernel)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	if err := m.outlast(func() error { return m.inbox.open(m) }); err != nil {
+		m.poll.shut()
+		return err
+	}
+	return nil
+}
+
 // Run runs the loop until Stop is called, and then closes all that is open and has the last lines of
 // the log written, for which it waits 100 ms at most. A machine runs once.
 func (m *Real) Run() {
