--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -67,7 +67,7 @@
 		f.discovery(x)
 	case script.Add, script.HotKey, script.Hostile, script.Burst:
 		f.clients(x)
-	case script.RouterKill, script.RouterRestart, script.RouterTerm, script.HangUp, script.ClockStep, script.Stall:
+	case script.RouterKill, script.RouterRestart, script.RouterTerm, script.HangUp, script.ClockStep, script.Stall, script.FailCalls:
 		for _, i := range script.RoutersOf(x.Target, len(f.w.routers)) {
 			f.router(x, f.w.routers[i])
 		}
@@ -315,6 +315,12 @@
 	}
 }
 
+// Figures of failing calls: connections that can't be begun are rarer than reads that are cut short.
+const (
+	dialsPart = 4
+	shortRead = 200 // bytes that such a read takes, at most
+)
+
 // router has a fault strike a router.
 func (f *faults) router(x script.Fault, r *router) {
 	switch x.Kind {
@@ -333,6 +339,9 @@
 		r.host.StepClock(microseconds(x.Delay))
 	case script.Stall:
 		r.stall(microseconds(x.For))
+	case script.FailCalls:
+		r.host.FailCalls(sim.FailingCalls{Dials: x.Chance / dialsPart, ShortReads: x.Chance, ReadMost: shortRead})
+		f.until(x, func() { r.host.FailCalls(sim.FailingCalls{}) })
 	}
 }
 
--- a/internal/lab/script/draw.go
+++ b/internal/lab/script/draw.go
@@ -11,6 +11,7 @@
 const (
 	drawStream   = 0x5c12_9f01
 	pushedStream = 0x7a57_ed01
+	kernelStream = 0x6e71_0c01
 )
 
 // mostDrawn is how many faults a drawn script has at most.
@@ -49,10 +50,22 @@
 			s.Faults = append(s.Faults, f)
 		}
 	}
+	s.drawKernel(seed)
 	s.Sort()
 	return s
 }
 
+// drawKernel adds failing calls to one script in four, from a stream of their own.
+func (s *Script) drawKernel(seed uint64) {
+	d := drawer{rand.New(rand.NewPCG(seed, kernelStream))}
+	if d.IntN(4) > 0 {
+		return
+	}
+	f := d.draw(kernelKinds[0], s)
+	f.fit(s.Length)
+	s.Faults = append(s.Faults, f)
+}
+
 // fit has a fault end with the run.
 func (f *Fault) fit(length time.Duration) {
 	if f.For > 0 {
--- a/internal/lab/script/kinds.go
+++ b/internal/lab/script/kinds.go
@@ -82,6 +82,7 @@
 	HangUp        = "sighup"
 	ClockStep     = "clock-step"
 	Stall         = "stall"
+	FailCalls     = "fail-calls"
 )
 
 func share() *Range { return &Range{0, 1, 0.2} }
@@ -133,8 +134,17 @@
 	{Name: Stall, On: OnRouters, NeedsFor: true, Doc: "its process does not run"},
 }
 
+// kernelKinds are the kinds of faults of a machine's kernel. They stand apart so that what Draw draws of the others stays as it
+// was.
+var kernelKinds = []Kind{
+	{Name: FailCalls, On: OnRouters, Chance: share(), Doc: "reads are cut short, and connections can't be begun for the moment"},
+}
+
 var byName = func() map[string]*Kind {
 	all := map[string]*Kind{}
+	for i := range kernelKinds {
+		all[kernelKinds[i].Name] = &kernelKinds[i]
+	}
 	for i := range kinds {
 		all[kinds[i].Name] = &kinds[i]
 	}
@@ -145,7 +155,7 @@
 }()
 
 // Kinds lists all kinds of faults.
-func Kinds() []Kind { return slices.Concat(kinds, registryKinds) }
+func Kinds() []Kind { return slices.Concat(kinds, kernelKinds, registryKinds) }
 
 // Usual is the fault with the usual figures of its kind where it names none, and its target where that is the only one.
 func (f Fault) Usual() Fault {
