Failing test: an attempt without a byte written is sent later without a look

Need: where the machine has no memory to send with, Write takes nothing; the attempt passes for begun, and is written 10 ms or more later, whatever has become of its cache, its client and its time.

--- a/internal/upstream/lack_test.go
+++ b/internal/upstream/lack_test.go
@@ -55,3 +55,35 @@
 		})
 	}
 }
+
+// TestAttemptWithoutAByteWrittenIsLookedAtAgain: the machine has no memory to send with, and the cache begins to drain before
+// it has. Not a byte was written: the attempt has not begun, and must not any more.
+func TestAttemptWithoutAByteWrittenIsLookedAtAgain(t *testing.T) {
+	cache := routertest.NewCache(t)
+	var lacks atomic.Bool
+	tried := make(chan struct{}, 1)
+	k := machine.RealKernel()
+	send := k.Send
+	k.Send = func(fd int, b []byte) (int, error) {
+		if !lacks.Load() {
+			return send(fd, b)
+		}
+		select {
+		case tried <- struct{}{}:
+		default:
+		}
+		return 0, syscall.ENOBUFS
+	}
+	r := newRigOn(t, machine.Options{Kernel: &k}, cache.Addr(), nil)
+	lacks.Store(true)
+	r.send(r.request(nil), time.Hour)
+	routertest.Receive(t, tried, "send that fails")
+	r.list("c1", cache.Addr(), false, false)
+	r.want(decide.NotSent)
+	r.list("c1", cache.Addr(), true, false)
+	r.send(r.request(nil), time.Hour)
+	routertest.Receive(t, tried, "send that fails")
+	lacks.Store(false)
+	r.command(cache).Reply(t, served)
+	r.want(decide.Served)
+}
