An attempt of which no byte was written is looked at again before it begins

Cause: conn.write noted an attempt as begun also where Write took nothing. Change: its connection stands idle again, and the attempt waits and is looked at anew after 10 ms.

--- a/internal/upstream/cache.go
+++ b/internal/upstream/cache.go
@@ -131,10 +131,23 @@
 			u.dial()
 			return
 		}
-		c.write(a)
+		if !c.write(a) {
+			u.pool.later(u.pool.m.Now()+writeAgain, u.pump)
+			return
+		}
 	}
 }
 
+// writeAgain is until what the machine took no byte of is looked at again.
+const writeAgain = 10_000
+
+// putBack has a connection that was taken for an attempt stand idle again, as it was.
+func (u *cache) putBack(c *conn) {
+	i := sort.Search(len(u.idle), func(i int) bool { return u.idle[i].idleSince > c.idleSince })
+	u.idle = slices.Insert(u.idle, i, c)
+	u.pool.idle++
+}
+
 // rested takes an idle connection on which nothing has come since its answer. The danger: a second
 // copy of the answer, a moment behind the first, would be taken for the answer to the next request.
 func (u *cache) rested() *conn {
@@ -187,9 +200,7 @@
 		return
 	}
 	c.idleSince = since
-	i := sort.Search(len(u.idle), func(i int) bool { return u.idle[i].idleSince > since })
-	u.idle = slices.Insert(u.idle, i, c)
-	u.pool.idle++
+	u.putBack(c)
 	u.pool.feed()
 	u.pump()
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -91,15 +91,20 @@
 }
 
 // write sends the attempt that has waited longest. It writes as much as the socket takes at
-// once, nearly always all: so nothing comes between the last look and the first byte.
-func (c *conn) write(a *Attempt) {
+// once, nearly always all: so nothing comes between the last look and the first byte. It reports whether the machine takes
+// bytes; where it took none the attempt has not begun, and is looked at again before it does.
+func (c *conn) write(a *Attempt) bool {
 	u := c.cache
 	p := u.pool
 	p.out = a.encode(p.out[:0], p.m.Now())
 	n, err := c.nc.Write(p.out)
 	if n == 0 && err != nil {
 		c.close() // the cache had closed it; not a byte has gone out, so the attempt may have another one
-		return
+		return true
+	}
+	if n == 0 {
+		u.putBack(c)
+		return false
 	}
 	u.waiting = slices.Delete(u.waiting, 0, 1)
 	c.attempt, a.conn = a, c
@@ -116,6 +121,7 @@
 		a.state = writing
 		c.unwritten = append(c.unwritten[:0], p.out[n:]...)
 	}
+	return true
 }
 
 // Writable goes on with a command that did not go out whole.
