--- a/decide/sparse_test.go
+++ b/decide/sparse_test.go
@@ -339,11 +339,8 @@
 	}
 }
 
-// unmet has so many caches refuse a connection or turn an attempt away, and tells whether the list was asked for anew within the span.
-func (b *bench) unmet(caches int, within Time) (asked int) {
-	return b.unmetBy(NoConnection, caches, within)
-}
-
+// unmetBy has so many caches refuse a connection or turn an attempt away, and tells whether the list was asked for anew within
+// the span.
 func (b *bench) unmetBy(result Result, caches int, within Time) (asked int) {
 	for i := range caches {
 		id := int64(1000*b.r.now) + int64(i)
--- a/internal/lab/tier/hunt.go
+++ b/internal/lab/tier/hunt.go
@@ -53,9 +53,7 @@
 	for range 2 + r.IntN(5) {
 		f := Fault{Kind: kinds[r.IntN(len(kinds))], At: Time(r.Int64N(int64(15 * second))), For: 300*millisecond + Time(r.Int64N(int64(8*second)))}
 		some := func(most int) {
-			for _, i := range r.Perm(routers)[:1+r.IntN(min(most, routers))] {
-				f.Who = append(f.Who, i)
-			}
+			f.Who = append(f.Who, r.Perm(routers)[:1+r.IntN(min(most, routers))]...)
 		}
 		switch f.Kind {
 		case Kill:
--- a/internal/load/target.go
+++ b/internal/load/target.go
@@ -27,7 +27,6 @@
 	Addr string
 	cmd  *exec.Cmd
 	dir  string
-	log  []string
 }
 
 // Limits are those that a router is told of its machine, and its place among so many routers.
--- a/internal/sim/world_test.go
+++ b/internal/sim/world_test.go
@@ -374,7 +374,6 @@
 type echo struct {
 	conn machine.Conn
 	left []byte
-	end  bool
 }
 
 func (e *echo) Readable() {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -18,7 +18,6 @@
 // Host runs the routers of one process. They share nothing but the process.
 type Host struct {
 	routers map[int64]*decide.Router
-	pending map[int64]decide.Settings
 	rosters map[int64][]decide.Entry
 	line    int
 }
