A configuration that can't be opened for a moment is opened again

Need: ENFILE at the opening of the configuration ended a start, and at a SIGHUP left the old one in force. Change: Outlast makes the call again for up to 3 s, at the start and beside the loop. Measured: TestOutlastMakesCallsAgainThatMaySucceed; the tests of the program's reloads pass.

--- a/cmd/starlingwinch/run.go
+++ b/cmd/starlingwinch/run.go
@@ -224,7 +224,11 @@
 
 // readConfig reads the platform's file, which may be a pipe.
 func readConfig(path string) ([]byte, error) {
-	f, err := os.Open(path)
+	var f *os.File
+	err := machine.Outlast(func() (err error) {
+		f, err = os.Open(path)
+		return err
+	})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/machine/lack.go
+++ b/internal/machine/lack.go
@@ -36,18 +36,26 @@
 	return errors.Is(err, ErrDescriptors) || errors.Is(err, ErrLack)
 }
 
-// outlast makes a call of the machine's start again while it fails for a lack, for up to startTime. Without it one
-// call that fails for a moment would end the process. In the loop, which must not wait, the first failure counts.
-func (m *Real) outlast(call func() error) error {
+// Outlast makes a call again while it fails for a lack, for up to startTime, and waits in between. It is for the start of a
+// process and for work beside the loop: one call that fails for a moment would end the process, or lose a signal.
+func Outlast(call func() error) error {
 	for end := time.Now().Add(startTime); ; {
 		err := call()
-		if err == nil || m.running || !isLack(err) && !errors.Is(err, syscall.EAGAIN) || time.Now().After(end) {
+		if err == nil || !isLack(err) && !errors.Is(err, syscall.EAGAIN) || time.Now().After(end) {
 			return err
 		}
 		time.Sleep(lackPause * time.Microsecond / 10)
 	}
 }
 
+// outlast is Outlast before the loop runs. In the loop, which must not wait, the first failure counts.
+func (m *Real) outlast(call func() error) error {
+	if m.running {
+		return call()
+	}
+	return Outlast(call)
+}
+
 // attach has the poller watch a descriptor for w, now or as soon as the kernel has room for it. Whatever comes in between
 // is told then: the kernel reports what a descriptor is ready for as it begins to watch it.
 func (m *Real) attach(fd int, mask uint32, w watcher) (place, error) {
