Failing test: a drain cuts the last answer of a slow reader off

The moment that a retired connection is given ends with a close where no answer is queued, though the rest of one is not sent.

--- a/internal/front/harness_test.go
+++ b/internal/front/harness_test.go
@@ -6,6 +6,7 @@
 
 	"starlingwinch/decide"
 	"starlingwinch/internal/limits"
+	"starlingwinch/internal/machine"
 	"starlingwinch/internal/routertest"
 )
 
@@ -53,13 +54,19 @@
 
 // newRig starts a front. At the test's end it is closed, and must then hold nothing.
 func newRig(t *testing.T, edit func(*Options)) *rig {
+	t.Helper()
+	return newRigOn(t, machine.Options{}, edit)
+}
+
+// newRigOn is a rig on a machine with other options.
+func newRigOn(t *testing.T, on machine.Options, edit func(*Options)) *rig {
 	t.Helper()
 	o := Options{Listen: "127.0.0.1:0", Bounds: limits.Default().Clients, Classes: classes, Clients: 100,
 		Memory: 48 << 20}
 	if edit != nil {
 		edit(&o)
 	}
-	r := &rig{Loop: routertest.NewLoop(t, nil), t: t, asked: make(chan asked, 10_000),
+	r := &rig{Loop: routertest.NewLoopOf(t, on), t: t, asked: make(chan asked, 10_000),
 		departed: make(chan *Slot, 10_000)}
 	r.Do(func() {
 		var err error
--- a/internal/front/retire_test.go
+++ b/internal/front/retire_test.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 
+	"starlingwinch/internal/machine"
 	"starlingwinch/internal/routertest"
 )
 
@@ -138,3 +141,35 @@
 	routertest.Receive(t, drained, "end of the drain")
 	r.empty()
 }
+
+// TestRetiredConnectionKeepsAnswerThatIsPartlySent: the last answer is partly with a client that does not take more for now,
+// and nothing else is due, as the moment is over that a retired connection is given. The rest is still owed.
+func TestRetiredConnectionKeepsAnswerThatIsPartlySent(t *testing.T) {
+	const sent = 10 // bytes of it
+	var holds atomic.Bool
+	k := machine.RealKernel()
+	send := k.Send
+	k.Send = func(fd int, b []byte) (int, error) {
+		switch {
+		case !holds.Load():
+			return send(fd, b)
+		case len(b) == len(value):
+			return send(fd, b[:sent])
+		}
+		return 0, syscall.ENOBUFS
+	}
+	r := newRigOn(t, machine.Options{Kernel: &k}, nil)
+	c := r.dial()
+	c.Send(get("r1"))
+	a := r.next()
+	holds.Store(true)
+	r.answer(a, value)
+	drained := r.retire()
+	var over machine.Time
+	r.Do(func() { over = r.Now() + 2*commandGrace })
+	r.Until("the end of the moment", func() bool { return r.Now() > over })
+	holds.Store(false)
+	c.Want("value")
+	c.WantClosed()
+	routertest.Receive(t, drained, "end of the drain")
+}
