Contract tests of machines hold to one call again where the machine takes all

Need: read again, the changes for machines that take less had split writes and closes, and reads and looks, into several calls for all machines, and so tested less on the usual one. Change: they are in one call again there. Measured: the contract tests of the real machine, with and without failing calls, and of the virtual one pass.

--- a/internal/machine/machinetest/conns.go
+++ b/internal/machine/machinetest/conns.go
@@ -95,6 +95,22 @@
 	return false
 }
 
+// writeThen writes and then does something else in the same call, unless the machine may take less: then what was written goes out
+// first.
+func (e *end) writeThen(s string, then func()) {
+	e.b.Helper()
+	if e.b.TakesLess {
+		e.b.call(func() { e.write(s) })
+		e.flushed()
+		e.b.call(then)
+		return
+	}
+	e.b.call(func() {
+		e.write(s)
+		then()
+	})
+}
+
 // flushed has what was written go out whole.
 func (e *end) flushed() {
 	e.b.Helper()
@@ -213,9 +229,7 @@
 
 func halfClose(b *bench) {
 	near, far := b.pair(true)
-	b.call(func() { near.write("question") })
-	near.flushed()
-	b.call(func() {
+	near.writeThen("question", func() {
 		if err := near.conn.CloseWrite(); err != nil {
 			b.Errorf("CloseWrite: %v", err)
 		}
@@ -227,9 +241,7 @@
 	if string(far.got) != "question" {
 		b.Errorf("got %q", far.got)
 	}
-	b.call(func() { far.write("answer") })
-	far.flushed()
-	b.call(far.conn.Close)
+	far.writeThen("answer", far.conn.Close)
 	b.wait("the answer", func() bool { return near.err == io.EOF })
 	if string(near.got) != "answer" {
 		b.Errorf("got %q", near.got)
@@ -238,9 +250,7 @@
 
 func closeIsEnd(b *bench) {
 	near, far := b.pair(true)
-	b.call(func() { near.write("last words") })
-	near.flushed()
-	b.call(near.conn.Close)
+	near.writeThen("last words", near.conn.Close)
 	b.wait("the end", func() bool { return far.err != nil })
 	if far.err != io.EOF || string(far.got) != "last words" {
 		b.Errorf("got %q, %v", far.got, far.err)
@@ -302,6 +312,9 @@
 		}
 		far.readAll()
 		far.reads = true
+		if !b.TakesLess && (!far.conn.Quiet() || string(far.got) != "ab") {
+			b.Errorf("not quiet after all was read: %q", far.got)
+		}
 	})
 	b.wait("all of it", func() bool { return string(far.got) == "ab" })
 	b.call(func() {
@@ -311,7 +324,12 @@
 		near.conn.Close()
 	})
 	b.wait("the end", func() bool { return !far.conn.Quiet() })
-	b.call(far.readAll)
+	b.call(func() {
+		far.readAll()
+		if !b.TakesLess && far.err != io.EOF {
+			b.Errorf("read %v in the call in which the end was seen", far.err)
+		}
+	})
 	b.wait("the end to be read", func() bool { return far.err != nil })
 	if far.err != io.EOF {
 		b.Errorf("read %v", far.err)
@@ -339,7 +357,12 @@
 			leave(near.conn)
 		})
 		b.wait("the end, "+how, func() bool { return far.conn.End() == io.EOF })
-		b.call(far.readAll)
+		b.call(func() {
+			far.readAll()
+			if !b.TakesLess && far.err == nil {
+				b.Errorf("%s: read %q, and no end in the same call", how, far.got)
+			}
+		})
 		far.reads = true
 		b.wait("what was unread", func() bool { return far.err != nil })
 		if string(far.got) != "unread" || far.err != io.EOF {
