--- a/cmd/starlingwinch/members.go
+++ b/cmd/starlingwinch/members.go
@@ -92,6 +92,9 @@
 func (l *listener) Answered() {}
 func (l *listener) Failed()   {}
 
+// ListTold implements sources.Owner.
+func (l *listener) ListTold(string, int64, int) {}
+
 // Log implements sources.Owner: the tables say it.
 func (l *listener) Log(string) {}
 
--- a/cmd/starlingwinch/run.go
+++ b/cmd/starlingwinch/run.go
@@ -79,6 +79,27 @@
 	if err != nil {
 		return fmt.Errorf("starlingwinch: %w", err)
 	}
+	if err := s.serve(m); err != nil {
+		return logged(m, err)
+	}
+	return nil
+}
+
+// errLogged is an error that the log has told already.
+var errLogged = errors.New("")
+
+// logged writes an error as the last lines of the log, behind all that was logged before it. An error on a way of its own
+// overtakes lines that were logged earlier, and has neither their time nor their process.
+func logged(m *machine.Real, err error) error {
+	for line := range strings.SplitSeq(err.Error(), "\n") {
+		m.Log(line)
+	}
+	m.Stop()
+	return errLogged
+}
+
+// serve serves on a machine until a signal ends it.
+func (s inputs) serve(m *machine.Real) error {
 	cfg, warnings, err := s.load()
 	if err != nil {
 		return err
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -40,9 +40,14 @@
 	RequestRefused Event = "request-refused"
 	RequestFailed  Event = "request-failed"
 	ClientClosed   Event = "client-closed"
-	Violation      Event = "violation" // of a rule; it is written whatever is left out else
+	ListTold       Event = "list"      // discovery has answered, or a call of it has failed
+	Start          Event = "start"     // how far a start has come; written whatever is left out else
+	Violation      Event = "violation" // of a rule; likewise
 )
 
+// isAlwaysWritten reports whether an event has its line also where the lines of events are off.
+func (e Event) isAlwaysWritten() bool { return e == Start || e == Violation }
+
 // key is what is counted apart.
 type key struct {
 	event  Event
@@ -95,10 +100,11 @@
 	level := slog.LevelInfo
 	if event == Violation {
 		level = slog.LevelError
-	} else if !l.config.Events {
+	}
+	if !l.config.Events && !event.isAlwaysWritten() {
 		return
 	}
-	if !l.hasRoom() {
+	if event != Start && !l.hasRoom() {
 		l.leftOut++
 		return
 	}
--- a/internal/machine/log.go
+++ b/internal/machine/log.go
@@ -1,8 +1,10 @@
 package machine
 
 import (
+	"fmt"
 	"io"
 	"log"
+	"os"
 	"sync/atomic"
 	"time"
 )
@@ -12,7 +14,8 @@
 	logWait  = 100 * time.Millisecond // for the last lines, at the end
 )
 
-// logger writes lines in a goroutine of its own.
+// logger writes lines in a goroutine of its own, each with the time and the process: while a router is restarted, two
+// processes write into one log.
 //
 // The danger: the log's reader stands still and its pipe is full. A loop that wrote by itself would stand still
 // with it, and with the loop all requests.
@@ -29,7 +32,7 @@
 		lines: make(chan string, logLines),
 		quit:  make(chan struct{}),
 		over:  make(chan struct{}),
-		out:   log.New(w, "", log.LstdFlags),
+		out:   log.New(w, fmt.Sprintf("[%d] ", os.Getpid()), log.LstdFlags|log.Lmsgprefix),
 	}
 	go l.run()
 	return l
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -45,6 +45,17 @@
 	r.events.Add(event, why, slog.Int64("request", q.id), slog.String("id", q.name), slog.Int("attempts", len(q.attempts)))
 }
 
+// startIs logs how far the start has come, and how long it took up to there.
+func (r *Router) startIs(reason string, fields ...slog.Attr) {
+	fields = append(fields, slog.Int64("after_us", r.m.Now()-r.begun))
+	r.events.Add(eventlog.Start, reason, fields...)
+}
+
+// ListTold implements sources.Owner.
+func (r *Router) ListTold(what string, version int64, caches int) {
+	r.events.Add(eventlog.ListTold, what, slog.Int64("version", version), slog.Int("caches", caches))
+}
+
 // ClientClosed implements front.Desk.
 func (r *Router) ClientClosed(why string, unanswered int) {
 	r.events.Add(eventlog.ClientClosed, why, slog.Int("unanswered", unanswered))
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -47,6 +47,7 @@
 	contract  *guard.Contract
 	guard     *guard.Guard
 	events    *eventlog.Log
+	begun     Time           // when the start began
 	counted   Time           // when the counters of events were written last
 	decider   *decide.Router // for what it has learned; all else goes through the module
 	keeper    *keeper        // nil where no state is kept
@@ -98,7 +99,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	r := &Router{m: m, cfg: cfg, decider: module, clock: alarm.New(m), timers: map[int64]*timer{},
+	r := &Router{m: m, cfg: cfg, begun: m.Now(), decider: module, clock: alarm.New(m), timers: map[int64]*timer{},
 		requests: map[int64]*request{}, ids: map[string]struct{}{}, caches: map[string]*hop{}, arrivals: lastArrivals}
 	hungAfter := Time(0)
 	for i, c := range cfg.Settings.Classes {
@@ -158,6 +159,7 @@
 	if r.storm != nil {
 		r.tick()
 	}
+	r.startIs("serving", slog.String("address", r.front.Addr()), slog.Int("caches", len(r.caches)))
 	r.Log("serving on " + r.front.Addr())
 	return r, nil
 }
--- /dev/null
+++ b/internal/router/start_test.go
@@ -0,0 +1,59 @@
+package router
+
+import (
+	"strings"
+	"testing"
+
+	"starlingwinch/internal/routertest"
+)
+
+// TestStartHearsWhatTheKnownListLacks: the list of the configuration has the version that discovery has, and another content.
+// A start that only asks for what comes after that version would send to the cache that leaves for as long as it lives.
+func TestStartHearsWhatTheKnownListLacks(t *testing.T) {
+	leaving, staying := newFakeCache(t), newFakeCache(t)
+	addr, calls := routertest.Discovery(t)
+	r := start(t, testConfig(t, addr, nil, host("c1", leaving.Addr(), "in_service")), nil, nil)
+	first := receive(t, calls, "call")
+	if first.Query != "/discovery/hosts" {
+		t.Errorf("call %s, want the whole list", first.Query)
+	}
+	c := dial(t, r.addr)
+	c.Send("PING\r\n")
+	if got := c.Line(); !strings.HasPrefix(got, "-LOADING") {
+		t.Errorf("PING: %q before discovery has answered", got)
+	}
+	first.Reply <- hosts(1, true, host("c1", leaving.Addr(), "terminating"), host("c2", staying.Addr(), "in_service"))
+	receive(t, calls, "watch")
+	for _, id := range []string{"r1", "r2", "r3", "r4"} {
+		c.Send(get(id))
+		receive(t, staying.Commands, "command").Reply(t, served)
+		c.Want("value")
+	}
+	if n := len(leaving.Commands); n > 0 {
+		t.Errorf("%d commands to the cache that leaves", n)
+	}
+}
+
+// TestStartGoesByTheKnownListWhereDiscoveryFails: a start does not wait for a discovery that turns its call away, or says nothing.
+func TestStartGoesByTheKnownListWhereDiscoveryFails(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		fails bool
+	}{{"Refused", true}, {"Silent", false}} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			cache := newFakeCache(t)
+			addr, calls := routertest.Discovery(t)
+			r := start(t, testConfig(t, addr, nil, host("c1", cache.Addr(), "in_service")), nil, nil)
+			call := receive(t, calls, "call")
+			if c.fails {
+				call.Reply <- ""
+			}
+			r.Until("a router that serves", func() bool { return r.r.Serving() })
+			client := dial(t, r.addr)
+			client.Send(get("r1"))
+			receive(t, cache.Commands, "command").Reply(t, served)
+			client.Want("value")
+		})
+	}
+}
--- a/internal/sources/sources.go
+++ b/internal/sources/sources.go
@@ -39,6 +39,9 @@
 	// has to be asked: the owner says when to Watch again.
 	Answered()
 	Failed()
+	// ListTold says what became of a call of the platform's discovery, for the log: the version that holds from then on, and
+	// how many caches were named.
+	ListTold(what string, version int64, caches int)
 	// Settle follows in the same turn.
 	Settle()
 	Log(line string)
@@ -268,12 +271,21 @@
 // Listed takes an answer of the platform's discovery, however it came.
 func (s *Sources) Listed(list discovery.List) {
 	s.index, s.listUnknown = list.Index, false
+	s.owner.ListTold(toldWhat(&list), list.Index, len(list.Entries))
 	s.sayFaults(&list)
 	s.hear(&membership.Heard{Source: membership.Discovery, Full: list.Full, Claims: claims(&list), Unread: list.Unread})
 	s.owner.Answered() // also where nothing has changed
 	s.owner.Settle()
 }
 
+// toldWhat words an answer for the log.
+func toldWhat(list *discovery.List) string {
+	if list.Full {
+		return "whole"
+	}
+	return "changes"
+}
+
 // lost takes the news that there is no watch any more. Where it has its own pause, the next call follows that.
 func (s *Sources) lost(err error, pause machine.Time) {
 	if pause > 0 || !errors.Is(err, discovery.ErrCrowded) && !errors.Is(err, discovery.ErrSilent) {
@@ -282,6 +294,7 @@
 		// instead of two, and a short one; where it is silent to that too, it is asked for all. An agent's calls cost nothing.
 		s.index = discovery.NoIndex
 	}
+	s.owner.ListTold("failed", s.index, 0)
 	s.hear(&membership.Lost{Source: membership.Discovery, Why: err.Error()})
 	if pause > 0 {
 		s.again = s.m.At(s.m.Now()+pause, s.Watch)
--- a/internal/sources/sources_test.go
+++ b/internal/sources/sources_test.go
@@ -27,10 +27,11 @@
 		o.caches[e.ID], o.addrs[e.ID] = e, p.Addrs[i]
 	}
 }
-func (o *owner) Answered()  {}
-func (o *owner) Failed()    { o.failed++ }
-func (o *owner) Settle()    { o.settled++ }
-func (o *owner) Log(string) {}
+func (o *owner) Answered()                   {}
+func (o *owner) ListTold(string, int64, int) {}
+func (o *owner) Failed()                     { o.failed++ }
+func (o *owner) Settle()                     { o.settled++ }
+func (o *owner) Log(string)                  {}
 
 // rig is sources that run on a machine of their own, with a file among them.
 type rig struct {
