A start waits in the loop for what the process before still holds; whole list first

Cause: bind of a start that overlaps the end before it was an error that ended the process, and the address for datagrams likewise. The start now waits in the loop, tries every 10 ms, follows discovery meanwhile, takes SIGTERM (ends with 0) and SIGHUP, opens no connection to a cache, and says once a second what it waits for; the wait is bounded by the longest deadline (3 s at most), 0.7 s and clients.address_time (20 s). The view of the fleet joins once its address is free, while the router serves.

A start no longer trusts the version of the configuration's list: its first call asks for the whole list, PING answers -LOADING until then, and the list as known counts only where the call fails or is not answered within answer_time. Probes begin with the first caches.

A log whose reader has gone no longer ends the process by SIGPIPE.

--- a/cmd/starlingwinch/run.go
+++ b/cmd/starlingwinch/run.go
@@ -7,7 +7,9 @@
 	"log"
 	"math"
 	"os"
+	"os/signal"
 	"strings"
+	"syscall"
 
 	"github.com/spf13/cobra"
 
@@ -79,47 +81,62 @@
 	if err != nil {
 		return fmt.Errorf("starlingwinch: %w", err)
 	}
-	if err := s.serve(m); err != nil {
-		return logged(m, err)
+	// A log whose reader has gone must not end the router: the program would end by the signal.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGPIPE)
+	cfg, warnings, err := s.load()
+	if err != nil {
+		report(m, err)
+		m.Stop()
+		return errLogged
 	}
-	return nil
+	cfg.Limits.Apply()
+	d := daemon{m: m}
+	m.Post(func() { d.start(s, cfg, warnings) })
+	m.Run()
+	return d.err
 }
 
 // errLogged is an error that the log has told already.
 var errLogged = errors.New("")
 
-// logged writes an error as the last lines of the log, behind all that was logged before it. An error on a way of its own
+// report writes an error as lines of the log, behind all that was logged before it. An error on a way of its own
 // overtakes lines that were logged earlier, and has neither their time nor their process.
-func logged(m *machine.Real, err error) error {
+func report(m machine.Machine, err error) {
 	for line := range strings.SplitSeq(err.Error(), "\n") {
 		m.Log(line)
 	}
-	m.Stop()
-	return errLogged
 }
 
-// serve serves on a machine until a signal ends it.
-func (s inputs) serve(m *machine.Real) error {
-	cfg, warnings, err := s.load()
-	if err != nil {
-		return err
-	}
-	cfg.Limits.Apply()
-	r, err := router.Start(m, cfg)
+// daemon is the router on the machine's loop.
+type daemon struct {
+	m   *machine.Real
+	err error // why the process ends, other than for a signal
+}
+
+// start starts the router, and has signals reach it.
+func (d *daemon) start(s inputs, cfg *router.Config, warnings []string) {
+	r, err := router.Start(d.m, cfg)
 	if err != nil { // what was only a warning may name the cause in the file's own words
-		return errors.New(strings.Join(append(warnings, "starlingwinch: "+err.Error()), "\n"))
+		d.fail(errors.New(strings.Join(append(warnings, "starlingwinch: "+err.Error()), "\n")))
+		return
 	}
-	warn(m, warnings)
-	reloads := reloader{inputs: s, m: m, router: r}
-	m.Signals(func(sig machine.Signal) {
+	r.OnFailure(func(err error) { d.fail(fmt.Errorf("starlingwinch: %w", err)) })
+	warn(d.m, warnings)
+	reloads := reloader{inputs: s, m: d.m, router: r}
+	d.m.Signals(func(sig machine.Signal) {
 		if sig == machine.HangUp {
 			reloads.begin()
 		} else {
-			r.Drain(m.Stop)
+			r.Drain(d.m.Stop)
 		}
 	})
-	m.Run()
-	return nil
+}
+
+// fail ends the process for an error.
+func (d *daemon) fail(err error) {
+	report(d.m, err)
+	d.err = errLogged
+	d.m.Stop()
 }
 
 // reloader reads the files again at each SIGHUP, beside the loop, and has the router take them over. It reads one set of files
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -121,6 +121,7 @@
 	uses         int          // attempts ever sent
 	spare        float64      // probes earned by requests and not yet sent
 	started      bool
+	probing      bool                   // rounds of probes have begun: caches are known
 	turnOfList   int                    // number of the present list
 	order        rendezvous.Set[*cache] // of the ready ones, for the key being placed
 	swap         int                    // rank that stands first in place of the first one
--- a/decide/membership.go
+++ b/decide/membership.go
@@ -39,11 +39,12 @@
 		}
 		r.at(r.now, r.forget)
 		r.at(r.now, r.turn)
-		if r.set.Probes {
-			// Routers started together must not probe on one beat.
-			r.spare = r.random() * float64(len(r.ready))
-			r.at(r.now+Time(r.random()*float64(r.set.DrainGrace)), r.probeRound)
-		}
+	}
+	if r.set.Probes && !r.probing && len(r.ready) > 0 {
+		// Routers started together must not probe on one beat.
+		r.probing = true
+		r.spare = r.random() * float64(len(r.ready))
+		r.at(r.now+Time(r.random()*float64(r.set.DrainGrace)), r.probeRound)
 	}
 }
 
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -23,6 +23,7 @@
 	WriteTime    time.Duration `toml:"write_time" min:"100ms" max:"1m" doc:"for a client to take an answer"`
 	LingerTime   time.Duration `toml:"linger_time" min:"10ms" max:"10s" doc:"for a client to read why its connection is closed"`
 	Pipelined    int           `toml:"pipelined" min:"1" max:"4096" doc:"commands of one connection that may await their answers"`
+	AddressTime  time.Duration `toml:"address_time" min:"0s" max:"25s" doc:"for the address to become free at a start, beyond what the process before may take to end"`
 	ErrorsInARow int           `toml:"errors_in_a_row" min:"1" max:"1000" doc:"bad commands after which a connection is closed"`
 }
 
@@ -53,6 +54,7 @@
 			WriteTime:    5 * time.Second,
 			LingerTime:   time.Second,
 			Pipelined:    512,
+			AddressTime:  20 * time.Second, // with the 3.7 s that a process takes to end, under the 30 s of a start
 			ErrorsInARow: 16,
 		},
 		Caches: Caches{
--- a/internal/machine/lack.go
+++ b/internal/machine/lack.go
@@ -31,6 +31,35 @@
 		errors.Is(err, syscall.ENETUNREACH)
 }
 
+// Passes reports whether an error of Listen or ListenPacket is for something that may pass by itself.
+func Passes(err error) bool {
+	return errors.Is(err, ErrAddressInUse) || errors.Is(err, ErrAddressMissing) || errors.Is(err, ErrLack)
+}
+
+// listenError is an error of a call of the kernel under the name that the contract has for it.
+type listenError struct {
+	kind  error
+	cause error
+}
+
+func (e *listenError) Error() string { return e.cause.Error() }
+
+// Unwrap gives both.
+func (e *listenError) Unwrap() []error { return []error{e.kind, e.cause} }
+
+// listenFailure puts an error of a call on the way to a listening socket into the words of the contract.
+func listenFailure(err error) error {
+	switch {
+	case errors.Is(err, syscall.EADDRINUSE):
+		return &listenError{ErrAddressInUse, err}
+	case errors.Is(err, syscall.EADDRNOTAVAIL):
+		return &listenError{ErrAddressMissing, err}
+	case isLack(err):
+		return &listenError{ErrLack, err}
+	}
+	return err
+}
+
 // IsLocal reports whether a dial failed for a cause on this machine: it says nothing of the address.
 func IsLocal(err error) bool {
 	return errors.Is(err, ErrDescriptors) || errors.Is(err, ErrLack)
--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -36,6 +36,12 @@
 // ErrLack says that this machine had no memory, port or route for a connection until its timeout.
 var ErrLack = errors.New("machine: nothing left to open a connection with")
 
+// ErrAddressInUse says that somebody else holds an address to listen at: often the process before, which ends soon.
+var ErrAddressInUse = errors.New("machine: address already in use")
+
+// ErrAddressMissing says that an address to listen at is none of this machine's at the moment: its interface may be coming up.
+var ErrAddressMissing = errors.New("machine: not an address of this machine")
+
 // ErrNoWorker says that this machine starts no workers.
 var ErrNoWorker = errors.New("machine: no workers here")
 
@@ -84,13 +90,13 @@
 
 	// Listen has accept called with each connection that comes in at the address, which is an IP
 	// address and a port (0 for any free one). accept names the connection's handler; one that gets
-	// none (nil) is closed.
+	// none (nil) is closed. ErrAddressInUse, ErrAddressMissing and ErrLack may pass by themselves; other errors last.
 	Listen(addr string, accept func(Conn) Handler) (Listener, error)
 	// Dial opens a connection. done is called once: with a connection that is up, whose handler it
 	// names (nil closes it), or with the reason why none came up within the timeout. Until then the
 	// Dialing can be given up.
 	Dial(addr string, timeout Time, done func(Conn, error) Handler) Dialing
-	// ListenPacket has got called with each datagram that comes to the address. got must not keep b.
+	// ListenPacket has got called with each datagram that comes to the address. got must not keep b. Its errors are Listen's.
 	ListenPacket(addr string, got func(from string, b []byte)) (PacketConn, error)
 
 	// Spawn starts a worker: a process of this program's own, beside the loop, to which there is one
--- a/internal/router/bench_test.go
+++ b/internal/router/bench_test.go
@@ -150,6 +150,7 @@
 		b.Fatal(err)
 	}
 	defer r.Close()
+	hearKnown(r)
 	carrying = nil
 	var clients []*bareConn
 	for range 64 {
--- a/internal/router/books_test.go
+++ b/internal/router/books_test.go
@@ -41,6 +41,7 @@
 			t.Error(err)
 			return
 		}
+		hearKnown(s.r)
 		// The loop loses what the contract has let pass.
 		s.r.module = forgetful{s.r.module, lost}
 		s.addr = s.r.Addr()
--- a/internal/router/fleet.go
+++ b/internal/router/fleet.go
@@ -8,6 +8,7 @@
 	"starlingwinch/decide"
 	"starlingwinch/internal/fleet"
 	"starlingwinch/internal/fleet/link"
+	"starlingwinch/internal/machine"
 )
 
 // fleetView is the router's view of the others of its tier, and what it makes of it: the number by which the decision
@@ -41,11 +42,34 @@
 	}
 	v.own = fleet.Info{Config: r.cfg.Digest, Build: r.cfg.Build}
 	cfg.Info = v.own
-	var err error
-	if v.link, err = link.Start(r.m, r.cfg.PeerListen, cfg, r.divide); err != nil {
+	return r.startFleet(v, cfg, false)
+}
+
+// startFleet starts the view, now or once its address can be had: the process before holds it up to its end. The router serves
+// meanwhile as it does without a view.
+func (r *Router) startFleet(v *fleetView, cfg fleet.Config, waited bool) (err error) {
+	if v.link, err = link.Start(r.m, r.cfg.PeerListen, cfg, r.divide); machine.Passes(err) {
+		if !waited {
+			r.Log("fleet: waiting for the address: " + err.Error())
+		}
+		r.joining = r.m.At(r.m.Now()+addressPause, func() {
+			if r.closed || r.onDrained != nil {
+				return
+			}
+			if err := r.startFleet(v, cfg, true); err != nil {
+				r.Log("fleet: no view: " + err.Error())
+			}
+		})
+		return nil
+	}
+	if err != nil {
 		return err
 	}
+	if waited {
+		r.Log("fleet: it has its address")
+	}
 	r.fleet = v
+	r.actsOn(r.sources.Version())
 	return nil
 }
 
--- a/internal/router/harness_test.go
+++ b/internal/router/harness_test.go
@@ -75,8 +75,22 @@
 	return startOn(t, routertest.NewLoop(t, log), cfg, edit)
 }
 
-// startOn starts a router on a machine.
+// startOn starts a router on a machine. It has heard the list of its configuration from discovery.
 func startOn(t *testing.T, loop *routertest.Loop, cfg *Config, edit func(*Router)) *running {
+	t.Helper()
+	return startUnheard(t, loop, cfg, func(r *Router) {
+		hearKnown(r)
+		if edit != nil {
+			edit(r)
+		}
+	})
+}
+
+// hearKnown has discovery tell a router the list of its configuration.
+func hearKnown(r *Router) { r.sources.Listed(r.cfg.Known) }
+
+// startUnheard starts a router on a machine. It has heard nothing from discovery.
+func startUnheard(t *testing.T, loop *routertest.Loop, cfg *Config, edit func(*Router)) *running {
 	t.Helper()
 	s := &running{Loop: loop, ended: make(chan struct{})}
 	s.Do(func() {
--- a/internal/router/hooks_test.go
+++ b/internal/router/hooks_test.go
@@ -67,6 +67,7 @@
 	if h.r, err = Start(m, h.cfg); err != nil {
 		t.Fatal(err)
 	}
+	hearKnown(h.r)
 	h.pass(sim.Second)
 	caches.Dial("10.0.0.1:6379", sim.Second, func(nc machine.Conn, err error) machine.Handler {
 		if err != nil {
--- a/internal/router/list.go
+++ b/internal/router/list.go
@@ -129,13 +129,18 @@
 		r.Log("SIGHUP: the router is about to end; nothing is read anew")
 		return
 	}
+	if r.front == nil { // nothing that the files set has been begun but the list
+		r.cfg.Listen, r.cfg.State, r.cfg.Hooks = cfg.Listen, cfg.State, cfg.Hooks
+	}
 	if cfg.Listen != r.cfg.Listen || cfg.Limits != r.cfg.Limits || !reflect.DeepEqual(cfg.Settings, r.cfg.Settings) ||
 		cfg.Transport != r.cfg.Transport || cfg.Bounds != r.cfg.Bounds || cfg.Storm != r.cfg.Storm || !reflect.DeepEqual(cfg.Fleet, r.cfg.Fleet) ||
 		!reflect.DeepEqual(cfg.Membership, r.cfg.Membership) || !reflect.DeepEqual(cfg.Eureka, r.cfg.Eureka) {
 		r.Log("SIGHUP: new addresses for clients, limits, settings and operators' files wait for a restart")
 	}
-	r.reloadHooks(cfg.Hooks)
-	r.rekeep(cfg.State)
+	if r.front != nil {
+		r.reloadHooks(cfg.Hooks)
+		r.rekeep(cfg.State)
+	}
 	r.sources.Reread()
 	if r.fleet != nil && !slices.Equal(cfg.PeerAddrs, r.cfg.PeerAddrs) {
 		r.cfg.PeerAddrs = cfg.PeerAddrs
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -316,7 +316,7 @@
 func (r *Router) probe(cache string) {
 	now := r.m.Now()
 	a := &upstream.Attempt{Sent: now, StopAt: now + r.cfg.Bounds.Caches.ProbeTime.Microseconds()}
-	if !r.pool.Start(cache, a) {
+	if r.front == nil || !r.pool.Start(cache, a) { // a process that waits for its address leaves the caches alone
 		r.backlog = append(r.backlog, &decide.Probed{Cache: cache, Result: decide.NotSent, Load: decide.Load{Busy: -1}})
 	}
 }
--- a/internal/router/state_test.go
+++ b/internal/router/state_test.go
@@ -64,6 +64,7 @@
 	if c.r, err = Start(m, &cfg); err != nil {
 		c.Fatal(err)
 	}
+	hearKnown(c.r)
 }
 
 func (c *cell) run(d time.Duration) { c.w.Run(c.w.Now() + d.Microseconds()) }
--- a/internal/sources/sources.go
+++ b/internal/sources/sources.go
@@ -54,6 +54,7 @@
 	owner       Owner
 	members     *membership.Members
 	waking      machine.Timer // for members
+	waiting     machine.Timer // for the platform's first answer
 	again       machine.Timer // for the next call of an agent that has lists pushed to it
 	index       int64         // version of the platform's list; NoIndex has the whole one asked for
 	listUnknown bool          // neither has the platform answered, nor was the list as last known taken over
@@ -63,33 +64,33 @@
 	over        bool
 }
 
-// New makes sources. Nobody is asked before Start. Where discovery has to be asked, the list as last known is published in the
-// same call. Where lists are pushed, what the agent has counts as told from the first moment of a process on: the list as last
-// known is published only where the agent can't be had, or does not answer for as long as any discovery may take.
+// New makes sources. Nobody is asked before Start.
+//
+// The list as last known is published only where discovery can't be had, or does not answer for as long as it may take. It may
+// name caches that have left since, and what discovery has told the process before counts. Its version is not used either:
+// whoever wrote it may have joined a newer version to an older list, and a watch from that version on would never tell what
+// the list lacks. So the first call asks for the whole list.
 func New(m machine.Machine, cfg Config, owner Owner) (*Sources, error) {
-	s := &Sources{m: m, cfg: cfg, owner: owner, index: cfg.Known.Index}
+	s := &Sources{m: m, cfg: cfg, owner: owner, index: discovery.NoIndex}
 	var err error
 	if s.members, err = membership.New(cfg.Membership.Options(s.inUse())); err != nil {
 		return nil, err
 	}
-	if s.listUnknown = s.asks(membership.Discovery); !cfg.Asked.Pushed {
+	s.listUnknown = s.asks(membership.Discovery)
+	s.waiting = m.At(m.Now()+cfg.Asked.AnswerTime.Microseconds(), func() {
 		s.useLastKnown()
-	} else {
-		s.index = discovery.NoIndex // the agent answers at once
-		m.At(m.Now()+cfg.Asked.AnswerTime.Microseconds(), func() {
-			s.useLastKnown()
-			s.owner.Settle()
-		})
-	}
+		s.owner.Settle()
+	})
 	return s, nil
 }
 
 // useLastKnown takes the list as last known over, where nobody has told a newer one.
 func (s *Sources) useLastKnown() {
-	if !s.listUnknown {
+	if !s.listUnknown || s.over {
 		return
 	}
 	s.listUnknown = false
+	s.owner.ListTold("last-known", s.cfg.Known.Index, len(s.cfg.Known.Entries))
 	s.hear(&membership.Heard{Source: membership.Discovery, Full: true, Stale: true, Claims: claims(&s.cfg.Known),
 		Unread: s.cfg.Known.Unread})
 }
@@ -132,6 +133,7 @@
 	if s.waking != nil {
 		s.waking.Stop()
 	}
+	s.waiting.Stop()
 }
 
 // Table is every cache that is known, and Rows how things stand with each source.
