--- /dev/null
+++ b/internal/router/standstill_test.go
@@ -0,0 +1,53 @@
+package router
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"starlingwinch/internal/routertest"
+)
+
+// TestTakeOutToldWhileRouterStandsStill: discovery writes that a cache leaves while the loop stands still for longer than the
+// grace, behind requests that have come meanwhile. As the loop goes on, the cache gets none of them.
+func TestTakeOutToldWhileRouterStandsStill(t *testing.T) {
+	const grace = 40 * time.Millisecond
+	leaving, staying := newFakeCache(t), newFakeCache(t)
+	addr, calls := routertest.Discovery(t)
+	listed := []string{host("c1", leaving.Addr(), "in_service"), host("c2", staying.Addr(), "in_service")}
+	r := startUnheard(t, routertest.NewLoop(t, nil), testConfig(t, addr, func(in map[string]any) {
+		in["settings"].(map[string]any)["rules"].(map[string]any)["drainGrace"] = grace.Microseconds()
+	}), nil)
+	receive(t, calls, "call").Reply <- hosts(1, true, listed...)
+	watch := receive(t, calls, "watch")
+	others := make(chan string, 100)
+	leaving.Saying(t, func(id string) string { others <- id; return served })
+	staying.Saying(t, func(string) string { return served })
+
+	var clients []*routertest.Client
+	for i := range 8 { // connections that are up and used before
+		c := dial(t, r.addr)
+		c.Send(words("C.GET", fmt.Sprint("key", i), fmt.Sprint("before", i), "c=read,d=20000"))
+		c.Want("value")
+		clients = append(clients, c)
+	}
+	for len(others) > 0 {
+		<-others
+	}
+	resume, stands := make(chan struct{}), make(chan struct{})
+	r.Post(func() { close(stands); <-resume })
+	receive(t, stands, "stand")
+	for i, c := range clients {
+		c.Send(words("C.GET", fmt.Sprint("key", i), fmt.Sprint("while", i), "c=read,d=20000"))
+	}
+	watch.Reply <- hosts(2, false, host("c1", leaving.Addr(), "terminating"))
+	receive(t, watch.Written, "answer of discovery")
+	<-time.After(2 * grace) // the time that passes is what the test is about
+	close(resume)
+	for _, c := range clients {
+		c.Want("value")
+	}
+	if n := len(others); n > 0 {
+		t.Errorf("%d of %d requests went to the cache that leaves, %v after that was told", n, len(clients), 2*grace)
+	}
+}
