A router that stood still takes in what discovery has written before it sends

Cause: as the loop goes on after a standstill, requests and news of discovery wait side by side, are read in any order, and lists are parsed beside the loop: requests read first went to a cache of which discovery had written longer ago than the grace that it leaves.

The machine tells when its loop goes on after a span without a call (Resumed) and how long the call that goes on has taken (Late). After a quarter of the drain grace the router looks whether discovery has written what was not taken in yet, and begins no attempt until it is; where lists are pushed, after half of the grace, the agent is asked anew first. An attempt is also not begun in a call that has gone on for 0.1 s.

--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -60,6 +60,7 @@
 	pause       machine.Timer
 	limit       machine.Timer // of the call that is out
 	timedOut    bool
+	calling     bool // a call was made whose answer was not told yet
 	over        bool
 }
 
@@ -105,9 +106,18 @@
 		wait = w.spans.Silent
 	}
 	w.limit = w.m.At(now+wait, func() { w.onTimeout(wait) })
+	w.calling = true
 	w.client.Do(httpc.Request{Method: "GET", Path: path, Headers: accept}, maxWait, w.answered)
 }
 
+// IsBehind reports whether discovery has written something that was not told yet: it waits to be read, or to be parsed.
+func (w *Watch) IsBehind() bool {
+	return !w.over && w.calling && (!w.client.Busy() || !w.client.Quiet())
+}
+
+// IsFirstOut reports whether the first call is out, and may be answered in time.
+func (w *Watch) IsFirstOut() bool { return !w.over && !w.hasAnswered && !w.timedOut }
+
 // Again is the pause from a failure to the next call; 0 where that is the owner's to say.
 func (w *Watch) Again() Time { return w.spans.Again }
 
@@ -158,7 +168,7 @@
 		case err != nil:
 			w.fail(err)
 		default:
-			w.after, w.hasAnswered, w.timedOut = list.Index, true, false
+			w.after, w.hasAnswered, w.timedOut, w.calling = list.Index, true, false, false
 			w.next() // first, so that the watch goes on; what it tells takes a turn at least
 			w.told(list)
 		}
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -41,6 +41,7 @@
 	RequestFailed  Event = "request-failed"
 	ClientClosed   Event = "client-closed"
 	ListTold       Event = "list"      // discovery has answered, or a call of it has failed
+	Resumed        Event = "resumed"   // the loop goes on after a pause
 	Start          Event = "start"     // how far a start has come; written whatever is left out else
 	Violation      Event = "violation" // of a rule; likewise
 )
--- a/internal/httpc/client.go
+++ b/internal/httpc/client.go
@@ -96,6 +96,9 @@
 // Busy reports whether a call is out.
 func (c *Client) Busy() bool { return c.call != nil }
 
+// Quiet reports whether nothing waits on the connection to be read.
+func (c *Client) Quiet() bool { return c.conn == nil || c.conn.nc == nil || c.conn.nc.Quiet() }
+
 // Came is how many bytes have come of the answer to the call that is out.
 func (c *Client) Came() int {
 	if c.call == nil {
--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -77,6 +77,11 @@
 	Now() Time
 	// Wall is Unix time as the machine's clock has it at the moment: it may be wrong, and step.
 	Wall() Time
+	// Late is how much later it is than Now says: how long the call that goes on has taken, or the process has stood still in it.
+	Late() Time
+	// Resumed has f called where the loop goes on after at least a span in which it called nobody, before it calls anybody
+	// else: there was nothing to do, or the process stood still. Much may wait to be read then, in any order.
+	Resumed(after Time, f func())
 	// Entropy is a number that nobody can guess; on a virtual machine the seed decides it.
 	Entropy() uint64
 
--- a/internal/machine/machinetest/conns.go
+++ b/internal/machine/machinetest/conns.go
@@ -551,8 +551,11 @@
 func addressInUse(b *bench) {
 	b.call(func() {
 		l, _ := b.listen(true)
-		if _, err := b.B.Listen(l.Addr(), nil); err == nil {
-			b.Error("an address was listened at twice")
+		if _, err := b.B.Listen(l.Addr(), nil); !errors.Is(err, machine.ErrAddressInUse) {
+			b.Errorf("an address that is listened at: %v", err)
+		}
+		if _, err := b.B.Listen("192.0.2.1:7000", nil); !errors.Is(err, machine.ErrAddressMissing) {
+			b.Errorf("an address of another machine: %v", err)
 		}
 	})
 }
--- a/internal/machine/real.go
+++ b/internal/machine/real.go
@@ -34,6 +34,9 @@
 	now     Time
 	running bool
 	polled  time.Time // when the kernel was last asked for events
+	called  Time      // when anybody was called last
+	resumed func()    // to be called after a span without a call; nil for none
+	span    Time      // that span
 
 	poll   *poller
 	timers timers
@@ -167,15 +170,15 @@
 	}
 	for i := 0; i < m.poll.n; i++ {
 		ev := &m.poll.events[i]
+		m.goOn() // which may close what the event is for
 		if w := m.poll.owner(ev); w != nil {
-			m.tick()
 			w.event(ev.Events)
 		}
 	}
 
 	for i, f := range posted {
 		posted[i] = nil
-		m.tick()
+		m.goOn()
 		f()
 	}
 
@@ -189,6 +192,9 @@
 	now, set := m.now, m.timers.set
 	due := func(t *timer) bool { return t.nr < set && (t.at <= looked || t.nr >= before && t.at <= now) }
 	for t := m.timers.first(); t != nil && due(t); t = m.timers.first() {
+		if m.goOn(); t != m.timers.first() {
+			continue // it was taken back
+		}
 		t.take()()
 		m.tick()
 	}
@@ -216,6 +222,16 @@
 
 func (m *Real) tick() { m.now = m.base + time.Since(m.start).Microseconds() }
 
+// goOn reads the clock for the next call, and tells where there was none for long.
+func (m *Real) goOn() {
+	m.tick()
+	before := m.called
+	m.called = m.now
+	if m.resumed != nil && m.now-before >= m.span {
+		m.resumed()
+	}
+}
+
 // shut gives everything back.
 func (m *Real) shut() {
 	m.signals.end()
@@ -242,6 +258,12 @@
 // Wall implements Machine.
 func (m *Real) Wall() Time { return m.kernel.Wall().UnixMicro() }
 
+// Late implements Machine.
+func (m *Real) Late() Time { return m.base + time.Since(m.start).Microseconds() - m.now }
+
+// Resumed implements Machine.
+func (m *Real) Resumed(after Time, f func()) { m.resumed, m.span, m.called = f, after, m.now }
+
 // Entropy implements Machine.
 func (m *Real) Entropy() uint64 {
 	var b [8]byte
--- a/internal/router/bench_test.go
+++ b/internal/router/bench_test.go
@@ -27,11 +27,13 @@
 
 func (t *bareTimer) Stop() { t.off = true }
 
-func (m *bareMachine) Now() machine.Time  { return m.now }
-func (m *bareMachine) Wall() machine.Time { return m.now }
-func (m *bareMachine) Entropy() uint64    { return 7 }
-func (m *bareMachine) Log(string)         {}
-func (m *bareMachine) Post(f func())      { m.At(m.now, f) }
+func (m *bareMachine) Now() machine.Time    { return m.now }
+func (m *bareMachine) Wall() machine.Time   { return m.now }
+func (m *bareMachine) Entropy() uint64      { return 7 }
+func (m *bareMachine) Late() Time           { return 0 }
+func (m *bareMachine) Resumed(Time, func()) {}
+func (m *bareMachine) Log(string)           {}
+func (m *bareMachine) Post(f func())        { m.At(m.now, f) }
 
 func (m *bareMachine) At(at machine.Time, f func()) machine.Timer {
 	t := &bareTimer{at: at, f: f}
--- a/internal/router/list.go
+++ b/internal/router/list.go
@@ -115,6 +115,7 @@
 // Answered implements sources.Owner: also where nothing has changed, the module hears that discovery answers.
 func (r *Router) Answered() {
 	r.backlog = append(r.backlog, &decide.List{Kind: decide.ListChanges})
+	r.catchUp()
 }
 
 // Failed implements sources.Owner: the module says when to ask again.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -79,6 +79,7 @@
 	closed    bool
 	onDrained func()
 	onFailure func(error)
+	behind    bool // attempts are held back: discovery has written what was not taken in yet
 	address   addressWait
 	joining   machine.Timer // for the next look at the address for datagrams
 }
--- a/internal/router/standstill_test.go
+++ b/internal/router/standstill_test.go
@@ -51,3 +51,42 @@
 		t.Errorf("%d of %d requests went to the cache that leaves, %v after that was told", n, len(clients), 2*grace)
 	}
 }
+
+// TestTakeOutSentToAgentWhileRouterStandsStill: the call that was out is answered with nothing, and then the agent is sent a list
+// in which a cache leaves. It counts as told, so the agent is asked before anything goes to a cache.
+func TestTakeOutSentToAgentWhileRouterStandsStill(t *testing.T) {
+	const grace = 400 * time.Millisecond
+	leaving, staying := newFakeCache(t), newFakeCache(t)
+	addr, calls := routertest.Discovery(t)
+	r := startUnheard(t, routertest.NewLoop(t, nil), testConfig(t, addr, func(in map[string]any) {
+		settings := in["settings"].(map[string]any)
+		settings["discovery"] = "automatic"
+		settings["rules"].(map[string]any)["drainGrace"] = grace.Microseconds()
+	}), nil)
+	receive(t, calls, "call").Reply <- hosts(1, true, host("c1", leaving.Addr(), "in_service"))
+	watch := receive(t, calls, "watch")
+	others := make(chan string, 100)
+	leaving.Saying(t, func(id string) string { others <- id; return served })
+	staying.Saying(t, func(string) string { return served })
+	client := dial(t, r.addr)
+	r.Until("a router that serves", func() bool { return r.r.Serving() })
+
+	resume, stands := make(chan struct{}), make(chan struct{})
+	r.Post(func() { close(stands); <-resume })
+	receive(t, stands, "stand")
+	watch.Reply <- hosts(1, false)
+	receive(t, watch.Written, "answer of discovery")
+	client.Send(get("while"))
+	<-time.After(grace) // the time that passes is what the test is about
+	close(resume)
+	for call := receive(t, calls, "call"); ; call = receive(t, calls, "call") {
+		if call.Query == "/discovery/hosts" {
+			call.Reply <- hosts(2, true, host("c1", leaving.Addr(), "terminating"), host("c2", staying.Addr(), "in_service"))
+			break
+		}
+	}
+	client.Want("value")
+	if n := len(others); n > 0 {
+		t.Errorf("%d requests went to the cache that leaves", n)
+	}
+}
--- a/internal/router/start.go
+++ b/internal/router/start.go
@@ -116,6 +116,7 @@
 		r.backlog = append(r.backlog, &decide.List{Kind: decide.ListStale})
 	}
 	r.Settle()
+	r.watchStandstill()
 	r.sources.Start() // also where the settings say that lists are pushed: the agent that has them must be asked
 	return nil
 }
--- a/internal/sim/event.go
+++ b/internal/sim/event.go
@@ -229,3 +229,20 @@
 	}
 	s[i] = e
 }
+
+// process is the one that the event reaches; nil for one of a script or a host.
+func (ev *event) process() *Process {
+	switch {
+	case ev.proc != nil:
+		return ev.proc
+	case ev.conn != nil:
+		return ev.conn.p
+	case ev.dial != nil:
+		return ev.dial.p
+	case ev.listener != nil:
+		return ev.listener.p
+	case ev.packets != nil:
+		return ev.packets.p
+	}
+	return nil
+}
--- a/internal/sim/process.go
+++ b/internal/sim/process.go
@@ -23,6 +23,9 @@
 	diskAt      Time                 // when the last of its works on the disk is over
 	onDisk      []func(machine.Disk) // works that are not done yet
 	kept        []machine.Signal
+	resumed     func() // to be called after a span without a call; nil for none
+	span        Time   // that span
+	called      Time   // when anybody was called last
 }
 
 var _ machine.Machine = (*Process)(nil)
@@ -57,6 +60,23 @@
 	return p.w.now + p.host.clock
 }
 
+// Late is 0: a call takes no time here.
+func (p *Process) Late() Time { return 0 }
+
+func (p *Process) Resumed(after Time, f func()) {
+	p.enter()
+	p.resumed, p.span, p.called = f, after, p.w.now
+}
+
+// goOn is called before the process is: it tells where there was no call for long.
+func (p *Process) goOn() {
+	before := p.called
+	p.called = p.w.now
+	if p.resumed != nil && !p.dead && p.called-before >= p.span {
+		p.resumed()
+	}
+}
+
 func (p *Process) Entropy() uint64 {
 	p.enter()
 	return p.host.entropy.Uint64()
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -192,6 +192,11 @@
 	if ev.wire() && w.held(ev) {
 		return false
 	}
+	if q := ev.process(); q != nil && !q.dead && !q.host.stalled() {
+		if q.goOn(); ev.stopped {
+			return true
+		}
+	}
 	w.record(ev)
 	ev.id = 0 // it cannot be taken back any more
 	switch ev.kind {
--- a/internal/sources/sources.go
+++ b/internal/sources/sources.go
@@ -60,6 +60,7 @@
 	listUnknown bool          // neither has the platform answered, nor was the list as last known taken over
 	watching    *discovery.Watch
 	previous    *discovery.Watch // the one before, where it has not answered: it is heard until the other one is
+	catchingUp  *discovery.Watch // the one that CatchUp has begun
 	registry    *eureka.Client
 	over        bool
 }
@@ -267,6 +268,33 @@
 	}
 }
 
+// CatchUp has what an agent has been sent asked for at once. It counts as told, whether or not a call is out, and one that was
+// out while the process stood still may have been answered before the news came.
+func (s *Sources) CatchUp() {
+	if !s.cfg.Asked.Pushed || s.over {
+		return
+	}
+	s.unwatch()
+	s.index = discovery.NoIndex // which is answered at once, also where nothing has changed
+	s.Watch()
+	s.catchingUp = s.watching
+}
+
+// IsBehind reports whether the platform's discovery has written something that was not published yet, or CatchUp has not
+// been answered.
+func (s *Sources) IsBehind() bool {
+	if s.catchingUp != nil && s.catchingUp.IsFirstOut() {
+		return true
+	}
+	s.catchingUp = nil
+	for _, w := range []*discovery.Watch{s.watching, s.previous} {
+		if w != nil && w.IsBehind() {
+			return true
+		}
+	}
+	return false
+}
+
 // Version is that of the last list of the platform's discovery; below 0 where there is none.
 func (s *Sources) Version() int64 { return s.index }
 
--- a/internal/standin/lab_test.go
+++ b/internal/standin/lab_test.go
@@ -66,9 +66,11 @@
 	l.now = until
 }
 
-func (l *lab) Now() Time       { return l.now }
-func (l *lab) Wall() Time      { return l.now }
-func (l *lab) Entropy() uint64 { return 4 }
+func (l *lab) Now() Time            { return l.now }
+func (l *lab) Wall() Time           { return l.now }
+func (l *lab) Entropy() uint64      { return 4 }
+func (l *lab) Late() Time           { return 0 }
+func (l *lab) Resumed(Time, func()) {}
 func (l *lab) At(t Time, f func()) machine.Timer {
 	l.seq++
 	e := &labEvent{max(t, l.now), l.seq, f}
--- a/internal/upstream/cache.go
+++ b/internal/upstream/cache.go
@@ -120,8 +120,12 @@
 // pump gives idle connections to waiting attempts, first come first served, and
 // opens more where there are too few.
 func (u *cache) pump() {
-	for len(u.waiting) > 0 {
+	for len(u.waiting) > 0 && !u.pool.held {
 		a := u.waiting[0]
+		if u.pool.m.Late() > maxLate {
+			u.wake() // all is looked at again in a turn that knows the time
+			return
+		}
 		if !u.sendable(a) {
 			a.end(decide.NotSent, nil)
 			continue
@@ -138,6 +142,10 @@
 	}
 }
 
+// maxLate is how long a turn may have taken for its looks to count, in microseconds. A router may stand still for up to 0.15 s
+// between reading its clock and writing: deadlines, windows and graces allow for that, and for no more.
+const maxLate = 100_000
+
 // writeAgain is until what the machine took no byte of is looked at again.
 const writeAgain = 10_000
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -9,6 +9,7 @@
 package upstream
 
 import (
+	"maps"
 	"slices"
 	"strings"
 
@@ -70,6 +71,7 @@
 	idle    int        // of them
 	lent    int        // descriptors beyond its own, for idle ones alone
 	starved bool       // an attempt waits for a descriptor
+	held    bool       // no attempt is begun for now
 	gentle  bool       // caches that were away are dialled one at a time at first
 	in, out []byte     // what is read into, and written from, within one call
 	rep     resp.Reply // what was read last, within one call
@@ -131,6 +133,17 @@
 	}
 }
 
+// Hold has no attempt begun until Release: what is known of the caches may be old. Those that are asked for wait.
+func (p *Pool) Hold() { p.held = true }
+
+// Release ends a Hold, and begins what waits in a later turn.
+func (p *Pool) Release() {
+	p.held = false
+	for _, name := range slices.Sorted(maps.Keys(p.caches)) { // equal runs have equal orders
+		p.caches[name].wake()
+	}
+}
+
 // Gentle says whether connections to a cache that was away are to be opened one at a time at first, and more at a
 // time with each that comes up. The danger: a cache that has just started can do little, and connections cost it work.
 func (p *Pool) Gentle(on bool) { p.gentle = on }
