A registration looks each second whether its predecessor took it off the registry

Cause, by reading: a process that drains sends DELETE for the instance's id, 0.5 s and more after the next one may have registered under the same id, and the next one learned that at its next heartbeat, up to the renewal time (30 s) later. While the process before may still end, heartbeats come each second. Forced three times in TestPredecessorThatCancelsLateCostsASecond: registered anew within 1.1 s each time.

--- a/internal/eureka/register.go
+++ b/internal/eureka/register.go
@@ -28,6 +28,7 @@
 	Duration    Time // how long one holds
 	Timeout     Time // of a call, and of the whole end
 	BackoffMost Time // between calls while they fail
+	Predecessor Time // for so long the process before, which has the same id, may still take itself off the registry
 }
 
 // phase is how far a registration has come.
@@ -57,11 +58,12 @@
 	outside bool // it knows that the router drains
 	fails   int
 	dirty   int64 // ms: when what is registered came to be so
+	settled Time  // from then on only this process speaks for its id
 }
 
 // Register registers the router, and again where the registry has forgotten it, until Stop or Cancel.
 func Register(m machine.Machine, o RegisterOptions) *Registration {
-	r := &Registration{m: m, o: o, login: o.Login, absent: true, dirty: m.Wall() / 1000}
+	r := &Registration{m: m, o: o, login: o.Login, absent: true, dirty: m.Wall() / 1000, settled: m.Now() + o.Predecessor}
 	if r.o.VIP == "" {
 		r.o.VIP = strings.ToLower(o.Application)
 	}
@@ -214,10 +216,19 @@
 			r.wake(r.m.Now())
 			return
 		}
-		r.wake(r.m.Now() + jitterDown(r.m, r.o.Renewal))
+		r.wake(r.m.Now() + r.pause())
 	})
 }
 
+// pause is until the next heartbeat. While the process before may still take itself off the registry, which takes this one off
+// too as they have one id, heartbeats come each second: only they tell that it has happened.
+func (r *Registration) pause() Time {
+	if r.m.Now() < r.settled {
+		return min(second, r.o.Renewal)
+	}
+	return jitterDown(r.m, r.o.Renewal)
+}
+
 // failed turns to the next server, at once where there is one that was not tried in this round.
 func (r *Registration) failed(u URL, method string, err error) {
 	if r.fails++; r.fails == 1 {
--- a/internal/eureka/register_test.go
+++ b/internal/eureka/register_test.go
@@ -229,3 +229,26 @@
 		t.Errorf("%+v", o)
 	}
 }
+
+// TestPredecessorThatCancelsLateCostsASecond: the process before, under the same id, takes itself off the registry after this one
+// has registered. Its next heartbeat would notice within the renewal time, half a minute.
+func TestPredecessorThatCancelsLateCostsASecond(t *testing.T) {
+	f, b := newField(t), &book{}
+	reg := f.registry("eureka", "10.0.0.2", b.script)
+	o := registration(reg)
+	o.Predecessor = 5 * second
+	r := Register(f.client.Machine(), o)
+	defer r.Stop()
+	f.wait(second, "the registration", func() bool { return b.status == "UP" })
+	for _, at := range []Time{300_000, 2 * second, second} {
+		f.after(at)
+		b.status = "" // the DELETE of the process before
+		f.wait(second+second/10, "the registration anew", func() bool { return b.status == "UP" })
+	}
+	f.after(10 * second)
+	calls := len(reg.calls)
+	f.after(second * 5)
+	if n := len(reg.calls) - calls; n > 1 {
+		t.Errorf("%d calls in 5 s once the process before must have ended", n)
+	}
+}
--- a/internal/router/start.go
+++ b/internal/router/start.go
@@ -142,7 +142,7 @@
 	now := r.m.Now()
 	w := &r.address
 	if w.until == 0 {
-		w.until = now + min(r.longest, drainPatience) + killMargin + r.cfg.Bounds.Clients.AddressTime.Microseconds()
+		w.until = now + r.predecessorEnds() + r.cfg.Bounds.Clients.AddressTime.Microseconds()
 	}
 	if now >= w.until {
 		return fmt.Errorf("%w, %.1f s after the start", cause, float64(now-r.begun)/1e6)
@@ -156,6 +156,9 @@
 	return nil
 }
 
+// predecessorEnds is how long the process before may take to end: it drains for no longer, and may be killed then.
+func (r *Router) predecessorEnds() Time { return min(r.longest, drainPatience) + killMargin }
+
 // tryAddress tries to take the address, and fails the start for what lasts.
 func (r *Router) tryAddress() {
 	if r.closed {
@@ -182,7 +185,9 @@
 	r.Settle()
 	r.keeper = r.keep(r.cfg.State, false) // once the module has heard of the caches that are known
 	if r.cfg.Eureka.Register.Enabled {
-		r.enrolled = eureka.Register(r.m, r.cfg.Eureka.Registration())
+		o := r.cfg.Eureka.Registration()
+		o.Predecessor = r.predecessorEnds() + o.Timeout // its last call may take that long
+		r.enrolled = eureka.Register(r.m, o)
 	}
 	if err := r.joinFleet(); err != nil {
 		return err
