Soak draws hand-overs with overlap and signals in a row; one trouble can be given

No test could meet the incident: stand-ins started a process only once the last one had ended. The lab now starts the next process from 3 s before the end of the one before to its SIGKILL, which comes as early as the platform allows (longest deadline, 3 s at most, and 0.7 s), one, all at once or one after another, often at the moment the listener closes; the one before drains, stands still or is killed.

--- a/cmd/lab/soak.go
+++ b/cmd/lab/soak.go
@@ -21,7 +21,7 @@
 )
 
 func soakCommand() *cobra.Command {
-	seeds, routers, length := "1-10", 24, time.Minute
+	seeds, routers, length, trouble := "1-10", 24, time.Minute, ""
 	cmd := &cobra.Command{
 		Use:   "soak",
 		Short: "Play router processes on loopback sockets under two or three troubles that overlap",
@@ -37,16 +37,24 @@
 			if routers < 1 || routers > mostSoakRouters || length < leastSoak {
 				return usageError{fmt.Errorf("soak: --routers of 1 to %d and --for of at least %v are wanted", mostSoakRouters, leastSoak)}
 			}
-			return runSoak(cmd.OutOrStdout(), from, to, routers, length)
+			draw := func(seed uint64) (soak.Case, error) { return soak.Draw(seed, routers, length), nil }
+			if trouble != "" {
+				draw = func(seed uint64) (soak.Case, error) { return soak.DrawWith(trouble, seed, routers, length) }
+			}
+			if _, err := draw(from); err != nil {
+				return usageError{fmt.Errorf("soak: --trouble: %w", err)}
+			}
+			return runSoak(cmd.OutOrStdout(), from, to, routers, draw)
 		},
 	}
 	cmd.Flags().StringVar(&seeds, "seeds", seeds, "`first-last`")
+	cmd.Flags().StringVar(&trouble, "trouble", "", "`name` of a trouble that each play has; the others take turns beside it")
 	cmd.Flags().IntVar(&routers, "routers", routers, "router processes")
 	cmd.Flags().DurationVar(&length, "for", length, "`length` of each play")
 	return cmd
 }
 
-func runSoak(out io.Writer, from, to uint64, routers int, length time.Duration) error {
+func runSoak(out io.Writer, from, to uint64, routers int, draw func(seed uint64) (soak.Case, error)) error {
 	dir, err := os.MkdirTemp("", "starlingwinch-soak-")
 	if err != nil {
 		return err
@@ -59,7 +67,10 @@
 	var met soak.Coverage
 	played, broken, late := 0, 0, Lateness(0)
 	for seed := from; seed <= to; seed++ {
-		c := soak.Draw(seed, routers, length)
+		c, err := draw(seed)
+		if err != nil {
+			return err
+		}
 		r, err := loopback.Run(loopback.Options{Script: c.Script, Program: program, Calls: c.Calls})
 		if err != nil {
 			return fmt.Errorf("seed %d: %w", seed, err)
--- a/internal/lab/loopback/faults.go
+++ b/internal/lab/loopback/faults.go
@@ -119,6 +119,12 @@
 			begin: func(fs *faults, x script.Fault) { fs.routers(x, func(rt *router) { rt.signal(syscall.SIGSTOP) }) },
 			end:   func(fs *faults, x script.Fault) { fs.routers(x, func(rt *router) { rt.signal(syscall.SIGCONT) }) },
 		},
+		script.HandOver: {begin: func(fs *faults, x script.Fault) {
+			fs.routers(x, func(rt *router) { rt.handOver(x) })
+		}},
+		script.Signals: {begin: func(fs *faults, x script.Fault) {
+			fs.routers(x, func(rt *router) { rt.signals(x) })
+		}},
 		script.HangUp: {begin: func(fs *faults, x script.Fault) {
 			fs.routers(x, func(rt *router) { rt.signal(syscall.SIGHUP) })
 		}},
@@ -167,7 +173,11 @@
 func (fs *faults) end() {
 	fs.over = true
 	for _, rt := range fs.r.routers {
-		rt.signal(syscall.SIGCONT) // one that stands still can't be told to end
+		rt.signal(syscall.SIGCONT)        // one that stands still can't be told to end
+		for _, old := range rt.previous { // any order: all
+			rt.endOld(old)
+			old.proc.signal(syscall.SIGCONT)
+		}
 	}
 	for _, h := range fs.hostile {
 		h.Stop()
--- /dev/null
+++ b/internal/lab/loopback/handover.go
@@ -0,0 +1,168 @@
+package loopback
+
+import (
+	"errors"
+	"maps"
+	"slices"
+	"strings"
+	"syscall"
+
+	"starlingwinch/internal/lab/script"
+	"starlingwinch/internal/machine"
+)
+
+const (
+	// longestDrain is how much of the longest deadline a planned restart allows for.
+	longestDrain = 3 * second
+	// refusedMost is how long an address may refuse connections over a hand-over.
+	refusedMost = 250 * millisecond
+	lookEvery   = 20 * millisecond
+)
+
+// predecessor is a process of a router that another one follows while it is still there.
+type predecessor struct {
+	proc   *process
+	asked  bool // to end
+	killed bool
+}
+
+// handOver starts the next process of a router beside the present one, which ends as the fault says.
+func (rt *router) handOver(x script.Fault) {
+	if rt.state != serving || rt.proc == nil {
+		return
+	}
+	r, apart := rt.r, span(x.Delay)
+	now := r.m.Now()
+	old := &predecessor{proc: rt.proc}
+	rt.previous[rt.life] = old
+	life := rt.life
+	next := func() { rt.startBeside(life) }
+	switch x.How {
+	case script.NextFirst:
+		next()
+		r.m.At(now+apart, func() { rt.endOld(old) })
+	case script.Killed:
+		next()
+		r.m.At(now+apart, func() { rt.killOld(old) })
+	case script.Stopped:
+		// Nobody can be answered by a process that stands still for longer than the platform allows: as if it was killed.
+		rt.standsStill, rt.dealt = true, false
+		r.seen.RouterDown(now, rt.name, false)
+		old.proc.signal(syscall.SIGSTOP)
+		rt.endOld(old)
+		r.m.At(now+apart, next)
+	default:
+		rt.endOld(old)
+		r.m.At(now+apart, next)
+	}
+}
+
+// endOld has a predecessor drain. It is killed as early as the platform may do so.
+func (rt *router) endOld(old *predecessor) {
+	old.asked = true
+	old.proc.signal(syscall.SIGTERM)
+	rt.r.m.At(rt.r.m.Now()+rt.killAfter(), func() { rt.killOld(old) })
+}
+
+// killAfter is the earliest SIGKILL after SIGTERM.
+func (rt *router) killAfter() Time {
+	longest := Time(0)
+	for _, c := range rt.r.report.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	return min(longest, longestDrain) + drainSpare
+}
+
+// killOld kills a predecessor that is still there. What it held is its clients' to ask again for, unless it was to drain.
+func (rt *router) killOld(old *predecessor) {
+	if !slices.Contains(slices.Collect(maps.Values(rt.previous)), old) {
+		return
+	}
+	old.killed = true
+	if !old.asked {
+		now := rt.r.m.Now()
+		rt.r.seen.RouterDown(now, rt.name, false)
+		rt.r.seen.RouterUp(now, rt.name)
+	}
+	old.proc.signal(syscall.SIGKILL)
+}
+
+// goesOn is called once a process serves: its router stands still no more.
+func (rt *router) goesOn() {
+	if rt.standsStill {
+		rt.standsStill = false
+		rt.r.seen.RouterUp(rt.r.m.Now(), rt.name)
+	}
+}
+
+// startBeside starts a process while the one before, of the given life, is still there.
+func (rt *router) startBeside(life int) {
+	if rt.life != life || rt.r.phase == ending {
+		return
+	}
+	rt.proc, rt.state = nil, coming
+	rt.launch()
+	rt.lookAtAddress(rt.life, 0)
+}
+
+// lookAtAddress tries the address again and again until the next process serves, and notes for how long it refuses.
+func (rt *router) lookAtAddress(life int, refusedSince Time) {
+	r := rt.r
+	if rt.life != life || r.phase == ending || rt.state == serving && len(rt.previous) == 0 {
+		return
+	}
+	r.m.Dial(rt.port.addr, pingWithin, func(conn machine.Conn, err error) machine.Handler {
+		now := r.m.Now()
+		switch {
+		case !errors.Is(err, machine.ErrRefused):
+			refusedSince = 0
+		case refusedSince == 0:
+			refusedSince = now
+		case now-refusedSince > refusedMost+r.seen.clock.lag.Lost && rt.life == life:
+			r.trouble("%s refused connections for %d ms over a hand-over", rt.name, (now-refusedSince)/millisecond)
+			return nil
+		}
+		r.m.At(now+lookEvery, func() { rt.lookAtAddress(life, refusedSince) })
+		return nil
+	})
+}
+
+// oldEnded takes in the end of a predecessor. It reports false where the life is none of one.
+func (rt *router) oldEnded(life, exit int) bool {
+	old := rt.previous[life]
+	if old == nil {
+		return false
+	}
+	delete(rt.previous, life)
+	if !old.killed && (!old.asked || exit != 0) {
+		rt.r.trouble("%s ended by itself with %d during a hand-over; the end of its log: %s", rt.name, exit,
+			strings.Join(rt.report.Tail, " | "))
+	}
+	rt.r.ended()
+	return true
+}
+
+// signalNames are the words of a series of signals.
+var signalNames = map[string]syscall.Signal{"hup": syscall.SIGHUP, "term": syscall.SIGTERM, "kill": syscall.SIGKILL,
+	"stop": syscall.SIGSTOP, "cont": syscall.SIGCONT}
+
+// signals sends a router a series of signals. One that ends it has it followed by a new process.
+func (rt *router) signals(x script.Fault) {
+	if rt.state != serving {
+		return
+	}
+	r, life := rt.r, rt.life
+	for i, name := range strings.Split(x.How, "-") {
+		r.m.At(r.m.Now()+Time(i)*span(x.Delay), func() {
+			switch {
+			case rt.life != life || rt.state == down:
+			case name == "term" && rt.state == serving:
+				rt.term(true)
+			case name == "kill":
+				rt.kill(true)
+			default:
+				rt.signal(signalNames[name])
+			}
+		})
+	}
+}
--- a/internal/lab/loopback/router.go
+++ b/internal/lab/loopback/router.go
@@ -59,7 +59,10 @@
 	dealt  bool // the front deals connections to it
 	killed bool
 	again  bool // it is to be started again once it has ended
-	report RouterReport
+
+	previous    map[int]*predecessor // processes that are followed already, by their life
+	standsStill bool                 // the last of them does, until the next one serves
+	report      RouterReport
 }
 
 func newRouter(r *run, name, zone string) (*router, error) {
@@ -67,7 +70,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("a port for %s: %w", name, err)
 	}
-	rt := &router{r: r, name: name, zone: zone, port: p, config: filepath.Join(r.dir, name+".json"), set: r.routerSet}
+	rt := &router{r: r, name: name, zone: zone, port: p, config: filepath.Join(r.dir, name+".json"), set: r.routerSet,
+		previous: map[int]*predecessor{}}
 	rt.report.Name = name
 	rt.set.Name, rt.set.Listen = name, p.addr
 	rt.set.Seed = fmt.Sprintf("%x", uint64(r.o.Script.Seed)<<8+uint64(len(r.routers)))
@@ -130,13 +134,19 @@
 	if rt.state != down || r.phase == ending {
 		return
 	}
-	rt.state, rt.killed, rt.again = coming, false, false
-	rt.life++
-	rt.report.Starts++
-	life := rt.life
+	rt.state = coming
 	r.fleet.Discovery.Forget(rt.name)
 	r.seen.RouterUp(r.m.Now(), rt.name)
+	rt.launch()
+}
 
+// launch starts the next life's process.
+func (rt *router) launch() {
+	r := rt.r
+	rt.killed, rt.again = false, false
+	rt.life++
+	rt.report.Starts++
+	life := rt.life
 	cmd := exec.Command(r.program, rt.args...)
 	cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+rt.config)
 	if r.o.Calls != "" {
@@ -222,6 +232,7 @@
 			r.m.At(r.m.Now()+pingAgain, func() { rt.ping(life) })
 		case rt.life == life && rt.state == coming:
 			rt.state, rt.dealt = serving, true
+			rt.goesOn()
 			r.served()
 		}
 	}}
@@ -281,6 +292,9 @@
 
 // ended is called once the process has ended.
 func (rt *router) ended(life int, s *os.ProcessState) {
+	if rt.oldEnded(life, s.ExitCode()) {
+		return
+	}
 	if rt.life != life || rt.state == down {
 		return
 	}
@@ -314,6 +328,11 @@
 		return
 	}
 	u := usageOf(rt.proc.pid())
+	for _, old := range rt.previous { // any order: a sum
+		before := usageOf(old.proc.pid())
+		u.descriptors += before.descriptors
+		u.peakRSS += before.peakRSS
+	}
 	rt.report.PeakRSS = max(rt.report.PeakRSS, u.peakRSS)
 	rt.report.Descriptors = max(rt.report.Descriptors, u.descriptors)
 	if u.descriptors > 0 {
--- a/internal/lab/loopback/run.go
+++ b/internal/lab/loopback/run.go
@@ -91,6 +91,9 @@
 		if rt.proc != nil {
 			rt.proc.kill()
 		}
+		for _, old := range rt.previous { // any order: all
+			old.proc.kill()
+		}
 		rt.port.release()
 	}
 	r.nursery.close()
@@ -269,7 +272,7 @@
 		return
 	}
 	for _, rt := range r.routers {
-		if rt.state != down {
+		if rt.state != down || len(rt.previous) > 0 {
 			return
 		}
 	}
--- a/internal/lab/loopback/usage.go
+++ b/internal/lab/loopback/usage.go
@@ -34,14 +34,19 @@
 	return u
 }
 
-// ticks is the processor time that a process has used, in ticks of 10 ms; 0 once it is gone.
-func ticks(pid int) int64 {
+// statFields are the fields of a process's stat behind its name; none once it is gone.
+func statFields(pid int) []string {
 	stat, err := os.ReadFile(filepath.Join("/proc", strconv.Itoa(pid), "stat"))
 	if err != nil {
-		return 0
+		return nil
 	}
-	// The name, in parentheses, may hold anything; the fields behind it are numbers.
-	fields := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+1:]))
+	// The name, in parentheses, may hold anything; the fields behind it are not.
+	return strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+1:]))
+}
+
+// ticks is the processor time that a process has used, in ticks of 10 ms; 0 once it is gone.
+func ticks(pid int) int64 {
+	fields := statFields(pid)
 	const user, system = 11, 12
 	if len(fields) <= system {
 		return 0
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -72,6 +72,11 @@
 		o.Change(&s)
 		s.Sort()
 	}
+	for _, f := range s.Faults {
+		if f.Kind == script.HandOver || f.Kind == script.Signals {
+			return nil, fmt.Errorf("%s: only real processes can have it (lab soak)", f)
+		}
+	}
 	if err := s.Check(); err != nil {
 		return nil, err
 	}
--- a/internal/lab/script/kinds.go
+++ b/internal/lab/script/kinds.go
@@ -83,6 +83,8 @@
 	ClockStep     = "clock-step"
 	Stall         = "stall"
 	FailCalls     = "fail-calls"
+	HandOver      = "hand-over"
+	Signals       = "signals"
 )
 
 func share() *Range { return &Range{0, 1, 0.2} }
@@ -140,8 +142,31 @@
 	{Name: FailCalls, On: OnRouters, Chance: share(), Doc: "reads are cut short, and connections can't be begun for the moment"},
 }
 
+// Ways of a hand-over.
+const (
+	NextFirst = "next-first" // the next process starts, and the one before gets SIGTERM so much later
+	TermFirst = "term-first" // the one before gets SIGTERM, and the next process starts so much later
+	Stopped   = "stopped"    // the same, but the one before stands still until it is killed
+	Killed    = "killed"     // the next process starts, and the one before is killed so much later
+)
+
+// processKinds are the kinds of faults of real processes. A virtual machine has one process.
+var processKinds = []Kind{
+	{Name: HandOver, On: OnRouters, Instant: true, Delay: &Range{0.001, 6.7, 0.3}, How: []string{NextFirst, TermFirst, Stopped, Killed},
+		Doc: "the next process starts beside the one before, which ends `delay` apart; it is killed when the platform may kill it"},
+	{Name: Signals, On: OnRouters, Instant: true, Delay: &Range{0.001, 1, 0.01},
+		How: []string{"hup-hup", "hup-term", "term-hup", "term-term", "term-term-kill", "stop-term-cont"},
+		Doc: "signals in a row, `delay` apart; where it ends, a new process starts"},
+}
+
+// ProcessKinds lists the kinds of faults that need real processes.
+func ProcessKinds() []Kind { return slices.Clone(processKinds) }
+
 var byName = func() map[string]*Kind {
 	all := map[string]*Kind{}
+	for i := range processKinds {
+		all[processKinds[i].Name] = &processKinds[i]
+	}
 	for i := range kernelKinds {
 		all[kernelKinds[i].Name] = &kernelKinds[i]
 	}
--- a/internal/lab/soak/coverage.go
+++ b/internal/lab/soak/coverage.go
@@ -10,10 +10,11 @@
 )
 
 // Paths of a router that have to keep the rules.
-var paths = []string{"shutdown", "reload", "restart", "watch", "retry", "cancel", "idle close"}
+var paths = []string{"shutdown", "reload", "restart", "watch", "retry", "cancel", "idle close", "hand-over"}
 
 // pathOfTrouble are the paths that a trouble leads down by itself.
 var pathOfTrouble = map[string]string{script.RouterTerm: "shutdown", script.HangUp: "reload", script.ListMoved: "reload",
+	script.HandOver: "hand-over", script.Signals: "hand-over",
 	script.RouterRestart: "restart", script.ListDown: "watch", script.ListSilent: "watch", script.ListLate: "watch"}
 
 // pathOfCounter are the paths that a router's counters tell of, by the beginning of the counter's name.
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -57,3 +57,25 @@
 		}
 	}
 }
+
+// TestPlaysWithOneTroubleMeetAllOthers: as many seeds as there are other kinds.
+func TestPlaysWithOneTroubleMeetAllOthers(t *testing.T) {
+	var met Coverage
+	for seed := range uint64(len(kinds) - 1) {
+		c, err := DrawWith("hand-over", seed, 24, time.Minute)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := loopback.Check(c.Script); err != nil {
+			t.Errorf("seed %d: %v", seed, err)
+		}
+		c.Troubles = c.Troubles[:2]
+		met.Add(c, nil)
+	}
+	if met.PairsMet() != len(kinds)-1 {
+		t.Errorf("%d of %d pairs are met", met.PairsMet(), len(kinds)-1)
+	}
+	if _, err := DrawWith("none", 1, 24, time.Minute); err == nil {
+		t.Error("a trouble that does not exist is drawn")
+	}
+}
