A start reads files again that are missing or cut short; bind errors that pass are waited out

Class of the incident: a start that ends for something that passes. A file that is being replaced (missing, empty, or JSON that ends early) ended the start at once; it is read again for 2 s, while SIGTERM ends the process with 0. Each error on the way to the listener is held by TestStartByErrorOfTheKernel: address in use or not there yet, no descriptors, buffers or memory of the system pass; no permission, a bad argument and the process's own bound of descriptors last, and the error names the address. TestWaitingRouterLeavesCachesAlone: no connection to a cache while the address is awaited, and the list of the moment afterwards.

--- a/cmd/starlingwinch/run.go
+++ b/cmd/starlingwinch/run.go
@@ -83,62 +83,12 @@
 	}
 	// A log whose reader has gone must not end the router: the program would end by the signal.
 	signal.Notify(make(chan os.Signal, 1), syscall.SIGPIPE)
-	cfg, warnings, err := s.load()
-	if err != nil {
-		report(m, err)
-		m.Stop()
-		return errLogged
-	}
-	cfg.Limits.Apply()
 	d := daemon{m: m}
-	m.Post(func() { d.start(s, cfg, warnings) })
+	m.Post(func() { d.begin(s) })
 	m.Run()
 	return d.err
 }
 
-// errLogged is an error that the log has told already.
-var errLogged = errors.New("")
-
-// report writes an error as lines of the log, behind all that was logged before it. An error on a way of its own
-// overtakes lines that were logged earlier, and has neither their time nor their process.
-func report(m machine.Machine, err error) {
-	for line := range strings.SplitSeq(err.Error(), "\n") {
-		m.Log(line)
-	}
-}
-
-// daemon is the router on the machine's loop.
-type daemon struct {
-	m   *machine.Real
-	err error // why the process ends, other than for a signal
-}
-
-// start starts the router, and has signals reach it.
-func (d *daemon) start(s inputs, cfg *router.Config, warnings []string) {
-	r, err := router.Start(d.m, cfg)
-	if err != nil { // what was only a warning may name the cause in the file's own words
-		d.fail(errors.New(strings.Join(append(warnings, "starlingwinch: "+err.Error()), "\n")))
-		return
-	}
-	r.OnFailure(func(err error) { d.fail(fmt.Errorf("starlingwinch: %w", err)) })
-	warn(d.m, warnings)
-	reloads := reloader{inputs: s, m: d.m, router: r}
-	d.m.Signals(func(sig machine.Signal) {
-		if sig == machine.HangUp {
-			reloads.begin()
-		} else {
-			r.Drain(d.m.Stop)
-		}
-	})
-}
-
-// fail ends the process for an error.
-func (d *daemon) fail(err error) {
-	report(d.m, err)
-	d.err = errLogged
-	d.m.Stop()
-}
-
 // reloader reads the files again at each SIGHUP, beside the loop, and has the router take them over. It reads one set of files
 // at a time: of two that were read side by side the older might be taken over last.
 type reloader struct {
@@ -193,12 +143,13 @@
 // load reads all files. The error names all that is wrong with any of them, a line each.
 func (s inputs) load() (*router.Config, []string, error) {
 	var faults fault.List
-	cfg, warnings := s.platform(&faults)
+	cfg, warnings, unfinished := s.platform(&faults)
 	var files []opfile.File
 	of := map[string]string{}
 	for _, path := range s.operator {
 		file, err := kinds.Load(path)
 		if err != nil {
+			unfinished = unfinished || isUnfinished(err)
 			collect(&faults, err)
 			continue
 		}
@@ -210,6 +161,9 @@
 		files = append(files, file)
 	}
 	if err := faults.Err(); err != nil {
+		if unfinished {
+			err = errUnfinished{err}
+		}
 		return nil, nil, err
 	}
 	cfg.Bounds = opfile.Get[limits.Limits](files, limits.Kind)
@@ -231,8 +185,9 @@
 	return cfg, warnings, nil
 }
 
-// platform reads the platform's file. What the router can serve with is a warning, all else a fault.
-func (s inputs) platform(faults *fault.List) (*router.Config, []string) {
+// platform reads the platform's file. What the router can serve with is a warning, all else a fault. unfinished says that the
+// file may be there, or be whole, in a moment.
+func (s inputs) platform(faults *fault.List) (cfg *router.Config, warnings []string, unfinished bool) {
 	path := s.config
 	if path == "" {
 		path = os.Getenv(configVariable)
@@ -240,24 +195,23 @@
 	if path == "" {
 		faults.Add(fault.Fault{Text: "starlingwinch: no configuration: " + configVariable +
 			" is not set, and there is no --config"})
-		return nil, nil
+		return nil, nil, false
 	}
 	raw, err := readConfig(path)
 	if err != nil {
 		faults.Add(fault.Fault{Text: "starlingwinch: configuration: " + err.Error()})
-		return nil, nil
+		return nil, nil, isUnfinished(err)
 	}
 	found := settings.Check(raw)
 	found.In(path)
-	cfg, err := router.ParseConfig(raw)
-	if err == nil {
-		return cfg, found.Lines()
+	if cfg, err = router.ParseConfig(raw); err == nil {
+		return cfg, found.Lines(), false
 	}
 	if found.Empty() { // the check is to know all that the router refuses; better twice than never
 		found.Add(fault.Fault{File: path, Text: err.Error()})
 	}
 	faults.Join(found)
-	return nil, nil
+	return nil, nil, isUnfinished(wholeJSON(raw))
 }
 
 // readConfig reads the platform's file, which may be a pipe.
--- /dev/null
+++ b/internal/router/address_test.go
@@ -0,0 +1,131 @@
+package router
+
+import (
+	"strings"
+	"syscall"
+	"testing"
+
+	"starlingwinch/internal/machine"
+	"starlingwinch/internal/routertest"
+)
+
+// TestStartByErrorOfTheKernel: each error on the way to the listener passes, and the router serves once it has, or lasts, and ends
+// the start with the address named.
+func TestStartByErrorOfTheKernel(t *testing.T) {
+	for _, c := range []struct {
+		errno  syscall.Errno
+		passes bool
+	}{{syscall.EADDRINUSE, true}, {syscall.EADDRNOTAVAIL, true}, {syscall.ENOBUFS, true}, {syscall.ENOMEM, true},
+		{syscall.ENFILE, true}, {syscall.EACCES, false}, {syscall.EINVAL, false}, {syscall.EMFILE, false}} {
+		for _, call := range []string{"socket", "bind", "listen"} {
+			t.Run(call+" "+c.errno.Error(), func(t *testing.T) {
+				t.Parallel()
+				failures := 3
+				fails := func() error {
+					if failures == 0 {
+						return nil
+					}
+					failures--
+					return c.errno
+				}
+				kernel := machine.RealKernel()
+				bind, listen, socket := kernel.Bind, kernel.Listen, kernel.Socket
+				switch call {
+				case "bind":
+					kernel.Bind = func(fd int, at syscall.Sockaddr) error { return first(fails(), func() error { return bind(fd, at) }) }
+				case "listen":
+					kernel.Listen = func(fd, backlog int) error { return first(fails(), func() error { return listen(fd, backlog) }) }
+				default:
+					kernel.Socket = func(family, kind int) (int, error) {
+						if err := fails(); err != nil {
+							return -1, err
+						}
+						return socket(family, kind)
+					}
+				}
+				loop := routertest.NewLoopOf(t, machine.Options{Kernel: &kernel})
+				cfg := testConfig(t, "127.0.0.1:1", func(in map[string]any) {
+					in["settings"].(map[string]any)["discovery"] = "automatic"
+				})
+				var r *Router
+				var err error
+				loop.Do(func() { r, err = Start(loop, cfg) })
+				if c.passes {
+					if err != nil {
+						t.Fatalf("the start ended: %v", err)
+					}
+					t.Cleanup(func() { loop.Do(r.Close) })
+					loop.Until("a router that has its address", func() bool { return r.Addr() != "" })
+					return
+				}
+				if err == nil || !strings.Contains(err.Error(), cfg.Listen) {
+					t.Errorf("got %v, want an error that names %s", err, cfg.Listen)
+				}
+			})
+		}
+	}
+}
+
+// first is the error, or what follows where there is none.
+func first(err error, next func() error) error {
+	if err != nil {
+		return err
+	}
+	return next()
+}
+
+// TestWaitingRouterLeavesCachesAlone: a router that waits for its address knows the caches and opens no connection to them, and
+// goes by the list of the moment once it has the address.
+func TestWaitingRouterLeavesCachesAlone(t *testing.T) {
+	leaving, staying := newFakeCache(t), newFakeCache(t)
+	addr, calls := routertest.Discovery(t)
+	before := routertest.NewLoop(t, nil)
+	var held machine.Listener
+	before.Do(func() {
+		var err error
+		if held, err = before.Listen("127.0.0.1:0", func(machine.Conn) machine.Handler { return nil }); err != nil {
+			t.Error(err)
+		}
+	})
+	loop := routertest.NewLoop(t, nil)
+	cfg := testConfig(t, addr, func(in map[string]any) {
+		in["listen"] = held.Addr()
+		in["settings"].(map[string]any)["limits"].(map[string]any)["probes"] = true
+	}, host("c1", leaving.Addr(), "in_service"))
+	var r *Router
+	loop.Do(func() {
+		var err error
+		if r, err = Start(loop, cfg); err != nil {
+			t.Error(err)
+		}
+	})
+	t.Cleanup(func() { loop.Do(r.Close) })
+	receive(t, calls, "call").Reply <- hosts(1, true, host("c1", leaving.Addr(), "in_service"))
+	watch := receive(t, calls, "watch")
+	loop.Until("the list", func() bool { return len(r.caches) == 1 })
+	loop.After(2 * cfg.Bounds.Caches.ProbeTime) // a round of probes
+	watch.Reply <- hosts(2, true, host("c1", leaving.Addr(), "terminating"), host("c2", staying.Addr(), "in_service"))
+	receive(t, calls, "watch")
+	loop.Do(func() {
+		if n := r.pool.Conns(); n > 0 || r.Addr() != "" {
+			t.Errorf("%d connections to caches while it waits, address %q", n, r.Addr())
+		}
+	})
+	before.Do(held.Close)
+	loop.Until("its address", func() bool { return r.Addr() != "" })
+	c := dial(t, cfg.Listen)
+	for _, id := range []string{"r1", "r2", "r3"} {
+		c.Send(get(id))
+		for cmd := receive(t, staying.Commands, "command"); ; cmd = receive(t, staying.Commands, "command") {
+			if cmd.Args[0] != "PING" {
+				cmd.Reply(t, served)
+				break
+			}
+			cmd.Reply(t, "+PONG\r\n")
+		}
+		c.Want("value")
+	}
+	if n := len(leaving.Commands); n > 0 {
+		t.Errorf("%d commands to a cache that leaves", n)
+	}
+}
