--- a/cmd/starlingwinch/main_test.go
+++ b/cmd/starlingwinch/main_test.go
@@ -9,7 +9,6 @@
 	"net"
 	"os"
 	"os/exec"
-	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -25,20 +24,11 @@
  "settings":{"instances":1,"discovery":"automatic","categories":[{"name":"read","effect":"read_like","dedupScope":"all",
   "aim":500000,"hardLimit":1000000,"worth":1}],"limits":{"maxAttempts":1},"rules":{"drainGrace":1000000}}}`
 
-// program builds the router and prepares a start with the given configuration.
+// program prepares a start with the given configuration.
 func program(t *testing.T, config string) *exec.Cmd {
 	t.Helper()
-	dir := t.TempDir()
-	bin := filepath.Join(dir, "starlingwinch")
-	if out, err := exec.Command("go", "build", "-o", bin, ".").CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
-	path := filepath.Join(dir, "config.json")
-	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	cmd := exec.Command(bin)
-	cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+path)
+	cmd := command(t)
+	cmd.Env = append(cmd.Env, configVariable+"="+file(t, "config.json", config))
 	return cmd
 }
 
