Soak: a router that is killed counts as down until the next process serves

Traced: the play told the watcher of the kill and of the next process in one moment, while the system still took connections in for the process that was about to die; what it held is its clients' to ask again for by the terms. The router is down for the watcher now until the next process serves.

--- a/internal/lab/loopback/handover.go
+++ b/internal/lab/loopback/handover.go
@@ -46,8 +46,8 @@
 		r.m.At(now+apart, func() { rt.killOld(old) })
 	case script.Stopped:
 		// Nobody can be answered by a process that stands still for longer than the platform allows: as if it was killed.
-		rt.standsStill, rt.dealt = true, false
-		r.seen.RouterDown(now, rt.name, false)
+		rt.takenForKilled()
+		rt.dealt = false
 		old.proc.signal(syscall.SIGSTOP)
 		rt.endOld(old)
 		r.m.At(now+apart, next)
@@ -80,17 +80,22 @@
 	}
 	old.killed = true
 	if !old.asked {
-		now := rt.r.m.Now()
-		rt.r.seen.RouterDown(now, rt.name, false)
-		rt.r.seen.RouterUp(now, rt.name)
+		rt.takenForKilled()
 	}
 	old.proc.signal(syscall.SIGKILL)
 }
 
-// goesOn is called once a process serves: its router stands still no more.
+// takenForKilled says that what the router holds, and what reaches it until the next process serves, is its clients' to ask
+// again for. The system goes on taking connections in for a process up to the moment of its end.
+func (rt *router) takenForKilled() {
+	rt.awaited = true
+	rt.r.seen.RouterDown(rt.r.m.Now(), rt.name, false)
+}
+
+// goesOn is called once a process serves.
 func (rt *router) goesOn() {
-	if rt.standsStill {
-		rt.standsStill = false
+	if rt.awaited {
+		rt.awaited = false
 		rt.r.seen.RouterUp(rt.r.m.Now(), rt.name)
 	}
 }
--- a/internal/lab/loopback/router.go
+++ b/internal/lab/loopback/router.go
@@ -60,9 +60,9 @@
 	killed bool
 	again  bool // it is to be started again once it has ended
 
-	previous    map[int]*predecessor // processes that are followed already, by their life
-	standsStill bool                 // the last of them does, until the next one serves
-	report      RouterReport
+	previous map[int]*predecessor // processes that are followed already, by their life
+	awaited  bool                 // the last of them is taken for killed, until the next one serves
+	report   RouterReport
 }
 
 func newRouter(r *run, name, zone string) (*router, error) {
