--- a/cmd/starlingwinch/run.go
+++ b/cmd/starlingwinch/run.go
@@ -72,7 +72,7 @@
 
 // run serves until a signal ends it.
 func (s inputs) run() error {
-	// The danger: a signal that comes while the files are being read ends the process. The machine keeps it.
+	// A signal that comes while the files are being read would end the process: the machine keeps it.
 	k, err := kernel()
 	if err != nil {
 		return fmt.Errorf("starlingwinch: %w", err)
