Lab: discovery's time answering, rejecting and idle while routers wait

The stand-in's discovery now sums up its time and its calls; lab run prints them, and pacing returns them.

--- a/cmd/lab/run.go
+++ b/cmd/lab/run.go
@@ -166,6 +166,7 @@
 		return err
 	}
 	tellClasses(out, r)
+	tellDiscovery(out, r)
 	if follow != "" {
 		fmt.Fprintln(out, "request", follow)
 		if len(r.History) == 0 {
@@ -194,6 +195,13 @@
 	}
 }
 
+// tellDiscovery tells what discovery did with the time in which routers waited for it.
+func tellDiscovery(out io.Writer, r *lab.Result) {
+	d := r.Discovery
+	fmt.Fprintf(out, "discovery: %d calls admitted, %d rejected, %d failed; %.3f s answering, %.3f s rejecting, %.3f s idle while routers waited\n",
+		d.Admitted, d.Rejected, d.Failed, seconds(d.Answering), seconds(d.Rejecting), seconds(d.Idle))
+}
+
 // conclude tells each broken rule and ends with the line of the sum.
 func conclude(out io.Writer, sum lab.Sum, took time.Duration) error {
 	for _, f := range sum.Found {
--- a/internal/testbench/lab/pacing/pacing.go
+++ b/internal/testbench/lab/pacing/pacing.go
@@ -4,6 +4,7 @@
 package pacing
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 
@@ -33,6 +34,7 @@
 	Clients  int
 	Capacity float64 // calls for the whole list that discovery can take in a second
 	Outage   Time    // discovery is down for so long after the clients have been heard; 0 has them start in step
+	Resets   bool    // connections are reset in the outage, in place of answers 503
 	Seed     uint64
 	Most     Time // the longest that is waited for
 }
@@ -43,6 +45,7 @@
 	Median, P99, Last Time
 	Unheard           int
 	Refused           int // calls that were turned away, or failed
+	Discovery         standin.DiscoveryUsage
 }
 
 // client is one router's watch.
@@ -64,13 +67,13 @@
 			c.heardAt = c.m.Now()
 			c.strategy.Answered(c.heardAt - c.calledAt)
 		}
-	}, func(error) { c.again() })
+	}, func(err error) { c.again(errors.Is(err, discovery.ErrOverloaded)) })
 }
 
-func (c *client) again() {
+func (c *client) again(rejected bool) {
 	c.refused++
 	c.watch.Stop() // also one that has lapsed
-	c.m.At(c.m.Now()+c.strategy.Failed(c.m.Now(), chance(c.m)), c.call)
+	c.m.At(c.m.Now()+c.strategy.Failed(c.m.Now(), rejected, chance(c.m)), c.call)
 }
 
 // chance is drawn from a machine's entropy.
@@ -103,12 +106,12 @@
 	}
 	reachable := world.Now()
 	if w.Outage > 0 {
-		list.Down(true, false)
+		list.Down(true, w.Resets)
 		reachable += w.Outage
 		for _, c := range clients { // before the outage each was answered in a calm moment
 			c.strategy.Answered(cost + 2*oneWay)
 		}
-		world.At(reachable, func() { list.Down(false, false) })
+		world.At(reachable, func() { list.Down(false, w.Resets) })
 	}
 	for _, c := range clients {
 		world.At(world.Now()+c.strategy.Start(chance(c.m)), c.call)
@@ -119,7 +122,9 @@
 	for world.Now() < reachable+w.Most && !all() {
 		world.Run(world.Now() + second/10)
 	}
-	return summary(clients, reachable, w.Most), nil
+	heard := summary(clients, reachable, w.Most)
+	heard.Discovery = list.Usage()
+	return heard, nil
 }
 
 func summary(clients []*client, reachable, most Time) (h Heard) {
--- a/internal/testbench/lab/pacing/strategies.go
+++ b/internal/testbench/lab/pacing/strategies.go
@@ -10,8 +10,8 @@
 type Strategy interface {
 	// Start is the pause before the first call.
 	Start(chance float64) Time
-	// Failed is the pause after a call that failed.
-	Failed(now Time, chance float64) Time
+	// Failed is the pause after a call that failed. rejected says that discovery answered that it is down or has too much to do.
+	Failed(now Time, rejected bool, chance float64) Time
 	// Answered takes in that a call was answered, and how long that took.
 	Answered(took Time)
 }
@@ -54,7 +54,7 @@
 func (d *doubling) Start(float64) Time { return 0 }
 
 // Failed implements Strategy.
-func (d *doubling) Failed(_ Time, chance float64) Time {
+func (d *doubling) Failed(_ Time, _ bool, chance float64) Time {
 	span := math.Min(float64(d.most), float64(d.base)*math.Exp2(float64(d.failures)))
 	d.failures++
 	return Time(span * (d.fixed + (1-d.fixed)*chance))
@@ -70,7 +70,7 @@
 func (d *decorrelated) Start(float64) Time { return 0 }
 
 // Failed implements Strategy.
-func (d *decorrelated) Failed(_ Time, chance float64) Time {
+func (d *decorrelated) Failed(_ Time, _ bool, chance float64) Time {
 	const least, most = second / 4, 8 * second
 	d.last = min(most, least+Time(chance*float64(3*d.last-least)))
 	return d.last
@@ -86,7 +86,7 @@
 func (a *aimd) Start(float64) Time { return 0 }
 
 // Failed implements Strategy.
-func (a *aimd) Failed(_ Time, chance float64) Time {
+func (a *aimd) Failed(_ Time, _ bool, chance float64) Time {
 	const least = 0.125
 	a.rate = max(least, a.rate/2)
 	return Time(float64(second) / a.rate * (0.5 + chance))
@@ -111,7 +111,7 @@
 func (r *rate) Start(float64) Time { return 0 }
 
 // Failed implements Strategy.
-func (r *rate) Failed(_ Time, chance float64) Time {
+func (r *rate) Failed(_ Time, _ bool, chance float64) Time {
 	const least, most = second / 5, 6 * second
 	mean := most / callsEach
 	if r.shortest > 0 {
@@ -134,4 +134,4 @@
 func (s steady) Answered(Time) { s.Pacer.Answered() }
 
 // Failed implements Strategy.
-func (s steady) Failed(now Time, chance float64) Time { return s.Pacer.Failed(now, chance).Pause }
+func (s steady) Failed(now Time, _ bool, chance float64) Time { return s.Pacer.Failed(now, chance).Pause }
--- a/internal/testbench/lab/result.go
+++ b/internal/testbench/lab/result.go
@@ -7,6 +7,7 @@
 
 	"starlingwinch/internal/testbench/rules"
 	"starlingwinch/internal/testbench/sim"
+	"starlingwinch/internal/testbench/standin"
 )
 
 // Rules that the runner watches besides those of package rules.
@@ -61,6 +62,7 @@
 	Simulated Time
 	Trace     uint64
 	History   []string // of Options.Follow
+	Discovery standin.DiscoveryUsage
 }
 
 // First is the first broken rule, empty for none.
--- a/internal/testbench/lab/run.go
+++ b/internal/testbench/lab/run.go
@@ -249,7 +249,7 @@
 
 func (w *world) result() *Result {
 	r := &Result{Broken: w.broken, More: w.moreBroken, Excused: w.excused, Counts: w.watcher.Counts(), Steps: w.sim.Steps(),
-		Simulated: w.sim.Now() - sim.Start, History: w.observer.history}
+		Simulated: w.sim.Now() - sim.Start, History: w.observer.history, Discovery: w.fleet.Discovery.Usage()}
 	if last := w.watcher.History(w.options.Follow); last != nil {
 		r.History = last
 	}
--- a/internal/testbench/standin/discovery.go
+++ b/internal/testbench/standin/discovery.go
@@ -78,6 +78,7 @@
 	busyUntil       Time                                // when the calls before are worked through
 	notified        map[string]map[string]notifiedState // by router and cache
 	callers         map[string]*caller                  // by router
+	usage           DiscoveryUsage
 
 	// Faults that scripts switch.
 	extraDelay        Time     // added to the delay of changes
@@ -106,10 +107,12 @@
 
 // caller records the calls of a router.
 type caller struct {
-	lastCall   Time          // when a call last came or ended
-	answeredAt Time          // when it was last answered with a list
-	openCalls  int           // calls that have no answer yet
-	timer      machine.Timer // of the poll interval
+	lastCall   Time // when a call last came or ended
+	answeredAt Time // when it was last answered with a list
+	openCalls  int  // calls that have no answer yet
+	// unansweredSince is when a call first ended without a list, since the last one that was answered; 0 where none has.
+	unansweredSince Time
+	timer           machine.Timer // of the poll interval
 }
 
 // NewDiscovery returns a service with an empty list, of version 1.
--- a/internal/testbench/standin/discovery_call.go
+++ b/internal/testbench/standin/discovery_call.go
@@ -99,6 +99,7 @@
 		caller.openCalls++
 	}
 	if d.down {
+		d.usage.Failed++
 		call.refuse()
 		return
 	}
@@ -125,12 +126,17 @@
 	if cost == 0 || d.options.Pushed {
 		return true
 	}
+	d.recordIdleTime(d.callers[call.router])
 	done := max(now, d.busyUntil) + cost
 	if d.options.Timeout == 0 || done-now <= d.options.Timeout {
 		d.busyUntil, call.turnEnds = done, done
+		d.usage.Answering += cost
+		d.usage.Admitted++
 		return true
 	}
 	d.busyUntil = max(now, d.busyUntil) + d.options.RejectCost
+	d.usage.Rejecting += d.options.RejectCost
+	d.usage.Rejected++
 	for _, other := range slices.Clone(d.openCalls) {
 		if other.router == call.router {
 			other.refuse()
@@ -152,6 +158,7 @@
 		if cost > 0 {
 			d.busyUntil = max(now, d.busyUntil) + cost
 			call.turnEnds = d.busyUntil
+			d.usage.Answering += cost
 		}
 	}
 	if call.turnEnds <= now {
@@ -186,6 +193,7 @@
 	if call.send(http.StatusOK, body) {
 		if caller := d.callers[call.router]; caller != nil {
 			caller.answeredAt = d.m.Now()
+			caller.unansweredSince = 0
 		}
 		d.notifyAnswered(call.router, call.after, whole)
 	}
@@ -222,6 +230,9 @@
 	if caller := d.callers[call.router]; caller != nil {
 		caller.lastCall = d.m.Now()
 		caller.openCalls--
+		if caller.unansweredSince == 0 {
+			caller.unansweredSince = d.m.Now()
+		}
 		if caller.openCalls == 0 && d.options.PollInterval > 0 {
 			d.notifyOverdue(call.router)
 		}
