Late drains after an outage: rejected calls are repeated by the time that is left

Callers saw: work sent to a cache that was being taken out, up to 0.87 s after its router counted as notified, where an outage of discovery ended beside the drain and discovery could just take a call of each router.

Cause: each rejected router waited a sixth of the 6 s, however many still waited. With 8 routers discovery queues at most one call and was idle between those of the last ones.

Change: discovery's rejections are told apart from calls without an answer. The first rejection after a call without an answer dates the service's return; from then on up to 32 routers divide the time that is left by a number of calls, so that all of them together call as often as at first while fewer wait. Few routers call more often also where the return is not known. Calls without an answer keep their pace.

--- a/cmd/lab/hunt.go
+++ b/cmd/lab/hunt.go
@@ -21,7 +21,7 @@
 
 func huntCommand() *cobra.Command {
 	seeds, jobs, length := "1-200", runtime.NumCPU(), 10*time.Second
-	registry, throng, hooks, tiers, long := false, false, false, false, false
+	registry, throng, outage, hooks, tiers, long := false, false, false, false, false, false
 	cmd := &cobra.Command{
 		Use:   "hunt",
 		Short: "Play the scripts of many seeds and tell the rules that break",
@@ -47,6 +47,8 @@
 				h.Draw = script.DrawRegistry
 			case throng:
 				h.Draw = script.DrawThrong
+			case outage:
+				h.Draw = script.DrawOutage
 			}
 			begin := time.Now()
 			sum, err := h.Run(ctx)
@@ -65,6 +67,7 @@
 	cmd.Flags().DurationVar(&length, "length", length, "`length` of each script")
 	cmd.Flags().BoolVar(&registry, "registry", false, "draw worlds with a Eureka registry")
 	cmd.Flags().BoolVar(&throng, "throng", false, "draw worlds with twenty to thirty routers in step before a discovery that takes few calls")
+	cmd.Flags().BoolVar(&outage, "outage", false, "draw worlds with 4 to 30 routers in which caches drain as an outage of discovery ends")
 	cmd.Flags().BoolVar(&tiers, "fleet", false, "play the views that 30 routers keep of one another")
 	cmd.Flags().BoolVar(&long, "long", false, "with --fleet: 300 routers")
 	cmd.Flags().BoolVar(&hooks, "hooks", false, "routers have hooks, good and broken, drawn from each seed")
--- a/cmd/lab/run.go
+++ b/cmd/lab/run.go
@@ -26,6 +26,7 @@
 	// registry has the script drawn with a registry.
 	registry bool
 	throng   bool
+	outage   bool
 	hooks    bool
 }
 
@@ -41,6 +42,7 @@
 	cmd.Flags().DurationVar(&c.length, "length", 10*time.Second, "`length` of a script that is drawn")
 	cmd.Flags().BoolVar(&c.registry, "registry", false, "a world with a Eureka registry")
 	cmd.Flags().BoolVar(&c.throng, "throng", false, "with --seed, a world as in `hunt --throng`")
+	cmd.Flags().BoolVar(&c.outage, "outage", false, "with --seed, a world as in `hunt --outage`")
 	cmd.Flags().StringArrayVar(&c.faults, "fault", nil, "add a fault, as `hang:c2@3s+2s`")
 	cmd.Flags().BoolVar(&c.hooks, "hooks", false, "with --seed, routers have the hooks that are drawn from it")
 }
@@ -88,6 +90,8 @@
 		return script.DrawRegistry(uint64(c.seed), c.length), nil
 	case c.seed != unset && c.throng:
 		return script.DrawThrong(uint64(c.seed), c.length), nil
+	case c.seed != unset && c.outage:
+		return script.DrawOutage(uint64(c.seed), c.length), nil
 	case c.seed != unset:
 		return script.DrawOf(uint64(c.seed), c.length), nil
 	}
--- a/cmd/starlingwinch/members.go
+++ b/cmd/starlingwinch/members.go
@@ -93,7 +93,7 @@
 func (l *sourceWaiter) DiscoveryAnswered() {}
 
 // DiscoveryFailed implements endpointsource.Owner.
-func (l *sourceWaiter) DiscoveryFailed() {}
+func (l *sourceWaiter) DiscoveryFailed(error) {}
 
 // DiscoveryCallEnded implements endpointsource.Owner.
 func (l *sourceWaiter) DiscoveryCallEnded(string, int64, int) {}
--- a/decide/api.go
+++ b/decide/api.go
@@ -257,6 +257,9 @@
 type EndpointList struct {
 	Kind      UpdateKind
 	Endpoints []Endpoint
+	// Rejected says of a FailedUpdate that discovery answered the call, but is down or has too much to do. Otherwise there
+	// was no answer, or it is not known.
+	Rejected bool
 }
 
 // Request is a client's request. It gets one final answer (a result with Last set, Reject
--- a/decide/endpoint_list.go
+++ b/decide/endpoint_list.go
@@ -15,7 +15,7 @@
 // handleEndpointList takes in a list, or that a call for it failed.
 func (r *Router) handleEndpointList(ev *EndpointList) {
 	if ev.Kind == FailedUpdate {
-		r.handleFailedUpdate()
+		r.handleFailedUpdate(ev.Rejected)
 		return
 	}
 	if ev.Kind != StaleUpdate {
@@ -56,8 +56,13 @@
 }
 
 // handleFailedUpdate calls for the list again, at a pace that discovery can serve to all routers.
-func (r *Router) handleFailedUpdate() {
-	failure := r.list.pacer.Failed(r.now, r.list.random.next())
+func (r *Router) handleFailedUpdate(rejected bool) {
+	var failure retry.Failure
+	if rejected {
+		failure = r.list.pacer.Rejected(r.now, r.list.random.next())
+	} else {
+		failure = r.list.pacer.Failed(r.now, r.list.random.next())
+	}
 	if failure.First {
 		r.logListLost()
 	}
--- a/internal/endpointsource/discovery.go
+++ b/internal/endpointsource/discovery.go
@@ -136,7 +136,7 @@
 	if retryDelay > 0 {
 		d.retryTimer = s.m.At(s.m.Now()+retryDelay, s.Watch)
 	} else {
-		s.owner.DiscoveryFailed()
+		s.owner.DiscoveryFailed(err)
 	}
 	s.owner.ProcessEvents()
 }
--- a/internal/endpointsource/endpointsource.go
+++ b/internal/endpointsource/endpointsource.go
@@ -32,8 +32,9 @@
 	Publish(endpoints.Publish)
 	// DiscoveryAnswered is called after each call that the platform's discovery has answered, also where nothing has changed.
 	DiscoveryAnswered()
-	// DiscoveryFailed is called after a failed call where the owner decides when to Watch again.
-	DiscoveryFailed()
+	// DiscoveryFailed is called after a failed call where the owner decides when to Watch again. err is an ErrOverloaded of
+	// package discovery where discovery answered that it is down or has too much to do.
+	DiscoveryFailed(err error)
 	// DiscoveryCallEnded reports the result of a call of the platform's discovery, for the event log: the version that holds
 	// from then on, and how many endpoints the answer names.
 	DiscoveryCallEnded(result string, version int64, caches int)
--- a/internal/endpointsource/endpointsource_test.go
+++ b/internal/endpointsource/endpointsource_test.go
@@ -1,6 +1,7 @@
 package endpointsource
 
 import (
+	"errors"
 	"os"
 	"path/filepath"
 	"strings"
@@ -20,6 +21,7 @@
 	addresses map[string]string          // by endpoint
 	turns     int                        // calls of ProcessEvents
 	failures  int                        // calls of DiscoveryFailed
+	cause     error                      // of the latest one
 }
 
 func (o *owner) Publish(p endpoints.Publish) {
@@ -29,7 +31,7 @@
 }
 func (o *owner) DiscoveryAnswered()                    {}
 func (o *owner) DiscoveryCallEnded(string, int64, int) {}
-func (o *owner) DiscoveryFailed()                      { o.failures++ }
+func (o *owner) DiscoveryFailed(err error)             { o.failures, o.cause = o.failures+1, err }
 func (o *owner) ProcessEvents()                        { o.turns++ }
 
 // rig runs Sources on a loop of its own, with a file that the test writes.
@@ -352,3 +354,27 @@
 		}
 	})
 }
+
+// TestOwnerLearnsWhetherDiscoveryRejectedTheCall: a service that rejects calls can be reached, and one that resets them can't.
+func TestOwnerLearnsWhetherDiscoveryRejectedTheCall(t *testing.T) {
+	addr, calls := routertest.Discovery(t)
+	for name, c := range map[string]struct {
+		addr     string
+		rejected bool
+	}{
+		"rejected":    {addr, true},
+		"unreachable": {"127.0.0.1:1", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, []string{endpoints.Discovery}, c.addr)
+			r.start()
+			if c.rejected {
+				routertest.Receive(t, calls, "the call").Reply <- ""
+			}
+			r.Until("the failure", func() bool { return r.owner.failures == 1 })
+			if got := errors.Is(r.owner.cause, discovery.ErrOverloaded); got != c.rejected {
+				t.Errorf("%v: rejected %t, want %t", r.owner.cause, got, c.rejected)
+			}
+		})
+	}
+}
--- a/internal/retry/pacer.go
+++ b/internal/retry/pacer.go
@@ -14,11 +14,14 @@
 
 // Parameters of the pace. docs/design/retry.md has the measurements behind them.
 const (
-	meanDivisor         = 6   // the mean delay is this part of the bound
+	meanDivisor         = 6   // the mean delay of many clients is this part of the bound
 	jitterDivisor       = 3   // a delay differs from its mean by up to this part of it
 	steadyBounds        = 3   // bounds without an answer, after which delays grow
 	maxGrowth           = 4.5 // of the mean delay, so that the longest delay is the bound
 	failedPollIntervals = 4   // a failed call counts for so many poll intervals
+
+	// maxClientsByTimeLeft: more clients keep the service busy to the end by delays that stay the same.
+	maxClientsByTimeLeft = 32
 )
 
 // Options are the parameters of a Pacer.
@@ -30,14 +33,21 @@
 
 // Pacer decides when one client calls again. Use NewPacer.
 //
-// The mean delay is a sixth of the bound, and grows, up to the bound, only after three bounds without an answer. A service that can answer one call
-// of each client within the bound then always has calls waiting, while those that it rejects cost it little. Exponential backoff
-// would leave it idle in the end, as the last clients call seldom; much shorter delays would have it spend its time on
-// rejections. After several bounds without an answer, the service is down for long or can't answer all clients within the bound.
+// The mean delay is a sixth of the bound, less for few clients that are rejected, and grows, up to the bound, only after three
+// bounds without an answer. A service that can answer one call of each client within the bound then has calls waiting, while
+// those that it rejects cost it little. Exponential backoff would leave it idle in the end, as the last clients call seldom; much shorter
+// delays would have it spend its time on rejections. After several bounds without an answer, the service is down for long or
+// can't answer all clients within the bound.
+//
+// Where a client knows since when the service can be reached, the delay is a part of the time that is left: as time passes,
+// fewer clients wait, and all of them together make about as many calls as before. The last ones are then rejected no more often
+// than the first, and the service is not idle between their calls.
 type Pacer struct {
 	bound         Time // within which each client should be answered
+	grace         Time // beyond the bound, within which what an answer says has to be acted on
 	maxFirstDelay Time // after the loss of a watch that worked
-	isOnlyClient  bool
+	clients       int
+	reachability  reachability
 	wasAnswered   bool // a call was ever answered
 	failing       bool // no call was answered since failingSince
 	failingSince  Time
@@ -50,7 +60,9 @@
 	p := &Pacer{
 		bound:         notifiedAfterReachable,
 		maxFirstDelay: max(o.Grace/2, CallPause),
-		isOnlyClient:  o.Clients <= 1,
+		grace:         o.Grace,
+		clients:       max(o.Clients, 1),
+		reachability:  newReachability(),
 	}
 	if o.PollInterval > 0 {
 		p.bound = max(min(p.bound, failedPollIntervals*o.PollInterval), meanDivisor*CallPause)
@@ -61,7 +73,7 @@
 // Start returns the delay of a client's first call. Clients that start in step spread their calls over it. chance is a random
 // number in [0, 1).
 func (p *Pacer) Start(chance float64) Time {
-	if p.isOnlyClient {
+	if p.clients == 1 {
 		return 0
 	}
 	return Time(chance * float64(p.maxFirstDelay))
@@ -76,8 +88,21 @@
 	FailedCalls int  // that have failed in this time
 }
 
-// Failed records that a call failed or a watch was lost. chance is a random number in [0, 1).
+// Failed records that a call was not answered, or that a watch was lost. chance is a random number in [0, 1).
 func (p *Pacer) Failed(now Time, chance float64) Failure {
+	p.reachability.recordUnanswered()
+	return p.fail(now, p.steadyDelay, chance)
+}
+
+// Rejected records that the service answered a call, but is down or has too much to do. chance is a random number in [0, 1).
+func (p *Pacer) Rejected(now Time, chance float64) Failure {
+	p.reachability.recordRejected(now)
+	return p.fail(now, p.delayAfterRejection, chance)
+}
+
+// fail counts a failure and draws the delay after it, around the mean that meanDelay returns for an instant and the time without an
+// answer.
+func (p *Pacer) fail(now Time, meanDelay func(now, failingFor Time) Time, chance float64) Failure {
 	failure := Failure{First: !p.failing}
 	if failure.First {
 		p.failing, p.failingSince, p.failedCalls, p.wasOverdue = true, now, 0, false
@@ -89,7 +114,7 @@
 	if failure.First && p.wasAnswered {
 		failure.Pause = p.firstDelay(chance)
 	} else {
-		failure.Pause = p.delay(failure.FailingFor, chance)
+		failure.Pause = jitter(meanDelay(now, failure.FailingFor), chance)
 	}
 	return failure
 }
@@ -100,15 +125,31 @@
 	return minDelay + Time(chance*float64(p.maxFirstDelay-minDelay))
 }
 
-// delay is the delay after a failed call, without an answer for so long.
-func (p *Pacer) delay(failingFor Time, chance float64) Time {
-	mean := float64(p.bound) / meanDivisor
+// steadyDelay is the mean delay where nothing is known of the service.
+func (p *Pacer) steadyDelay(_, failingFor Time) Time {
 	growth := float64(failingFor) / float64(steadyBounds*p.bound)
-	if growth > 1 {
-		mean *= min(growth, maxGrowth)
+	return Time(float64(p.bound) / meanDivisor * min(max(growth, 1), maxGrowth))
+}
+
+// delayAfterRejection is the mean delay where the service has answered that it takes no call.
+func (p *Pacer) delayAfterRejection(now, failingFor Time) Time {
+	left := p.reachability.timeLeft(now, p.bound+p.grace)
+	switch {
+	case left > 0 && p.clients <= maxClientsByTimeLeft:
+		return callsInTimeLeft.meanDelay(left, p.clients, p.bound)
+	case failingFor > steadyBounds*p.bound:
+		return p.steadyDelay(now, failingFor)
 	}
-	return Time(mean * (1 + (2*chance-1)/jitterDivisor))
+	return min(p.steadyDelay(now, failingFor), callsWithinBound.meanDelay(p.bound, p.clients, p.bound))
+}
+
+// jitter draws a delay around its mean.
+func jitter(mean Time, chance float64) Time {
+	return Time(float64(mean) * (1 + (2*chance-1)/jitterDivisor))
 }
 
 // Answered records that a call was answered.
-func (p *Pacer) Answered() { p.failing, p.wasAnswered = false, true }
+func (p *Pacer) Answered() {
+	p.failing, p.wasAnswered = false, true
+	p.reachability.recordAnswered()
+}
--- a/internal/retry/pacer_test.go
+++ b/internal/retry/pacer_test.go
@@ -98,3 +98,74 @@
 		t.Errorf("the only client waits for %d us", at)
 	}
 }
+
+// pausesAfterReturn are the pauses of a client whose watch breaks at 0 and whose calls are rejected from the time of return on.
+func pausesAfterReturn(p *Pacer, back, until Time, rng *rand.Rand) (pauses []Time) {
+	p.Answered()
+	now := p.Failed(0, rng.Float64()).Pause
+	for now < back {
+		now += p.Failed(now, rng.Float64()).Pause
+	}
+	for now < until {
+		pause := p.Rejected(now, rng.Float64()).Pause
+		pauses = append(pauses, pause)
+		now += pause
+	}
+	return pauses
+}
+
+// TestRejectedClientsCallMoreOftenAsTimeRunsOut guards against a service that is idle between the calls of the last few clients.
+func TestRejectedClientsCallMoreOftenAsTimeRunsOut(t *testing.T) {
+	rng := rand.New(rand.NewPCG(3, 3))
+	for _, clients := range []int{2, 4, 8, 16, 24, 32} {
+		p := NewPacer(Options{Clients: clients, Grace: second / 2, PollInterval: 10 * second})
+		const back, end = 9 * second, 9*second + 6*second
+		pauses := pausesAfterReturn(p, back, end, rng)
+		first, last := pauses[0], pauses[len(pauses)-1]
+		if last > first/2 && last > second/3 {
+			t.Errorf("%d clients: pauses %v, want the last far shorter than the first", clients, pauses)
+		}
+		for _, pause := range pauses {
+			if pause < second/10 || pause > 5*second/2 {
+				t.Errorf("%d clients: a pause of %d us", clients, pause)
+			}
+		}
+	}
+}
+
+// TestManyRejectedClientsKeepSteadyDelays: more calls of many clients would only be rejected.
+func TestManyRejectedClientsKeepSteadyDelays(t *testing.T) {
+	rng := rand.New(rand.NewPCG(4, 4))
+	for _, clients := range []int{33, 128, 300} {
+		p := NewPacer(Options{Clients: clients, Grace: second / 2, PollInterval: 10 * second})
+		for _, pause := range pausesAfterReturn(p, 2*second, 17*second, rng) {
+			if pause < second*2/3-1 || pause > second*4/3 {
+				t.Errorf("%d clients: a pause of %d us", clients, pause)
+			}
+		}
+	}
+}
+
+// TestRejectionsAloneDoNotDateTheReturn: a service that is down may reject calls too, so that the time left is not known.
+func TestRejectionsAloneDoNotDateTheReturn(t *testing.T) {
+	p := NewPacer(Options{Clients: 16, Grace: second / 2, PollInterval: 10 * second})
+	p.Answered()
+	for now := second; now < 16*second; now += second {
+		if f := p.Rejected(now, 0.5); !f.First && f.Pause != second {
+			t.Errorf("at %d: a pause of %d us, want a sixth of six seconds", now, f.Pause)
+		}
+	}
+}
+
+// TestSecondOutageBeginsTheTimeAnew: the time left counts from the latest return.
+func TestSecondOutageBeginsTheTimeAnew(t *testing.T) {
+	p := NewPacer(Options{Clients: 16, Grace: second / 2, PollInterval: 10 * second})
+	p.Answered()
+	p.Failed(0, 0.5)
+	first := p.Rejected(second, 0.5).Pause
+	p.Rejected(5*second, 0.5)
+	p.Failed(6*second, 0.5)
+	if again := p.Rejected(8*second, 0.5).Pause; again != first {
+		t.Errorf("after the second outage a pause of %d us, after the first one of %d", again, first)
+	}
+}
--- a/internal/router/endpoint_list.go
+++ b/internal/router/endpoint_list.go
@@ -1,7 +1,10 @@
 package router
 
 import (
+	"errors"
+
 	"starlingwinch/decide"
+	"starlingwinch/internal/discovery"
 	"starlingwinch/internal/endpoints"
 )
 
@@ -133,6 +136,6 @@
 }
 
 // DiscoveryFailed implements endpointsource.Owner: the module says when to watch again.
-func (r *Router) DiscoveryFailed() {
-	r.queueEvent(&decide.EndpointList{Kind: decide.FailedUpdate})
+func (r *Router) DiscoveryFailed(err error) {
+	r.queueEvent(&decide.EndpointList{Kind: decide.FailedUpdate, Rejected: errors.Is(err, discovery.ErrOverloaded)})
 }
--- a/internal/testbench/lab/pacing/pacing_test.go
+++ b/internal/testbench/lab/pacing/pacing_test.go
@@ -38,3 +38,35 @@
 		}
 	}
 }
+
+// TestLastOfFewIsHeardBeforeDrainsAreDue guards against a discovery that is idle while the last of few clients wait to call again: a client
+// counts as notified of a drain after 6 s, and has to act on it within the grace.
+func TestLastOfFewIsHeardBeforeDrainsAreDue(t *testing.T) {
+	kinds := Kinds()
+	own, steady := kinds[len(kinds)-1], kinds[len(kinds)-2]
+	const seeds, due = 40, 6*second + grace
+	for _, clients := range []int{4, 8, 16, 24, 30} {
+		lateBySteady := 0
+		for seed := range uint64(seeds) {
+			capacity := max(float64(clients)/5, 1.5) // a call that takes longer leaves no time to queue another one
+			w := World{Clients: clients, Capacity: capacity, Outage: 3 * second / 2, Resets: true, Seed: seed + 1, Most: 60 * second}
+			heard, err := Play(w, own)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if heard.Last > due {
+				t.Errorf("%d clients, seed %d: the last is heard after %d", clients, w.Seed, heard.Last)
+			}
+			other, err := Play(w, steady)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if other.Last > due {
+				lateBySteady++
+			}
+		}
+		if clients == 8 && lateBySteady == 0 {
+			t.Errorf("%d clients: none is late with steady delays: the world does not tell them apart", clients)
+		}
+	}
+}
--- a/internal/testbench/lab/pacing/strategies.go
+++ b/internal/testbench/lab/pacing/strategies.go
@@ -31,8 +31,9 @@
 		{"decorrelated", "drawn from 0.25 s to three times the pause before, 8 s at most", func(int) Strategy { return &decorrelated{last: second / 4} }},
 		{"aimd", "a rate that is halved by a refusal and grows with each answer", func(int) Strategy { return &aimd{rate: 2} }},
 		{"rate", "a rate from the number of clients and the shortest answer seen", func(clients int) Strategy { return &rate{clients: clients} }},
-		{"steady", "package retry's: a sixth of the bound, a third more or less", func(clients int) Strategy {
-			return steady{retry.NewPacer(retry.Options{Clients: clients, Grace: grace, PollInterval: askEvery})}
+		{"steady", "a sixth of the bound, a third more or less, grown after three bounds", func(int) Strategy { return &steady{} }},
+		{"router", "package retry's: by the number of clients and the time that is left", func(clients int) Strategy {
+			return router{retry.NewPacer(retry.Options{Clients: clients, Grace: grace, PollInterval: askEvery})}
 		}},
 	}
 }
@@ -127,11 +128,46 @@
 	}
 }
 
-// steady is the router's own.
-type steady struct{ *retry.Pacer }
+// steady has all clients wait for as long, whatever their number.
+type steady struct {
+	failing bool
+	since   Time // of the first failure without an answer since
+}
+
+// Figures of the steady delays.
+const (
+	bound        = 6 * second
+	steadyDelay  = bound / 6
+	steadyTime   = 3 * bound // after which delays grow
+	steadyGrowth = 4.5       // at most
+	steadyJitter = 1. / 3
+)
+
+// Start implements Strategy.
+func (s *steady) Start(chance float64) Time { return Time(chance * float64(grace) / 2) }
+
+// Failed implements Strategy.
+func (s *steady) Failed(now Time, _ bool, chance float64) Time {
+	if !s.failing {
+		s.failing, s.since = true, now
+	}
+	growth := min(max(1, float64(now-s.since)/float64(steadyTime)), steadyGrowth)
+	return Time(float64(steadyDelay) * growth * (1 + (2*chance-1)*steadyJitter))
+}
 
 // Answered implements Strategy.
-func (s steady) Answered(Time) { s.Pacer.Answered() }
+func (s *steady) Answered(Time) { s.failing = false }
+
+// router is the router's own.
+type router struct{ *retry.Pacer }
+
+// Answered implements Strategy.
+func (r router) Answered(Time) { r.Pacer.Answered() }
 
 // Failed implements Strategy.
-func (s steady) Failed(now Time, _ bool, chance float64) Time { return s.Pacer.Failed(now, chance).Pause }
+func (r router) Failed(now Time, rejected bool, chance float64) Time {
+	if rejected {
+		return r.Pacer.Rejected(now, chance).Pause
+	}
+	return r.Pacer.Failed(now, chance).Pause
+}
--- a/internal/testbench/lab/script/script_test.go
+++ b/internal/testbench/lab/script/script_test.go
@@ -18,9 +18,12 @@
 		if n < 4000 {
 			return DrawRegistry(n, 10*time.Second)
 		}
-		return DrawThrong(n, 10*time.Second)
+		if n < 5000 {
+			return DrawThrong(n, 10*time.Second)
+		}
+		return DrawOutage(n, 10*time.Second)
 	}
-	for seed := range uint64(5000) {
+	for seed := range uint64(6000) {
 		s := draw(seed)
 		if err := s.Check(); err != nil {
 			t.Fatalf("seed %d: %v\n%s", seed, err, Text(s))
