--- a/cmd/lab/pacing.go
+++ b/cmd/lab/pacing.go
@@ -70,13 +70,18 @@
 			continue
 		}
 		switch r.kind.Name {
-		case "steady":
+		case "router":
 			own = max(own, seconds(r.heard.Last))
 		case "before":
 			before = max(before, seconds(r.heard.Last))
 		}
 	}
 	ok = own <= pacingMargin*pacingBound.Seconds()
+	spread := pacingSpreads(o.Long)
+	if err := playSpreads(ctx, spread); err != nil {
+		return "", false, err
+	}
+	tellSpreads(o.Out, spread)
 	return fmt.Sprintf("last_heard %.1fs before %.1fs bound %.1fs", own, before, pacingBound.Seconds()), ok, nil
 }
 
