Late drains after a long outage: delays of few routers do not grow

Cause: from 18 s without an answer on delays grew, to 6 s at most, so that routers called seldom as discovery came back, which was idle for 2 s of the first 7. The growth is there for a discovery that can't answer all routers in several bounds and would be busy with rejections. Up to 32 routers can't do that: a rejection costs a fortieth of a call, and a call that takes over a second is never admitted.

Change: the delays of up to 32 routers stay at a sixth of the bound, those of more routers grow as before.

TestDelaysOfFewClientsDoNotGrow and the long outages of TestLastOfFewIsHeardBeforeDrainsAreDue fail before.

--- a/internal/retry/pacer.go
+++ b/internal/retry/pacer.go
@@ -20,8 +20,9 @@
 	maxGrowth           = 4.5 // of the mean delay, so that the longest delay is the bound
 	failedPollIntervals = 4   // a failed call counts for so many poll intervals
 
-	// maxClientsByTimeLeft: more clients keep the service busy to the end by delays that stay the same.
-	maxClientsByTimeLeft = 32
+	// Up to fewClients can't keep the service busy to the end by delays that stay the same, and can't keep it busy with
+	// rejections either: 32 that call once a second cost it less than it has, however long a call takes that it can admit.
+	fewClients = 32
 )
 
 // Options are the parameters of a Pacer.
@@ -33,8 +34,8 @@
 
 // Pacer decides when one client calls again. Use NewPacer.
 //
-// The mean delay is a sixth of the bound, less for few clients that are rejected, and grows, up to the bound, only after three
-// bounds without an answer. A service that can answer one call of each client within the bound then has calls waiting, while
+// The mean delay is a sixth of the bound, less for few clients that are rejected; that of many clients grows, up to the bound, after
+// three bounds without an answer. A service that can answer one call of each client within the bound then has calls waiting, while
 // those that it rejects cost it little. Exponential backoff would leave it idle in the end, as the last clients call seldom; much shorter
 // delays would have it spend its time on rejections. After several bounds without an answer, the service is down for long or
 // can't answer all clients within the bound.
@@ -125,22 +126,26 @@
 	return minDelay + Time(chance*float64(p.maxFirstDelay-minDelay))
 }
 
-// steadyDelay is the mean delay where nothing is known of the service.
+// steadyDelay is the mean delay where nothing is known of the service. Many clients call more seldom in the end: a service that
+// can't answer all of them within several bounds would be busy with rejections for good.
 func (p *Pacer) steadyDelay(_, failingFor Time) Time {
+	if p.clients <= fewClients {
+		return p.bound / meanDivisor
+	}
 	growth := float64(failingFor) / float64(steadyBounds*p.bound)
 	return Time(float64(p.bound) / meanDivisor * min(max(growth, 1), maxGrowth))
 }
 
 // delayAfterRejection is the mean delay where the service has answered that it takes no call.
 func (p *Pacer) delayAfterRejection(now, failingFor Time) Time {
-	left := p.reachability.timeLeft(now, p.bound+p.grace)
-	switch {
-	case left > 0 && p.clients <= maxClientsByTimeLeft:
+	steady := p.steadyDelay(now, failingFor)
+	if p.clients > fewClients {
+		return steady
+	}
+	if left := p.reachability.timeLeft(now, p.bound+p.grace); left > 0 {
 		return callsInTimeLeft.meanDelay(left, p.clients, p.bound)
-	case failingFor > steadyBounds*p.bound:
-		return p.steadyDelay(now, failingFor)
 	}
-	return min(p.steadyDelay(now, failingFor), callsWithinBound.meanDelay(p.bound, p.clients, p.bound))
+	return min(steady, callsWithinBound.meanDelay(p.bound, p.clients, p.bound))
 }
 
 // jitter draws a delay around its mean.
--- a/internal/retry/pacer_test.go
+++ b/internal/retry/pacer_test.go
@@ -169,3 +169,22 @@
 		t.Errorf("after the second outage a pause of %d us, after the first one of %d", again, first)
 	}
 }
+
+// TestDelaysOfFewClientsDoNotGrow guards against late answers after a long outage: few clients must be back within the bound then too.
+func TestDelaysOfFewClientsDoNotGrow(t *testing.T) {
+	for _, clients := range []int{1, 2, 8, 32} {
+		failed := NewPacer(Options{Clients: clients, Grace: second / 2, PollInterval: 10 * second})
+		rejected := NewPacer(Options{Clients: clients, Grace: second / 2, PollInterval: 10 * second})
+		rejected.Answered()
+		for now := Time(0); now < 300*second; now += second {
+			for name, pause := range map[string]Time{
+				"unanswered": failed.Failed(now, 0.999999).Pause,
+				"rejected":   rejected.Rejected(now, 0.999999).Pause,
+			} {
+				if pause > 4*second/3 {
+					t.Fatalf("%d clients, %s for %d us: a pause of %d us", clients, name, now, pause)
+				}
+			}
+		}
+	}
+}
--- a/internal/testbench/lab/pacing/pacing_test.go
+++ b/internal/testbench/lab/pacing/pacing_test.go
@@ -42,31 +42,51 @@
 // TestLastOfFewIsHeardBeforeDrainsAreDue guards against a discovery that is idle while the last of few clients wait to call again: a client
 // counts as notified of a drain after 6 s, and has to act on it within the grace.
 func TestLastOfFewIsHeardBeforeDrainsAreDue(t *testing.T) {
+	for name, c := range map[string]struct {
+		outage Time
+		resets bool
+		seeds  uint64
+	}{
+		"resets":      {3 * second / 2, true, 40},
+		"long resets": {40 * second, true, 12},
+		"long 503":    {40 * second, false, 12},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, clients := range []int{4, 8, 16, 24, 30} {
+				capacity := max(float64(clients)/5, 1.5) // a call that takes longer leaves no time to queue another one
+				w := World{Clients: clients, Capacity: capacity, Outage: c.outage, Resets: c.resets, Most: 60 * second}
+				lastOfFewIsHeard(t, w, c.seeds)
+			}
+		})
+	}
+}
+
+// lastOfFewIsHeard plays a world with so many seeds. With steady delays, the last of eight clients is late on some.
+func lastOfFewIsHeard(t *testing.T, w World, seeds uint64) {
 	kinds := Kinds()
 	own, steady := kinds[len(kinds)-1], kinds[len(kinds)-2]
-	const seeds, due = 40, 6*second + grace
-	for _, clients := range []int{4, 8, 16, 24, 30} {
-		lateBySteady := 0
-		for seed := range uint64(seeds) {
-			capacity := max(float64(clients)/5, 1.5) // a call that takes longer leaves no time to queue another one
-			w := World{Clients: clients, Capacity: capacity, Outage: 3 * second / 2, Resets: true, Seed: seed + 1, Most: 60 * second}
-			heard, err := Play(w, own)
-			if err != nil {
-				t.Fatal(err)
-			}
-			if heard.Last > due {
-				t.Errorf("%d clients, seed %d: the last is heard after %d", clients, w.Seed, heard.Last)
-			}
-			other, err := Play(w, steady)
-			if err != nil {
-				t.Fatal(err)
-			}
-			if other.Last > due {
-				lateBySteady++
-			}
+	const due = 6*second + grace
+	lateBySteady := 0
+	for w.Seed = 1; w.Seed <= seeds; w.Seed++ {
+		heard, err := Play(w, own)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if heard.Last > due {
+			t.Errorf("%d clients, seed %d: the last is heard after %d", w.Clients, w.Seed, heard.Last)
+		}
+		if w.Clients != 8 {
+			continue
 		}
-		if clients == 8 && lateBySteady == 0 {
-			t.Errorf("%d clients: none is late with steady delays: the world does not tell them apart", clients)
+		other, err := Play(w, steady)
+		if err != nil {
+			t.Fatal(err)
 		}
+		if other.Last > due {
+			lateBySteady++
+		}
+	}
+	if w.Clients == 8 && lateBySteady == 0 {
+		t.Error("none is late with steady delays: the world does not tell them apart")
 	}
 }
