Reload: another set of hooks is no longer named as waiting for a restart

Operators saw: "changed configuration waits for a restart" at a SIGHUP that changed only the hooks, which had taken effect.

Cause: Reload compared the limits after what the hooks may use had been taken off, and these differ with the hooks.

Change: the limits of the machine, hooks included, are compared. A test of a reload that changes one part at a time fails before for the hooks, and holds that a change of the machine's memory is still named.

--- a/internal/router/hooks.go
+++ b/internal/router/hooks.go
@@ -48,6 +48,15 @@
 	return l, nil
 }
 
+// limitsBeforeHooks returns the limits of the machine, before Without has taken off what the hooks may use. Another set of hooks
+// leaves them as they are.
+func (c *Config) limitsBeforeHooks() Limits {
+	l := c.Limits
+	l.MemoryMB += hooksMB(c.Hooks)
+	l.Sockets += descriptorsPerHook * len(c.Hooks.Hooks)
+	return l
+}
+
 // reloadHooks loads a new set of hooks. The one before stays where the new one needs more memory than the limits were
 // reduced by at the start, or is not valid.
 func (r *Router) reloadHooks(c hooks.Config) {
--- a/internal/router/reload.go
+++ b/internal/router/reload.go
@@ -34,7 +34,7 @@
 // needsRestart reports whether a configuration differs in what is read at a start alone.
 func (r *Router) needsRestart(cfg *Config) bool {
 	return cfg.Listen != r.cfg.Listen ||
-		cfg.Limits != r.cfg.Limits ||
+		cfg.limitsBeforeHooks() != r.machineLimits ||
 		!reflect.DeepEqual(cfg.Settings, r.cfg.Settings) ||
 		cfg.Transport != r.cfg.Transport ||
 		cfg.OperatorLimits != r.cfg.OperatorLimits ||
--- /dev/null
+++ b/internal/router/reload_test.go
@@ -0,0 +1,49 @@
+package router
+
+import (
+	"testing"
+
+	"starlingwinch/internal/hooks"
+	"starlingwinch/internal/testbench/routertest"
+)
+
+// TestReloadNamesOnlyWhatWaitsForRestart changes one part of the configuration at a time.
+func TestReloadNamesOnlyWhatWaitsForRestart(t *testing.T) {
+	for name, c := range map[string]struct {
+		edit  func(*Config)
+		waits bool
+	}{
+		"nothing":               {func(*Config) {}, false},
+		"address of discovery":  {func(c *Config) { c.Discovery = "127.0.0.1:3" }, false},
+		"memory of the machine": {func(c *Config) { c.Limits.MemoryMB++ }, true},
+		"hooks":                 {func(c *Config) { *c = *withHooks(t, c, "a", "b") }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			discovery := routertest.SilentDiscovery(t)
+			s := start(t, withHooks(t, testConfig(t, discovery, nil), "a"), nil, nil)
+			next := withHooks(t, testConfig(t, discovery, nil), "a")
+			c.edit(next)
+			s.Do(func() {
+				if got := s.r.needsRestart(next); got != c.waits {
+					t.Errorf("waits for a restart: %t, want %t", got, c.waits)
+				}
+			})
+		})
+	}
+}
+
+// withHooks returns the configuration with these hooks in place of its own, and the limits less what they may use.
+func withHooks(t *testing.T, c *Config, names ...string) *Config {
+	t.Helper()
+	changed := *c
+	changed.Limits = c.limitsBeforeHooks()
+	changed.Hooks = hooks.Config{MaxWaitFraction: .1, MaxWait: 50_000}
+	for _, name := range names {
+		changed.Hooks.Hooks = append(changed.Hooks.Hooks, hook(name))
+	}
+	var err error
+	if changed.Limits, err = changed.Limits.Without(changed.Hooks); err != nil {
+		t.Fatal(err)
+	}
+	return &changed
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -36,12 +36,14 @@
 	lifecycle
 
 	// What the router is made of. Set at the start, and never replaced.
-	m          machine.Machine
-	cfg        *Config // Reload changes the fields that it takes over
-	logger     *slog.Logger
-	events     *eventlog.Log
-	timerQueue *timerqueue.Queue // of the module's timers and the deadlines of attempts
-	pool       *upstream.Pool    // connections to the caches
+	m   machine.Machine
+	cfg *Config // Reload changes the fields that it takes over
+	// machineLimits are the limits of the machine, hooks included. Set at the start.
+	machineLimits Limits
+	logger        *slog.Logger
+	events        *eventlog.Log
+	timerQueue    *timerqueue.Queue // of the module's timers and the deadlines of attempts
+	pool          *upstream.Pool    // connections to the caches
 
 	// The decision module and its checks. Set at the start.
 	decider  *decide.Router  // used directly for snapshots alone; all events go through module
@@ -116,17 +118,18 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	r := &Router{
-		lifecycle:  lifecycle{state: stateStarting, startedAt: m.Now(), acceptGrace: drainAcceptGrace},
-		m:          m,
-		cfg:        cfg,
-		logger:     structuredlog.New(m),
-		timerQueue: timerqueue.New(m),
-		decider:    decider,
-		timers:     map[int64]*policyTimer{},
-		requests:   map[int64]*request{},
-		openIDs:    map[string]struct{}{},
-		endpoints:  map[string]*listedEndpoint{},
-		retryStorm: newRetryStormMonitor(cfg),
+		lifecycle:     lifecycle{state: stateStarting, startedAt: m.Now(), acceptGrace: drainAcceptGrace},
+		m:             m,
+		cfg:           cfg,
+		machineLimits: cfg.limitsBeforeHooks(),
+		logger:        structuredlog.New(m),
+		timerQueue:    timerqueue.New(m),
+		decider:       decider,
+		timers:        map[int64]*policyTimer{},
+		requests:      map[int64]*request{},
+		openIDs:       map[string]struct{}{},
+		endpoints:     map[string]*listedEndpoint{},
+		retryStorm:    newRetryStormMonitor(cfg),
 	}
 	for _, class := range cfg.Settings.Classes {
 		r.maxClientTimeout = max(r.maxClientTimeout, class.ClientTimeout)
