Reload: a changed log.toml is named as waiting for a restart

Operators saw: a SIGHUP after a change of deploy/log.toml had no effect and no word of it.

Cause: the events of the log are set up at the start, and the list of what waits for a restart left them out. Change: they are compared too. The row of TestReloadNamesOnlyWhatWaitsForRestart fails before.

--- a/internal/router/reload.go
+++ b/internal/router/reload.go
@@ -39,6 +39,7 @@
 		cfg.Transport != r.cfg.Transport ||
 		cfg.OperatorLimits != r.cfg.OperatorLimits ||
 		cfg.RetryStorm != r.cfg.RetryStorm ||
+		cfg.Events != r.cfg.Events ||
 		!reflect.DeepEqual(cfg.Gossip, r.cfg.Gossip) ||
 		!reflect.DeepEqual(cfg.Endpoints, r.cfg.Endpoints) ||
 		!reflect.DeepEqual(cfg.Eureka, r.cfg.Eureka)
--- a/internal/router/reload_test.go
+++ b/internal/router/reload_test.go
@@ -16,6 +16,7 @@
 		"nothing":               {func(*Config) {}, false},
 		"address of discovery":  {func(c *Config) { c.Discovery = "127.0.0.1:3" }, false},
 		"memory of the machine": {func(c *Config) { c.Limits.MemoryMB++ }, true},
+		"events in the log":     {func(c *Config) { c.Events.Events = !c.Events.Events }, true},
 		"hooks":                 {func(c *Config) { *c = *withHooks(t, c, "a", "b") }, false},
 	} {
 		t.Run(name, func(t *testing.T) {
