Reload: new peers are kept while gossip waits for its address

Operators saw: a SIGHUP with other peers, while the process before still held the gossip address, was dropped without a word; the router joined by the old peers and kept to them until the next change.

Cause: reloadPeers returned where there was no gossip yet, and the retry of the address used the peers read at the start.

Change: the new peers are stored and logged, and the retry takes those in force.

--- a/internal/router/gossip.go
+++ b/internal/router/gossip.go
@@ -76,6 +76,7 @@
 	if r.isEnding() {
 		return
 	}
+	cfg.Peers = r.cfg.peers() // a reload may have changed them
 	if err := r.startGossip(member, cfg, true); err != nil {
 		r.logger.Error("gossip not started", "cause", err)
 	}
--- a/internal/router/gossip_test.go
+++ b/internal/router/gossip_test.go
@@ -91,6 +91,29 @@
 	l.Until("a view", func() bool { return r.r.Gossip() != nil })
 }
 
+// TestReloadWhileGossipWaitsKeepsNewPeers reloads with another peer while the process before holds the gossip address.
+func TestReloadWhileGossipWaitsKeepsNewPeers(t *testing.T) {
+	addrs := packetPorts(t, 2)
+	l := routertest.NewLoop(t, nil)
+	var before machine.PacketConn
+	heard := make(chan struct{}, 1000)
+	l.Do(func() {
+		var err error
+		if before, err = l.ListenPacket(addrs[0], func(string, []byte) {}); err != nil {
+			t.Error(err)
+		}
+		if _, err = l.ListenPacket(addrs[1], func(string, []byte) { heard <- struct{}{} }); err != nil {
+			t.Error(err)
+		}
+	})
+	r := startOn(t, l, gossipConfig(t, "n0", addrs[0], addrs[:1], nil), nil)
+	l.Do(func() {
+		r.r.Reload(gossipConfig(t, "n0", addrs[0], addrs, nil))
+		before.Close()
+	})
+	routertest.Receive(t, heard, "a datagram at the new peer")
+}
+
 // ping sends a router PING on a connection of its own, and returns the answer.
 func ping(t *testing.T, addr string) string {
 	t.Helper()
--- a/internal/router/reload.go
+++ b/internal/router/reload.go
@@ -64,14 +64,17 @@
 	r.logger.Info("snapshot folder changed", "folder", cfg.Folder)
 }
 
-// reloadPeers takes over the addresses of the other routers, where the router takes part in gossip.
+// reloadPeers takes over the addresses of the other routers, where the router takes part in gossip. While it waits for the
+// gossip address, they are used as it joins.
 func (r *Router) reloadPeers(addrs []string) {
-	if r.gossip == nil || slices.Equal(addrs, r.cfg.PeerAddrs) {
+	if !r.cfg.Gossip.Enabled || slices.Equal(addrs, r.cfg.PeerAddrs) {
 		return
 	}
 	r.cfg.PeerAddrs = addrs
 	r.logger.Info("peers changed", "peers", len(r.cfg.peers()))
-	r.gossip.transport.Peers(r.cfg.peers())
+	if r.gossip != nil {
+		r.gossip.transport.Peers(r.cfg.peers())
+	}
 }
 
 // reloadDiscovery takes over the address of discovery.
