Event log: requests that are refused without the decision module have an event

The engineer on call saw: clients got -BUSY or an error and the counters and lines of events named no request for it: more open requests than the settings allow, a fair share in a storm, an id that is open already, a hook's verdict, the end of a drain, the limit of connections, memory for what waits.

Cause: only completions of the module carried an event; the frontend and the loop answered these by themselves.

What the retry-storm detector counts is as before. Tests for open requests, duplicate ids, hooks, the end of a drain, connections and memory (whole and part of a request); without the calls they count 0 where 1 is wanted. A fair share is counted by the same call and has no test of its own.

--- a/internal/frontend/connection_limit_test.go
+++ b/internal/frontend/connection_limit_test.go
@@ -70,3 +70,39 @@
 	r.answer(a, value)
 	late.Want("value")
 }
+
+// TestRejectionsNameTheirReason: the engineer on call can't tell a limit of connections from one of memory by the answer.
+func TestRejectionsNameTheirReason(t *testing.T) {
+	t.Run("connections", func(t *testing.T) {
+		r, _ := fullServer(t)
+		late := r.dial()
+		late.Send(get("late"))
+		late.Want("-BUSY 70")
+		r.wantRejected(RejectedConnectionLimit)
+	})
+	t.Run("memory for a request", func(t *testing.T) {
+		r := newTestServer(t, func(o *Options) { o.MaxBufferedBytes = 8 << 10 })
+		c := r.dial()
+		c.Send(words("C.SET", "k", "r1", "c=put,d=9,k=5", strings.Repeat("v", 10<<10)))
+		c.Want("-BUSY")
+		r.wantRejected(RejectedMemory)
+	})
+	t.Run("memory for a part of a request", func(t *testing.T) {
+		r := newTestServer(t, func(o *Options) { o.MaxBufferedBytes = 8 << 10 })
+		c := r.dial()
+		whole := words("C.SET", "k", "r1", "c=put,d=9,k=5", strings.Repeat("v", 40<<10))
+		c.Send(whole[:30<<10])
+		c.Want("-BUSY")
+		r.wantRejected(RejectedMemory)
+	})
+}
+
+// wantRejected checks that one request was reported as refused by the server, for that reason.
+func (r *testServer) wantRejected(reason RejectReason) {
+	r.t.Helper()
+	r.Do(func() {
+		if len(r.rejected) != 1 || r.rejected[0] != reason {
+			r.t.Errorf("reported %q, want %q", r.rejected, reason)
+		}
+	})
+}
--- a/internal/frontend/executing.go
+++ b/internal/frontend/executing.go
@@ -84,8 +84,9 @@
 		// Its window for requests is over at once: this one and those behind it are refused.
 		c.retired, c.retiredAt = true, s.machine.Now()-retiredRequestWindow-1
 	}
-	if c.retiredWindowOver() || !s.buffered.reserve(int64(len(raw))) {
+	if reason := c.rejectReason(int64(len(raw))); reason != "" {
 		c.replyLocally(AppendBusy(nil, s.options.RetryAfter))
+		s.handler.RequestRejected(reason, slot.Command.ID())
 		return true
 	}
 	c.requestSeen = true
@@ -94,6 +95,19 @@
 	return true
 }
 
+// rejectReason is why a request of so many bytes is refused; empty where its bytes were reserved.
+func (c *connection) rejectReason(size int64) RejectReason {
+	switch {
+	case c.retiredWindowOver() && c.excess:
+		return RejectedConnectionLimit
+	case c.retiredWindowOver():
+		return RejectedConnectionEnding
+	case !c.server.buffered.reserve(size):
+		return RejectedMemory
+	}
+	return ""
+}
+
 // retiredWindowOver reports whether requests on this connection are refused because it is to be closed. A client that always
 // has a request out would otherwise keep it open to the end of the drain, and lose what is out then.
 func (c *connection) retiredWindowOver() bool {
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -60,6 +60,9 @@
 	// ConnectionClosed is called when a connection has ended, with the reason and the number of its requests that had no
 	// reply then.
 	ConnectionClosed(reason string, unanswered int)
+	// RequestRejected is called when the server has refused a request itself, with the reason and the client's name of the request;
+	// no name where it was not read whole. The handler never gets that request.
+	RequestRejected(reason RejectReason, clientID string)
 	// ProcessEvents is called after one or more of the other calls, in the same turn, when the state of the Server is
 	// consistent: the handler may call it from there.
 	ProcessEvents()
@@ -67,6 +70,15 @@
 	Serving() bool
 }
 
+// RejectReason is why the server refuses a request itself.
+type RejectReason string
+
+const (
+	RejectedConnectionLimit  RejectReason = "connection limit"  // its connection is one more than there may be
+	RejectedConnectionEnding RejectReason = "connection ending" // its connection is to be closed, and the time for requests on it is over
+	RejectedMemory           RejectReason = "buffer memory"     // requests and replies that wait have taken all memory for them
+)
+
 // Options are the bounds of a Server.
 type Options struct {
 	Listen           string         // address to listen on
--- a/internal/frontend/harness_test.go
+++ b/internal/frontend/harness_test.go
@@ -38,6 +38,7 @@
 	requests chan receivedRequest
 	gone     chan *ReplySlot
 	starting bool // no cache is known
+	rejected []RejectReason
 }
 
 func (r *testServer) HandleRequest(s *ReplySlot, read Time) {
@@ -46,6 +47,9 @@
 func (r *testServer) ProcessEvents()               {}
 func (r *testServer) Serving() bool                { return !r.starting }
 func (r *testServer) ConnectionClosed(string, int) {}
+func (r *testServer) RequestRejected(reason RejectReason, _ string) {
+	r.rejected = append(r.rejected, reason)
+}
 
 func (r *testServer) ClientsGone(slots []*ReplySlot, _ bool) {
 	for _, s := range slots {
--- a/internal/frontend/reading.go
+++ b/internal/frontend/reading.go
@@ -111,6 +111,7 @@
 	}
 	if !c.server.buffered.reserve(size - c.unparsedCharge) {
 		c.replyLocally([]byte(BusyReply))
+		c.server.handler.RequestRejected(RejectedMemory, "")
 		c.finish()
 		return false
 	}
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -5,10 +5,20 @@
 
 	"starlingwinch/decide"
 	"starlingwinch/internal/eventlog"
+	"starlingwinch/internal/frontend"
 	"starlingwinch/internal/guard"
 	"starlingwinch/internal/upstream"
 )
 
+// Reasons of requests that end without the decision module.
+const (
+	reasonOpenRequests = "open requests" // there were as many as the settings allow
+	reasonFairShare    = "fair share"    // its client is beyond its share in a retry storm
+	reasonDuplicateID  = "duplicate id"  // its client gave it the name of one that is open
+	reasonHook         = "hook"          // a hook's verdict
+	reasonDrainOver    = "drain over"    // a drain came to its end before it was answered
+)
+
 // previousAttemptOut is the reason of a retry whose attempt before is still out: a hedged request.
 const previousAttemptOut = "out"
 
@@ -40,7 +50,21 @@
 		slog.Int("attempt", len(q.attempts)), slog.String("cache", cache))
 }
 
-// logUnserved logs that the module has rejected or failed a request.
+// RequestRejected implements frontend.Handler: it logs a request that the frontend has refused itself.
+func (r *Router) RequestRejected(reason frontend.RejectReason, clientID string) {
+	r.logNotAccepted(eventlog.RequestRejected, string(reason), clientID)
+}
+
+// logNotAccepted logs a request that ends before it has a record.
+func (r *Router) logNotAccepted(event eventlog.Event, reason, clientID string) {
+	if !r.events.Enabled() {
+		r.events.Count(event, reason)
+		return
+	}
+	r.events.Add(event, reason, slog.String("id", clientID))
+}
+
+// logUnserved logs that a request was rejected or failed.
 func (r *Router) logUnserved(q *request, event eventlog.Event, reason string) {
 	if !r.events.Enabled() {
 		r.events.Count(event, reason)
--- /dev/null
+++ b/internal/router/events_test.go
@@ -0,0 +1,73 @@
+package router
+
+import (
+	"testing"
+
+	"starlingwinch/internal/eventlog"
+	"starlingwinch/internal/hooks/hookstest"
+	"starlingwinch/internal/plugin"
+	"starlingwinch/internal/testbench/routertest"
+)
+
+// The tests of this file guard against requests that end without the decision module and without a word in the event log.
+
+func wantCounted(t *testing.T, r *Router, event eventlog.Event, reason string) {
+	t.Helper()
+	if got := r.events.Counted(event, reason); got != 1 {
+		t.Errorf("%s.%s is counted %d times, want once", event, reason, got)
+	}
+}
+
+func TestRejectionForOpenRequestsIsCounted(t *testing.T) {
+	cache := newFakeCache(t)
+	r := start(t, testConfig(t, routertest.SilentDiscovery(t), func(in map[string]any) {
+		in["settings"].(map[string]any)["limits"].(map[string]any)["maxOpen"] = 1
+	}, host("c1", cache.Addr(), "in_service")), nil, nil)
+	c := dial(t, r.addr)
+	c.Send(get("r1"))
+	cmd := receive(t, cache.Commands, "command")
+	other := dial(t, r.addr)
+	other.Send(get("r2"))
+	other.Want("-BUSY")
+	r.Do(func() { wantCounted(t, r.r, eventlog.RequestRejected, reasonOpenRequests) })
+	cmd.Reply(t, served)
+	c.Want("value")
+}
+
+func TestDuplicateIDIsCounted(t *testing.T) {
+	r := newRig(t, newFakeCache(t).Addr(), nil)
+	r.sendCommand(get("one"))
+	again := dial(t, r.addr)
+	again.Send(get("one"))
+	again.Line()
+	r.Do(func() { wantCounted(t, r.r, eventlog.RequestFailed, reasonDuplicateID) })
+}
+
+func TestHookVerdictsAreCounted(t *testing.T) {
+	verdict := plugin.Verdict{Decision: plugin.Reject}
+	h := startHooked(t, func(c plugin.Call) hookstest.Act {
+		if c.Point == plugin.OnRequest {
+			return hookstest.Act{After: 100, Verdict: verdict}
+		}
+		return hookstest.Act{}
+	}, nil)
+	h.ask("a", 100_000)
+	wantCounted(t, h.r, eventlog.RequestRejected, reasonHook)
+	verdict = plugin.Verdict{Decision: plugin.Fail, Text: "not a callsign"}
+	h.ask("b", 100_000)
+	wantCounted(t, h.r, eventlog.RequestFailed, reasonHook)
+}
+
+func TestRequestsAtTheEndOfADrainAreCounted(t *testing.T) {
+	r := start(t, testConfig(t, routertest.SilentDiscovery(t), nil), nil, func(r *Router) {
+		r.module = newScript() // answers nothing
+		r.sweepTimer.Stop()
+		r.maxClientTimeout = 1000
+	})
+	open := dial(t, r.addr)
+	open.Send(get("r1"))
+	r.Until("the request", func() bool { return r.r.openRequests == 1 })
+	r.drain()
+	receive(t, r.ended, "end of the router")
+	wantCounted(t, r.r, eventlog.RequestRejected, reasonDrainOver)
+}
--- a/internal/router/hooks.go
+++ b/internal/router/hooks.go
@@ -107,9 +107,9 @@
 	}
 	switch v.Decision {
 	case plugin.Reject:
-		r.finishRequest(q, completion{reply: frontend.AppendBusy(nil, v.RetryAfter), outcome: plugin.OutcomeRejected})
+		r.finishRequest(q, completion{reply: frontend.AppendBusy(nil, v.RetryAfter), outcome: plugin.OutcomeRejected}.logged(reasonHook))
 	case plugin.Fail:
-		r.finishRequest(q, completion{reply: frontend.AppendFailed(nil, v.Text), outcome: plugin.OutcomeFailed})
+		r.finishRequest(q, completion{reply: frontend.AppendFailed(nil, v.Text), outcome: plugin.OutcomeFailed}.logged(reasonHook))
 	default:
 		if v.Tenant != "" {
 			q.command.Tenant = v.Tenant
--- a/internal/router/lifecycle.go
+++ b/internal/router/lifecycle.go
@@ -292,9 +292,9 @@
 		}
 		r.withdraw(q)
 		if len(q.attempts) == 0 {
-			r.finishRequest(q, r.rejection(q, r.cfg.Settings.MaxRetryAfter))
+			r.finishRequest(q, r.rejection(q, r.cfg.Settings.MaxRetryAfter).logged(reasonDrainOver))
 		} else {
-			r.finishRequest(q, failure)
+			r.finishRequest(q, failure.logged(reasonDrainOver))
 		}
 	}
 	r.ProcessEvents()
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -77,19 +77,31 @@
 	return c
 }
 
+// logged returns the completion with what the event log says of it. What it answers decides between rejected and failed.
+func (c completion) logged(reason string) completion {
+	c.event, c.reason = eventlog.RequestFailed, reason
+	if c.outcome == plugin.OutcomeRejected {
+		c.event = eventlog.RequestRejected
+	}
+	return c
+}
+
 // HandleRequest implements frontend.Handler: it takes a request from a client and hands it to the hooks or to the module.
 func (r *Router) HandleRequest(slot *frontend.ReplySlot, readAt Time) {
 	if r.cfg.Transport.MaxOpenRequests > 0 && r.openRequests >= r.cfg.Transport.MaxOpenRequests {
 		slot.Answer([]byte(frontend.BusyReply))
+		r.logNotAccepted(eventlog.RequestRejected, reasonOpenRequests, slot.Command.ID())
 		return
 	}
 	stormRequest, stormVerdict := r.recordRequest(slot, readAt)
 	if stormVerdict.OverFairShare {
 		slot.Answer(frontend.AppendBusy(nil, r.jitteredRetryAfter(slot.Command.ID())))
+		r.logNotAccepted(eventlog.RequestRejected, reasonFairShare, slot.Command.ID())
 		return
 	}
 	if _, isOpen := r.openIDs[slot.Command.ID()]; isOpen {
 		slot.Answer([]byte(duplicateIDReply))
+		r.logNotAccepted(eventlog.RequestFailed, reasonDuplicateID, slot.Command.ID())
 		return
 	}
 	q := r.openRequest(slot, readAt)
