Event log: what the module gives up for a client that has gone is no rejection

The engineer on call saw: request-rejected and request-failed counted requests whose client had left, which nobody was refused.

Cause: finishRequest logged before it looked whether the request was finished. Change: it looks first. TestRequestOfGoneClientHasNoEvent counted one of each before, with an attempt still out as the client leaves.

--- a/internal/router/events_test.go
+++ b/internal/router/events_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"starlingwinch/decide"
 	"starlingwinch/internal/eventlog"
 	"starlingwinch/internal/hooks/hookstest"
 	"starlingwinch/internal/plugin"
@@ -71,3 +72,23 @@
 	receive(t, r.ended, "end of the router")
 	wantCounted(t, r.r, eventlog.RequestRejected, reasonDrainOver)
 }
+
+// TestRequestOfGoneClientHasNoEvent: nobody got the answer that the module gives up.
+func TestRequestOfGoneClientHasNoEvent(t *testing.T) {
+	cache := newFakeCache(t)
+	r := newRig(t, cache.Addr(), nil)
+	q := r.sendCommand(get("one"))
+	r.send(q)
+	receive(t, cache.Commands, "command") // its attempt is out
+	q.client.Close()
+	r.Until("the end of the client", func() bool { return r.r.openRequests == 0 })
+	r.perform(decide.Reject{ID: q.id})
+	r.perform(decide.Fail{ID: q.id})
+	r.Do(func() {
+		reason := decide.Reason(0).String()
+		rejected, failed := r.r.events.Counted(eventlog.RequestRejected, reason), r.r.events.Counted(eventlog.RequestFailed, reason)
+		if rejected+failed != 0 {
+			t.Errorf("counted as rejected %d times and as failed %d times", rejected, failed)
+		}
+	})
+}
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -190,12 +190,12 @@
 // module may still decide about a request whose end it has not received. Attempts that are not written whole end before
 // the answer leaves, as nothing may go out for a request after its answer.
 func (r *Router) finishRequest(q *request, c completion) {
-	if c.event != "" {
-		r.logUnserved(q, c.event, c.reason)
-	}
 	if q.finished {
 		return
 	}
+	if c.event != "" {
+		r.logUnserved(q, c.event, c.reason)
+	}
 	if c.unserved {
 		r.recordUnserved(q)
 	}
