Frontend: commands read whole get a reply each where memory is short

Callers saw: while all memory for clients was in use, a client that pipelined more than 16 KiB got one -BUSY and the end of its connection; the commands behind it, read whole, had no answer, which loses them.

Cause: bytes behind a partial command were appended to it and charged as a partial command before the whole commands among them were executed; without memory the connection was refused and closed. Change: where more than a read buffer has come together, the whole commands are executed first, and each gets its own refusal; what waits for the limit of pipelined replies stays unread up to one read buffer more. A command of which only a part has come is refused and closed as before.

--- a/internal/frontend/connection_test.go
+++ b/internal/frontend/connection_test.go
@@ -450,3 +450,27 @@
 		}
 	})
 }
+
+// TestPipelinedCommandsAreAnsweredWithoutMemory guards against a client that is closed with one refusal though many of its commands were read
+// whole.
+func TestPipelinedCommandsAreAnsweredWithoutMemory(t *testing.T) {
+	for _, pipelined := range []int{100, 2000} { // below and above the limit of replies that are due
+		r := newTestServer(t, func(o *Options) { o.MaxBufferedBytes = 8 << 10 })
+		other := r.dial()
+		other.Send(words("C.SET", "k", "first", "c=put,d=9,k=5", strings.Repeat("v", 8000)))
+		taken := r.nextRequest() // it has the memory until its reply
+		c := r.dial()
+		var all strings.Builder
+		for i := range pipelined {
+			all.WriteString(words("C.SET", "k", fmt.Sprint("r", i), "c=put,d=9,k=5", strings.Repeat("v", 300)))
+		}
+		go c.Send(all.String())
+		for range pipelined {
+			c.Want("-BUSY")
+		}
+		c.Send(words("PING"))
+		c.Want("+PONG")
+		r.answer(taken, value)
+		other.Want("value")
+	}
+}
--- a/internal/frontend/reading.go
+++ b/internal/frontend/reading.go
@@ -99,6 +99,12 @@
 		return false
 	}
 	c.unparsed = append(c.unparsed, received...)
+	if len(c.unparsed) > readBufferSize {
+		c.executeUnparsed(quota) // whole commands are due a reply each, whether or not there is memory for the rest
+		if c.closed || c.finishing {
+			return false
+		}
+	}
 	return c.chargeUnparsed()
 }
 
@@ -110,6 +116,9 @@
 		return true
 	}
 	if !c.server.buffered.reserve(size - c.unparsedCharge) {
+		if whole, err := resp.CommandSize(c.unparsed); err == nil && whole > 0 {
+			return true // it waits for its turn, with no more than another read buffer behind it
+		}
 		c.replyLocally([]byte(BusyReply))
 		c.server.handler.RequestRejected(RejectedMemory, "")
 		c.finish()
