decide: an attempt is cancelled once

Seen by reading: with low traffic per router, an idempotent attempt whose client has gone was cancelled again at its latency objective.

Cause: handleObjectiveReached looks only whether the attempt is out, and one that is being cancelled is. Change: cancel does nothing for an attempt that is cancelled already. No caller was harmed: the loop ignores the second. TestAttemptIsCancelledOnce counted two before.

--- a/decide/attempt.go
+++ b/decide/attempt.go
@@ -81,8 +81,11 @@
 	a.cache.overtaken -= boolToInt(a.overtaken)
 }
 
-// cancel ends the wait on an attempt; its result is still due.
+// cancel ends the wait on an attempt; its result is still due. An attempt is cancelled once.
 func (r *Router) cancel(q *request, n int) {
+	if q.attempts[n].state == attemptCancelling {
+		return
+	}
 	q.attempts[n].state = attemptCancelling
 	r.emit(Cancel{q.ID, n})
 }
--- a/decide/low_traffic_test.go
+++ b/decide/low_traffic_test.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"slices"
 	"testing"
 )
 
@@ -36,3 +37,24 @@
 	b.feed(&EndpointList{Kind: FullUpdate, Endpoints: entries})
 	return b
 }
+
+// TestAttemptIsCancelledOnce: with low traffic per router an idempotent attempt is cancelled at its latency objective too.
+func TestAttemptIsCancelledOnce(t *testing.T) {
+	b := newHarness(t, settings())
+	b.r.settings.Routers = maxRoutersWithUsualTraffic + 1
+	b.feed(&EndpointList{Kind: FullUpdate, Endpoints: fleet(1)})
+	if b.request(1, "read", 1) == nil {
+		t.Fatal("not sent")
+	}
+	acts := b.feed(&ClientGone{ID: 1})
+	acts = append(slices.Clone(acts), b.advance(1000*ms)...)
+	cancels := 0
+	for _, a := range acts {
+		if a == (Cancel{1, 0}) {
+			cancels++
+		}
+	}
+	if cancels != 1 {
+		t.Errorf("cancelled %d times, want once", cancels)
+	}
+}
