--- a/decide/endpoint_list.go
+++ b/decide/endpoint_list.go
@@ -37,7 +37,6 @@
 
 // start begins what goes on for the life of the router. It is called with the first list.
 func (r *Router) start() {
-	r.origin.missRatio.value = 1
 	if r.settings.WatchRequired {
 		r.watchAfter(r.list.pacer.Start(r.list.random.next()))
 	}
--- a/decide/origin_limit.go
+++ b/decide/origin_limit.go
@@ -24,6 +24,11 @@
 	lastTimelySentAt Time
 }
 
+// newOriginLimit returns the limit before the first list. Until more is known, each likely miss counts as a true one.
+func newOriginLimit() originLimit {
+	return originLimit{missRatio: movingAverage{value: 1, window: originMissWindow}}
+}
+
 // initialize sets the first limit, for all caches that are known. Without caches it stays unset: a limit for
 // none would hold back most requests for seconds after the first list.
 func (o *originLimit) initialize(caches, routers int) {
--- a/decide/router.go
+++ b/decide/router.go
@@ -59,7 +59,7 @@
 		zones:        map[string]*zone{},
 		requests:     map[int64]*request{},
 		hotKeys:      newHotKeys(),
-		origin:       originLimit{missRatio: movingAverage{window: originMissWindow}},
+		origin:       newOriginLimit(),
 		retryBudget:  retryBudget{tokens: maxRetryTokens},
 		errorRatio:   movingAverage{window: fleetErrorWindow},
 		lossDetector: newLossDetector(),
--- a/decide/snapshot_test.go
+++ b/decide/snapshot_test.go
@@ -112,3 +112,16 @@
 		}
 	}
 }
+
+// TestRestoreBeforeFirstListKeepsMissRatio: the first list begins what goes on for the life of a router, and forgets nothing.
+func TestRestoreBeforeFirstListKeepsMissRatio(t *testing.T) {
+	old, es := newTrainedHarness(t)
+	learned := old.r.Snapshot(100)
+	learned.OriginMissRatio = 0.25
+	b := newHarness(t, old.r.settings)
+	b.r.Restore(learned)
+	b.feed(&EndpointList{Kind: FullUpdate, Endpoints: es})
+	if got := b.r.Snapshot(100).OriginMissRatio; got != 0.25 {
+		t.Errorf("a miss ratio of %g, want the restored 0.25", got)
+	}
+}
