Reload: a changed name, seed or address for gossip is named as waiting for a restart

Found as the fault of log.toml was looked for elsewhere: of the platform's file, the name, the seed and the address for gossip were neither taken over nor compared. They are compared now; the three rows of TestReloadNamesOnlyWhatWaitsForRestart failed before.

--- a/internal/router/reload.go
+++ b/internal/router/reload.go
@@ -33,7 +33,10 @@
 
 // needsRestart reports whether a configuration differs in what is read at a start alone.
 func (r *Router) needsRestart(cfg *Config) bool {
-	return cfg.Listen != r.cfg.Listen ||
+	return cfg.Name != r.cfg.Name ||
+		cfg.Seed != r.cfg.Seed ||
+		cfg.Listen != r.cfg.Listen ||
+		cfg.PeerListen != r.cfg.PeerListen ||
 		cfg.limitsBeforeHooks() != r.machineLimits ||
 		!reflect.DeepEqual(cfg.Settings, r.cfg.Settings) ||
 		cfg.Transport != r.cfg.Transport ||
--- a/internal/router/reload_test.go
+++ b/internal/router/reload_test.go
@@ -15,6 +15,9 @@
 	}{
 		"nothing":               {func(*Config) {}, false},
 		"address of discovery":  {func(c *Config) { c.Discovery = "127.0.0.1:3" }, false},
+		"name":                  {func(c *Config) { c.Name = "n9" }, true},
+		"seed":                  {func(c *Config) { c.Seed++ }, true},
+		"address for gossip":    {func(c *Config) { c.PeerListen = "127.0.0.1:9" }, true},
 		"memory of the machine": {func(c *Config) { c.Limits.MemoryMB++ }, true},
 		"events in the log":     {func(c *Config) { c.Events.Events = !c.Events.Events }, true},
 		"hooks":                 {func(c *Config) { *c = *withHooks(t, c, "a", "b") }, false},
