Soak: an answer that comes due while the harness stops its router is due as it goes on

The series of signals stop-term-cont, 34 ms apart, had its router stand still for 68 ms.

Change: where a deadline lies within a stop, the answer is due at its end, with the usual 50 ms. A deadline that lies behind the stop, another router's request and an answer that comes still later break as before: TestAnswerIsDueAsAStoppedRouterGoesOn has the six cases, the first failed before.

--- a/internal/testbench/lab/loopback/faults.go
+++ b/internal/testbench/lab/loopback/faults.go
@@ -116,7 +116,7 @@
 			fs.routers(x, func(rt *router) { rt.term(true) })
 		}},
 		script.Stall: {
-			begin: func(fs *faults, x script.Fault) { fs.routers(x, func(rt *router) { rt.signal(syscall.SIGSTOP) }) },
+			begin: func(fs *faults, x script.Fault) { fs.routers(x, func(rt *router) { rt.standStill(span(x.For)) }) },
 			end:   func(fs *faults, x script.Fault) { fs.routers(x, func(rt *router) { rt.signal(syscall.SIGCONT) }) },
 		},
 		script.HandOver: {begin: func(fs *faults, x script.Fault) {
--- a/internal/testbench/lab/loopback/handover.go
+++ b/internal/testbench/lab/loopback/handover.go
@@ -161,6 +161,22 @@
 var signalNames = map[string]syscall.Signal{"hup": syscall.SIGHUP, "term": syscall.SIGTERM, "kill": syscall.SIGKILL,
 	"stop": syscall.SIGSTOP, "cont": syscall.SIGCONT}
 
+// stoppedSteps is how many steps of a series lie between the stop at an index and what lets the process go on.
+func stoppedSteps(series string, stop int) int {
+	names := strings.Split(series, "-")
+	if i := slices.Index(names[stop:], "cont"); i >= 0 {
+		return i
+	}
+	return 0
+}
+
+// standStill stops the process. It is to go on after a span.
+func (rt *router) standStill(lasts Time) {
+	now := rt.r.m.Now()
+	rt.signal(syscall.SIGSTOP)
+	rt.r.seen.routerStopped(now, rt.name, now+lasts)
+}
+
 // signals sends a router a series of signals. One that ends it has it followed by a new process.
 func (rt *router) signals(x script.Fault) {
 	isWaiting := rt.state == coming && len(rt.previous) > 0
@@ -176,6 +192,8 @@
 				rt.term(true)
 			case name == "kill":
 				rt.kill(true)
+			case name == "stop":
+				rt.standStill(Time(stoppedSteps(x.How, i)) * span(x.Delay))
 			default:
 				rt.signal(signalNames[name])
 			}
--- a/internal/testbench/lab/loopback/observer.go
+++ b/internal/testbench/lab/loopback/observer.go
@@ -1,6 +1,9 @@
 package loopback
 
 import (
+	"maps"
+	"slices"
+
 	"starlingwinch/internal/testbench/rules"
 )
 
@@ -107,6 +110,20 @@
 	o.watcher.Behind(at, id, until)
 }
 
+// routerStopped tells that the harness has a router's process stand still until an instant, for no longer than the platform may. An
+// answer that comes due meanwhile is due as the process goes on.
+func (o *observer) routerStopped(now Time, router string, until Time) {
+	at := o.time(now)
+	resumes := o.clock.after(now, until)
+	for _, id := range slices.Sorted(maps.Keys(o.requests)) {
+		if a := o.requests[id]; a.Router == router && a.Deadline < resumes {
+			a.Deadline = resumes
+			o.requests[id] = a
+			o.watcher.Behind(at, id, resumes)
+		}
+	}
+}
+
 func (o *observer) missed(at Time, a observedRequest, how string) {
 	o.misses.add(Miss{ID: a.ID, Class: a.Class, Router: a.Router, How: how, At: at - o.start}, o.watcher.History)
 }
--- a/internal/testbench/lab/loopback/observer_test.go
+++ b/internal/testbench/lab/loopback/observer_test.go
@@ -65,3 +65,38 @@
 		t.Errorf("got\n%s", b.String())
 	}
 }
+
+// TestAnswerIsDueAsAStoppedRouterGoesOn: the harness stops a router for 120 ms, into the deadline of one request and not of another.
+func TestAnswerIsDueAsAStoppedRouterGoesOn(t *testing.T) {
+	const stopped = 120 * millisecond
+	for name, c := range map[string]struct {
+		deadline, answered Time // from the stop
+		broken             bool
+	}{
+		"due meanwhile, answered as it goes on":       {20 * millisecond, stopped + 40*millisecond, false},
+		"due meanwhile, answered too late for that":   {20 * millisecond, stopped + 70*millisecond, true},
+		"due afterwards, answered late":               {stopped + 20*millisecond, stopped + 90*millisecond, true},
+		"due meanwhile, asked of another router":      {20 * millisecond, stopped + 40*millisecond, true},
+		"due afterwards, answered within the slack":   {stopped + 20*millisecond, stopped + 60*millisecond, false},
+		"due meanwhile, answered before the deadline": {20 * millisecond, 10 * millisecond, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o, got := newScene(false)
+			at, router := 100*second, "r"
+			if strings.Contains(name, "another") {
+				router = "other"
+			}
+			o.clock.punctualUntil(at)
+			o.Asked(at, rules.Request{ID: "q", Router: router, Class: "read", Sent: at, Deadline: at + c.deadline})
+			o.routerStopped(at, "r", at+stopped)
+			for past := Time(0); past < c.answered; past += checkInterval {
+				o.clock.punctualUntil(at + past)
+				o.watcher.Tick(o.clock.at(at + past))
+			}
+			o.Answered(at+c.answered, "q", rules.Failed, "")
+			if broken := len(*got) > 0; broken != c.broken {
+				t.Errorf("violations %v", *got)
+			}
+		})
+	}
+}
