Router tests: one test of the bound on open requests, which also holds the event

TestRejectionForOpenRequestsIsCounted repeated TestOpenRequestsBounded but for its last check, which stands there now. Nothing else changes.

--- a/internal/router/events_test.go
+++ b/internal/router/events_test.go
@@ -19,22 +19,6 @@
 	}
 }
 
-func TestRejectionForOpenRequestsIsCounted(t *testing.T) {
-	cache := newFakeCache(t)
-	r := start(t, testConfig(t, routertest.SilentDiscovery(t), func(in map[string]any) {
-		in["settings"].(map[string]any)["limits"].(map[string]any)["maxOpen"] = 1
-	}, host("c1", cache.Addr(), "in_service")), nil, nil)
-	c := dial(t, r.addr)
-	c.Send(get("r1"))
-	cmd := receive(t, cache.Commands, "command")
-	other := dial(t, r.addr)
-	other.Send(get("r2"))
-	other.Want("-BUSY")
-	r.Do(func() { wantCounted(t, r.r, eventlog.RequestRejected, reasonOpenRequests) })
-	cmd.Reply(t, served)
-	c.Want("value")
-}
-
 func TestDuplicateIDIsCounted(t *testing.T) {
 	r := newRig(t, newFakeCache(t).Addr(), nil)
 	r.sendCommand(get("one"))
--- a/internal/router/request_test.go
+++ b/internal/router/request_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"starlingwinch/decide"
+	"starlingwinch/internal/eventlog"
 	"starlingwinch/internal/frontend"
 	"starlingwinch/internal/limits"
 	"starlingwinch/internal/resp"
@@ -124,7 +125,7 @@
 	}
 }
 
-// TestOpenRequestsBounded rejects requests over the settings' bound before they reach the module.
+// TestOpenRequestsBounded rejects requests over the settings' bound before they reach the module, and counts them.
 func TestOpenRequestsBounded(t *testing.T) {
 	cache := newFakeCache(t)
 	r := start(t, testConfig(t, routertest.SilentDiscovery(t), func(in map[string]any) {
@@ -136,6 +137,7 @@
 	other := dial(t, r.addr)
 	other.Send(get("r2"))
 	other.Want("-BUSY")
+	r.Do(func() { wantCounted(t, r.r, eventlog.RequestRejected, reasonOpenRequests) })
 	cmd.Reply(t, served)
 	c.Want("value")
 }
