Registry: a first list without a serving cache is confirmed by another server

Callers saw: a router that started 0.24 s after its registry server had come back empty refused 889 requests in 4.25 s, though the other server showed nine caches.

Cause: mass removals are measured against what is known, and at a start nothing is; the empty list was believed until leases were renewed there.

Change: the merger has a source confirm its first full list where that names no serving endpoint, once. The empty list is published as before, so that nothing waits for the answer.

--- a/internal/endpoints/api.go
+++ b/internal/endpoints/api.go
@@ -12,6 +12,7 @@
 //   - A source whose full list omits most of its endpoints at once must confirm that, by another of its servers where it
 //     has several. The omissions are published when it confirms them, or when it neither confirms nor denies them in time.
 //     Only omissions wait so, never a claim of a drain or removal; a source that becomes unavailable confirms nothing.
+//     A source whose first full list names no serving endpoint must confirm that too, though nothing waits for it.
 //   - Where sources disagree, the first in the operators' order says where an endpoint is and what it is like; a drain or
 //     removal reported by any other source drains it.
 package endpoints
--- a/internal/endpoints/mass_removal_test.go
+++ b/internal/endpoints/mass_removal_test.go
@@ -218,3 +218,39 @@
 	r.want("c1", "draining")
 	r.wantAll(names(2, 10), "serving")
 }
+
+// TestFirstListWithoutServingEndpointsIsConfirmed: a router starts as a server of the registry has restarted with an empty list.
+func TestFirstListWithoutServingEndpointsIsConfirmed(t *testing.T) {
+	r := newRig(t, eureka)
+	r.full("eureka")
+	if r.confirms() != 1 {
+		t.Fatalf("%+v, want it confirmed", r.actions)
+	}
+	r.after(100_000).repeat("eureka", names(1, 10)...)
+	r.wantAll(names(1, 10), "serving")
+	if r.confirms() != 0 {
+		t.Errorf("%+v after the answer", r.actions)
+	}
+}
+
+// TestEmptyRegistryIsConfirmedOnce: all servers are empty, and the router must not call them without a pause.
+func TestEmptyRegistryIsConfirmedOnce(t *testing.T) {
+	r := newRig(t, eureka)
+	r.full("eureka")
+	r.after(100_000).repeat("eureka")
+	if r.confirms() != 0 {
+		t.Errorf("%+v after the answer", r.actions)
+	}
+	r.after(second).full("eureka")
+	if r.confirms() != 0 {
+		t.Errorf("%+v after a second empty list", r.actions)
+	}
+}
+
+func TestFirstListWithServingEndpointsIsNotConfirmed(t *testing.T) {
+	r := newRig(t, eureka)
+	r.full("eureka", "c1", "c2-")
+	if r.confirms() != 0 {
+		t.Errorf("%+v", r.actions)
+	}
+}
--- a/internal/endpoints/merger.go
+++ b/internal/endpoints/merger.go
@@ -121,6 +121,9 @@
 	}
 	before := servingCounts{source: s.serving, merged: m.serving, unconfirmed: s.massRemoval.unconfirmed}
 	wasUnavailable := s.unavailable
+	if s.ConfirmMassRemoval && !s.answered && update.namesNoServingEndpoint() {
+		m.turn.confirms = append(m.turn.confirms, Confirm{s.Name}) // one of its servers may have restarted with an empty list
+	}
 	if !update.Stale {
 		m.markAvailable(s)
 	}
@@ -133,6 +136,12 @@
 	}
 }
 
+// namesNoServingEndpoint reports whether it is a full list, and no last known one, without a serving endpoint.
+func (u *SourceUpdate) namesNoServingEndpoint() bool {
+	isServing := func(c Claim) bool { return c.Endpoint.Status == decide.Serving }
+	return u.Full && !u.Stale && !slices.ContainsFunc(u.Claims, isServing)
+}
+
 // markAvailable notes that a source has sent a list.
 func (m *Merger) markAvailable(s *source) {
 	if s.unavailable {
--- a/internal/testbench/lab/registry_test.go
+++ b/internal/testbench/lab/registry_test.go
@@ -124,6 +124,15 @@
 	}
 }
 
+// TestRoutersSendInRegistrySeed20975: a router that starts just after its registry server came back empty sends nothing, though the other server
+// shows nine caches.
+func TestRoutersSendInRegistrySeed20975(t *testing.T) {
+	s := script.DrawRegistry(20975, 10*time.Second)
+	for _, b := range mustRun(t, s, lab.Options{Node: node.Start}).Broken {
+		t.Error(b)
+	}
+}
+
 // TestNewCachesCountOnceRoutersCanKnowThem: four caches join while all others drain, a few milliseconds before routers are found to send
 // nothing.
 func TestNewCachesCountOnceRoutersCanKnowThem(t *testing.T) {
