--- a/internal/testbench/standin/discovery_notify.go
+++ b/internal/testbench/standin/discovery_notify.go
@@ -157,13 +157,8 @@
 	d.notifyTimer = d.m.At(d.m.Now()+d.options.NotifiedAfter, d.notifyAll)
 }
 
-// markReachable records that calls can be answered again. The time without a call counts anew from here: calls of the outage that were
-// refused a connection left no trace.
+// markReachable records that calls can be answered again.
 func (d *Discovery) markReachable() {
 	d.reachableSince = d.m.Now()
 	d.scheduleNotifyAll()
-	for _, router := range d.options.Routers {
-		d.callers[router].lastCall = d.reachableSince
-		d.notifyOverdue(router)
-	}
 }
--- a/internal/testbench/standin/discovery_test.go
+++ b/internal/testbench/standin/discovery_test.go
@@ -345,24 +345,6 @@
 	r.notes.has(t, "listed r-2 s-1 false", 1)
 }
 
-// TestTimeWithoutCallsCountsAnewAfterAnOutage: a router whose calls all failed is not notified in the moment of discovery's return.
-func TestTimeWithoutCallsCountsAnewAfterAnOutage(t *testing.T) {
-	for _, resets := range []bool{false, true} {
-		r := newRegistry(t, DiscoveryOptions{Routers: []string{"r-1"}, PollInterval: 6 * Second})
-		w := r.dial(t, r.addr)
-		w.send(t, hosts(""))
-		r.run(t, Second)
-		r.d.Down(true, resets)
-		r.run(t, 30*Second)
-		r.d.Down(false, resets)
-		r.d.SetStatus("s-1", Terminating)
-		r.run(t, 5900*Millisecond)
-		r.notes.has(t, "listed r-1 s-1 false", 0)
-		r.run(t, 200*Millisecond)
-		r.notes.has(t, "listed r-1 s-1 false", 1)
-	}
-}
-
 func TestInvalidCallsAreRejected(t *testing.T) {
 	r := newRegistry(t, DiscoveryOptions{})
 	for _, c := range []struct{ in, want string }{
