--- a/decide/origin_limit.go
+++ b/decide/origin_limit.go
@@ -24,7 +24,8 @@
 	lastTimelySentAt Time
 }
 
-// newOriginLimit returns the limit before the first list. Until more is known, each likely miss counts as a true one.
+// newOriginLimit returns the limit before the first list. Until more is known, each likely miss counts as a
+// true one.
 func newOriginLimit() originLimit {
 	return originLimit{missRatio: movingAverage{value: 1, window: originMissWindow}}
 }
