Review: the player ends the router also when it is interrupted or killed

Need: a script has to end all that it started, also when a signal interrupts it; the player ended by the signal and left the router running.

Change: SIGINT, SIGTERM, SIGHUP and SIGQUIT end the play as its time limit does, with 2; the system kills the router if the player is killed. Checks and bounds are unchanged.

--- a/review/player/main.go
+++ b/review/player/main.go
@@ -8,7 +8,10 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"sync"
+	"syscall"
 	"time"
 )
 
@@ -25,6 +28,9 @@
 // errTooLong is the cause of the end of a play that hangs.
 var errTooLong = errors.New("the play took too long")
 
+// errInterrupted is the cause of the end of a play that a signal interrupts.
+var errInterrupted = errors.New("interrupted by a signal")
+
 // cases are the cases by name. Each returns the breaches that it found.
 var cases = map[string]func(*play) ([]string, error){
 	"repeated-refusal": playRepeatedRefusal,
@@ -43,6 +49,8 @@
 
 // run plays a case and returns the exit code.
 func run(playCase func(*play) ([]string, error), recordPath string) int {
+	interrupts := make(chan os.Signal, 1)
+	signal.Notify(interrupts, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGQUIT)
 	p, err := newPlay(recordPath, os.Getenv("TROUBLE") != "0")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -61,6 +69,8 @@
 	var r result
 	select {
 	case r = <-results:
+	case <-interrupts:
+		r.err = errInterrupted
 	case <-time.After(maxPlay):
 		r.err = errTooLong
 	}
@@ -84,7 +94,10 @@
 	trouble bool // whether the disruption takes place
 	folder  string
 	record  *record
-	ends    []func() // called in reverse order at the end
+
+	mu    sync.Mutex
+	ends  []func() // called in reverse order at the end
+	ended bool
 }
 
 // newPlay opens the record and a temporary folder.
@@ -103,12 +116,24 @@
 }
 
 // atEnd registers a function that end calls.
-func (p *play) atEnd(f func()) { p.ends = append(p.ends, f) }
+func (p *play) atEnd(f func()) {
+	p.mu.Lock()
+	ended := p.ended
+	p.ends = append(p.ends, f)
+	p.mu.Unlock()
+	if ended {
+		f() // the play was interrupted meanwhile
+	}
+}
 
 // end ends all processes and stand-ins of the play and removes its folder.
 func (p *play) end() {
-	for i := len(p.ends) - 1; i >= 0; i-- {
-		p.ends[i]()
+	p.mu.Lock()
+	p.ended = true
+	ends := p.ends
+	p.mu.Unlock()
+	for i := len(ends) - 1; i >= 0; i-- {
+		ends[i]()
 	}
 	os.RemoveAll(p.folder)
 	p.record.close()
--- a/review/player/platform.go
+++ b/review/player/platform.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"regexp"
+	"runtime"
 	"strconv"
 	"sync"
 	"syscall"
@@ -154,11 +155,11 @@
 	router := exec.Command("/bin/sh", "-c", string(command[1]))
 	router.Env = append(os.Environ(), "BALANCER_CONFIG="+p.file("config.json"), "TMPDIR="+p.folder)
 	router.Stderr = log
-	if err := router.Start(); err != nil {
+	router.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	exited, err := startAndWait(router)
+	if err != nil {
 		return "", err
 	}
-	exited := make(chan error, 1)
-	go func() { exited <- router.Wait() }()
 	p.atEnd(func() { endProcess(p, router.Process, exited) })
 	for range 300 {
 		logged, err := os.ReadFile(p.file("router.log"))
@@ -173,6 +174,22 @@
 	return "", fmt.Errorf("the router did not answer PING")
 }
 
+// startAndWait starts a command and returns a channel for its end. The system kills the process if this program is killed; it counts
+// the end of the thread that started it as such an end, so that this thread waits.
+func startAndWait(command *exec.Cmd) (<-chan error, error) {
+	started, exited := make(chan error, 1), make(chan error, 1)
+	go func() {
+		runtime.LockOSThread()
+		defer runtime.UnlockOSThread()
+		err := command.Start()
+		started <- err
+		if err == nil {
+			exited <- command.Wait()
+		}
+	}()
+	return exited, <-started
+}
+
 // answersPing reports whether PING is answered with PONG at an address.
 func answersPing(address string) bool {
 	conn, err := net.DialTimeout("tcp", address, time.Second)
