--- a/review/cases2/cache.go
+++ b/review/cases2/cache.go
@@ -32,6 +32,16 @@
 func (c *command) key() string  { return c.arg(1) }
 func (c *command) id() string   { return c.arg(2) }
 
+// meta returns a value of the request's list of names and values.
+func (c *command) meta(name string) string {
+	for _, pair := range strings.Split(c.arg(3), ",") {
+		if n, v, _ := strings.Cut(pair, "="); n == name {
+			return v
+		}
+	}
+	return ""
+}
+
 // isRequest reports whether the command is a request of a client.
 func (c *command) isRequest() bool { return c.verb() == "C.GET" || c.verb() == "C.SET" }
 
--- a/review/cases2/client.go
+++ b/review/cases2/client.go
@@ -88,3 +88,8 @@
 func get(key, id, class string, d int) []byte {
 	return encodeCommand("C.GET", key, id, fmt.Sprintf("c=%s,d=%d", class, d))
 }
+
+// setKeyed returns the command of a write with an idempotency key.
+func setKeyed(key, id, class string, d int, k, value string) []byte {
+	return encodeCommand("C.SET", key, id, fmt.Sprintf("c=%s,d=%d,k=%s", class, d, k), value)
+}
--- a/review/cases2/discovery.go
+++ b/review/cases2/discovery.go
@@ -30,10 +30,9 @@
 
 // discovery is a stand-in for the platform's discovery.
 type discovery struct {
-	lab     *lab
-	addr    string
-	server  *http.Server
-	tracker sync.Map // net.Conn -> bool
+	lab    *lab
+	addr   string
+	server *http.Server
 
 	mu      sync.Mutex
 	index   int64
@@ -41,8 +40,6 @@
 	order   []string
 	changed map[string]int64 // version of each host's latest change
 	news    chan struct{}    // closed at each change
-	// intercept, if not nil, handles a call itself and reports true.
-	intercept func(w http.ResponseWriter, r *http.Request) bool
 }
 
 // startDiscovery starts discovery with a list.
@@ -57,47 +54,12 @@
 		d.order = append(d.order, h.Name)
 		d.changed[h.Name] = d.index
 	}
-	d.server = &http.Server{Handler: http.HandlerFunc(d.handle), ConnState: func(c net.Conn, s http.ConnState) {
-		switch s {
-		case http.StateNew:
-			d.tracker.Store(c, true)
-		case http.StateClosed, http.StateHijacked:
-			d.tracker.Delete(c)
-		}
-	}}
+	d.server = &http.Server{Handler: http.HandlerFunc(d.handle)}
 	go d.server.Serve(ln)
 	l.atEnd(func() { d.server.Close() })
 	return d, nil
 }
 
-// resetAll resets all connections.
-func (d *discovery) resetAll() {
-	d.tracker.Range(func(key, _ any) bool {
-		if t, ok := key.(*net.TCPConn); ok {
-			t.SetLinger(0)
-			t.Close()
-		}
-		return true
-	})
-}
-
-// set changes or adds hosts in one version.
-func (d *discovery) set(hosts ...host) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.index++
-	for _, h := range hosts {
-		if _, known := d.hosts[h.Name]; !known {
-			d.order = append(d.order, h.Name)
-		}
-		d.hosts[h.Name] = h
-		d.changed[h.Name] = d.index
-		d.lab.notef("discovery: version %d: %s is %s at %s since %d", d.index, h.Name, h.Status, h.Address, h.SinceMS)
-	}
-	close(d.news)
-	d.news = make(chan struct{})
-}
-
 // list returns the whole list, or the changes after a version.
 func (d *discovery) list(after int64) hostList {
 	d.mu.Lock()
@@ -112,22 +74,12 @@
 	return l
 }
 
-// setIntercept sets the handler of all calls; nil restores the usual one.
-func (d *discovery) setIntercept(f func(http.ResponseWriter, *http.Request) bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.intercept = f
-}
-
 // handle answers a call.
 func (d *discovery) handle(w http.ResponseWriter, r *http.Request) {
 	d.lab.notef("discovery: call %s from %s", r.URL.RequestURI(), r.RemoteAddr)
 	d.mu.Lock()
-	intercept, index, news := d.intercept, d.index, d.news
+	index, news := d.index, d.news
 	d.mu.Unlock()
-	if intercept != nil && intercept(w, r) {
-		return
-	}
 	after := int64(-1)
 	if text := r.URL.Query().Get("after"); text != "" {
 		after, _ = strconv.ParseInt(text, 10, 64)
@@ -141,12 +93,6 @@
 			}
 		}
 	}
-	d.mu.Lock()
-	intercept = d.intercept
-	d.mu.Unlock()
-	if intercept != nil && intercept(w, r) {
-		return
-	}
 	d.write(w, d.list(after))
 }
 
--- a/review/cases2/fleet.go
+++ b/review/cases2/fleet.go
@@ -38,12 +38,15 @@
 // cores is the number of requests that a cache works on at a time.
 const cores = 6
 
-// work gives all caches a time that a request takes on one of their cores.
-func (f *fleet) work(took time.Duration) {
+// work gives all caches a time that a request takes on one of their cores. Each of before is called as a request's work begins.
+func (f *fleet) work(took time.Duration, before ...func(*command)) {
 	for _, c := range f.caches {
 		busy := make(chan bool, cores)
 		c.setHandle(func(cmd *command) {
 			busy <- true
+			for _, call := range before {
+				call(cmd)
+			}
 			time.Sleep(took)
 			<-busy
 			cmd.serve()
--- a/review/cases2/router.go
+++ b/review/cases2/router.go
@@ -62,12 +62,6 @@
 	}
 }
 
-// set changes a setting of a section.
-func (s settings) set(section, name string, value any) settings {
-	s[section].(map[string]any)[name] = value
-	return s
-}
-
 // routerConfig is the file that a router is started with.
 type routerConfig struct {
 	Name      string         `json:"name"`
@@ -221,12 +215,6 @@
 	return fmt.Errorf("router %s is not ready after 30 s: %s", r.config.Name, r.log.text())
 }
 
-// signal sends a signal to the process.
-func (r *router) signal(s syscall.Signal) {
-	r.lab.notef("router %s: signal %v", r.config.Name, s)
-	r.cmd.Process.Signal(s)
-}
-
 // hasExited reports whether the process has ended.
 func (r *router) hasExited() bool {
 	select {
@@ -251,21 +239,3 @@
 	}
 	return -1
 }
-
-// descriptors returns the number of open descriptors and of sockets among them.
-func (r *router) descriptors() (all, sockets int) {
-	dir := fmt.Sprintf("/proc/%d/fd", r.cmd.Process.Pid)
-	entries, err := os.ReadDir(dir)
-	if err != nil {
-		return -1, -1
-	}
-	for _, e := range entries {
-		if to, err := os.Readlink(filepath.Join(dir, e.Name())); err == nil {
-			all++
-			if strings.HasPrefix(to, "socket:") {
-				sockets++
-			}
-		}
-	}
-	return all, sockets
-}
