--- a/review/cases2/case6.go
+++ b/review/cases2/case6.go
@@ -11,7 +11,7 @@
 // Figures of case 6.
 const (
 	floodMemoryMB = 48
-	floodClients  = 150
+	floodClients  = 300
 	floodBurst    = 300
 	floodTime     = 12 * time.Second
 )
