Review: cases 6 to 9 in the order of their gravity, and an end on interrupts

Need: the gravest case comes first, and a case ends what it started.

Change: the lost commands are case 8, the repeated write case 7, the full queue case 9; the player ends its processes on SIGINT, SIGTERM, SIGHUP and SIGQUIT.

--- a/review/cases2/case8.go
+++ b/review/cases2/case8.go
@@ -1,138 +1,170 @@
 package main
 
 import (
+	"bufio"
+	"errors"
 	"fmt"
-	"math/rand/v2"
+	"io"
+	"net"
+	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
-func init() { cases["8"] = staleWrites }
+func init() { cases["8"] = pipelineBehindLostAnswer }
 
 // Figures of case 8.
 const (
-	staleBadClients = 500
-	staleTime       = 20 * time.Second
-	staleTry        = 600 * time.Millisecond // half of the class's give-up time
+	pipeRounds   = 4
+	pipeClients  = 48    // in each round; the n-th asks for n pages first
+	pipeValue    = 60000 // bytes of a page
+	pipeLookups  = 530   // lookups behind the request whose answer is lost
+	pipeLast     = 31    // of these, the lookups of the last piece
+	pipeMSS      = 1460  // segment size of the clients' networks
+	pipeReceives = 16 << 10
 )
 
-// write is a keyed write of a usual client with its tries.
-type write struct {
-	k, key string
-	tries  []writeTry
-}
-
-// writeTry is one try of a write.
-type writeTry struct {
-	id     string
-	router string
-	sent   time.Time
-	reply  reply // as it came, also after the try was given up
-	inTime bool  // the reply came before the try was given up
-}
-
-// staleWrites has the clients of case 7 fill one of two routers. Usual clients give a write's try up when its time is over, keep
-// the connection, and try once more at the other router within the write's window. No write may be carried out twice.
-func staleWrites(l *lab, trouble bool) (verdict, error) {
+// pipelineBehindLostAnswer has clients send some 550 commands each, in three pieces, and read the answers after the last piece.
+// The answer of a cache to one command of each client gets lost. Each command must get its final answer.
+func pipelineBehindLostAnswer(l *lab, trouble bool) (verdict, error) {
 	var v verdict
 	classes := rajkotClasses()
-	add := classes[2]
-	s := rajkotSettings(classes)
-	s["instances"] = 2
-	f, err := l.startFleet(9, s, map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": halfDescriptors})
+	classes[1].Effect = "non_idempotent"
+	f, err := l.startFleet(9, rajkotSettings(classes), map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024})
 	if err != nil {
 		return v, err
 	}
-	other := f.router.config
-	other.Name, other.Listen, other.Seed = "n2", "", "1c1f30d27a5be965"
-	second, err := l.startRouter(other)
-	if err != nil {
-		return v, err
-	}
-	memory := newEffects(time.Duration(add.KeyTTL) * time.Microsecond)
-	f.work(20*time.Millisecond, func(cmd *command) { memory.apply(cmd) })
-	time.Sleep(time.Second)
-	stop := time.Now().Add(staleTime)
-	if trouble {
-		l.notef("%d bad clients begin to stop in the middle of a command at %s", staleBadClients, f.router.config.Name)
-		for range staleBadClients {
-			go stopHalfway(f.router.addr, stop.Add(3*time.Second))
-		}
-		time.Sleep(time.Second)
+	for _, c := range f.caches {
+		c.setHandle(func(cmd *command) {
+			switch {
+			case strings.HasPrefix(cmd.key(), "page"):
+				cmd.conn.write(answerServed(strings.Repeat("x", pipeValue)+cmd.id(), "hit"))
+			case strings.HasPrefix(cmd.key(), "lost") && trouble:
+				l.notef("cache %s: the answer to %s gets lost", c.name, cmd.id())
+			default:
+				cmd.serve()
+			}
+		})
 	}
 	var mu sync.Mutex
-	var all []*write
 	var wg sync.WaitGroup
-	for range 20 {
+	answered, ends := 0, map[string]int{}
+	for i := range pipeRounds * pipeClients {
+		if i%pipeClients == 0 {
+			wg.Wait()
+		}
 		wg.Go(func() {
-			for time.Now().Before(stop) {
-				w := &write{k: newID(), key: fmt.Sprintf("call%d", rand.IntN(400))}
-				w.send(f.router, &wg, &mu)
-				if !w.tries[0].inTime {
-					w.send(second, &wg, &mu)
-				}
-				mu.Lock()
-				all = append(all, w)
-				mu.Unlock()
-				time.Sleep(time.Duration(rand.IntN(400)) * time.Millisecond)
+			p := &pipeline{lab: l, name: fmt.Sprintf("client %d", i+1), pages: i%pipeClients + 1}
+			err := p.play(f.router.addr)
+			mu.Lock()
+			defer mu.Unlock()
+			answered += p.answered
+			ends[p.end]++
+			if err != nil {
+				l.notef("%s: %v", p.name, err)
+				return
+			}
+			if p.answered < p.sent && p.end == endOrderly {
+				v.addf("%s: the router read all %d commands, answered %d, and closed the connection %d ms after the last command was written; "+
+					"last answer: %q", p.name, p.sent, p.answered, p.endedAt.Sub(p.wroteLast).Milliseconds(), p.lastText)
 			}
 		})
+		time.Sleep(20 * time.Millisecond)
 	}
 	wg.Wait()
-	memory.mu.Lock()
-	defer memory.mu.Unlock()
-	repeated := 0
-	for _, w := range all {
-		if len(w.tries) > 1 {
-			repeated++
-		}
-		runs := memory.byKey[w.k]
-		if len(runs) < 2 {
-			continue
-		}
-		first, last := runs[0], runs[1]
-		v.addf("write %s was carried out twice: %s at %s %d ms after the client's first byte, and %s at %s %d ms after it (try of %d ms); "+
-			"the client tried again %d ms after it", w.k, first.id, first.cache, first.at.Sub(w.tries[0].sent).Milliseconds(), last.id, last.cache,
-			last.at.Sub(w.tries[0].sent).Milliseconds(), staleTry.Milliseconds(), w.tries[1].sent.Sub(w.tries[0].sent).Milliseconds())
+	if f.router.hasExited() {
+		v.addf("the router has ended: %v", f.router.err)
 	}
-	l.notef("%d writes, %d tried again, %d carried out twice", len(all), repeated, len(v.broken))
-	fmt.Printf("%d writes, %d tried again, %d carried out twice\n", len(all), repeated, len(v.broken))
-	if len(all) < 50 {
+	l.notef("%d answers; ends of connections: %v", answered, ends)
+	fmt.Printf("%d answers; ends of connections: %v; clients with lost commands: %d\n", answered, ends, len(v.broken))
+	if answered < pipeRounds*pipeClients*pipeLookups/2 {
 		return v, errCannotJudge
 	}
 	return v, nil
 }
 
-// send sends a try of the write on a new connection and waits for its time. The connection stays open for a late answer.
-func (w *write) send(r *router, wg *sync.WaitGroup, mu *sync.Mutex) {
-	l := r.lab
-	try := writeTry{id: newID(), router: r.config.Name, sent: time.Now()}
-	mu.Lock()
-	w.tries = append(w.tries, try)
-	mu.Unlock()
-	at := &w.tries[len(w.tries)-1]
-	c, err := dial(r.addr)
+// Ends of a client's connection.
+const (
+	endAll     = "all answered"
+	endOrderly = "closed by the router after it has read everything"
+	endReset   = "reset: something was not read"
+	endSilent  = "no answer for too long"
+)
+
+// pipeline is a client that sends its commands in three pieces and then reads the answers.
+type pipeline struct {
+	lab            *lab
+	name           string
+	pages          int
+	sent, answered int
+	wroteLast      time.Time
+	endedAt        time.Time
+	end            string
+	lastText       string
+}
+
+// play sends the commands and reads the answers.
+func (p *pipeline) play(addr string) error {
+	dialer := net.Dialer{Timeout: 2 * time.Second, Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, pipeMSS)
+			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, pipeReceives)
+		})
+	}}
+	conn, err := dialer.Dial("tcp", addr)
 	if err != nil {
-		return
+		return err
 	}
-	at.sent = time.Now()
-	if _, err := c.Write(setKeyed(w.key, at.id, "add-contact", int(staleTry/time.Millisecond), w.k, "contact")); err != nil {
-		c.Close()
-		return
+	defer conn.Close()
+	var pieces [3][]byte
+	for i := range p.pages {
+		pieces[0] = append(pieces[0], get(fmt.Sprintf("page%d", i), newID(), "call-lookup", 1200)...)
+	}
+	pieces[1] = encodeCommand("C.GET", "lost-"+newID(), newID(), "c=log-page,d=3000")
+	for i := range pipeLookups {
+		piece := 1
+		if i >= pipeLookups-pipeLast {
+			piece = 2
+		}
+		pieces[piece] = append(pieces[piece], get(fmt.Sprintf("call%d", i), newID(), "call-lookup", 1200)...)
 	}
-	l.notef("client: writes %s of %s to %s", at.id, w.k, r.config.Name)
-	id, sent := at.id, at.sent
-	answered := make(chan reply, 1)
-	wg.Go(func() {
-		defer c.Close()
-		c.SetReadDeadline(sent.Add(10 * time.Second))
-		rep, _ := readReply(c.in)
-		l.notef("client: %s at %s: %s %q after %d ms", id, r.config.Name, rep.outcome, rep.text, rep.at.Sub(sent).Milliseconds())
-		answered <- rep
-	})
-	select {
-	case at.reply = <-answered:
-		at.inTime = at.reply.outcome == served || at.reply.outcome == refused || at.reply.outcome == failed
-	case <-time.After(time.Until(sent.Add(staleTry))):
+	p.sent = p.pages + 1 + pipeLookups
+	for i, pause := range []time.Duration{250 * time.Millisecond, 100 * time.Millisecond, 50 * time.Millisecond} {
+		if _, err := conn.Write(pieces[i]); err != nil {
+			return err
+		}
+		p.wroteLast = time.Now()
+		time.Sleep(pause)
+	}
+	p.lab.notef("%s: wrote %d commands, %d pages among them", p.name, p.sent, p.pages)
+	p.read(conn)
+	p.lab.notef("%s: %d of %d commands answered; %s; last answer %q", p.name, p.answered, p.sent, p.end, p.lastText)
+	return nil
+}
+
+// read reads the answers up to the last, or to the end of the connection.
+func (p *pipeline) read(conn net.Conn) {
+	in := bufio.NewReaderSize(conn, 32<<10)
+	p.end = endAll
+	for p.answered < p.sent {
+		conn.SetReadDeadline(time.Now().Add(6 * time.Second))
+		r, err := readReply(in)
+		if err == nil {
+			p.answered++
+			p.lastText = r.text[:min(len(r.text), 60)]
+			continue
+		}
+		p.endedAt = time.Now()
+		var timeout net.Error
+		switch {
+		case errors.Is(err, io.EOF):
+			p.end = endOrderly
+		case errors.As(err, &timeout) && timeout.Timeout():
+			p.end = endSilent
+		default:
+			p.end = endReset
+		}
+		return
 	}
 }
--- a/review/cases2/main.go
+++ b/review/cases2/main.go
@@ -8,8 +8,10 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -77,7 +79,11 @@
 // maxCaseTime is the longest time that a case may take.
 const maxCaseTime = 110 * time.Second
 
-var errTooLong = errors.New("the case took too long")
+// Errors that end a case early.
+var (
+	errTooLong     = errors.New("the case took too long")
+	errInterrupted = errors.New("the case was interrupted")
+)
 
 // guarded plays a case within maxCaseTime.
 func (l *lab) guarded(play caseFunc, trouble bool) (verdict, error) {
@@ -86,6 +92,8 @@
 		err error
 	}
 	done := make(chan result, 1)
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGQUIT)
 	go func() {
 		v, err := play(l, trouble)
 		done <- result{v, err}
@@ -93,6 +101,8 @@
 	select {
 	case r := <-done:
 		return r.v, r.err
+	case <-interrupted:
+		return verdict{}, errInterrupted
 	case <-time.After(maxCaseTime):
 		return verdict{}, errTooLong
 	}
