--- a/review/cases2/case6.go
+++ b/review/cases2/case6.go
@@ -1,90 +1,249 @@
 package main
 
 import (
+	"bufio"
+	"context"
 	"fmt"
-	"math/rand/v2"
+	"net"
+	"strings"
+	"sync"
+	"syscall"
 	"time"
 )
 
-func init() { cases["6"] = floodedMemory }
+func init() { cases["6"] = writeFinishedTooLate }
 
 // Figures of case 6.
 const (
-	floodMemoryMB = 48
-	floodClients  = 300
-	floodBurst    = 300
-	floodTime     = 12 * time.Second
+	lateRounds  = 6
+	lateCaches  = 12
+	lateHung    = 2                       // of the caches at a time: 17 in 100
+	lateHang    = 5300 * time.Millisecond // how long they hang
+	lateWrites  = 3                       // to each hung cache in a round
+	lateResume  = 1050 * time.Millisecond // from the write to the end of the hang
+	lateWindow  = 600 * time.Millisecond
+	lateValue   = 65000
+	lateMSS     = 536
+	lateReceive = 8192
 )
 
-// floodedMemory has bad clients send hundreds of reads at once, and the same again as soon as they are answered. The router
-// must stay within its memory limit, and answer the usual clients.
-func floodedMemory(l *lab, trouble bool) (verdict, error) {
+// gate holds a hung cache's reads.
+type gate struct {
+	mu   sync.Mutex
+	open chan struct{} // closed while the cache does not hang
+}
+
+func newGate() *gate {
+	g := &gate{open: make(chan struct{})}
+	close(g.open)
+	return g
+}
+
+// shut begins a hang.
+func (g *gate) shut() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.open = make(chan struct{})
+}
+
+// lift ends a hang.
+func (g *gate) lift() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	close(g.open)
+}
+
+// wait waits while the cache hangs.
+func (g *gate) wait() {
+	g.mu.Lock()
+	open := g.open
+	g.mu.Unlock()
+	<-open
+}
+
+// gatedConn is a connection whose reads wait at a gate.
+type gatedConn struct {
+	net.Conn
+	gate *gate
+}
+
+// Read implements net.Conn.
+func (c *gatedConn) Read(b []byte) (int, error) {
+	c.gate.wait()
+	return c.Conn.Read(b)
+}
+
+// startSmallCache starts a cache on a network with small segments, which reads at its gate.
+func (l *lab) startSmallCache(name string) (*cache, *gate, error) {
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, lateMSS)
+			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, lateReceive)
+		})
+	}}
+	ln, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, nil, err
+	}
+	c := &cache{lab: l, name: name, addr: ln.Addr().String(), conns: map[*cacheConn]bool{}, listener: ln}
+	g := newGate()
+	l.atEnd(c.stop)
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			gated := &gatedConn{conn, g}
+			cc := &cacheConn{cache: c, Conn: conn, in: bufio.NewReaderSize(gated, 512)}
+			c.mu.Lock()
+			c.conns[cc] = true
+			c.mu.Unlock()
+			go cc.run()
+		}
+	}()
+	return c, g, nil
+}
+
+// writeFinishedTooLate has caches hang for a while, and the answers of one cache to writes get lost. No write may be carried out twice.
+func writeFinishedTooLate(l *lab, trouble bool) (verdict, error) {
 	var v verdict
 	classes := rajkotClasses()
-	f, err := l.startFleet(9, rajkotSettings(classes), map[string]any{"cores": 1.0, "memory_mb": floodMemoryMB, "sockets": 1024})
+	classes[2].KeyTTL = lateWindow.Microseconds()
+	s := rajkotSettings(classes)
+	s["limits"].(map[string]any)["probes"] = false
+	f := &fleet{}
+	gates := map[string]*gate{}
+	var hosts []host
+	for i := range lateCaches {
+		c, g, err := l.startSmallCache(fmt.Sprintf("s-%02d", i))
+		if err != nil {
+			return v, err
+		}
+		gates[c.name] = g
+		f.caches = append(f.caches, c)
+		hosts = append(hosts, host{c.name, c.addr, "rajkot", "std-6", i / 6, "in_service", 1, 0})
+	}
+	var err error
+	if f.discovery, err = l.startDiscovery(hosts); err != nil {
+		return v, err
+	}
+	f.router, err = l.startRouter(routerConfig{Name: "n1", Discovery: f.discovery.addr, Seed: "8c1f30d27a5be964",
+		Limits: map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024}, Known: hostList{9, true, hosts}, Settings: s})
 	if err != nil {
 		return v, err
 	}
-	f.work(20 * time.Millisecond)
-	stop := time.Now().Add(floodTime)
-	load := &steadyLoad{lab: l, addr: f.router.addr, class: classes[0], pause: 200 * time.Millisecond, until: stop}
-	load.start(40)
-	time.Sleep(2 * time.Second)
-	l.notef("resident memory before: %d KiB of %d MiB", f.router.status("VmRSS"), floodMemoryMB)
-	if trouble {
-		l.notef("%d bad clients begin to send %d reads at once", floodClients, floodBurst)
-		for range floodClients {
-			go flood(f.router.addr, stop)
-		}
+	memory := newEffects(lateWindow)
+	var mu sync.Mutex
+	home := map[string]string{} // the cache of a key
+	loses := map[string]bool{}  // idempotency keys whose first answer gets lost
+	for _, c := range f.caches {
+		c.setHandle(func(cmd *command) {
+			if cmd.verb() == "C.GET" {
+				mu.Lock()
+				if home[cmd.key()] == "" {
+					home[cmd.key()] = c.name
+				}
+				mu.Unlock()
+				cmd.serve()
+				return
+			}
+			memory.apply(cmd)
+			mu.Lock()
+			lost := loses[cmd.meta("k")]
+			delete(loses, cmd.meta("k"))
+			mu.Unlock()
+			if lost {
+				l.notef("cache %s: the answer to %s gets lost", c.name, cmd.id())
+				return
+			}
+			cmd.serve()
+		})
+	}
+	// A read of each key shows which cache it belongs to.
+	for i := range 200 {
+		ask(f.router.addr, get(fmt.Sprintf("call%d", i), newID(), "call-lookup", 1200))
 	}
-	over, peak := 0, 0
-	for time.Now().Before(stop) {
-		time.Sleep(50 * time.Millisecond)
-		rss := f.router.status("VmRSS")
-		if rss > floodMemoryMB<<10 {
-			over++
+	ids := map[string][]string{}
+	var wg sync.WaitGroup
+	sent := 0
+	for round := range lateRounds {
+		var hung []*cache
+		for i := range lateHung {
+			hung = append(hung, f.caches[(round*lateHung+i)%lateCaches])
 		}
-		if rss > peak {
-			peak = rss
-			l.notef("resident memory: %d KiB", rss)
+		began := time.Now()
+		if trouble {
+			for _, c := range hung {
+				l.notef("cache %s: hangs", c.name)
+				gates[c.name].shut()
+			}
 		}
-		if f.router.hasExited() {
-			v.addf("the router has ended: %v", f.router.err)
-			break
+		time.Sleep(lateHang - lateResume)
+		value := strings.Repeat("x", lateValue)
+		for _, c := range hung {
+			for _, key := range keysOf(home, &mu, c.name, lateWrites) {
+				k, id := newID(), newID()
+				mu.Lock()
+				loses[k] = trouble
+				ids[k] = append(ids[k], id)
+				mu.Unlock()
+				sent++
+				wg.Go(func() {
+					r := ask(f.router.addr, setKeyed(key, id, "add-contact", 1200, k, value))
+					l.notef("client: write %s of %s: %s %q", id, k, r.outcome, r.text)
+				})
+			}
 		}
+		time.Sleep(time.Until(began.Add(lateHang)))
+		if trouble {
+			for _, c := range hung {
+				l.notef("cache %s: goes on", c.name)
+				gates[c.name].lift()
+			}
+		}
+		wg.Wait()
+		time.Sleep(300 * time.Millisecond)
 	}
-	all := load.wait()
-	fmt.Printf("resident memory: at most %d KiB of %d, over the limit in %d samples\n", peak, floodMemoryMB<<10, over)
-	l.notef("resident memory: at most %d KiB of %d, over the limit in %d samples", peak, floodMemoryMB<<10, over)
-	if over > 0 {
-		v.addf("the router held %d KiB of resident memory, over its limit of %d MiB: the platform kills it", peak, floodMemoryMB)
+	memory.mu.Lock()
+	defer memory.mu.Unlock()
+	for k, runs := range memory.byKey {
+		if len(runs) > 1 {
+			v.addf("write %s (request %s, sent once by its client) was carried out twice: at %s, and at %s %d ms later, past the window of %d ms",
+				k, runs[0].id, runs[0].cache, runs[1].cache, runs[1].at.Sub(runs[0].at).Milliseconds(), lateWindow.Milliseconds())
+		}
 	}
-	if len(all) < 50 {
+	fmt.Printf("%d writes, %d carried out, %d twice\n", sent, len(memory.byKey), len(v.broken))
+	l.notef("%d writes, %d carried out, %d twice", sent, len(memory.byKey), len(v.broken))
+	if len(memory.byKey) < sent/2 {
 		return v, errCannotJudge
 	}
-	v.judgeAnswers(l, all, false)
 	return v, nil
 }
 
-// flood is a bad client: it sends floodBurst reads at once, reads all that it is sent, and sends the same again.
-func flood(addr string, stop time.Time) {
-	for time.Now().Before(stop) {
-		c, err := dial(addr)
-		if err != nil {
-			time.Sleep(50 * time.Millisecond)
-			continue
-		}
-		c.SetDeadline(stop.Add(time.Second))
-		for err == nil && time.Now().Before(stop) {
-			var b []byte
-			for range floodBurst {
-				b = append(b, get(fmt.Sprintf("call%d", rand.IntN(20000)), newID(), "log-page", 3000)...)
-			}
-			_, err = c.Write(b)
-			for i := 0; i < floodBurst && err == nil; i++ {
-				_, err = readReply(c.in)
-			}
+// keysOf returns up to n keys that belong to a cache, and forgets them.
+func keysOf(home map[string]string, mu *sync.Mutex, cache string, n int) []string {
+	mu.Lock()
+	defer mu.Unlock()
+	var keys []string
+	for key, name := range home {
+		if name == cache && len(keys) < n {
+			keys = append(keys, key)
+			delete(home, key)
 		}
-		c.Close()
 	}
+	return keys
+}
+
+// ask sends one request on a connection of its own and returns the answer.
+func ask(addr string, request []byte) reply {
+	c, err := dial(addr)
+	if err != nil {
+		return reply{outcome: lost, at: time.Now()}
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(5 * time.Second))
+	c.Write(request)
+	r, _ := readReply(c.in)
+	return r
 }
