--- a/review/cases2/case9.go
+++ b/review/cases2/case9.go
@@ -12,7 +12,8 @@
 // Figures of case 9.
 const (
 	staleBadClients = 500
-	staleTime       = 20 * time.Second
+	staleClients    = 40 // usual ones
+	staleTime       = 30 * time.Second
 	staleTry        = 600 * time.Millisecond // half of the class's give-up time
 )
 
@@ -63,7 +64,7 @@
 	var mu sync.Mutex
 	var all []*write
 	var wg sync.WaitGroup
-	for range 20 {
+	for range staleClients {
 		wg.Go(func() {
 			for time.Now().Before(stop) {
 				w := &write{k: newID(), key: fmt.Sprintf("call%d", rand.IntN(400))}
