decide: a request leaves the queue in constant time

Cause: requestQueue.remove moved all later requests of a slice for each request that left it, up to 20,000 of them.

Change: the queue is a doubly linked list through the requests. Order and decisions stay.

--- a/decide/queue.go
+++ b/decide/queue.go
@@ -1,7 +1,5 @@
 package decide
 
-import "slices"
-
 const (
 	// maxQueueFraction is the fraction of the latency objective that a request may wait for capacity.
 	maxQueueFraction = .4
@@ -11,17 +9,42 @@
 )
 
 // requestQueue holds the requests that wait for capacity, in order of arrival. A cache above its limit would
-// serve all requests late.
+// serve all requests late. The requests form a doubly linked list, so that removing one of thousands of them
+// takes constant time: in an overload, each of them leaves the queue at its own deadline.
 type requestQueue struct {
-	waiting []*request
+	first, last *request
+	length      int
 }
 
-func (u *requestQueue) add(q *request) { u.waiting = append(u.waiting, q) }
+// queueLinks are the neighbours of a request in the queue; nil at its ends and while it is not queued.
+type queueLinks struct{ previous, next *request }
+
+// add appends a request, which must not be in the queue.
+func (u *requestQueue) add(q *request) {
+	q.links = queueLinks{previous: u.last}
+	if u.last != nil {
+		u.last.links.next = q
+	} else {
+		u.first = q
+	}
+	u.last = q
+	u.length++
+}
 
+// remove removes a request, which must be in the queue.
 func (u *requestQueue) remove(q *request) {
-	if i := slices.Index(u.waiting, q); i >= 0 {
-		u.waiting = slices.Delete(u.waiting, i, i+1)
+	if q.links.previous != nil {
+		q.links.previous.links.next = q.links.next
+	} else {
+		u.first = q.links.next
+	}
+	if q.links.next != nil {
+		q.links.next.links.previous = q.links.previous
+	} else {
+		u.last = q.links.previous
 	}
+	q.links = queueLinks{}
+	u.length--
 }
 
 // queueDeadline returns the time after which a queued request can no longer be served within its latency
@@ -52,8 +75,9 @@
 // order of arrival, every request would wait in an overload until it is too late.
 func (r *Router) dispatchQueued() {
 	failures := 0
-	for i := len(r.queue.waiting) - 1; i >= 0 && failures < maxDispatchFailures; i-- {
-		q := r.queue.waiting[i]
+	var previous *request
+	for q := r.queue.last; q != nil && failures < maxDispatchFailures; q = previous {
+		previous = q.links.previous
 		c, _ := r.selectCache(q)
 		if c == nil {
 			failures++
--- a/decide/request.go
+++ b/decide/request.go
@@ -25,6 +25,8 @@
 
 	deadlineTimer int64 // timer token of the deadline; 0 for none
 	queueTimer    int64 // timer token of the queue deadline; 0 for none
+
+	links queueLinks // position in the queue
 }
 
 // responseTimeout returns the time after which an attempt counts as overdue; µs.
