frontend: count what requests, waiting replies and partial commands really hold, and share it

Cause: the budget counted the bytes of commands and replies alone. Any connection could take all.

Change: requests, replies that wait and all partial commands are counted; the slot of a local reply no longer holds a command. A connection holds at most three times what is left, an eighth stays for connections that hold nothing, commands that are stalled for 0.5 s and readers that are blocked for 1 s give way. Without memory a connection is read once its replies are written.

--- a/internal/frontend/command.go
+++ b/internal/frontend/command.go
@@ -77,6 +77,9 @@
 // ID returns the id that the client gave the request.
 func (c *Command) ID() string { return string(c.args[idArg]) }
 
+// copiedBytes returns the bytes of the arguments that are held a second time, as texts.
+func (c *Command) copiedBytes() int64 { return int64(len(c.args[idArg]) + len(c.Tenant)) }
+
 // Verb returns the request's verb, C.GET or C.SET.
 func (c *Command) Verb() string {
 	if c.Write {
--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -19,7 +19,8 @@
 	prev, next *connection
 
 	unparsed          []byte               // bytes received of an incomplete command
-	unparsedCharge    int64                // bytes of the server's budget that are reserved for unparsed; 0 while unparsed is small
+	unparsedCharge    int64                // bytes of the server's budget that are reserved for unparsed
+	receivedAt        Time                 // when the last bytes were read
 	skipper           *resp.CommandSkipper // finds the end of a partial command that is rejected; nil without one
 	commandSeen       bool                 // set by the first valid request or PING
 	requestSeen       bool                 // set by the first request that was passed to the handler
@@ -31,6 +32,7 @@
 
 	pendingReplies []*ReplySlot // replies due, in the order of their commands
 	unsent         []byte       // rest of the last written batch that the socket did not accept
+	held           int64        // bytes of the server's budget that are reserved for pendingReplies and unsent
 	flushScheduled bool         // whether the connection is in the server's flushQueue
 
 	excess        bool // whether the connection is past the connection limit: its requests are rejected and it is closed
@@ -82,6 +84,7 @@
 		return
 	}
 	c.finishing, c.unparsed = true, nil
+	c.releaseUnparsed(0)
 	if c.state != stateWriteBlocked {
 		c.enterState(stateAwaitingReplies)
 		c.flush()
@@ -186,9 +189,10 @@
 	c.leaveState()
 	c.socket.Close()
 	s.connections--
-	s.buffered.release(c.unparsedCharge + int64(len(c.unsent)))
 	unanswered := c.dropReplies()
 	c.unparsed, c.unsent = nil, nil
+	c.releaseUnparsed(0)
+	c.release(c.held)
 	s.handler.ConnectionClosed(c.closeReason(), len(unanswered))
 	if len(unanswered) > 0 {
 		s.handler.ClientsGone(unanswered, byRouter)
@@ -202,7 +206,6 @@
 // dropReplies drops the replies that are due. It returns the slots of the requests that the handler has not answered.
 func (c *connection) dropReplies() (unanswered []*ReplySlot) {
 	for _, slot := range c.pendingReplies {
-		c.server.buffered.release(slot.charged)
 		if slot.forwarded && !slot.answered {
 			unanswered = append(unanswered, slot)
 		}
--- a/internal/frontend/executing.go
+++ b/internal/frontend/executing.go
@@ -28,9 +28,10 @@
 	if err != nil || len(args) == 0 {
 		return true // unreachable: CommandSize has accepted the command
 	}
-	s.args = args
+	s.args = nil // executing the command may end another connection, which executes commands itself
 	staysOpen := c.execute(args, raw)
 	clear(args) // the reused slice must not keep the command's memory alive
+	s.args = args
 	return staysOpen
 }
 
@@ -79,20 +80,22 @@
 		c.rejectCommand(arrayRequiredText)
 		return
 	}
-	slot := &ReplySlot{connection: c, charged: int64(len(raw)), forwarded: true, FirstOnConnection: !c.requestSeen}
-	if err := slot.Command.Parse(args, s.options.Classes); err != nil {
+	command := &Command{}
+	if err := command.Parse(args, s.options.Classes); err != nil {
 		c.rejectCommand(err.Error())
 		return
 	}
+	size := int64(len(raw)) + command.copiedBytes() + s.options.RequestBytes
 	c.consecutiveErrors, c.commandSeen = 0, true
 	if c.excess && !c.retired {
 		c.retireAtOnce()
 	}
-	if reason := c.rejectReason(int64(len(raw))); reason != "" {
+	if reason := c.rejectReason(size); reason != "" {
 		c.replyLocally(AppendBusy(nil, s.options.RetryAfter))
-		s.handler.RequestRejected(reason, slot.Command.ID())
+		s.handler.RequestRejected(reason, command.ID())
 		return
 	}
+	slot := &ReplySlot{connection: c, Command: command, charged: size, forwarded: true, FirstOnConnection: !c.requestSeen}
 	c.requestSeen = true
 	c.pendingReplies = append(c.pendingReplies, slot)
 	s.handler.HandleRequest(slot, s.machine.Now())
@@ -106,7 +109,7 @@
 		return RejectedConnectionLimit
 	case c.retiredWindowExpired():
 		return RejectedConnectionEnding
-	case !c.server.buffered.reserve(size):
+	case !c.reserveRequest(size):
 		return RejectedMemory
 	}
 	return ""
@@ -143,7 +146,8 @@
 
 // replyLocally queues the reply to a command that is not passed to the handler.
 func (c *connection) replyLocally(reply []byte) {
-	slot := &ReplySlot{connection: c}
+	slot := &ReplySlot{connection: c, charged: slotBytes}
+	c.charge(slotBytes)
 	c.pendingReplies = append(c.pendingReplies, slot)
 	slot.Answer(reply)
 }
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -94,5 +94,6 @@
 	Classes          []decide.Class // classes that requests may name
 	MaxConnections   int            // number of connections served; a few more are accepted only to be rejected
 	RetryAfter       Time           // retry delay sent with a rejection for lack of connections or memory; 0 for none
-	MaxBufferedBytes int64          // limit on the bytes of requests without a reply and of unwritten replies
+	MaxBufferedBytes int64          // limit on the bytes held for commands that have arrived in part, requests without a reply and unwritten replies
+	RequestBytes     int64          // bytes held for a request without a reply, besides the bytes of its command
 }
--- a/internal/frontend/harness_test.go
+++ b/internal/frontend/harness_test.go
@@ -43,7 +43,7 @@
 }
 
 func (r *testServer) HandleRequest(s *ReplySlot, read Time) {
-	r.requests <- receivedRequest{s, &s.Command, read}
+	r.requests <- receivedRequest{s, s.Command, read}
 }
 func (r *testServer) ProcessEvents()               {}
 func (r *testServer) Serving() bool                { return !r.starting }
--- a/internal/frontend/partial_command.go
+++ b/internal/frontend/partial_command.go
@@ -9,8 +9,6 @@
 // rejectPartialCommand rejects the command of which a part has arrived, as there is no memory for the rest. The bytes of the
 // command are dropped as they arrive; the commands behind it are executed.
 func (c *connection) rejectPartialCommand(quota *int) {
-	c.server.buffered.release(c.unparsedCharge)
-	c.unparsedCharge = 0
 	c.skipper = &resp.CommandSkipper{}
 	c.commandSeen = true
 	c.replyLocally(AppendBusy(nil, c.server.options.RetryAfter))
--- a/internal/frontend/reading.go
+++ b/internal/frontend/reading.go
@@ -41,7 +41,7 @@
 				continue
 			}
 		}
-		n, err := c.socket.Read(c.server.readBuffer)
+		n, err := c.socket.Read(c.server.readBuffer[:c.server.readSize()])
 		switch {
 		case errors.Is(err, machine.ErrWait):
 			return true
@@ -49,6 +49,7 @@
 			c.handleDisconnect(err)
 			return false
 		}
+		c.receivedAt = c.server.machine.Now()
 		if !c.receive(c.server.readBuffer[:n], &quota) {
 			return false
 		}
@@ -75,9 +76,10 @@
 	return false
 }
 
-// atPipelineLimit reports whether the maximum number of replies is due.
+// atPipelineLimit reports whether the maximum number of replies is due, which is one while memory is exhausted.
 func (c *connection) atPipelineLimit() bool {
-	return len(c.pendingReplies) >= c.server.options.Limits.MaxPipelined
+	due := len(c.pendingReplies)
+	return due >= c.server.options.Limits.MaxPipelined || due > 0 && c.server.buffered.isExhausted()
 }
 
 // executeUnparsed executes the complete commands in the unparsed bytes.
@@ -91,6 +93,7 @@
 	// not copied at each read.
 	if len(c.unparsed) == 0 || used > 0 && cap(c.unparsed) > readBufferSize {
 		c.unparsed = bytes.Clone(c.unparsed)
+		c.releaseUnparsed(int64(cap(c.unparsed)))
 	}
 }
 
@@ -121,17 +124,11 @@
 	return !c.closed && !c.finishing
 }
 
-// chargeUnparsed reserves memory for the bytes of a partial command. Small buffers are not counted, as their number is
-// limited by the number of connections. If no memory is left, the command is rejected.
+// chargeUnparsed reserves memory for the bytes of a partial command. If no memory is left, the command is rejected.
 func (c *connection) chargeUnparsed(quota *int) {
-	size := int64(cap(c.unparsed))
-	if size <= readBufferSize || size <= c.unparsedCharge || c.skipper != nil {
+	if c.skipper != nil || c.reserveUnparsed() {
 		return // a rejected command is dropped in a later turn, with at most one more read buffer behind it
 	}
-	if c.server.buffered.reserve(size - c.unparsedCharge) {
-		c.unparsedCharge = size
-		return
-	}
 	if whole, err := resp.CommandSize(c.unparsed); err == nil && whole > 0 {
 		return // a complete command is executed in a later turn, with at most one more read buffer behind it
 	}
--- a/internal/frontend/reply_slot.go
+++ b/internal/frontend/reply_slot.go
@@ -8,9 +8,9 @@
 
 // ReplySlot is the place of one command's reply in the order of replies of its connection.
 type ReplySlot struct {
-	ID                int64   // reserved for the Handler
-	FirstOnConnection bool    // whether the request is the first on its connection
-	Command           Command // the request; empty for a command that is not passed to the Handler
+	ID                int64    // reserved for the Handler
+	FirstOnConnection bool     // whether the request is the first on its connection
+	Command           *Command // the request until it is answered; nil for a command that is not passed to the Handler
 
 	connection *connection
 	charged    int64  // bytes of the server's budget that are reserved for the command and its reply
@@ -27,14 +27,17 @@
 	if slot.answered || c.closed {
 		return
 	}
+	slot.Command = nil
+	c.release(slot.charged - min(slot.charged, slotBytes))
+	slot.charged = min(slot.charged, slotBytes)
 	s := c.server
-	if !s.buffered.reserve(int64(len(reply))) {
+	if !c.reserveReply(slot, int64(len(reply))) {
 		// Small replies are queued without memory left. A rejection tells the client that a retry does no harm, and a client
 		// that receives no PONG considers the router dead.
 		if len(reply) > maxUncountedReplyBytes {
 			reply = []byte(FailedReply)
 		}
-		s.buffered.used += int64(len(reply))
+		c.charge(int64(len(reply)))
 	}
 	slot.charged += int64(len(reply))
 	slot.reply, slot.answered = reply, true
--- a/internal/frontend/state.go
+++ b/internal/frontend/state.go
@@ -89,10 +89,8 @@
 // updateState moves the connection into the state that follows from its unparsed bytes and its pending replies. It is called
 // once all bytes that had arrived are read.
 func (c *connection) updateState() {
-	c.unparsed = releaseEmpty(c.unparsed)
-	if c.unparsedCharge > 0 && int64(cap(c.unparsed)) < c.unparsedCharge {
-		c.server.buffered.release(c.unparsedCharge)
-		c.unparsedCharge = 0
+	if c.unparsed = releaseEmpty(c.unparsed); c.unparsed == nil {
+		c.releaseUnparsed(0)
 	}
 	var next connectionState
 	switch {
--- a/internal/frontend/writing.go
+++ b/internal/frontend/writing.go
@@ -4,7 +4,6 @@
 
 // flush writes the replies that are ready, in the order of their commands, until the socket accepts no more.
 func (c *connection) flush() {
-	s := c.server
 	for !c.closed {
 		batch := c.unsent
 		if len(batch) == 0 {
@@ -20,7 +19,7 @@
 			c.close()
 			return
 		}
-		s.buffered.release(int64(n))
+		c.release(int64(n))
 		if n < len(batch) {
 			c.saveUnsent(batch[n:])
 			return
@@ -81,7 +80,7 @@
 	if count == 0 {
 		return nil
 	}
-	s.buffered.release(charged - int64(size))
+	c.release(charged - int64(size))
 	batch := c.pendingReplies[0].reply
 	if count > 1 {
 		s.writeBuffer = s.writeBuffer[:0]
--- a/internal/router/lifecycle.go
+++ b/internal/router/lifecycle.go
@@ -127,6 +127,7 @@
 		MaxConnections:   clients,
 		RetryAfter:       min(r.cfg.Settings.MaxRetryAfter, maxOverflowRetryAfter),
 		MaxBufferedBytes: r.cfg.Limits.bufferBytes(),
+		RequestBytes:     requestBytes,
 	}, r)
 	switch {
 	case err == nil:
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -16,8 +16,8 @@
 // and the module has received all events about the request.
 type request struct {
 	id       int64
-	clientID string            // the id that the client gave the request
-	command  *frontend.Command // points into slot
+	clientID string // the id that the client gave the request
+	command  *frontend.Command
 	slot     *frontend.ReplySlot
 	readAt   Time // when the last byte of the command was read
 	deadline Time // of the final answer
@@ -90,23 +90,24 @@
 
 // HandleRequest implements frontend.Handler: it admits a client's request and passes it to the hooks or the module.
 func (r *Router) HandleRequest(slot *frontend.ReplySlot, readAt Time) {
+	clientID := slot.Command.ID()
 	if r.cfg.Transport.MaxOpenRequests > 0 && r.openRequests >= r.cfg.Transport.MaxOpenRequests {
 		slot.Answer([]byte(frontend.BusyReply))
-		r.logNotAccepted(eventlog.RequestRejected, reasonOpenRequests, slot.Command.ID())
+		r.logNotAccepted(eventlog.RequestRejected, reasonOpenRequests, clientID)
 		return
 	}
 	stormRequest, stormVerdict := r.recordRequest(slot, readAt)
 	if stormVerdict.OverFairShare {
-		slot.Answer(frontend.AppendBusy(nil, r.jitteredRetryAfter(slot.Command.ID())))
-		r.logNotAccepted(eventlog.RequestRejected, reasonFairShare, slot.Command.ID())
+		slot.Answer(frontend.AppendBusy(nil, r.jitteredRetryAfter(clientID)))
+		r.logNotAccepted(eventlog.RequestRejected, reasonFairShare, clientID)
 		return
 	}
-	if _, isOpen := r.openIDs[slot.Command.ID()]; isOpen {
+	if _, isOpen := r.openIDs[clientID]; isOpen {
 		slot.Answer([]byte(duplicateIDReply))
-		r.logNotAccepted(eventlog.RequestFailed, reasonDuplicateID, slot.Command.ID())
+		r.logNotAccepted(eventlog.RequestFailed, reasonDuplicateID, clientID)
 		return
 	}
-	q := r.openRequest(slot, readAt)
+	q := r.openRequest(slot, clientID, readAt)
 	q.stormRequest, q.stormVerdict = stormRequest, stormVerdict
 	if !r.consultHooks(q) {
 		r.submit(q)
@@ -114,15 +115,15 @@
 }
 
 // openRequest creates and registers the record of a request.
-func (r *Router) openRequest(slot *frontend.ReplySlot, readAt Time) *request {
-	command := &slot.Command
+func (r *Router) openRequest(slot *frontend.ReplySlot, clientID string, readAt Time) *request {
+	command := slot.Command
 	if r.maxClientTimeout > 0 { // the settings give no timeout for an unknown class
 		command.Timeout = min(command.Timeout, r.maxClientTimeout)
 	}
 	r.lastRequestID++
 	q := &request{
 		id:       r.lastRequestID,
-		clientID: command.ID(),
+		clientID: clientID,
 		command:  command,
 		slot:     slot,
 		readAt:   readAt,
--- a/internal/router/retry_storm.go
+++ b/internal/router/retry_storm.go
@@ -43,7 +43,7 @@
 
 // describe returns the detector's description of a request.
 func (m *retryStormMonitor) describe(slot *frontend.ReplySlot) retrystorm.Request {
-	command := &slot.Command
+	command := slot.Command
 	class := m.classes[command.Class]
 	return retrystorm.Request{
 		Client:            slot.ClientAddressHash(),
