--- a/internal/frontend/connection_test.go
+++ b/internal/frontend/connection_test.go
@@ -175,6 +175,41 @@
 	}
 }
 
+// TestCommandsBehindPipelineLimitOutlastWriteBlock guards against whole commands that wait for the pipeline limit being dropped as a
+// partial command, once a client that had not read a large reply has read it.
+func TestCommandsBehindPipelineLimitOutlastWriteBlock(t *testing.T) {
+	const limit, waiting = 4, 2
+	r := newTestServer(t, func(o *Options) { o.Limits.MaxPipelined, o.Limits.CommandTime = limit, shortTimeout })
+	c := r.dial()
+	c.Send(get("first"))
+	long := strings.Repeat("v", 16<<20) // more than the sockets buffer
+	r.answer(r.nextRequest(), "+"+long+"\r\n")
+	wire := ""
+	for i := range limit + waiting {
+		wire += get(fmt.Sprint("r", i))
+	}
+	c.Send(wire)
+	var open []receivedRequest
+	for range limit {
+		open = append(open, r.nextRequest())
+	}
+	r.Until("a pause of reading while a reply is unread", func() bool {
+		blocked := r.server.lists[stateWriteBlocked].first
+		return blocked != nil && blocked.readPaused
+	})
+	c.Want("+" + long)
+	r.After(3 * shortTimeout)
+	for _, request := range open {
+		r.answer(request, value)
+	}
+	for range waiting {
+		r.answer(r.nextRequest(), value)
+	}
+	for range limit + waiting {
+		c.Want("value")
+	}
+}
+
 // TestCommandsPerTurnAreBounded checks that a client that sends many commands at once does not delay other clients.
 func TestCommandsPerTurnAreBounded(t *testing.T) {
 	r := newTestServer(t, nil)
--- a/internal/frontend/state.go
+++ b/internal/frontend/state.go
@@ -96,6 +96,8 @@
 	switch {
 	case c.state == stateLingering || c.state == stateWriteBlocked:
 		return
+	case c.readPaused:
+		next = stateAwaitingReplies // whole commands wait, however long the replies due before them take
 	case c.hasPartialCommand():
 		next = statePartialCommand
 	case len(c.pendingReplies) > 0:
