machine, frontend, router: a request's time counts from its arrival, not from its reading

Cause: the router counted a request's time from the read.

Change: machine.Conn.Arrival bounds the arrival of what was read: by the last poll that reported all input, the time when the accept queue was last empty, marks in the stream of a connection that is never read empty (SIOCINQ), and, where that is old, the kernel's time of the last segment (TCP_INFO). The frontend passes the bound with the request; one whose time is over is answered -BUSY (reason read late) and never sent, another is told the time that is left. golang.org/x/sys, which was there indirectly, makes the two system calls.

--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -20,7 +20,10 @@
 
 	unparsed          []byte               // bytes received of an incomplete command
 	unparsedCharge    int64                // bytes of the server's budget that are reserved for unparsed
-	receivedAt        Time                 // when the last bytes were read
+	receivedAt        Time                 // when bytes were last read
+	arrivedSince      Time                 // the bytes last read arrived at this time or later
+	lastArrivedSince  Time                 // the same for the last of these bytes
+	commandArrivedAt  Time                 // the same for the last byte of the command being executed
 	skipper           *resp.CommandSkipper // finds the end of a partial command that is rejected; nil without one
 	commandSeen       bool                 // set by the first valid request or PING
 	requestSeen       bool                 // set by the first request that was passed to the handler
--- a/internal/frontend/executing.go
+++ b/internal/frontend/executing.go
@@ -98,7 +98,7 @@
 	slot := &ReplySlot{connection: c, Command: command, charged: size, forwarded: true, FirstOnConnection: !c.requestSeen}
 	c.requestSeen = true
 	c.pendingReplies = append(c.pendingReplies, slot)
-	s.handler.HandleRequest(slot, s.machine.Now())
+	s.handler.HandleRequest(slot, c.commandArrivedAt)
 }
 
 // rejectReason returns the reason for rejecting a request of the given size. It returns an empty reason, and reserves the
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -58,9 +58,10 @@
 
 // Handler answers requests. The Server calls its methods from the event loop.
 type Handler interface {
-	// HandleRequest is called with each request, the slot's Command. read is the time at which the request was completely
-	// read. The handler must call the slot's Answer once.
-	HandleRequest(slot *ReplySlot, read Time)
+	// HandleRequest is called with each request, the slot's Command. arrivedAt is the time at which the request had arrived
+	// completely, or an earlier one if that is not known. It may lie long before the call, as reading may lag behind. The handler
+	// must call the slot's Answer once.
+	HandleRequest(slot *ReplySlot, arrivedAt Time)
 	// ClientsGone is called with requests whose replies can no longer be delivered: the client has gone, or, if byRouter is
 	// true, the router closed the connection while the client still accepted replies. The handler may still answer these
 	// requests.
--- a/internal/frontend/reading.go
+++ b/internal/frontend/reading.go
@@ -50,6 +50,7 @@
 			return false
 		}
 		c.receivedAt = c.server.machine.Now()
+		c.arrivedSince, c.lastArrivedSince = c.socket.Arrival()
 		if !c.receive(c.server.readBuffer[:n], &quota) {
 			return false
 		}
@@ -136,7 +137,7 @@
 }
 
 // executeCommands executes the complete commands at the start of b, up to the quota, and returns the number of bytes that
-// they used. It stops when the connection closes, since writing a reply may reveal a broken connection.
+// they used. Their last bytes came with the latest read, as no more is read while a complete command waits. It stops when the connection closes, since writing a reply may reveal a broken connection.
 func (c *connection) executeCommands(b []byte, quota *int) (used int) {
 	for !c.closed && *quota > 0 && !c.atPipelineLimit() && used < len(b) {
 		if c.skipper != nil {
@@ -163,6 +164,9 @@
 		c.commandExecuted = true
 		raw := bytes.Clone(b[used : used+size]) // a request retains its bytes after the buffer is reused
 		used += size
+		if c.commandArrivedAt = c.arrivedSince; used == len(b) {
+			c.commandArrivedAt = c.lastArrivedSince
+		}
 		if !c.executeCommand(raw) {
 			c.finish()
 			return used
--- a/internal/machine/conn.go
+++ b/internal/machine/conn.go
@@ -17,6 +17,8 @@
 	local   netip.AddrPort
 	remote  netip.AddrPort
 
+	input inputAge // of the unread input
+
 	drained       bool // a read found nothing more, and no event has arrived since
 	ended         bool // the kernel reported the end or an error: no further event may follow
 	failed        bool // the kernel reported an error
@@ -30,7 +32,7 @@
 func (c *conn) event(mask uint32) {
 	blocked := c.writeBlocked // read before the call of Readable: a write in that call gets its own event
 	if mask&(eventIn|eventPeerClosed|eventErrorOrHangup) != 0 {
-		c.drained = false
+		c.markUndrained()
 		c.noteEnd(mask)
 		c.handler.Readable()
 	}
@@ -45,6 +47,13 @@
 	c.failed = c.failed || mask&syscall.EPOLLERR != 0
 }
 
+// markUndrained records that there may be input after a read that found nothing.
+func (c *conn) markUndrained() {
+	if c.drained {
+		c.drained, c.input.since, c.input.markLeft = false, c.m.polls.since, 0
+	}
+}
+
 // Read implements Conn.
 func (c *conn) Read(b []byte) (int, error) {
 	if c.fd < 0 {
@@ -74,7 +83,8 @@
 	case n == 0:
 		return 0, io.EOF
 	}
-	c.drained = false
+	c.markUndrained()
+	c.input.read(n, c.m.Now(), c.unread, c.lastArrival)
 	return n, nil
 }
 
@@ -142,7 +152,7 @@
 		return true
 	}
 	// The input found here may have arrived after the last event, so that Read must no longer treat the connection as drained.
-	c.drained = false
+	c.markUndrained()
 	if err != nil && !isShortage(err) {
 		// Peeking cleared the error of the socket: the next read would find what looks like an orderly end.
 		c.markBroken(err)
--- a/internal/machine/dial.go
+++ b/internal/machine/dial.go
@@ -108,7 +108,7 @@
 		return
 	}
 
-	c := &conn{m: d.m, fd: d.fd, slot: d.slot, local: local, remote: d.remote}
+	c := &conn{m: d.m, fd: d.fd, slot: d.slot, local: local, remote: d.remote, input: inputAge{since: d.m.polls.since}}
 	d.m.poll.transfer(d.slot, c)
 	d.fd = -1
 	d.deadlineTimer.Stop()
--- a/internal/machine/inside.go
+++ b/internal/machine/inside.go
@@ -100,6 +100,9 @@
 	return n, nil
 }
 
+// Arrival implements Conn. Bytes of a worker have no deadline.
+func (c *insideConn) Arrival() (first, last Time) { return c.m.Now(), c.m.Now() }
+
 // HasNothingUnread implements Conn.
 func (c *insideConn) HasNothingUnread() bool {
 	c.mu.Lock()
--- a/internal/machine/kernel.go
+++ b/internal/machine/kernel.go
@@ -4,6 +4,8 @@
 	"syscall"
 	"time"
 	"unsafe"
+
+	"golang.org/x/sys/unix"
 )
 
 // Kernel holds the system calls that a real machine makes. Each field is named after its manual page and returns the errors
@@ -32,6 +34,10 @@
 	Recv       func(fd int, b []byte, flags int) (n int, err error)
 	Send       func(fd int, b []byte) (n int, err error)
 	SendTo     func(fd int, b []byte, to syscall.Sockaddr) error
+	// Unread is the number of bytes that have arrived and are not read (ioctl SIOCINQ).
+	Unread func(fd int) (n int, err error)
+	// SinceLastReceived is the time since the last byte arrived, in whole milliseconds (TCP_INFO of tcp(7)).
+	SinceLastReceived func(fd int) (time.Duration, error)
 	// RecvMany is recvmmsg.
 	RecvMany func(fd int, messages []Message) (n int, err error)
 
@@ -78,9 +84,11 @@
 		SendTo: func(fd int, b []byte, to syscall.Sockaddr) error {
 			return syscall.Sendto(fd, b, syscall.MSG_DONTWAIT|syscall.MSG_NOSIGNAL, to)
 		},
-		RecvMany: recvMany,
-		Wall:     time.Now,
-		Disk:     realDisk{},
+		Unread:            func(fd int) (int, error) { return unix.IoctlGetInt(fd, unix.SIOCINQ) },
+		SinceLastReceived: sinceLastReceived,
+		RecvMany:          recvMany,
+		Wall:              time.Now,
+		Disk:              realDisk{},
 	}
 }
 
@@ -127,6 +135,14 @@
 	return int(n), nil
 }
 
+func sinceLastReceived(fd int) (time.Duration, error) {
+	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return 0, err
+	}
+	return time.Duration(info.Last_data_recv) * time.Millisecond, nil
+}
+
 func recvMany(fd int, messages []Message) (int, error) {
 	n, _, errno := syscall.Syscall6(syscall.SYS_RECVMMSG, uintptr(fd), uintptr(unsafe.Pointer(unsafe.SliceData(messages))),
 		uintptr(len(messages)), syscall.MSG_DONTWAIT, 0, 0)
--- a/internal/machine/listener.go
+++ b/internal/machine/listener.go
@@ -20,6 +20,8 @@
 	slot        slotRef
 	addr        netip.AddrPort
 	accept      func(Conn) Handler
+	queueSince  Time   // the connections in the queue arrived at this time or later
+	emptied     bool   // the queue was empty after the latest event, and is watched since
 	paused      bool   // by the caller of Pause
 	waiting     *timer // ends a back-off; nil if there is none
 	done        func() // set by Finish: called once the queue is empty
@@ -44,7 +46,7 @@
 	if err := m.retryShortage(func() error { return l.open(ap) }); err != nil {
 		return nil, err
 	}
-	l.addr = localAddr(l.fd)
+	l.addr, l.queueSince = localAddr(l.fd), m.Now()
 	l.slot = m.poll.allocate(l)
 	l.watch()
 	return l, nil
@@ -66,6 +68,9 @@
 
 // event implements watcher.
 func (l *listener) event(uint32) {
+	if l.emptied {
+		l.emptied, l.queueSince = false, l.m.polls.since
+	}
 	for i := 0; i < maxAcceptsPerTurn && l.fd >= 0 && !l.paused; i++ {
 		if l.done != nil && l.acceptsLeft == 0 {
 			l.finish()
@@ -81,6 +86,7 @@
 			l.acceptsLeft--
 			l.admit(fd, fromSockaddr(sa))
 		case syscall.EAGAIN:
+			l.emptied = true
 			if l.done != nil {
 				l.finish()
 			}
@@ -97,7 +103,7 @@
 
 func (l *listener) admit(fd int, remote netip.AddrPort) {
 	syscall.SetsockoptInt(fd, syscall.IPPROTO_TCP, syscall.TCP_NODELAY, 1)
-	c := &conn{m: l.m, fd: fd, local: localAddr(fd), remote: remote}
+	c := &conn{m: l.m, fd: fd, local: localAddr(fd), remote: remote, input: inputAge{since: l.queueSince}}
 	var err error
 	if c.slot, err = l.m.attach(fd, connEvents, c); err != nil {
 		syscall.Close(fd)
@@ -111,13 +117,21 @@
 // backOff stops accepting for acceptBackoff. While there are no descriptors, the kernel keeps reporting the connection in its
 // queue, so that an immediate retry would make the loop spin.
 func (l *listener) backOff() {
-	l.m.poll.unwatch(l.fd)
+	l.unwatch()
 	l.waiting = l.m.at(l.m.Now()+acceptBackoff, func() {
 		l.waiting = nil
 		l.watch()
 	})
 }
 
+// unwatch stops watching the queue. Connections that arrive from now on are reported late.
+func (l *listener) unwatch() {
+	if l.emptied {
+		l.emptied, l.queueSince = false, l.m.polls.since
+	}
+	l.m.poll.unwatch(l.fd)
+}
+
 func (l *listener) watch() {
 	if l.paused || l.waiting != nil {
 		return
@@ -138,7 +152,7 @@
 		return
 	}
 	l.paused = true
-	l.m.poll.unwatch(l.fd)
+	l.unwatch()
 }
 
 // Resume implements Listener.
--- a/internal/machine/poller.go
+++ b/internal/machine/poller.go
@@ -118,14 +118,17 @@
 	p.n = n
 }
 
+// isComplete reports whether the latest poll fetched all pending events.
+func (p *poller) isComplete() bool { return p.n < len(p.events) }
+
 // wait fetches events. It blocks for up to limit, rounded up to a millisecond, or until there is an event if limit is
-// negative.
+// negative, and reports whether it blocked.
 //
 // The loop blocks in the system call because the Go runtime's poller costs more processor time per round trip
 // (docs/design/machine.md). The scheduler may take up to 10 ms to reassign the processor of a blocked call: see Real.turn.
-func (p *poller) wait(limit Time) {
+func (p *poller) wait(limit Time) (blocked bool) {
 	if p.poll(); p.n > 0 {
-		return
+		return false
 	}
 	ms := Time(-1)
 	if limit >= 0 {
@@ -136,6 +139,7 @@
 		n = 0 // EINTR: the loop polls again in its next turn
 	}
 	p.n = n
+	return true
 }
 
 // close closes all watched descriptors and the poller.
--- a/internal/machine/real.go
+++ b/internal/machine/real.go
@@ -33,6 +33,7 @@
 	startWall    Time // Unix time at the start
 	now          Time
 	running      bool
+	polls        pollBound // bounds of the arrival of input
 	polledAt     time.Time // when the kernel was last polled for events
 	lastCall     Time      // the time of the last callback
 	resumed      func()    // called after an interval without callbacks; nil for none
@@ -115,6 +116,8 @@
 		return
 	}
 	m.running = true
+	m.readClock()
+	m.polls = pollBound{since: m.now, emptySince: m.now}
 	for m.turn() {
 	}
 	m.changeState(running, stopped)
@@ -150,12 +153,19 @@
 			m.wokeGoroutine.Store(false)
 			runtime.Gosched()
 		}
-		m.poll.wait(m.timeToNextTimer())
+		m.readClock()
+		began, limit := m.now, m.timeToNextTimer()
+		blocked := m.poll.wait(limit)
+		m.readClock()
+		m.polls.polled(began, m.now, limit, blocked, m.poll.isComplete())
 	} else {
+		m.readClock()
+		began := m.now
 		m.poll.poll()
+		m.readClock()
+		m.polls.polled(began, m.now, 0, false, m.poll.isComplete())
 	}
 	m.polledAt = time.Now()
-	m.readClock()
 	polledNow, setBefore := m.now, m.timers.setCount
 	posted, more := m.inbox.take()
 	if !more {
--- a/internal/router/bench_test.go
+++ b/internal/router/bench_test.go
@@ -49,7 +49,7 @@
 
 func (m *benchMachine) Dial(_ string, _ machine.Time, done func(machine.Conn, error) machine.Handler) machine.Dialing {
 	m.dialed = append(m.dialed, func() {
-		c := &benchConn{}
+		c := &benchConn{m: m}
 		c.h = done(c, nil)
 	})
 	return benchDialing{}
@@ -91,6 +91,7 @@
 func (benchDialing) Blocked() bool { return false }
 
 type benchConn struct {
+	m       *benchMachine
 	h       machine.Handler
 	unread  []byte
 	written int
@@ -116,12 +117,13 @@
 // awaitingAnswer holds the cache connections that have an unanswered request. It is global because benchmarks run one at a time.
 var awaitingAnswer []*benchConn
 
-func (c *benchConn) HasNothingUnread() bool { return len(c.unread) == 0 }
-func (c *benchConn) EndError() error        { return nil }
-func (c *benchConn) CloseWrite() error      { return nil }
-func (c *benchConn) Close()                 {}
-func (c *benchConn) Local() string          { return "127.0.0.1:2" }
-func (c *benchConn) Remote() string         { return "127.0.0.1:3" }
+func (c *benchConn) Arrival() (first, last Time) { return c.m.now, c.m.now }
+func (c *benchConn) HasNothingUnread() bool      { return len(c.unread) == 0 }
+func (c *benchConn) EndError() error             { return nil }
+func (c *benchConn) CloseWrite() error           { return nil }
+func (c *benchConn) Close()                      {}
+func (c *benchConn) Local() string               { return "127.0.0.1:2" }
+func (c *benchConn) Remote() string              { return "127.0.0.1:3" }
 
 // BenchmarkRouted measures the cost of a request in the router, from reading the command to writing the answer, without the
 // machine. 64 clients each have one request at a time.
@@ -157,7 +159,7 @@
 	awaitingAnswer = nil
 	var clients []*benchConn
 	for range 64 {
-		c := &benchConn{}
+		c := &benchConn{m: m}
 		c.h = m.accept(c)
 		clients = append(clients, c)
 	}
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -15,6 +15,7 @@
 	reasonOpenRequests = "open requests" // the number of open requests has reached the limit in the settings
 	reasonFairShare    = "fair share"    // the client exceeds its fair share during a retry storm
 	reasonDuplicateID  = "duplicate id"  // the client sent the id of a request that is still open
+	reasonReadLate     = "read late"     // the client's time was over when the request was read
 	reasonHook         = "hook"          // verdict of a hook
 	reasonDrainOver    = "drain over"    // the drain ended before the request was answered
 )
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -19,7 +19,7 @@
 	clientID string // the id that the client gave the request
 	command  *frontend.Command
 	slot     *frontend.ReplySlot
-	readAt   Time // when the last byte of the command was read
+	readAt   Time // when the command was read
 	deadline Time // of the final answer
 
 	awaitingHooks  bool // the hooks evaluate the request, and the module has not received it
@@ -89,7 +89,11 @@
 }
 
 // HandleRequest implements frontend.Handler: it admits a client's request and passes it to the hooks or the module.
-func (r *Router) HandleRequest(slot *frontend.ReplySlot, readAt Time) {
+//
+// A request's time counts from its arrival: a request that was read too late is rejected, since its client has given it up and may
+// have sent it to another router.
+func (r *Router) HandleRequest(slot *frontend.ReplySlot, arrivedAt Time) {
+	readAt := r.m.Now()
 	clientID := slot.Command.ID()
 	if r.cfg.Transport.MaxOpenRequests > 0 && r.openRequests >= r.cfg.Transport.MaxOpenRequests {
 		slot.Answer([]byte(frontend.BusyReply))
@@ -107,19 +111,34 @@
 		r.logNotAccepted(eventlog.RequestFailed, reasonDuplicateID, clientID)
 		return
 	}
-	q := r.openRequest(slot, clientID, readAt)
+	deadline := r.requestDeadline(slot.Command, arrivedAt)
+	if deadline <= readAt {
+		slot.Answer([]byte(frontend.BusyReply))
+		r.logNotAccepted(eventlog.RequestRejected, reasonReadLate, clientID)
+		return
+	}
+	q := r.openRequest(slot, clientID, readAt, deadline)
 	q.stormRequest, q.stormVerdict = stormRequest, stormVerdict
 	if !r.consultHooks(q) {
 		r.submit(q)
 	}
 }
 
-// openRequest creates and registers the record of a request.
-func (r *Router) openRequest(slot *frontend.ReplySlot, clientID string, readAt Time) *request {
-	command := slot.Command
+// requestDeadline returns the time by which a request must have its final answer.
+func (r *Router) requestDeadline(command *frontend.Command, arrivedAt Time) Time {
 	if r.maxClientTimeout > 0 { // the settings give no timeout for an unknown class
 		command.Timeout = min(command.Timeout, r.maxClientTimeout)
 	}
+	deadline := arrivedAt + command.Timeout
+	if r.drainDeadline > 0 { // the process would end before a later answer
+		deadline = min(deadline, r.drainDeadline-drainAnswerMargin)
+	}
+	return deadline
+}
+
+// openRequest creates and registers the record of a request.
+func (r *Router) openRequest(slot *frontend.ReplySlot, clientID string, readAt, deadline Time) *request {
+	command := slot.Command
 	r.lastRequestID++
 	q := &request{
 		id:       r.lastRequestID,
@@ -127,10 +146,7 @@
 		command:  command,
 		slot:     slot,
 		readAt:   readAt,
-		deadline: readAt + command.Timeout,
-	}
-	if r.drainDeadline > 0 { // the process would end before a later answer
-		q.deadline = min(q.deadline, r.drainDeadline-drainAnswerMargin)
+		deadline: deadline,
 	}
 	q.attempts = q.inlineAttempts[:0]
 	q.guard = r.guard.NewRequest(q.id, q.clientID, command.Class, command.IdempotencyKeyMissing, q.deadline)
--- a/internal/testbench/sim/conn.go
+++ b/internal/testbench/sim/conn.go
@@ -36,7 +36,10 @@
 	wantsWritable  bool // a Write took less than it was given
 	readableQueued bool // a ReadableQueued event is scheduled
 
-	received         []byte // unread from head on
+	arrivedSince     Time    // no unread byte arrived before
+	lastArrivedAt    Time    // when the last byte arrived
+	arrival          [2]Time // of the first and the last byte of the latest Read
+	received         []byte  // unread from head on
 	head             int
 	receivedTotal    uint64     // bytes so far
 	sendTimes        []sendTime // of the latest pieces
@@ -89,6 +92,10 @@
 	}
 	if n := copy(b[:c.host.drawReadSize(len(b))], c.received[c.head:]); n > 0 {
 		c.head += n
+		c.arrival = [2]Time{c.arrivedSince, c.arrivedSince}
+		if c.head == len(c.received) {
+			c.arrival[1] = c.lastArrivedAt
+		}
 		c.returnCredit(n)
 		return n, nil
 	}
@@ -101,6 +108,9 @@
 	return 0, machine.ErrWait
 }
 
+// Arrival implements machine.Conn.
+func (c *Conn) Arrival() (first, last Time) { return c.arrival[0], c.arrival[1] }
+
 // returnCredit returns window space to the peer once half a window was read: less would make each read an event, and with
 // more a peer that waits for credit could wait forever.
 func (c *Conn) returnCredit(n int) {
@@ -387,7 +397,9 @@
 	}
 	c.sendTimes = append(c.sendTimes, sendTime{c.receivedTotal, ev.sentAt})
 	c.receivedTotal += uint64(len(ev.data))
+	c.lastArrivedAt = c.world.now
 	if c.head == len(c.received) {
+		c.arrivedSince = c.world.now
 		c.received, ev.data = ev.data, c.received[:0]
 		c.head = 0
 		return
--- a/internal/testbench/standin/lab_test.go
+++ b/internal/testbench/standin/lab_test.go
@@ -225,7 +225,8 @@
 	return n, nil
 }
 
-func (c *labConn) HasNothingUnread() bool { return !c.closed && !c.end && !c.reset && len(c.in) == 0 }
+func (c *labConn) Arrival() (first, last machine.Time) { return c.l.now, c.l.now }
+func (c *labConn) HasNothingUnread() bool              { return !c.closed && !c.end && !c.reset && len(c.in) == 0 }
 func (c *labConn) EndError() error {
 	switch {
 	case c.reset:
