lab pressure: hostile clients before a router process with little memory and a part of a core

Checked: the peak of resident memory, answers to usual clients, the longest time for which none of their reads was served, and attempts that caches receive after the client's time or close, or twice.

--- a/cmd/lab/root.go
+++ b/cmd/lab/root.go
@@ -12,6 +12,6 @@
 		CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true},
 	}
 	cmd.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
-	cmd.AddCommand(tryCommand(), runCommand(), huntCommand(), soakCommand(), shrinkCommand(), listCommand(), registryCommand())
+	cmd.AddCommand(tryCommand(), runCommand(), huntCommand(), soakCommand(), pressureCommand(), shrinkCommand(), listCommand(), registryCommand())
 	return cmd
 }
