router: an id that may have run is not sent again

Cause: the router knows an id only while its request is open (Router.openIDs); the request ends when its client leaves.

Such an id is answered like that of an open request.

--- a/internal/guard/rules.go
+++ b/internal/guard/rules.go
@@ -1,6 +1,10 @@
 package guard
 
-import "starlingwinch/decide"
+import (
+	"slices"
+
+	"starlingwinch/decide"
+)
 
 // Guard decides whether the loop may send or repeat an attempt or reject a request now. The loop also notifies the Guard of each
 // action after it has carried the action out; the Guard counts and reports an action that breaks a rule as a violation.
@@ -141,6 +145,11 @@
 // mayHaveRun reports whether the cache may have run the attempt or may still run it.
 func (a *writtenAttempt) mayHaveRun() bool { return a.completed && !a.neverRan }
 
+// MayHaveRun reports whether a cache may have run the request, or may still run it.
+func (request *Request) MayHaveRun() bool {
+	return slices.ContainsFunc(request.attempts, func(a writtenAttempt) bool { return a.mayHaveRun() })
+}
+
 // mayRunAgain decides by the request's semantics whether the request may run at cache after an earlier attempt that may have run.
 func (request *Request) mayRunAgain(now decide.Time, earlier *writtenAttempt, cache Cache) Reason {
 	class := request.class
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -9,8 +9,8 @@
 	"starlingwinch/internal/retrystorm"
 )
 
-// duplicateIDReply is the answer to a request whose id, given by its client, is the id of an open request.
-const duplicateIDReply = "-ERR the id is that of an open request\r\n"
+// duplicateIDReply is the answer to a request whose id, given by its client, is the id of a request that is open or may have run.
+const duplicateIDReply = "-ERR the id is that of an open request, or of one that may have run\r\n"
 
 // request is the record of a client's command. It exists from HandleRequest until the request is finished, its attempts have ended
 // and the module has received all events about the request.
@@ -106,7 +106,7 @@
 		r.logNotAccepted(eventlog.RequestRejected, reasonFairShare, clientID)
 		return
 	}
-	if _, isOpen := r.openIDs[clientID]; isOpen {
+	if _, isOpen := r.openIDs[clientID]; isOpen || r.recentIDs.contains(clientID, readAt) {
 		slot.Answer([]byte(duplicateIDReply))
 		r.logNotAccepted(eventlog.RequestFailed, reasonDuplicateID, clientID)
 		return
@@ -226,6 +226,7 @@
 			a.Abort(decide.Cancelled)
 		}
 	}
+	r.rememberID(q)
 	if c.reply != nil {
 		r.guard.Answered(r.m.Now(), &q.guard)
 		q.slot.Answer(c.reply)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -63,6 +63,7 @@
 	// Requests. See request.go.
 	requests         map[int64]*request  // by id, from openRequest to releaseRequest
 	openIDs          map[string]struct{} // ids that clients gave these requests
+	recentIDs        recentIDs           // ids of requests that have ended and may have run
 	lastRequestID    int64
 	openRequests     int  // requests without a final answer
 	maxClientTimeout Time // the longest client timeout of any class
@@ -134,6 +135,7 @@
 	for _, class := range cfg.Settings.Classes {
 		r.maxClientTimeout = max(r.maxClientTimeout, class.ClientTimeout)
 	}
+	r.recentIDs = newRecentIDs(recentIDTime(cfg.Settings.Classes))
 	r.events = eventlog.New(cfg.Events, m.Now, r.logger)
 	r.initModule()
 	r.initPool()
--- a/internal/testbench/lab/pressure/shapes.go
+++ b/internal/testbench/lab/pressure/shapes.go
@@ -24,6 +24,7 @@
 	"new-names":         func(p *play) { p.crowd(1, endless(newNames)) },
 	"new-names-unread":  func(p *play) { p.crowd(2, endlessUnread(newNames)) },
 	"no-time":           func(p *play) { p.crowd(1, endless(noTime)) },
+	"little-time":       func(p *play) { p.crowd(1, endless(littleTime)) },
 	"close-unread":      func(p *play) { p.crowd(20, closeUnread) },
 	"same-id-again":     func(p *play) { p.crowd(20, sameIDAgain) },
 }
@@ -221,6 +222,10 @@
 
 func noTime() string { return words("C.GET", newID(), newID(), "c=read,d=1") }
 
+func littleTime() string {
+	return words("C.GET", newID(), newID(), fmt.Sprint("c=read,d=", 1+rand.IntN(30)))
+}
+
 // closeUnread sends hundreds of requests, waits a little, and closes its connection with most of them unread.
 func closeUnread(p *play, random *rand.Rand) {
 	c := p.connect()
