upstream, router, guard: a held-up attempt does not arrive when another one is forgotten

Cause: only the first byte of an attempt was checked. Where a cache hangs, the rest of a large write waits in the router, and what the socket has accepted waits in the kernel (a trace showed 58,688 of 65,107 bytes taken at once, and the rest 75 to 740 ms later, before the window ended); both went out whenever the cache went on. Closing the connection did not help: the kernel sends on.

Change: guard.MayFinish is asked before each further write of an attempt, with the time for which a router may be held up. A connection that closes over undelivered bytes is reset, which drops them (machine.Conn.Abort).

--- a/internal/guard/rules.go
+++ b/internal/guard/rules.go
@@ -1,6 +1,7 @@
 package guard
 
 import (
+	"iter"
 	"slices"
 
 	"starlingwinch/decide"
@@ -142,6 +143,59 @@
 	return Allowed
 }
 
+// MayFinish decides whether the rest of an attempt, of which some bytes are written, may be written now, and counts a forbidden one as
+// prevented. Until its last byte the attempt can't run, so that other attempts may have been sent and run in the meantime.
+func (g *Guard) MayFinish(now decide.Time, request *Request, number int) Reason {
+	reason := request.mayFinish(now, number)
+	if reason == Allowed {
+		return Allowed
+	}
+	g.counts.Prevented[reason]++
+	if g.ObserveOnly && reason != Answered {
+		return Allowed
+	}
+	return reason
+}
+
+// mayFinish is MayFinish without the counts. The router may be suspended for MaxSchedulingDelay before it writes.
+func (request *Request) mayFinish(now decide.Time, number int) Reason {
+	unfinished := request.attempt(number)
+	if request.answered || unfinished == nil {
+		return Answered
+	}
+	for i := range request.attempts {
+		other := &request.attempts[i]
+		if other.number == number || !other.mayHaveRun() {
+			continue
+		}
+		if reason := request.mayRunAgain(now+decide.MaxSchedulingDelay, other, unfinished.cache); reason != Allowed {
+			return reason
+		}
+	}
+	return Allowed
+}
+
+// RepeatWindow returns the time for which caches drop repeats of the request, counted from an attempt that may have run, less the
+// time for which the router may be suspended. It reports false if the rules do not limit repeats by time.
+func (request *Request) RepeatWindow() (decide.Time, bool) {
+	class := request.class
+	if class == nil || class.Semantics != decide.IdempotentByKey || request.idempotencyKeyMissing {
+		return 0, false
+	}
+	return max(0, class.IdempotencyWindow-decide.MaxSchedulingDelay), true
+}
+
+// StartTimes returns the times at which the first bytes of the attempts were written.
+func (request *Request) StartTimes() iter.Seq[decide.Time] {
+	return func(yield func(decide.Time) bool) {
+		for i := range request.attempts {
+			if !yield(request.attempts[i].startedAt) {
+				return
+			}
+		}
+	}
+}
+
 // mayHaveRun reports whether the cache may have run the attempt or may still run it.
 func (a *writtenAttempt) mayHaveRun() bool { return a.completed && !a.neverRan }
 
--- a/internal/guard/rules_test.go
+++ b/internal/guard/rules_test.go
@@ -90,6 +90,39 @@
 	}
 }
 
+// TestRestOfAttemptIsNotWrittenPastWindow guards against an attempt, held up after its first bytes, being finished when the caches
+// have forgotten another attempt that ran in the meantime.
+func TestRestOfAttemptIsNotWrittenPastWindow(t *testing.T) {
+	const second = idempotencyWindow / 2 // when the second attempt is written
+	for _, testCase := range []struct {
+		class string
+		cell  Cache
+		now   decide.Time
+		want  Reason
+	}{
+		{"keyed-all", cacheInZoneB, second + idempotencyWindow - decide.MaxSchedulingDelay - 1, Allowed},
+		{"keyed-all", cacheInZoneB, second + idempotencyWindow - decide.MaxSchedulingDelay, IdempotencyWindowOver},
+		{"keyed", cacheInZoneB, second, OutsideDeduplicationScope},
+		{"read", cacheInZoneB, 9 * idempotencyWindow, Allowed},
+		{"not-idempotent", cacheInZoneB, second, NotIdempotent},
+	} {
+		guard, _ := newGuard(true)
+		request := guard.NewRequest(7, "id", testCase.class, false, 10*idempotencyWindow)
+		guard.WriteStarted(0, &request, 0, cacheInZoneA, 1, false)
+		if got := guard.MayFinish(0, &request, 0); got != Allowed {
+			t.Errorf("%s: got %v for the only attempt, want %v", testCase.class, got, Allowed)
+		}
+		guard.WriteStarted(second, &request, 1, testCase.cell, 1, true)
+		if got := guard.MayFinish(testCase.now, &request, 0); got != testCase.want {
+			t.Errorf("%s: got %v at %d, want %v", testCase.class, got, testCase.now, testCase.want)
+		}
+		guard.Answered(testCase.now, &request)
+		if got := guard.MayFinish(testCase.now, &request, 0); got != Answered {
+			t.Errorf("%s: got %v after the answer, want %v", testCase.class, got, Answered)
+		}
+	}
+}
+
 func TestMaySendPreventsAttemptForGoneClient(t *testing.T) {
 	guard, _ := newGuard(true)
 	request := guard.NewRequest(7, "id", "read", false, idempotencyWindow)
--- a/internal/machine/conn.go
+++ b/internal/machine/conn.go
@@ -208,6 +208,24 @@
 	c.closeDescriptor()
 }
 
+// Abort implements Conn.
+func (c *conn) Abort() {
+	if c.HasUndelivered() {
+		// Without a time to linger, the kernel drops the bytes and resets the connection.
+		_ = syscall.SetsockoptLinger(c.fd, syscall.SOL_SOCKET, syscall.SO_LINGER, &syscall.Linger{Onoff: 1})
+	}
+	c.Close()
+}
+
+// HasUndelivered implements Conn.
+func (c *conn) HasUndelivered() bool {
+	if c.fd < 0 {
+		return false
+	}
+	n, err := c.m.kernel.Undelivered(c.fd)
+	return err == nil && n > 0
+}
+
 // closeDescriptor implements watcher. Closing the descriptor also removes it from epoll, since no copy of it exists.
 func (c *conn) closeDescriptor() {
 	syscall.Close(c.fd)
--- a/internal/machine/inside.go
+++ b/internal/machine/inside.go
@@ -103,6 +103,12 @@
 // Arrival implements Conn. Bytes of a worker have no deadline.
 func (c *insideConn) Arrival() (first, last Time) { return c.m.Now(), c.m.Now() }
 
+// Abort implements Conn. The worker may still read the bytes written.
+func (c *insideConn) Abort() { c.Close() }
+
+// HasUndelivered implements Conn. Bytes reach a worker inside this process at once.
+func (c *insideConn) HasUndelivered() bool { return false }
+
 // HasNothingUnread implements Conn.
 func (c *insideConn) HasNothingUnread() bool {
 	c.mu.Lock()
--- a/internal/machine/kernel.go
+++ b/internal/machine/kernel.go
@@ -36,6 +36,8 @@
 	SendTo     func(fd int, b []byte, to syscall.Sockaddr) error
 	// Unread is the number of bytes that have arrived and are not read (ioctl SIOCINQ).
 	Unread func(fd int) (n int, err error)
+	// Undelivered is the number of bytes written that the peer has not acknowledged (ioctl SIOCOUTQ).
+	Undelivered func(fd int) (n int, err error)
 	// SinceLastReceived is the time since the last byte arrived, in whole milliseconds (TCP_INFO of tcp(7)).
 	SinceLastReceived func(fd int) (time.Duration, error)
 	// RecvMany is recvmmsg.
@@ -85,6 +87,7 @@
 			return syscall.Sendto(fd, b, syscall.MSG_DONTWAIT|syscall.MSG_NOSIGNAL, to)
 		},
 		Unread:            func(fd int) (int, error) { return unix.IoctlGetInt(fd, unix.SIOCINQ) },
+		Undelivered:       func(fd int) (int, error) { return unix.IoctlGetInt(fd, unix.SIOCOUTQ) },
 		SinceLastReceived: sinceLastReceived,
 		RecvMany:          recvMany,
 		Wall:              time.Now,
--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -165,6 +165,11 @@
 	// Close closes the connection and its descriptor. If received bytes were left unread, the peer may see a reset instead of
 	// the end. A second call does nothing.
 	Close()
+	// Abort closes the connection like Close, but drops the bytes written that have not reached the peer's machine; the peer then
+	// sees a reset. After Close, the machine goes on sending them for as long as the peer does not take them.
+	Abort()
+	// HasUndelivered reports whether bytes written have not reached the peer's machine, as far as this machine knows.
+	HasUndelivered() bool
 	// Local and Remote return the two addresses, which are empty for a connection to a worker.
 	Local() string
 	Remote() string
--- a/internal/router/bench_test.go
+++ b/internal/router/bench_test.go
@@ -122,6 +122,8 @@
 func (c *benchConn) EndError() error             { return nil }
 func (c *benchConn) CloseWrite() error           { return nil }
 func (c *benchConn) Close()                      {}
+func (c *benchConn) Abort()                      {}
+func (c *benchConn) HasUndelivered() bool        { return false }
 func (c *benchConn) Local() string               { return "127.0.0.1:2" }
 func (c *benchConn) Remote() string              { return "127.0.0.1:3" }
 
--- a/internal/testbench/sim/conn.go
+++ b/internal/testbench/sim/conn.go
@@ -243,6 +243,12 @@
 // Close implements machine.Conn. Unread bytes turn the close into a reset, as TCP does.
 func (c *Conn) Close() { c.close(c.head < len(c.received)) }
 
+// Abort implements machine.Conn. What is in transit arrives: the peer's machine takes it, also where its process hangs.
+func (c *Conn) Abort() { c.Close() }
+
+// HasUndelivered implements machine.Conn, see Abort.
+func (c *Conn) HasUndelivered() bool { return false }
+
 // Reset closes the connection with a reset, whatever was read.
 func (c *Conn) Reset() { c.close(true) }
 
--- a/internal/testbench/standin/lab_test.go
+++ b/internal/testbench/standin/lab_test.go
@@ -226,6 +226,8 @@
 }
 
 func (c *labConn) Arrival() (first, last machine.Time) { return c.l.now, c.l.now }
+func (c *labConn) Abort()                              { c.Close() }
+func (c *labConn) HasUndelivered() bool                { return false }
 func (c *labConn) HasNothingUnread() bool              { return !c.closed && !c.end && !c.reset && len(c.in) == 0 }
 func (c *labConn) EndError() error {
 	switch {
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -60,6 +60,13 @@
 	}
 }
 
+// AbortUndelivered ends an attempt of which some bytes have not reached the cache's machine, so that the cache does not run it later.
+func (a *Attempt) AbortUndelivered() {
+	if a.state == stateWriting || a.state == stateWritten && a.connection.socket.HasUndelivered() {
+		a.Abort(decide.TimedOut)
+	}
+}
+
 // armTimer sets the timer for the earliest of the attempt's deadlines.
 func (a *Attempt) armTimer() {
 	at := a.Deadline
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -43,7 +43,7 @@
 		c.dialing--
 	}
 	if conn.socket != nil {
-		conn.socket.Close()
+		conn.socket.Abort() // a cache that hangs would otherwise run the rest of an attempt that was given up, whenever it goes on
 	}
 	conn.received, conn.unwritten = nil, nil
 	c.pool.releaseDescriptor()
@@ -88,13 +88,18 @@
 	return true
 }
 
-// Writable implements machine.Handler: it writes the rest of a command when the socket accepts bytes again.
+// Writable implements machine.Handler: it writes the rest of a command when the socket accepts bytes again. The cache may have hung
+// for long in the meantime, and another one may have run the request.
 func (conn *connection) Writable() {
 	defer conn.cache.pool.owner.ProcessEvents()
 	a := conn.attempt
 	if a == nil || a.state != stateWriting {
 		return
 	}
+	if a.Request != nil && !a.Request.MayFinish(conn.cache.pool.machine.Now()) {
+		a.Abort(decide.NotSent)
+		return
+	}
 	n, err := conn.socket.Write(conn.unwritten)
 	conn.unwritten = conn.unwritten[n:]
 	switch {
--- a/internal/upstream/harness_test.go
+++ b/internal/upstream/harness_test.go
@@ -36,6 +36,7 @@
 
 func (req *testRequest) MaySend(Time) bool              { return !req.answered }
 func (req *testRequest) WriteStarted(_, _ Time, _ bool) {}
+func (req *testRequest) MayFinish(Time) bool            { return !req.answered }
 func (req *testRequest) WriteCompleted()                {}
 
 func (req *testRequest) Encode(b []byte, wait Time) []byte {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -30,6 +30,9 @@
 	// WriteStarted is called when the first byte was written. wait is the time limit that the command gives the cache. written
 	// reports whether the last byte was written too; if not, WriteCompleted is called once the last byte is written.
 	WriteStarted(now, wait Time, written bool)
+	// MayFinish reports whether the rest of an attempt that is written in part may be written now. The Pool calls it immediately
+	// before each further write.
+	MayFinish(now Time) bool
 	// WriteCompleted is called when the last byte was written, unless WriteStarted already reported it.
 	WriteCompleted()
 	// KeyHash returns a hash of the requested key.
