frontend: clients that send nothing keep neither the places nor the queue of others

Cause: past the limit of connections, one in the middle of a command kept its place for 2.5 s, one past the limit its place for 0.2 s; sixteen of them let some 80 connections a second leave the kernel's queue. Idle connections of usual clients were closed for new ones.

Change: at the limit, a command that is stalled for 0.5 s ends; a connection past the limit gives its place to the next after 20 ms; where most places are held by connections without a command, one used in the last 0.5 s stays.

The three new tests fail before (2.2 s in the queue; no request came) and pass.

--- a/internal/frontend/connection_limit.go
+++ b/internal/frontend/connection_limit.go
@@ -5,24 +5,63 @@
 //
 // Past the limit, the server retires an unused connection in favour of newest. If all connections are in use, a few more
 // stay open until their first command, which is rejected: in the kernel's accept queue, the client would wait until its
-// timeout. With more than maxExcessConnections of them, the listener pauses.
+// timeout. With more than maxExcessConnections of them, the listener pauses, and the first of them gives its place to the
+// next connection after excessGrace: clients that send nothing must not keep the requests of others in the queue.
 func (s *Server) enforceConnectionLimit(newest *connection) {
 	if s.closed {
 		return
 	}
 	if s.connections > s.options.MaxConnections {
-		if c := s.evictionCandidate(newest); c != nil {
-			c.retire()
-		}
+		s.evictOne(newest)
 	}
 	if s.connections > s.options.MaxConnections && newest != nil && !newest.closed {
 		newest.excess = true
 		newest.enterState(stateExcess)
 	}
 	s.admitExcessConnections()
+	s.replaceExcessConnections()
 	s.pauseListenerAtLimit()
 }
 
+// evictOne retires an unused connection in favour of newest, or ends one that has stopped in the middle of a command.
+func (s *Server) evictOne(newest *connection) {
+	if c := s.stalledConnection(); c != nil {
+		c.endPartialCommand()
+		return
+	}
+	if c := s.evictionCandidate(newest); c != nil {
+		c.retire()
+	}
+}
+
+// stalledConnection returns the connection that has waited longest for the rest of a command that does not go on, or nil.
+func (s *Server) stalledConnection() *connection {
+	now := s.machine.Now()
+	for c := s.lists[statePartialCommand].first; c != nil; c = c.next {
+		isStalled := c.receivedAt+stalledCommandTime <= now && len(c.pendingReplies) == 0 && !c.readScheduled
+		if isStalled && !c.reading && c.socket.HasNothingUnread() {
+			return c
+		}
+	}
+	return nil
+}
+
+// replaceExcessConnections closes the connections past the limit that have had excessGrace for their command, as many as others may
+// need their places.
+func (s *Server) replaceExcessConnections() {
+	latest := s.machine.Now() - excessGrace
+	for c := s.lists[stateExcess].first; c != nil && s.atExcessLimit() && c.stateSince <= latest; {
+		next := c.next
+		c.expire()
+		c = next
+	}
+}
+
+// atExcessLimit reports whether the server takes no more connections past the limit.
+func (s *Server) atExcessLimit() bool {
+	return s.connections > s.options.MaxConnections+maxExcessConnections
+}
+
 // admitExcessConnections starts to serve connections that were past the limit, as many as the limit now allows.
 func (s *Server) admitExcessConnections() {
 	for s.connections <= s.options.MaxConnections && s.lists[stateExcess].first != nil {
@@ -36,7 +75,7 @@
 // pauseListenerAtLimit pauses the listener if more than maxExcessConnections are open past the limit, and resumes it
 // otherwise.
 func (s *Server) pauseListenerAtLimit() {
-	atLimit := s.connections > s.options.MaxConnections+maxExcessConnections
+	atLimit := s.atExcessLimit()
 	if atLimit == s.listenerPaused {
 		return
 	}
@@ -62,7 +101,8 @@
 
 // evictionCandidate returns the connection to retire in favour of newest, or nil. Preferred is the connection open for
 // longest without a command, if it was opened at least commandGrace ago; otherwise the connection that has been idle or
-// unused for longest. Closing a connection between requests loses nothing.
+// unused for longest. Closing a connection between requests loses nothing, but its client then competes with all new ones:
+// hundreds of clients that send nothing must not take the places of those that do.
 func (s *Server) evictionCandidate(newest *connection) *connection {
 	unused := s.lists[stateNew].firstNotRetired()
 	idle := s.lists[stateIdle].firstNotRetired()
@@ -72,11 +112,18 @@
 	switch {
 	case unused != nil && unused.stateSince <= s.machine.Now()-commandGrace:
 		return unused
+	case idle != nil && s.isCrowdedBySilentClients() && idle.stateSince > s.machine.Now()-recentlyUsed:
+		return nil
 	case unused == nil || idle != nil && idle.stateSince < unused.stateSince:
 		return idle
 	}
 	return unused
 }
 
+// isCrowdedBySilentClients reports whether most places are held by connections that have sent no command, or a part of one.
+func (s *Server) isCrowdedBySilentClients() bool {
+	return s.lists[stateNew].length+s.lists[statePartialCommand].length > s.options.MaxConnections/2
+}
+
 // overHalfFull reports whether more than half of MaxConnections are open. Idle connections then time out sooner.
 func (s *Server) overHalfFull() bool { return s.connections > s.options.MaxConnections/2 }
--- a/internal/frontend/connection_limit_test.go
+++ b/internal/frontend/connection_limit_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 )
 
 func TestAppendBusyRoundsUp(t *testing.T) {
@@ -110,3 +111,50 @@
 		}
 	})
 }
+
+const halfCommand = "*4\r\n$5\r\nC.G"
+
+// TestSilentClientsDoNotHoldOthersInQueue guards against a request waiting for seconds in the kernel's queue, neither answered nor
+// shut, behind clients that stop in the middle of a command.
+func TestSilentClientsDoNotHoldOthersInQueue(t *testing.T) {
+	const silent, patience = 200, time.Second
+	r, _ := fullServer(t)
+	for range silent {
+		r.dial().Send(halfCommand)
+	}
+	began := time.Now()
+	c := r.dial()
+	c.Send(get("usual"))
+	c.Want("-BUSY 70")
+	if took := time.Since(began); took > patience {
+		t.Errorf("the request was answered after %v, want %v at most", took, patience)
+	}
+}
+
+// TestStalledCommandGivesPlaceToNewConnection guards against clients that stop in the middle of a command keeping all places for as
+// long as a command may take.
+func TestStalledCommandGivesPlaceToNewConnection(t *testing.T) {
+	r := newTestServer(t, func(o *Options) { o.MaxConnections, o.Limits.CommandTime = 3, time.Minute })
+	for range 3 {
+		r.dial().Send(halfCommand)
+	}
+	waitUntilRead(r, 3)
+	r.After(time.Duration(stalledCommandTime) * time.Microsecond)
+	c := r.dial()
+	c.Send(get("usual"))
+	r.answer(r.nextRequest(), value)
+	c.Want("value")
+}
+
+// TestRecentlyUsedConnectionKeepsItsPlace guards against the connections of usual clients being closed in favour of hundreds of clients
+// that send no command.
+func TestRecentlyUsedConnectionKeepsItsPlace(t *testing.T) {
+	r := newTestServer(t, func(o *Options) { o.MaxConnections = 8 })
+	usual := r.dial()
+	for i := range 100 {
+		usual.Send(get(fmt.Sprint("usual", i)))
+		r.answer(r.nextRequest(), value)
+		usual.Want("value")
+		r.dial().Send(halfCommand)
+	}
+}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -31,6 +31,12 @@
 	commandGrace Time = 100_000
 	// retiredRequestWindow is the time for which a retired connection still accepts requests. Later requests are rejected.
 	retiredRequestWindow Time = 500_000
+	// recentlyUsed is the time for which an idle connection keeps its place while most places are held by connections that have sent
+	// no command.
+	recentlyUsed Time = 500_000
+	// excessGrace is the time after which a connection past the limit that has sent no complete command gives its place to another
+	// one.
+	excessGrace Time = 20_000
 	// excessTimeout is the maximum time for which a connection past the limit may wait before it sends the command that is
 	// rejected.
 	excessTimeout Time = 200_000
--- a/internal/frontend/state.go
+++ b/internal/frontend/state.go
@@ -32,10 +32,14 @@
 
 // connectionList holds the connections in one state, in the order in which they entered it. The first connection is the
 // first to time out, so that one timer serves all connections.
-type connectionList struct{ first, last *connection }
+type connectionList struct {
+	first, last *connection
+	length      int
+}
 
 // add appends a connection to the list.
 func (l *connectionList) add(c *connection) {
+	l.length++
 	c.prev, c.next = l.last, nil
 	if l.last != nil {
 		l.last.next = c
@@ -47,6 +51,7 @@
 
 // remove removes a connection from the list.
 func (l *connectionList) remove(c *connection) {
+	l.length--
 	if c.prev != nil {
 		c.prev.next = c.next
 	} else {
