frontend: a connection whose commands wait for the next turn is not closed as unused

Cause: after 32 commands in one turn the rest is read in the next one, and the state was set only after that. A drain, or the limit of connections, found the connection new or idle with nothing unread, and closed it over 32 to 96 requests (trace of the closes).

Change: such a connection awaits replies between the turns, and retire closes none over replies due or bytes that wait.

TestRetireBetweenTurnsAnswersRequests fails before (no request came) and passes.

--- a/internal/frontend/drain.go
+++ b/internal/frontend/drain.go
@@ -37,13 +37,18 @@
 	c.retired, c.retiredAt = true, c.server.machine.Now()
 	c.unparsed = releaseEmpty(c.unparsed)
 	unused := c.state == stateNew && c.stateSince+commandGrace <= c.retiredAt
-	if (c.state == stateIdle || unused) && c.socket.HasNothingUnread() {
+	if (c.state == stateIdle || unused) && !c.isBusy() && c.socket.HasNothingUnread() {
 		c.close()
 		return
 	}
 	c.startGrace()
 }
 
+// isBusy reports whether replies are due, or received bytes wait to be executed.
+func (c *connection) isBusy() bool {
+	return len(c.pendingReplies) > 0 || len(c.unsent) > 0 || len(c.unparsed) > 0 || c.readScheduled
+}
+
 // startGrace starts the timer that closes the connection after commandGrace. If replies are still due at that time, they are
 // written first, however long that takes. The grace lets a partial command arrive completely, and lets a new connection send
 // its first command.
--- a/internal/frontend/drain_test.go
+++ b/internal/frontend/drain_test.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 
 	"starlingwinch/internal/machine"
 	"starlingwinch/internal/testbench/routertest"
@@ -209,3 +210,40 @@
 	c.WantClosed()
 	routertest.Receive(t, drained, "end of the drain")
 }
+
+// TestRetireBetweenTurnsAnswersRequests guards against a connection being closed over requests that were passed on, where more of its
+// commands wait for the next turn: its state still said that it was new, or between commands.
+func TestRetireBetweenTurnsAnswersRequests(t *testing.T) {
+	const pipelined = 2*maxCommandsPerTurn + 1
+	for _, isNew := range []bool{true, false} {
+		r := newTestServer(t, nil)
+		client := r.dial()
+		state := stateNew
+		if !isNew {
+			client.Send(words("PING"))
+			client.Want("+PONG")
+			state = stateIdle
+		}
+		r.Until("the connection", func() bool { return r.server.lists[state].length == 1 })
+		r.After(time.Duration(commandGrace) * time.Microsecond)
+		r.Do(func() {
+			wire := ""
+			for i := range pipelined {
+				wire += get(fmt.Sprint("r", i))
+			}
+			client.Send(wire)
+			c := r.server.lists[state].first
+			for c.socket.HasNothingUnread() { // the bytes are on their way over loopback
+				time.Sleep(time.Millisecond)
+			}
+			c.read()
+			c.retire()
+		})
+		for range pipelined {
+			r.answer(r.nextRequest(), value)
+		}
+		for range pipelined {
+			client.Want("value")
+		}
+	}
+}
--- a/internal/frontend/reading.go
+++ b/internal/frontend/reading.go
@@ -70,6 +70,7 @@
 	case c.atPipelineLimit():
 		c.pauseReading()
 	case quota <= 0 || reads > maxReadsPerTurn:
+		c.awaitReplies()
 		c.scheduleRead()
 	default:
 		return true
@@ -179,6 +180,15 @@
 // may be waiting for the router.
 func (c *connection) pauseReading() {
 	c.readPaused = true
+	c.awaitReplies()
+}
+
+// awaitReplies has a connection whose reading goes on later enter stateAwaitingReplies if replies are due. In its former state it would
+// look unused, or between commands.
+func (c *connection) awaitReplies() {
+	if len(c.pendingReplies) == 0 {
+		return
+	}
 	if c.state == stateNew || c.state == statePartialCommand || c.state == stateIdle {
 		c.enterState(stateAwaitingReplies)
 	}
