frontend: a complete request past the limit takes the place of a slow command

Cause: clients in the middle of a command hold all places for up to 2.5 s each; a connection past the limit whose request has come was rejected and closed at once, while one that writes slowly waited there for the next free place.

Change: a connection whose complete request has come takes the place of the command that is incomplete for longest, from 0.5 s on.

--- a/internal/frontend/connection_limit.go
+++ b/internal/frontend/connection_limit.go
@@ -46,6 +46,24 @@
 	return nil
 }
 
+// takePlace lets a connection past the limit, of which a complete request has come, take the place of the connection whose command has
+// been incomplete for longest. It reports whether there was one. Clients that write slowly would otherwise hold all places.
+func (c *connection) takePlace() bool {
+	s := c.server
+	latest := s.machine.Now() - slowCommandTime
+	other := s.lists[statePartialCommand].first
+	for other != nil && (other.reading || other.readScheduled || len(other.pendingReplies) > 0) {
+		other = other.next
+	}
+	if other == nil || other.stateSince > latest {
+		return false
+	}
+	c.excess = false
+	c.enterState(stateNew) // before the other connection closes, which would give its place to the first one past the limit
+	other.endPartialCommand()
+	return true
+}
+
 // replaceExcessConnections closes the connections past the limit that have had excessGrace for their command, as many as others may
 // need their places.
 func (s *Server) replaceExcessConnections() {
--- a/internal/frontend/connection_limit_test.go
+++ b/internal/frontend/connection_limit_test.go
@@ -5,6 +5,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"starlingwinch/internal/testbench/routertest"
 )
 
 func TestAppendBusyRoundsUp(t *testing.T) {
@@ -158,3 +160,29 @@
 		r.dial().Send(halfCommand)
 	}
 }
+
+// TestCompleteRequestTakesPlaceOfSlowCommand guards against clients that write slowly holding all places, so that each request of others
+// is rejected.
+func TestCompleteRequestTakesPlaceOfSlowCommand(t *testing.T) {
+	const places = 3
+	r := newTestServer(t, func(o *Options) { o.MaxConnections = places })
+	var slow []*routertest.Client
+	for range places {
+		c := r.dial()
+		c.Send("*4\r\n$5\r\nC.GET\r\n$900\r\n")
+		slow = append(slow, c)
+	}
+	waitUntilRead(r, places)
+	for range 30 { // they go on writing
+		r.After(time.Duration(slowCommandTime) * time.Microsecond / 25)
+		for _, c := range slow {
+			c.Send("k")
+		}
+	}
+	c := r.dial()
+	for i := range 10 {
+		c.Send(get(fmt.Sprint("usual", i)))
+		r.answer(r.nextRequest(), value)
+		c.Want("value")
+	}
+}
--- a/internal/frontend/executing.go
+++ b/internal/frontend/executing.go
@@ -87,7 +87,7 @@
 	}
 	size := int64(len(raw)) + command.copiedBytes() + s.options.RequestBytes
 	c.consecutiveErrors, c.commandSeen = 0, true
-	if c.excess && !c.retired {
+	if c.excess && !c.retired && !c.takePlace() {
 		c.retireAtOnce()
 	}
 	if reason := c.rejectReason(size); reason != "" {
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -34,6 +34,8 @@
 	// recentlyUsed is the time for which an idle connection keeps its place while most places are held by connections that have sent
 	// no command.
 	recentlyUsed Time = 500_000
+	// slowCommandTime is the time after its first byte at which a partial command gives its place to a complete request.
+	slowCommandTime Time = 500_000
 	// excessGrace is the time after which a connection past the limit that has sent no complete command gives its place to another
 	// one.
 	excessGrace Time = 20_000
