frontend, machine: one allocation for a request's slot and command, none for a read's bound

Change: the slot of a request holds its command again; after the answer, the memory of the handler's records alone is released. inputAge asks an interface instead of functions.

--- a/internal/frontend/executing.go
+++ b/internal/frontend/executing.go
@@ -80,7 +80,8 @@
 		c.rejectCommand(arrayRequiredText)
 		return
 	}
-	command := &Command{}
+	request := &requestSlot{}
+	command := &request.command
 	if err := command.Parse(args, s.options.Classes); err != nil {
 		c.rejectCommand(err.Error())
 		return
@@ -95,7 +96,8 @@
 		s.handler.RequestRejected(reason, command.ID())
 		return
 	}
-	slot := &ReplySlot{connection: c, Command: command, charged: size, forwarded: true, FirstOnConnection: !c.requestSeen}
+	slot := &request.ReplySlot
+	*slot = ReplySlot{connection: c, Command: command, charged: size, forwarded: true, FirstOnConnection: !c.requestSeen}
 	c.requestSeen = true
 	c.pendingReplies = append(c.pendingReplies, slot)
 	s.handler.HandleRequest(slot, c.commandArrivedAt)
--- a/internal/frontend/held_bytes.go
+++ b/internal/frontend/held_bytes.go
@@ -4,6 +4,8 @@
 const (
 	// slotBytes is the memory of a ReplySlot without a request, and of its place in the queue.
 	slotBytes = 96
+	// requestSlotBytes is the memory of a requestSlot, and of its place in the queue. It is part of Options.RequestBytes.
+	requestSlotBytes = 320
 	// freeUnparsedBytes is the size of a partial command up to which it may use the whole budget. A connection needs its share of
 	// the budget for more.
 	freeUnparsedBytes = 1 << 10
--- a/internal/frontend/reply_slot.go
+++ b/internal/frontend/reply_slot.go
@@ -10,7 +10,7 @@
 type ReplySlot struct {
 	ID                int64    // reserved for the Handler
 	FirstOnConnection bool     // whether the request is the first on its connection
-	Command           *Command // the request until it is answered; nil for a command that is not passed to the Handler
+	Command           *Command // the request; nil for a command that is not passed to the Handler
 
 	connection *connection
 	charged    int64  // bytes of the server's budget that are reserved for the command and its reply
@@ -20,6 +20,12 @@
 	forwarded  bool   // whether the command was passed to the Handler, which answers it
 }
 
+// requestSlot is the slot of a request, with the request in the same allocation.
+type requestSlot struct {
+	ReplySlot
+	command Command
+}
+
 // Answer fills the slot with the reply. It must be called once, and does nothing if the client has gone. The caller may
 // modify reply after the call: Answer usually writes the reply at once, and copies it otherwise.
 func (slot *ReplySlot) Answer(reply []byte) {
@@ -27,9 +33,10 @@
 	if slot.answered || c.closed {
 		return
 	}
-	slot.Command = nil
-	c.release(slot.charged - min(slot.charged, slotBytes))
-	slot.charged = min(slot.charged, slotBytes)
+	if released := c.server.options.RequestBytes - requestSlotBytes; slot.forwarded && released > 0 {
+		c.release(released) // of the records that the handler held; the slot and the command stay until the reply is written
+		slot.charged -= released
+	}
 	s := c.server
 	if !c.reserveReply(slot, int64(len(reply))) {
 		// Small replies are queued without memory left. A rejection tells the client that a retry does no harm, and a client
--- a/internal/machine/arrival.go
+++ b/internal/machine/arrival.go
@@ -47,9 +47,14 @@
 	first, last Time // bounds of the latest Read, for its first and its last byte
 }
 
-// read records a read of n bytes. Where the bound is old, unread returns the number of bytes left, and lastArrival when the last byte
-// arrived at the socket; either may be unknown (false).
-func (a *inputAge) read(n int, now Time, unread func() (int, bool), lastArrival func() (Time, bool)) {
+// inputSource tells what the kernel knows of the input of a connection. Either may be unknown (false).
+type inputSource interface {
+	unread() (bytes int, known bool)    // how many bytes have arrived and are not read
+	lastArrival() (at Time, known bool) // when the last byte arrived
+}
+
+// read records a read of n bytes. Where the bound is old, it asks the source.
+func (a *inputAge) read(n int, now Time, source inputSource) {
 	a.first, a.last = a.since, a.since
 	if now-a.since <= freshArrival {
 		a.first, a.last = now, now
@@ -57,12 +62,12 @@
 	if now-a.since <= preciseArrival {
 		return
 	}
-	left, known := unread()
+	left, known := source.unread()
 	if !known {
 		return
 	}
 	if left == 0 {
-		if at, known := lastArrival(); known {
+		if at, known := source.lastArrival(); known {
 			a.last = min(max(a.since, at), now)
 		}
 		a.since, a.markLeft = now, 0
@@ -81,13 +86,13 @@
 // Arrival implements Conn.
 func (c *conn) Arrival() (first, last Time) { return c.input.first, c.input.last }
 
-// unread returns the number of bytes that have arrived and are not read.
+// unread implements inputSource: it returns the number of bytes that have arrived and are not read.
 func (c *conn) unread() (int, bool) {
 	n, err := c.m.kernel.Unread(c.fd)
 	return n, err == nil
 }
 
-// lastArrival returns when the last byte arrived.
+// lastArrival implements inputSource: it returns when the last byte arrived.
 func (c *conn) lastArrival() (Time, bool) {
 	age, err := c.m.kernel.SinceLastReceived(c.fd)
 	if err != nil {
--- a/internal/machine/arrival_test.go
+++ b/internal/machine/arrival_test.go
@@ -29,6 +29,16 @@
 	}
 }
 
+// scriptedSource is an inputSource that returns fixed values.
+type scriptedSource struct {
+	left   int
+	lastAt Time
+	known  bool
+}
+
+func (s *scriptedSource) unread() (int, bool)       { return s.left, s.known }
+func (s *scriptedSource) lastArrival() (Time, bool) { return s.lastAt, s.known }
+
 // TestInputAgeAdvancesOnBusyConnection guards against requests of a client that always has unread input counting as older and older,
 // and against their counting as new.
 func TestInputAgeAdvancesOnBusyConnection(t *testing.T) {
@@ -36,11 +46,11 @@
 	const waited = queued / readSize * interval
 	age := inputAge{since: 1_000_000}
 	now := age.since
-	unread := func() (int, bool) { return queued, true }
-	lastArrival := func() (Time, bool) { return now, true }
+	source := &scriptedSource{left: queued, known: true}
 	for range 1000 {
 		now += interval
-		age.read(readSize, now, unread, lastArrival)
+		source.lastAt = now
+		age.read(readSize, now, source)
 		bound := now - age.first
 		if arrived := min(now-1_000_000, waited); bound < arrived-interval || bound > 2*waited+2*interval {
 			t.Fatalf("%d us after the start: got an age of at most %d us for bytes that are %d us old", now-1_000_000, bound, arrived)
@@ -53,9 +63,8 @@
 
 // TestInputAgeWithoutKernelSupport checks that the bound stays old where the kernel does not tell what is unread.
 func TestInputAgeWithoutKernelSupport(t *testing.T) {
-	unknown := func() (int, bool) { return 0, false }
 	age := inputAge{since: 1000}
-	age.read(10, 1_000_000, unknown, func() (Time, bool) { return 0, false })
+	age.read(10, 1_000_000, &scriptedSource{})
 	if age.first != 1000 || age.last != 1000 {
 		t.Errorf("got bounds %d and %d, want 1000", age.first, age.last)
 	}
--- a/internal/machine/conn.go
+++ b/internal/machine/conn.go
@@ -84,7 +84,7 @@
 		return 0, io.EOF
 	}
 	c.markUndrained()
-	c.input.read(n, c.m.Now(), c.unread, c.lastArrival)
+	c.input.read(n, c.m.Now(), c)
 	return n, nil
 }
 
