--- a/internal/testbench/lab/planted/machine.go
+++ b/internal/testbench/lab/planted/machine.go
@@ -310,3 +310,10 @@
 		c.Conn.Close()
 	}
 }
+
+// Abort implements machine.Conn.
+func (c *wrongConn) Abort() {
+	if !c.keepsOpen || c.asked > 0 {
+		c.Conn.Abort()
+	}
+}
--- a/internal/testbench/lab/stubrouter/machine.go
+++ b/internal/testbench/lab/stubrouter/machine.go
@@ -72,9 +72,19 @@
 
 // Close implements machine.Conn.
 func (c *countedConn) Close() {
+	c.countClosed()
+	c.Conn.Close()
+}
+
+// Abort implements machine.Conn.
+func (c *countedConn) Abort() {
+	c.countClosed()
+	c.Conn.Abort()
+}
+
+func (c *countedConn) countClosed() {
 	if !c.closed {
 		c.closed = true
 		c.open.Add(-1)
 	}
-	c.Conn.Close()
 }
