machine: an overdue timer never makes the loop wait for an event

Change: the time to wait is taken by the clock that mayWait has read, and is never negative where there is a timer.

Result: TestOverdueTimerDoesNotWaitForAnEvent fails before (-1) and passes.

--- a/internal/machine/arrival_test.go
+++ b/internal/machine/arrival_test.go
@@ -159,3 +159,20 @@
 	send(open)
 	want("byte after a quiet time", since, clock())
 }
+
+// TestOverdueTimerDoesNotWaitForAnEvent guards against a loop that waits without a limit: a timer that became due between two readings
+// of the clock gave a negative time to wait, which means until an event.
+func TestOverdueTimerDoesNotWaitForAnEvent(t *testing.T) {
+	m, err := New(Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer m.Stop()
+	if got := m.timeToNextTimer(); got >= 0 {
+		t.Errorf("got a wait of %d us without timers, want no limit", got)
+	}
+	m.timers.add(m.now-1, func() {})
+	if got := m.timeToNextTimer(); got != 0 {
+		t.Errorf("got a wait of %d us with an overdue timer, want 0", got)
+	}
+}
--- a/internal/machine/real.go
+++ b/internal/machine/real.go
@@ -153,8 +153,9 @@
 			m.wokeGoroutine.Store(false)
 			runtime.Gosched()
 		}
+		limit := m.timeToNextTimer() // by the clock that mayWait has read
 		m.readClock()
-		began, limit := m.now, m.timeToNextTimer()
+		began := m.now
 		blocked := m.poll.wait(limit)
 		m.readClock()
 		m.polls.polled(began, m.now, limit, blocked, m.poll.isComplete())
@@ -223,10 +224,10 @@
 	return m.inbox.mayWait()
 }
 
-// timeToNextTimer returns how long the loop may wait; a negative value means until an event.
+// timeToNextTimer returns how long the loop may wait; a negative value means until an event. It is 0 for a timer that is overdue.
 func (m *Real) timeToNextTimer() Time {
 	if t := m.timers.first(); t != nil {
-		return t.at - m.now
+		return max(0, t.at-m.now)
 	}
 	return -1
 }
