machine: a poll that failed proves no input absent; wait and poll apart

Cause, by reading: a poll that returned an error counted as one without events, so that input pending since before it counted from it.

Change: such a poll leaves the bound as it is. turn calls wait or pollNow; the tests of Abort wait on a timer of the loop.

Result: TestFailedPollLeavesBound fails before (the bound moved to the failed poll) and passes; package machine green.

--- a/internal/machine/abort_test.go
+++ b/internal/machine/abort_test.go
@@ -4,9 +4,25 @@
 	"io"
 	"net"
 	"testing"
-	"time"
 )
 
+// awaitDelivery waits until all bytes written have reached the peer's machine.
+func awaitDelivery(r *loopRig, conn Conn) {
+	r.t.Helper()
+	const interval = 1000 // microseconds between two looks
+	delivered := make(chan struct{})
+	var look func()
+	look = func() {
+		if conn.HasUndelivered() {
+			r.At(r.Now()+interval, look)
+			return
+		}
+		close(delivered)
+	}
+	r.Post(look)
+	await(r.t, "delivery of all bytes", delivered)
+}
+
 // TestAbortDropsUndeliveredBytes guards against the kernel sending the rest of an attempt that was given up, once a peer that hung
 // reads again. Bytes that have reached the peer's machine count as delivered, and the end is in order then.
 func TestAbortDropsUndeliveredBytes(t *testing.T) {
@@ -40,8 +56,8 @@
 		if err != nil || test.size == size && written == size {
 			t.Fatalf("%s: the socket accepted %d bytes: %v", test.name, written, err)
 		}
-		for undelivered := true; undelivered && test.size < size; time.Sleep(time.Millisecond) {
-			r.runInLoop(func() { undelivered = conn.HasUndelivered() })
+		if test.size < size {
+			awaitDelivery(r, conn)
 		}
 		r.runInLoop(func() {
 			if got := conn.HasUndelivered(); got != (test.size == size) {
--- a/internal/machine/arrival_test.go
+++ b/internal/machine/arrival_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -29,6 +30,34 @@
 	}
 }
 
+// TestFailedPollLeavesBound guards against input counting as new that was pending while a poll failed.
+func TestFailedPollLeavesBound(t *testing.T) {
+	kernel := RealKernel()
+	fails := true
+	kernel.EpollPoll = func(epoll int, events []syscall.EpollEvent) (int, error) {
+		if fails {
+			return 0, syscall.EINTR
+		}
+		return RealKernel().EpollPoll(epoll, events)
+	}
+	m, err := New(Options{Kernel: &kernel})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer m.Stop()
+	m.polls = pollBound{since: 1, emptySince: 1}
+	m.wait(-1) // returns at once
+	m.pollNow()
+	if m.polls.emptySince != 1 {
+		t.Errorf("got %d for the time without pending input after polls that failed, want 1", m.polls.emptySince)
+	}
+	fails = false
+	m.pollNow()
+	if m.polls.since != 1 || m.polls.emptySince == 1 {
+		t.Errorf("got bounds %+v after a poll, want one that counts from before the failures", m.polls)
+	}
+}
+
 // scriptedSource is an inputSource that returns fixed values.
 type scriptedSource struct {
 	left   int
--- a/internal/machine/poller.go
+++ b/internal/machine/poller.go
@@ -47,7 +47,8 @@
 	slots  []slot
 	free   []int32
 	events [maxEventsPerTurn]syscall.EpollEvent
-	n      int // events of the last poll
+	n      int  // events of the last poll
+	failed bool // the last poll without a wait returned an error, so that events may be pending
 }
 
 func newPoller(k *Kernel) (*poller, error) {
@@ -112,14 +113,14 @@
 // poll fetches the pending events without blocking.
 func (p *poller) poll() {
 	n, err := p.kernel.EpollPoll(p.fd, p.events[:])
-	if err != nil {
-		n = 0
+	if p.failed = err != nil; p.failed {
+		n = 0 // the loop polls again in its next turn
 	}
 	p.n = n
 }
 
 // isComplete reports whether the latest poll fetched all pending events.
-func (p *poller) isComplete() bool { return p.n < len(p.events) }
+func (p *poller) isComplete() bool { return !p.failed && p.n < len(p.events) }
 
 // wait fetches events. It blocks for up to limit, rounded up to a millisecond, or until there is an event if limit is
 // negative, and reports whether it blocked.
@@ -127,7 +128,7 @@
 // The loop blocks in the system call because the Go runtime's poller costs more processor time per round trip
 // (docs/design/machine.md). The scheduler may take up to 10 ms to reassign the processor of a blocked call: see Real.turn.
 func (p *poller) wait(limit Time) (blocked bool) {
-	if p.poll(); p.n > 0 {
+	if p.poll(); p.n > 0 || p.failed {
 		return false
 	}
 	ms := Time(-1)
@@ -136,7 +137,7 @@
 	}
 	n, err := p.kernel.EpollWait(p.fd, p.events[:], int(ms))
 	if err != nil {
-		n = 0 // EINTR: the loop polls again in its next turn
+		n = 0 // EINTR, which the kernel returns only without events: the loop polls again in its next turn
 	}
 	p.n = n
 	return true
--- a/internal/machine/real.go
+++ b/internal/machine/real.go
@@ -153,18 +153,9 @@
 			m.wokeGoroutine.Store(false)
 			runtime.Gosched()
 		}
-		limit := m.timeToNextTimer() // by the clock that mayWait has read
-		m.readClock()
-		began := m.now
-		blocked := m.poll.wait(limit)
-		m.readClock()
-		m.polls.polled(began, m.now, limit, blocked, m.poll.isComplete())
+		m.wait(m.timeToNextTimer()) // by the clock that mayWait has read
 	} else {
-		m.readClock()
-		began := m.now
-		m.poll.poll()
-		m.readClock()
-		m.polls.polled(began, m.now, 0, false, m.poll.isComplete())
+		m.pollNow()
 	}
 	m.polledAt = time.Now()
 	polledNow, setBefore := m.now, m.timers.setCount
@@ -213,6 +204,24 @@
 	return true
 }
 
+// wait fetches the events of the next turn, and waits for one up to the limit.
+func (m *Real) wait(limit Time) {
+	m.readClock()
+	began := m.now
+	blocked := m.poll.wait(limit)
+	m.readClock()
+	m.polls.polled(began, m.now, limit, blocked, m.poll.isComplete())
+}
+
+// pollNow fetches the events of the next turn without waiting.
+func (m *Real) pollNow() {
+	m.readClock()
+	began := m.now
+	m.poll.poll()
+	m.readClock()
+	m.polls.polled(began, m.now, 0, false, m.poll.isComplete())
+}
+
 // mayWait reports whether the loop may block. After it returns true, Post wakes the loop.
 func (m *Real) mayWait() bool {
 	if t := m.timers.first(); t != nil {
