frontend: one rule for stalled commands, one way to reserve; tests wait on timers

Cause: three walks over partial commands had three rules; the one that reclaims memory looked neither for bytes that wait in the kernel nor for a read in a later turn, so that after a long turn a command whose rest had come could be rejected.

Change: isStalled is that rule; reserve takes a flag instead of a function. The test fills the budget to its last byte. Sizes of slots are checked against what is counted; sleeps are timers of the loop.

--- a/internal/frontend/byte_budget.go
+++ b/internal/frontend/byte_budget.go
@@ -12,7 +12,7 @@
 
 // byteBudget limits the total number of bytes that all connections of a server hold.
 type byteBudget struct {
-	used  int64 // may exceed limit, by replies of up to maxUncountedReplyBytes each
+	used  int64 // may exceed limit, by slots and by replies of up to maxUncountedReplyBytes each
 	limit int64
 }
 
--- a/internal/frontend/connection_limit.go
+++ b/internal/frontend/connection_limit.go
@@ -38,8 +38,7 @@
 func (s *Server) stalledConnection() *connection {
 	now := s.machine.Now()
 	for c := s.lists[statePartialCommand].first; c != nil; c = c.next {
-		isStalled := c.receivedAt+stalledCommandTime <= now && len(c.pendingReplies) == 0 && !c.readScheduled
-		if isStalled && !c.reading && c.socket.HasNothingUnread() {
+		if len(c.pendingReplies) == 0 && c.isStalled(now) {
 			return c
 		}
 	}
@@ -68,10 +67,12 @@
 // need their places.
 func (s *Server) replaceExcessConnections() {
 	latest := s.machine.Now() - excessGrace
-	for c := s.lists[stateExcess].first; c != nil && s.atExcessLimit() && c.stateSince <= latest; {
-		next := c.next
+	for s.atExcessLimit() {
+		c := s.lists[stateExcess].first
+		if c == nil || c.stateSince > latest {
+			return
+		}
 		c.expire()
-		c = next
 	}
 }
 
--- a/internal/frontend/drain.go
+++ b/internal/frontend/drain.go
@@ -35,7 +35,7 @@
 		return
 	}
 	c.retired, c.retiredAt = true, c.server.machine.Now()
-	c.unparsed = releaseEmpty(c.unparsed)
+	c.releaseEmptyUnparsed()
 	unused := c.state == stateNew && c.stateSince+commandGrace <= c.retiredAt
 	if (c.state == stateIdle || unused) && !c.isBusy() && c.socket.HasNothingUnread() {
 		c.close()
--- a/internal/frontend/drain_test.go
+++ b/internal/frontend/drain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -233,8 +234,8 @@
 			}
 			client.Send(wire)
 			c := r.server.lists[state].first
-			for c.socket.HasNothingUnread() { // the bytes are on their way over loopback
-				time.Sleep(time.Millisecond)
+			for c.socket.HasNothingUnread() { // the bytes are on their way over loopback, and the loop runs this function
+				runtime.Gosched()
 			}
 			c.read()
 			c.retire()
--- a/internal/frontend/held_bytes.go
+++ b/internal/frontend/held_bytes.go
@@ -21,30 +21,19 @@
 
 // reserveRequest reserves the bytes of a request. A connection that holds nothing may use the whole budget, so that clients that
 // hold much do not keep others from a single request.
-func (c *connection) reserveRequest(n int64) bool {
-	return c.reserveOrReclaim(func() bool {
-		if c.held == 0 {
-			return c.server.buffered.reserve(n)
-		}
-		return c.server.buffered.reserveShare(c.held, n)
-	}, n)
-}
+func (c *connection) reserveRequest(n int64) bool { return c.reserve(n, c.held > 0) }
 
 // reserveReply reserves the bytes of a reply. A client that does not read its replies, or whose replies wait for an earlier one,
 // is limited to its share.
 func (c *connection) reserveReply(slot *ReplySlot, n int64) bool {
 	waits := len(c.unsent) > 0 || len(c.pendingReplies) > 0 && c.pendingReplies[0] != slot
-	return c.reserveOrReclaim(func() bool {
-		if waits {
-			return c.server.buffered.reserveShare(c.held, n)
-		}
-		return c.server.buffered.reserve(n)
-	}, n)
+	return c.reserve(n, waits)
 }
 
-// reserveOrReclaim calls reserve for n bytes, and again each time that reclaiming memory of a stalled client has freed some.
-func (c *connection) reserveOrReclaim(reserve func() bool, n int64) bool {
-	for !reserve() {
+// reserve reserves n bytes, of the connection's share if it is limited. Without memory, it reclaims the memory of stalled clients.
+func (c *connection) reserve(n int64, isLimited bool) bool {
+	budget := &c.server.buffered
+	for isLimited && !budget.reserveShare(c.held, n) || !isLimited && !budget.reserve(n) {
 		if !c.server.reclaimStalled(c) {
 			return false
 		}
@@ -72,15 +61,14 @@
 	if more <= 0 {
 		return true
 	}
-	for {
-		switch s := c.server; {
-		case size <= freeUnparsedBytes && s.buffered.reserve(more), s.buffered.reserveShare(c.held+c.unparsedCharge, more):
-			c.unparsedCharge = size
-			return true
-		case !s.reclaimStalled(c):
+	budget := &c.server.buffered
+	for (size > freeUnparsedBytes || !budget.reserve(more)) && !budget.reserveShare(c.held+c.unparsedCharge, more) {
+		if !c.server.reclaimStalled(c) {
 			return false
 		}
 	}
+	c.unparsedCharge = size
+	return true
 }
 
 // releaseUnparsed returns the memory of the unparsed bytes, which the caller has dropped or replaced by a copy of the given size.
@@ -99,12 +87,27 @@
 	return len(s.readBuffer)
 }
 
+// releaseEmptyUnparsed releases the buffer of the unparsed bytes if it is empty.
+func (c *connection) releaseEmptyUnparsed() {
+	if len(c.unparsed) == 0 {
+		c.unparsed = nil
+		c.releaseUnparsed(0)
+	}
+}
+
+// isStalled reports whether the rest of a partial command has not come for stalledCommandTime, and nothing waits to be read.
+func (c *connection) isStalled(now Time) bool {
+	isOld := c.state == statePartialCommand && c.receivedAt+stalledCommandTime <= now
+	return isOld && !c.reading && !c.readScheduled && c.socket.HasNothingUnread()
+}
+
 // reclaimStalled frees the memory of one client that has stopped in the middle of a large command or does not read its replies,
 // and reports whether there was such a client other than c.
 func (s *Server) reclaimStalled(c *connection) bool {
 	now := s.machine.Now()
 	for other := s.lists[statePartialCommand].first; other != nil; other = other.next {
-		if other != c && other.skipper == nil && !other.reading && other.unparsedCharge >= shortageReadBytes && other.receivedAt+stalledCommandTime <= now {
+		holdsMuch := other.skipper == nil && other.unparsedCharge >= shortageReadBytes
+		if other != c && holdsMuch && other.isStalled(now) {
 			quota := maxCommandsPerTurn
 			other.rejectPartialCommand(&quota)
 			return true
--- a/internal/frontend/held_bytes_test.go
+++ b/internal/frontend/held_bytes_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"testing"
 	"time"
+	"unsafe"
 
 	"starlingwinch/internal/resp"
 	"starlingwinch/internal/testbench/routertest"
@@ -32,40 +33,53 @@
 	})
 }
 
-// stopHalfway connects clients that stop 45 KB into a write of 60 KB, and waits until the server has read all they sent.
-func stopHalfway(r *testServer, clients int) {
+// stopHalfway connects clients that stop so many bytes into a write of 60 KB, and waits until the server has read them.
+func stopHalfway(r *testServer, clients, sent int) {
 	for i := range clients {
-		c := r.dial()
-		c.Send(longWrite(fmt.Sprint("stopped", i))[:45<<10])
+		r.dial().Send(longWrite(fmt.Sprint("stopped", i))[:sent])
 	}
 	waitUntilRead(r, clients)
 }
 
-// TestStoppedCommandsLeaveMemoryToOthers guards against clients that stop in the middle of large commands taking all memory, so
-// that each read of other clients is rejected.
-func TestStoppedCommandsLeaveMemoryToOthers(t *testing.T) {
-	r := newTestServer(t, func(o *Options) { o.MaxBufferedBytes = 1 << 20 })
-	stopHalfway(r, 60)
-	for i := range 20 {
+// wantServed sends commands on connections of their own, and checks that each reaches the handler.
+func wantServed(r *testServer, commands ...string) {
+	r.t.Helper()
+	for _, command := range commands {
 		c := r.dial()
-		c.Send(get(fmt.Sprint("usual", i)))
+		c.Send(command)
 		r.answer(r.nextRequest(), value)
 		c.Want("value")
 	}
 }
 
+// TestStoppedCommandsLeaveMemoryToOthers guards against clients that stop in the middle of large commands taking all memory, so
+// that each read of other clients is rejected.
+func TestStoppedCommandsLeaveMemoryToOthers(t *testing.T) {
+	buffer := cap(append(make([]byte, readBufferSize), 0)) // held for one byte more than a read takes
+	r := newTestServer(t, func(o *Options) { o.MaxBufferedBytes = int64(50 * buffer) })
+	stopHalfway(r, 60, readBufferSize+1)
+	wantServed(r, get("first"), get("second"), get("third"))
+}
+
 // TestStalledCommandGivesMemoryToLargeWrite guards against a large write being rejected for as long as stopped clients stay
 // connected.
 func TestStalledCommandGivesMemoryToLargeWrite(t *testing.T) {
 	r := newTestServer(t, func(o *Options) { o.MaxBufferedBytes = 1 << 20 })
-	stopHalfway(r, 60)
-	time.Sleep(time.Duration(stalledCommandTime) * time.Microsecond) // the rule is about time passing
-	for i := range 5 {
-		c := r.dial()
-		c.Send(longWrite(fmt.Sprint("usual", i)))
-		r.answer(r.nextRequest(), value)
-		c.Want("value")
+	stopHalfway(r, 60, 45<<10)
+	r.After(time.Duration(stalledCommandTime) * time.Microsecond)
+	wantServed(r, longWrite("first"), longWrite("second"), longWrite("third"))
+}
+
+// TestSlotsHoldNoMoreMemoryThanCounted guards against slots that grow beyond the bytes that the budget counts for them.
+func TestSlotsHoldNoMoreMemoryThanCounted(t *testing.T) {
+	const place = unsafe.Sizeof(&ReplySlot{}) * 5 / 4 // in the queue, which grows by a quarter
+	if size := unsafe.Sizeof(ReplySlot{}) + place; size > slotBytes {
+		t.Errorf("a slot holds %d bytes, want at most %d", size, slotBytes)
+	}
+	if size := unsafe.Sizeof(requestSlot{}) + place; size > requestSlotBytes {
+		t.Errorf("a slot with a request holds %d bytes, want at most %d", size, requestSlotBytes)
 	}
+	t.Logf("%d and %d bytes", unsafe.Sizeof(ReplySlot{}), unsafe.Sizeof(requestSlot{}))
 }
 
 // TestPipeliningClientsLeaveMemoryToOthers guards against clients that pipeline many requests taking all memory.
@@ -142,7 +156,7 @@
 			break
 		}
 	}
-	time.Sleep(time.Duration(stalledWriteTime) * time.Microsecond) // the rule is about time passing
+	r.After(time.Duration(stalledWriteTime) * time.Microsecond)
 	for i := range 5 {
 		c := r.dial()
 		answerLarge(c, fmt.Sprint("usual", i))
--- a/internal/frontend/reading.go
+++ b/internal/frontend/reading.go
@@ -138,7 +138,8 @@
 }
 
 // executeCommands executes the complete commands at the start of b, up to the quota, and returns the number of bytes that
-// they used. Their last bytes came with the latest read, as no more is read while a complete command waits. It stops when the connection closes, since writing a reply may reveal a broken connection.
+// they used. Their last bytes came with the latest read, as no more is read while a complete command waits. It stops when
+// the connection closes, since writing a reply may reveal a broken connection.
 func (c *connection) executeCommands(b []byte, quota *int) (used int) {
 	for !c.closed && *quota > 0 && !c.atPipelineLimit() && used < len(b) {
 		if c.skipper != nil {
@@ -194,14 +195,6 @@
 	}
 }
 
-// releaseEmpty returns nil for an empty buffer, so that its memory can be freed.
-func releaseEmpty(b []byte) []byte {
-	if len(b) == 0 {
-		return nil
-	}
-	return b
-}
-
 // scheduleRead schedules a read of the connection in a separate turn.
 func (c *connection) scheduleRead() {
 	if c.readScheduled || c.closed {
--- a/internal/frontend/state.go
+++ b/internal/frontend/state.go
@@ -94,9 +94,7 @@
 // updateState moves the connection into the state that follows from its unparsed bytes and its pending replies. It is called
 // once all bytes that had arrived are read.
 func (c *connection) updateState() {
-	if c.unparsed = releaseEmpty(c.unparsed); c.unparsed == nil {
-		c.releaseUnparsed(0)
-	}
+	c.releaseEmptyUnparsed()
 	var next connectionState
 	switch {
 	case c.state == stateLingering || c.state == stateWriteBlocked:
