router, guard: check delivery once a window, and count prevented attempts alone

By reading: each further attempt set timers for all earlier ones again, and an attempt that had long arrived was counted as prevented.

Change: a timer for the window of the attempt that begins, and one for the first attempt's; undelivered attempts alone ask the guard.

--- a/internal/guard/rules.go
+++ b/internal/guard/rules.go
@@ -1,7 +1,6 @@
 package guard
 
 import (
-	"iter"
 	"slices"
 
 	"starlingwinch/decide"
@@ -185,16 +184,8 @@
 	return max(0, class.IdempotencyWindow-decide.MaxSchedulingDelay), true
 }
 
-// StartTimes returns the times at which the first bytes of the attempts were written.
-func (request *Request) StartTimes() iter.Seq[decide.Time] {
-	return func(yield func(decide.Time) bool) {
-		for i := range request.attempts {
-			if !yield(request.attempts[i].startedAt) {
-				return
-			}
-		}
-	}
-}
+// FirstStart returns the time at which the first byte of the first attempt was written. There must be one.
+func (request *Request) FirstStart() decide.Time { return request.attempts[0].startedAt }
 
 // mayHaveRun reports whether the cache may have run the attempt or may still run it.
 func (a *writtenAttempt) mayHaveRun() bool { return a.completed && !a.neverRan }
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -30,31 +30,30 @@
 // WriteStarted implements upstream.Request.
 func (a *attempt) WriteStarted(now, wait Time, whole bool) {
 	a.router.guard.WriteStarted(now, &a.request.guard, a.Number, a.target, wait, whole)
-	a.router.limitDelivery(a.request)
+	a.router.limitDelivery(a.request, now)
 }
 
-// limitDelivery has the attempts of a request checked whenever the caches may have forgotten one of them: another one that waits in
-// the kernel for a cache that hangs would run again when it arrives. It is called when an attempt begins.
-func (r *Router) limitDelivery(q *request) {
+// limitDelivery has the attempts of a request checked when the caches may have forgotten one of them: another one that waits in the
+// kernel for a cache that hangs would run again when it arrives. It is called when an attempt begins.
+func (r *Router) limitDelivery(q *request, now Time) {
 	window, isLimited := q.guard.RepeatWindow()
 	if !isLimited || len(q.attempts) < 2 {
 		return
 	}
-	for startedAt := range q.guard.StartTimes() {
-		r.m.At(startedAt+window, func() {
-			r.abortUndeliverable(q)
-			r.ProcessEvents()
-		})
+	r.m.At(now+window, func() { r.abortUndeliverable(q) })
+	if first := q.guard.FirstStart(); first < now { // no check was due while the first attempt was the only one
+		r.m.At(first+window, func() { r.abortUndeliverable(q) })
 	}
 }
 
 // abortUndeliverable ends the attempts of a request that have not reached their caches and may not run any more.
 func (r *Router) abortUndeliverable(q *request) {
 	for _, a := range q.attempts {
-		if !a.Ended() && r.guard.MayFinish(r.m.Now(), &q.guard, a.Number) != guard.Allowed {
-			a.AbortUndelivered()
+		if a.IsUndelivered() && r.guard.MayFinish(r.m.Now(), &q.guard, a.Number) != guard.Allowed {
+			a.Abort(decide.TimedOut)
 		}
 	}
+	r.ProcessEvents()
 }
 
 // MayFinish implements upstream.Request.
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -60,11 +60,9 @@
 	}
 }
 
-// AbortUndelivered ends an attempt of which some bytes have not reached the cache's machine, so that the cache does not run it later.
-func (a *Attempt) AbortUndelivered() {
-	if a.state == stateWriting || a.state == stateWritten && a.connection.socket.HasUndelivered() {
-		a.Abort(decide.TimedOut)
-	}
+// IsUndelivered reports whether the attempt is in flight and some of its bytes have not reached the cache's machine.
+func (a *Attempt) IsUndelivered() bool {
+	return a.state == stateWriting || a.state == stateWritten && a.connection.socket.HasUndelivered()
 }
 
 // armTimer sets the timer for the earliest of the attempt's deadlines.
