lab pressure: its processes end with it; plain names in the frontend

Cause: a killed lab pressure left its router and its busy processes running. Names that readers stumble over: share, crowded, kept.

Change: the thread that starts the processes stays, and the kernel ends them with it. Commands are written with redcon. quota, filled, ttl.

--- a/internal/frontend/byte_budget.go
+++ b/internal/frontend/byte_budget.go
@@ -5,9 +5,9 @@
 	// reservedDivisor divides the budget. The quotient is reserved for connections that hold nothing, so that connections that
 	// hold much never take all memory.
 	reservedDivisor = 8
-	// shareOfFreeBytes is the multiple of the free bytes up to which one connection may hold bytes. One connection can take
+	// quotaMultiple is the multiple of the free bytes up to which one connection may hold bytes. One connection can take
 	// 3/4 of the budget, and N connections 3/(3N+1) each (a dynamic threshold, Choudhury and Hahne).
-	shareOfFreeBytes = 3
+	quotaMultiple = 3
 )
 
 // byteBudget limits the total number of bytes that all connections of a server hold.
@@ -25,22 +25,17 @@
 	return true
 }
 
-// reserveShare reserves n more bytes for a connection that holds bytes already. It reports false and reserves nothing if the
-// connection would then hold more than its share.
-func (b *byteBudget) reserveShare(held, n int64) bool {
-	if !b.allowsShare(held, n) {
+// reserveWithinQuota reserves n more bytes for a connection that holds bytes already. It reports false and reserves nothing if the
+// connection would then exceed its quota.
+func (b *byteBudget) reserveWithinQuota(held, n int64) bool {
+	left := b.limit - b.used - n
+	if left < b.limit/reservedDivisor || held+n > quotaMultiple*left {
 		return false
 	}
 	b.used += n
 	return true
 }
 
-// allowsShare reports whether a connection that holds bytes already may hold n more.
-func (b *byteBudget) allowsShare(held, n int64) bool {
-	left := b.limit - b.used - n
-	return left >= b.limit/reservedDivisor && held+n <= shareOfFreeBytes*left
-}
-
 // isExhausted reports whether half of the reserved bytes are used, so that no further reply should become due.
 func (b *byteBudget) isExhausted() bool { return b.limit-b.used < b.limit/reservedDivisor/2 }
 
--- a/internal/frontend/connection_limit.go
+++ b/internal/frontend/connection_limit.go
@@ -131,7 +131,7 @@
 	switch {
 	case unused != nil && unused.stateSince <= s.machine.Now()-commandGrace:
 		return unused
-	case idle != nil && s.isCrowdedBySilentClients() && idle.stateSince > s.machine.Now()-recentlyUsed:
+	case idle != nil && s.isFilledBySilentClients() && idle.stateSince > s.machine.Now()-recentlyUsed:
 		return nil
 	case unused == nil || idle != nil && idle.stateSince < unused.stateSince:
 		return idle
@@ -139,8 +139,8 @@
 	return unused
 }
 
-// isCrowdedBySilentClients reports whether most places are held by connections that have sent no command, or a part of one.
-func (s *Server) isCrowdedBySilentClients() bool {
+// isFilledBySilentClients reports whether most places are held by connections that have sent no command, or a part of one.
+func (s *Server) isFilledBySilentClients() bool {
 	return s.lists[stateNew].length+s.lists[statePartialCommand].length > s.options.MaxConnections/2
 }
 
--- a/internal/frontend/held_bytes.go
+++ b/internal/frontend/held_bytes.go
@@ -6,8 +6,8 @@
 	slotBytes = 96
 	// requestSlotBytes is the memory of a requestSlot, and of its place in the queue. It is part of Options.RequestBytes.
 	requestSlotBytes = 320
-	// freeUnparsedBytes is the size of a partial command up to which it may use the whole budget. A connection needs its share of
-	// the budget for more.
+	// freeUnparsedBytes is the size of a partial command up to which it may use the whole budget. Beyond it, the quota of the
+	// connection applies.
 	freeUnparsedBytes = 1 << 10
 	// shortageReadBytes is the maximum number of bytes of one read while the budget is short.
 	shortageReadBytes = 2 << 10
@@ -24,16 +24,16 @@
 func (c *connection) reserveRequest(n int64) bool { return c.reserve(n, c.held > 0) }
 
 // reserveReply reserves the bytes of a reply. A client that does not read its replies, or whose replies wait for an earlier one,
-// is limited to its share.
+// is limited to its quota.
 func (c *connection) reserveReply(slot *ReplySlot, n int64) bool {
 	waits := len(c.unsent) > 0 || len(c.pendingReplies) > 0 && c.pendingReplies[0] != slot
 	return c.reserve(n, waits)
 }
 
-// reserve reserves n bytes, of the connection's share if it is limited. Without memory, it reclaims the memory of stalled clients.
+// reserve reserves n bytes, within the quota of the connection if it is limited. Without memory, it reclaims the memory of stalled clients.
 func (c *connection) reserve(n int64, isLimited bool) bool {
 	budget := &c.server.buffered
-	for isLimited && !budget.reserveShare(c.held, n) || !isLimited && !budget.reserve(n) {
+	for isLimited && !budget.reserveWithinQuota(c.held, n) || !isLimited && !budget.reserve(n) {
 		if !c.server.reclaimStalled(c) {
 			return false
 		}
@@ -62,7 +62,7 @@
 		return true
 	}
 	budget := &c.server.buffered
-	for (size > freeUnparsedBytes || !budget.reserve(more)) && !budget.reserveShare(c.held+c.unparsedCharge, more) {
+	for (size > freeUnparsedBytes || !budget.reserve(more)) && !budget.reserveWithinQuota(c.held+c.unparsedCharge, more) {
 		if !c.server.reclaimStalled(c) {
 			return false
 		}
--- a/internal/router/recent_ids.go
+++ b/internal/router/recent_ids.go
@@ -11,10 +11,10 @@
 // recentIDs holds the ids of requests that have ended, that must not run twice, and that may have run. Each request has a new id, so
 // that another request with such an id is the same one: the router rejects it as it rejects the id of an open request.
 type recentIDs struct {
-	keptFor Time            // see recentIDTime
-	held    map[uint64]Time // when each id was added, by the hash of the id
-	added   []recentID      // in the order of addition, from next on
-	next    int
+	ttl   Time            // see recentIDTime
+	held  map[uint64]Time // when each id was added, by the hash of the id
+	added []recentID      // in the order of addition, from next on
+	next  int
 }
 
 // recentID is an entry of recentIDs.
@@ -24,8 +24,8 @@
 }
 
 // newRecentIDs returns an empty set that holds ids for the given time.
-func newRecentIDs(keptFor Time) recentIDs {
-	return recentIDs{keptFor: keptFor, held: map[uint64]Time{}}
+func newRecentIDs(ttl Time) recentIDs {
+	return recentIDs{ttl: ttl, held: map[uint64]Time{}}
 }
 
 // recentIDTime returns the time for which an id is held: the longest time after which a client may send a request once more, and the
@@ -58,12 +58,12 @@
 		return false
 	}
 	at, found := s.held[frontend.KeyHash([]byte(clientID))]
-	return found && now < at+s.keptFor
+	return found && now < at+s.ttl
 }
 
 // dropOld drops the ids whose time is over.
 func (s *recentIDs) dropOld(now Time) {
-	for s.next < len(s.added) && s.added[s.next].at+s.keptFor <= now {
+	for s.next < len(s.added) && s.added[s.next].at+s.ttl <= now {
 		s.dropFirst()
 	}
 }
--- a/internal/router/recent_ids_test.go
+++ b/internal/router/recent_ids_test.go
@@ -35,8 +35,8 @@
 
 // TestRecentIDsAreBoundedInTimeAndNumber checks that ids are dropped in the order in which they were added.
 func TestRecentIDsAreBoundedInTimeAndNumber(t *testing.T) {
-	const keptFor = 1000
-	ids := newRecentIDs(keptFor)
+	const ttl = 1000
+	ids := newRecentIDs(ttl)
 	for i := range 3 * maxRecentIDs {
 		ids.add(fmt.Sprint(i), 1)
 	}
@@ -46,13 +46,13 @@
 	if first, last := fmt.Sprint(2*maxRecentIDs-1), fmt.Sprint(3*maxRecentIDs-1); ids.contains(first, 1) || !ids.contains(last, 1) {
 		t.Error("the set does not hold the latest ids")
 	}
-	if last := fmt.Sprint(3*maxRecentIDs - 1); !ids.contains(last, keptFor) || ids.contains(last, keptFor+1) {
+	if last := fmt.Sprint(3*maxRecentIDs - 1); !ids.contains(last, ttl) || ids.contains(last, ttl+1) {
 		t.Error("the set holds an id for another time than it should")
 	}
-	ids.add("same", keptFor)
-	ids.add("same", keptFor+1)
-	ids.dropOld(2 * keptFor)
-	if !ids.contains("same", 2*keptFor) {
+	ids.add("same", ttl)
+	ids.add("same", ttl+1)
+	ids.dropOld(2 * ttl)
+	if !ids.contains("same", 2*ttl) {
 		t.Error("an id that was added again was dropped with its first entry")
 	}
 }
--- a/internal/testbench/lab/pressure/router.go
+++ b/internal/testbench/lab/pressure/router.go
@@ -32,7 +32,8 @@
 	dir    string
 	log    *os.File
 	cmd    *exec.Cmd
-	ended  chan struct{}
+	ended  chan struct{} // closed once the router's process has ended
+	over   chan struct{} // closed by kill
 	beside []*exec.Cmd
 }
 
@@ -42,7 +43,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &router{dir: dir, ended: make(chan struct{})}
+	r := &router{dir: dir, ended: make(chan struct{}), over: make(chan struct{})}
 	if err := r.start(o, caches); err != nil {
 		r.kill()
 		return nil, err
@@ -74,7 +75,7 @@
 	for range o.Beside {
 		commands = append(commands, exec.Command("/bin/sh", "-c", "while :; do :; done"))
 	}
-	if err := startOnOneCore(commands); err != nil {
+	if err := startOnOneCore(commands, r.over); err != nil {
 		return err
 	}
 	r.cmd, r.beside = cmd, commands[1:]
@@ -85,33 +86,39 @@
 	return nil
 }
 
-// startOnOneCore starts processes that run on the last processor of the machine, where there is more than one process.
-func startOnOneCore(commands []*exec.Cmd) error {
+// startOnOneCore starts processes that run on the last processor of the machine, where there is more than one process. The kernel kills
+// them when the thread that started them ends, which it does with this process, or once over is closed.
+func startOnOneCore(commands []*exec.Cmd, over <-chan struct{}) error {
 	started := make(chan error)
 	go func() {
 		runtime.LockOSThread() // never unlocked: the thread, whose processor the processes inherit, ends with the goroutine
-		if len(commands) > 1 {
-			var core unix.CPUSet
-			core.Set(runtime.NumCPU() - 1)
-			if err := unix.SchedSetaffinity(0, &core); err != nil {
-				started <- fmt.Errorf("a processor for the router: %w", err)
-				return
-			}
-		}
-		for i, cmd := range commands {
-			if err := cmd.Start(); err != nil {
-				for _, earlier := range commands[:i] {
-					_ = earlier.Process.Kill()
-				}
-				started <- err
-				return
-			}
+		err := startAll(commands)
+		started <- err
+		if err == nil {
+			<-over
 		}
-		started <- nil
 	}()
 	return <-started
 }
 
+// startAll starts processes from the calling thread.
+func startAll(commands []*exec.Cmd) error {
+	if len(commands) > 1 {
+		var core unix.CPUSet
+		core.Set(runtime.NumCPU() - 1)
+		if err := unix.SchedSetaffinity(0, &core); err != nil {
+			return fmt.Errorf("a processor for the router: %w", err)
+		}
+	}
+	for _, cmd := range commands {
+		cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+		if err := cmd.Start(); err != nil {
+			return err // the processes before it end with the thread
+		}
+	}
+	return nil
+}
+
 // freeAddress returns a loopback address that is free now.
 func freeAddress() (string, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -178,6 +185,7 @@
 		_ = cmd.Process.Kill()
 		_ = cmd.Wait()
 	}
+	close(r.over)
 	if r.log != nil {
 		r.log.Close()
 	}
--- a/internal/testbench/lab/pressure/shapes.go
+++ b/internal/testbench/lab/pressure/shapes.go
@@ -10,27 +10,27 @@
 
 // Shapes are the kinds of hostile clients, by name.
 var Shapes = map[string]func(*play){
-	"stop-in-write":     func(p *play) { p.crowd(300, stopInWrite) },
-	"slow-write":        func(p *play) { p.crowd(300, slowWrite) },
-	"short-fields":      func(p *play) { p.crowd(400, shortFields) },
-	"flood-of-reads":    func(p *play) { p.crowd(300, floodOfReads) },
-	"flood-of-writes":   func(p *play) { p.crowd(200, floodOfWrites) },
-	"unread-values":     func(p *play) { p.crowd(200, unreadValues) },
-	"pings-behind-read": func(p *play) { p.crowd(400, pingsBehindRead) },
-	"half-commands":     func(p *play) { p.crowd(500, halfCommand) },
-	"unsound-commands":  func(p *play) { p.crowd(1, endless(unsoundCommand)) },
-	"endless-pings":     func(p *play) { p.crowd(1, endless(func() string { return words("PING") })) },
-	"empty-commands":    func(p *play) { p.crowd(1, endless(func() string { return "*0\r\n\r\n" })) },
-	"new-names":         func(p *play) { p.crowd(1, endless(newNames)) },
-	"new-names-unread":  func(p *play) { p.crowd(2, endlessUnread(newNames)) },
-	"no-time":           func(p *play) { p.crowd(1, endless(noTime)) },
-	"little-time":       func(p *play) { p.crowd(1, endless(littleTime)) },
-	"close-unread":      func(p *play) { p.crowd(20, closeUnread) },
-	"same-id-again":     func(p *play) { p.crowd(20, sameIDAgain) },
+	"stop-in-write":     func(p *play) { p.startHostile(300, stopInWrite) },
+	"slow-write":        func(p *play) { p.startHostile(300, slowWrite) },
+	"short-fields":      func(p *play) { p.startHostile(400, shortFields) },
+	"flood-of-reads":    func(p *play) { p.startHostile(300, floodOfReads) },
+	"flood-of-writes":   func(p *play) { p.startHostile(200, floodOfWrites) },
+	"unread-values":     func(p *play) { p.startHostile(200, unreadValues) },
+	"pings-behind-read": func(p *play) { p.startHostile(400, pingsBehindRead) },
+	"half-commands":     func(p *play) { p.startHostile(500, halfCommand) },
+	"unsound-commands":  func(p *play) { p.startHostile(1, endless(unsoundCommand)) },
+	"endless-pings":     func(p *play) { p.startHostile(1, endless(func() string { return words("PING") })) },
+	"empty-commands":    func(p *play) { p.startHostile(1, endless(func() string { return "*0\r\n\r\n" })) },
+	"new-names":         func(p *play) { p.startHostile(1, endless(newNames)) },
+	"new-names-unread":  func(p *play) { p.startHostile(2, endlessUnread(newNames)) },
+	"no-time":           func(p *play) { p.startHostile(1, endless(noTime)) },
+	"little-time":       func(p *play) { p.startHostile(1, endless(littleTime)) },
+	"close-unread":      func(p *play) { p.startHostile(20, closeUnread) },
+	"same-id-again":     func(p *play) { p.startHostile(20, sameIDAgain) },
 }
 
-// crowd starts half to all of a number of hostile clients, drawn by the seed. Each repeats its act until the play ends.
-func (p *play) crowd(most int, act func(*play, *rand.Rand)) {
+// startHostile starts half to all of a number of hostile clients, drawn by the seed. Each repeats its act until the play ends.
+func (p *play) startHostile(most int, act func(*play, *rand.Rand)) {
 	p.result.Hostile = most - p.random.IntN(most/2+1)
 	for range p.result.Hostile {
 		random := rand.New(rand.NewPCG(p.random.Uint64(), 2))
--- a/internal/testbench/lab/pressure/usual.go
+++ b/internal/testbench/lab/pressure/usual.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/tidwall/redcon"
 )
 
 // Figures of the usual clients.
@@ -20,12 +22,11 @@
 
 // words returns a command as an array of bulk strings.
 func words(args ...string) string {
-	var wire strings.Builder
-	fmt.Fprintf(&wire, "*%d\r\n", len(args))
+	wire := redcon.AppendArray(nil, len(args))
 	for _, arg := range args {
-		fmt.Fprintf(&wire, "$%d\r\n%s\r\n", len(arg), arg)
+		wire = redcon.AppendBulkString(wire, arg)
 	}
-	return wire.String()
+	return string(wire)
 }
 
 // newID returns an id that no other request has.
@@ -64,7 +65,7 @@
 			}
 			start = time.Now()
 			p.watch(id, start.Add(usualTimeout))
-			if reply, err = c.ask(command, start.Add(usualTimeout+2*time.Second)); err == nil {
+			if reply, err = c.request(command, start.Add(usualTimeout+2*time.Second)); err == nil {
 				break
 			}
 			c.Close()
@@ -117,8 +118,8 @@
 	return &client{conn, bufio.NewReaderSize(conn, 64<<10)}, nil
 }
 
-// ask sends a command and returns the first line of its reply.
-func (c *client) ask(command string, deadline time.Time) (string, error) {
+// request sends a command and returns the first line of its reply.
+func (c *client) request(command string, deadline time.Time) (string, error) {
 	c.SetDeadline(deadline)
 	if _, err := io.WriteString(c, command); err != nil {
 		return "", err
